Add the pool owner and the entry's side of pools

One goroutine per owned pool feeds the scheduler and carries out its actions; the client side remembers every request of the entry and reports the whole to each new owner. Ownership follows rendezvous hashing over the members' view.

--- /dev/null
+++ b/loadreport/reader.go
@@ -0,0 +1,77 @@
+// Package loadreport reads what targets tell about their own load.
+//
+// A target that is declared with reportsLoad answers GET /load with a JSON
+// object: running and waiting are counts of requests, ageMs is how long ago they
+// were counted, in milliseconds.
+package loadreport
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// maxReportBytes bounds the body of a report.
+const maxReportBytes = 64 << 10
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("loadreport")
+
+// Reader reads load reports over HTTP.
+type Reader struct {
+	client *http.Client
+	now    func() time.Time
+}
+
+// report is the body of GET /load.
+type report struct {
+	Running int   `json:"running"`
+	Waiting int   `json:"waiting"`
+	AgeMs   int64 `json:"ageMs"`
+}
+
+// NewReader returns a reader; now reads the clock.
+func NewReader(now func() time.Time) *Reader {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     time.Minute,
+	}
+	return &Reader{client: &http.Client{Transport: transport}, now: now}
+}
+
+// Load reads the report of one target. The caller bounds it with ctx.
+func (r *Reader) Load(ctx context.Context, target settings.Target) (admission.LoadReport, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address+"/load", nil)
+	if err != nil {
+		return admission.LoadReport{}, Error.Wrap(err)
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return admission.LoadReport{}, Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return r.decode(target, response)
+}
+
+func (r *Reader) decode(target settings.Target, response *http.Response) (admission.LoadReport, error) {
+	if response.StatusCode != http.StatusOK {
+		return admission.LoadReport{}, Error.New("target %s answers %s", target.Name, response.Status)
+	}
+	var body report
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&body); err != nil {
+		return admission.LoadReport{}, Error.Wrap(err)
+	}
+	return admission.LoadReport{
+		Target:  target.Name,
+		Running: body.Running,
+		Waiting: body.Waiting,
+		At:      r.now().Add(-time.Duration(body.AgeMs) * time.Millisecond),
+	}, nil
+}
--- /dev/null
+++ b/pool/build_config.go
@@ -0,0 +1,66 @@
+package pool
+
+import (
+	"sort"
+
+	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/membership"
+	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// buildConfig gathers what the scheduler of a pool has to know.
+func (m *Manager) buildConfig(view *membership.View, snapshot *settings.Snapshot, name ident.Pool) admission.Config {
+	leaving := leavingTargets(m.options.Hosts.Entries())
+	divisor := cautiousDivisor(view, m.options.DataCentre)
+	c := admission.Config{Pool: *snapshot.Pools[name], Tiers: tiersByRank(snapshot)}
+	for _, declared := range snapshot.PoolTargets(name, m.options.DataCentre) {
+		target := *declared
+		if _, ok := leaving[target.Name]; ok {
+			target.Leaving = true
+		}
+		target.Slots = max(target.Slots/divisor, 1)
+		c.Targets = append(c.Targets, target)
+	}
+	return c
+}
+
+func tiersByRank(snapshot *settings.Snapshot) []settings.Tier {
+	tiers := make([]settings.Tier, 0, len(snapshot.Tiers))
+	for _, t := range snapshot.Tiers {
+		tiers = append(tiers, *t)
+	}
+	sort.Slice(tiers, func(i, j int) bool { return tiers[i].Rank < tiers[j].Rank })
+	return tiers
+}
+
+func leavingTargets(entries []platform.HostEntry) map[ident.Target]struct{} {
+	leaving := make(map[ident.Target]struct{})
+	for _, e := range entries {
+		if e.Role == platform.RoleTarget && e.State == platform.HostLeaving {
+			leaving[ident.Target(e.Name)] = struct{}{}
+		}
+	}
+	return leaving
+}
+
+// cautiousDivisor returns by how much slots are divided. A host that reaches
+// nobody of its data centre cannot tell whether the others died or it was cut
+// off, so it takes only its share of each target.
+func cautiousDivisor(view *membership.View, dc ident.DataCentre) int {
+	known, live := 0, 0
+	for _, m := range view.Members {
+		if m.DataCentre != dc {
+			continue
+		}
+		known++
+		if m.State != membership.Dead {
+			live++
+		}
+	}
+	if live > 1 || known == 0 {
+		return 1
+	}
+	return known
+}
--- /dev/null
+++ b/pool/client_options.go
@@ -0,0 +1,23 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cornelyard/cornelyard/membership"
+	"github.com/cornelyard/cornelyard/peer"
+	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+// ClientOptions configures a Client. All fields are required.
+type ClientOptions struct {
+	Members  membership.Source
+	Settings settings.Source
+	Sender   peer.Sender
+	Recorder timeline.Recorder
+	Logger   *log.Logger
+	// Now reads the clock.
+	Now func() time.Time
+}
--- /dev/null
+++ b/pool/client_reconcile.go
@@ -0,0 +1,91 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+	"github.com/cornelyard/cornelyard/membership"
+)
+
+// ownerOf returns the owner of k as the view has it. A host that is alone in
+// its data centre owns its pools even while it is stopping.
+func ownerOf(view *membership.View, k key) ident.Host {
+	owner := view.Owner(k.dataCentre, k.pool)
+	if owner == "" && view.Self.DataCentre == k.dataCentre {
+		return view.Self.Host
+	}
+	return owner
+}
+
+// reconcile tells each pool's present owner what it has to know.
+func (c *Client) reconcile() {
+	view := c.options.Members.View()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k, p := range c.pools {
+		if len(p.tickets) == 0 && !p.needReport {
+			delete(c.pools, k)
+			continue
+		}
+		c.reconcilePool(view, p)
+	}
+}
+
+func (c *Client) reconcilePool(view *membership.View, p *clientPool) {
+	owner := ownerOf(view, p.key)
+	if owner != "" && owner != p.owner {
+		p.owner = owner
+		p.needReport = true
+	}
+	if p.needReport {
+		c.report(p, 0)
+	}
+	now := c.options.Now()
+	for _, t := range p.tickets {
+		c.retry(view, p, t, now)
+	}
+	if len(p.progress) > 0 && p.owner != "" {
+		c.send(p.key, &peerpb.Frame{Body: &peerpb.Frame_Progress{Progress: p.takeProgress()}})
+	}
+}
+
+func (c *Client) retry(view *membership.View, p *clientPool, t *ticket, now time.Time) {
+	if t.grant != nil || t.announced {
+		return
+	}
+	c.announce(view, p, t)
+	stuck := t.forward != nil && !t.announced && now.Sub(t.forward.since) > forwardPatience
+	if stuck {
+		c.forwardNext(t)
+	}
+}
+
+// report tells the owner of p everything that this entry has there.
+func (c *Client) report(p *clientPool, epoch uint64) {
+	if p.owner == "" {
+		return
+	}
+	now := c.options.Now()
+	r := &peerpb.Report{Pool: string(p.key.pool), Epoch: epoch}
+	for _, t := range p.tickets {
+		if t.grant == nil {
+			r.Queued = append(r.Queued, encodeRequest(now, &t.request))
+			continue
+		}
+		r.InService = append(r.InService, &peerpb.InService{
+			Request:         encodeRequest(now, &t.request),
+			Target:          string(t.grant.target.Name),
+			SinceDispatchMs: now.Sub(t.grant.granted).Milliseconds(),
+			Tokens:          int32(t.grant.tokens),
+		})
+	}
+	sent := c.options.Sender.Send(p.owner, &peerpb.Frame{Body: &peerpb.Frame_Report{Report: r}}) == nil
+	p.needReport = !sent
+	if !sent {
+		return
+	}
+	for _, t := range p.tickets {
+		t.announced = true
+	}
+}
--- /dev/null
+++ b/pool/load_poller.go
@@ -0,0 +1,41 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+const (
+	// loadInterval is the time between two load reports of a target.
+	loadInterval = time.Second
+	// loadTimeout bounds one read of a load report.
+	loadTimeout = 500 * time.Millisecond
+)
+
+// pollLoads reads the targets' load reports until ctx ends.
+func (o *owner) pollLoads(ctx context.Context) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, target := range *o.reporting.Load() {
+			o.pollLoad(ctx, target)
+		}
+	}
+}
+
+func (o *owner) pollLoad(ctx context.Context, target settings.Target) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	report, err := o.options.Loads.Load(ctx, target)
+	if err != nil {
+		return
+	}
+	o.offer("", loadEvent{report: report})
+}
--- /dev/null
+++ b/pool/load_reader.go
@@ -0,0 +1,13 @@
+package pool
+
+import (
+	"context"
+
+	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// LoadReader reads the load report of a target.
+type LoadReader interface {
+	Load(ctx context.Context, target settings.Target) (admission.LoadReport, error)
+}
--- /dev/null
+++ b/pool/manager.go
@@ -0,0 +1,177 @@
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/membership"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// managerTick bounds the time between two reconciliations.
+const managerTick = 500 * time.Millisecond
+
+// Manager runs the owners of the pools that this host owns. It implements
+// peer.Handler.
+type Manager struct {
+	options ManagerOptions
+
+	mu      sync.Mutex
+	owners  map[ident.Pool]*runningOwner
+	strikes map[ident.Pool][]admission.StrikeRecord
+	stopped bool
+	done    sync.WaitGroup
+}
+
+// runningOwner is an owner with its goroutine.
+type runningOwner struct {
+	*owner
+	stop context.CancelFunc
+}
+
+// NewManager returns a manager; Run must be running for it to own pools.
+func NewManager(o ManagerOptions) *Manager {
+	return &Manager{
+		options: o,
+		owners:  make(map[ident.Pool]*runningOwner),
+		strikes: make(map[ident.Pool][]admission.StrikeRecord),
+	}
+}
+
+// Run starts and stops owners as members, settings and the host list change,
+// until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	ticker := time.NewTicker(managerTick)
+	defer ticker.Stop()
+	defer m.stopAll()
+	var previous *membership.View
+	for {
+		members := m.options.Members.Changed()
+		changed := m.options.Settings.Changed()
+		hosts := m.options.Hosts.Changed()
+		view := m.options.Members.View()
+		m.reconcile(view, m.options.Settings.Current())
+		m.tellLost(previous, view)
+		previous = view
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-members:
+		case <-changed:
+		case <-hosts:
+		}
+	}
+}
+
+// reconcile makes the running owners match the view and the settings.
+func (m *Manager) reconcile(view *membership.View, snapshot *settings.Snapshot) {
+	if snapshot == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	live := liveMembers(view, m.options.DataCentre)
+	for name := range snapshot.Pools {
+		m.reconcilePool(view, snapshot, name, live)
+	}
+	for name, o := range m.owners {
+		if _, declared := snapshot.Pools[name]; !declared {
+			m.stopOwner(name, o)
+		}
+	}
+}
+
+func (m *Manager) reconcilePool(
+	view *membership.View, snapshot *settings.Snapshot, name ident.Pool, live []ident.Host,
+) {
+	k := key{dataCentre: m.options.DataCentre, pool: name}
+	mine := ownerOf(view, k) == m.options.Host
+	running, ok := m.owners[name]
+	if !mine {
+		if ok {
+			m.stopOwner(name, running)
+		}
+		return
+	}
+	config := m.buildConfig(view, snapshot, name)
+	if !ok {
+		m.startOwner(k, config)
+		return
+	}
+	running.offer("", configEvent{config: config})
+	running.offer("", membersEvent{live: live})
+}
+
+func (m *Manager) startOwner(k key, config admission.Config) {
+	if m.stopped {
+		return
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	o := &runningOwner{owner: newOwner(m.options, k), stop: stop}
+	m.owners[k.pool] = o
+	if known := m.strikes[k.pool]; len(known) > 0 {
+		o.offer("", strikeEvent{strikes: known})
+	}
+	m.done.Add(1)
+	go func() {
+		defer m.done.Done()
+		o.run(ctx, config)
+	}()
+	m.options.Logger.Info().Str("pool", string(k.pool)).Msg("pool: this host owns the pool")
+}
+
+func (m *Manager) stopOwner(name ident.Pool, o *runningOwner) {
+	o.stop()
+	delete(m.owners, name)
+	m.options.Logger.Info().Str("pool", string(name)).Msg("pool: another host owns the pool")
+}
+
+func (m *Manager) stopAll() {
+	m.mu.Lock()
+	m.stopped = true
+	for name, o := range m.owners {
+		m.stopOwner(name, o)
+	}
+	m.mu.Unlock()
+	m.done.Wait()
+}
+
+// tellLost tells the owners which hosts died or restarted between two views.
+func (m *Manager) tellLost(previous, view *membership.View) {
+	if previous == nil || previous == view {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, old := range previous.Members {
+		if old.State == membership.Dead {
+			continue
+		}
+		now, known := view.Member(old.Host)
+		if known && now.State != membership.Dead && now.Incarnation == old.Incarnation {
+			continue
+		}
+		for _, o := range m.owners {
+			o.offer("", hostLostEvent{host: old.Host})
+		}
+	}
+}
+
+// Statuses returns the newest picture of each pool that this host owns.
+func (m *Manager) Statuses() []Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []Status
+	for name, o := range m.owners {
+		s := Status{Pool: name}
+		if snapshot := o.status.Load(); snapshot != nil {
+			s.Snapshot = *snapshot
+		}
+		all = append(all, s)
+	}
+	return all
+}
--- /dev/null
+++ b/pool/manager_handler.go
@@ -0,0 +1,145 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+	"github.com/cornelyard/cornelyard/peer"
+)
+
+var _ peer.Handler = (*Manager)(nil)
+
+// HandleFrame implements peer.Handler; it takes what entries and other owners
+// send to owners.
+func (m *Manager) HandleFrame(from ident.Host, f *peerpb.Frame) {
+	now := m.options.Now()
+	switch body := f.GetBody().(type) {
+	case *peerpb.Frame_Enqueue:
+		m.handleEnqueue(now, from, body.Enqueue)
+	case *peerpb.Frame_Report:
+		m.handleReport(now, from, body.Report)
+	case *peerpb.Frame_Cancel:
+		m.offer(from, body.Cancel.GetPool(), cancelEvent{id: ident.Request(body.Cancel.GetId())})
+	case *peerpb.Frame_Decline:
+		m.offer(from, body.Decline.GetPool(), declineEvent{decline: decodeDecline(body.Decline)})
+	case *peerpb.Frame_Progress:
+		m.offer(from, body.Progress.GetPool(), decodeProgressBatch(body.Progress))
+	case *peerpb.Frame_End:
+		m.offer(from, body.End.GetPool(), endEvent{end: decodeEnd(body.End)})
+	case *peerpb.Frame_PoolHint:
+		m.handleHint(now, body.PoolHint)
+	case *peerpb.Frame_Strikes:
+		m.handleStrikes(now, body.Strikes)
+	}
+}
+
+// SessionUp implements peer.Handler.
+func (m *Manager) SessionUp(host ident.Host) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, o := range m.owners {
+		o.offer(host, sessionUpEvent{host: host})
+	}
+}
+
+// SessionDown implements peer.Handler. What a host had stays accounted for
+// until it reports anew or is declared dead.
+func (m *Manager) SessionDown(ident.Host) {}
+
+func (m *Manager) find(pool string) *runningOwner {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owners[ident.Pool(pool)]
+}
+
+func (m *Manager) offer(from ident.Host, pool string, e event) {
+	if o := m.find(pool); o != nil {
+		o.offer(from, e)
+	}
+}
+
+func (m *Manager) handleEnqueue(now time.Time, from ident.Host, e *peerpb.Enqueue) {
+	o := m.find(e.GetPool())
+	if o == nil {
+		m.disown(from, e.GetPool(), e.GetRequest().GetId())
+		return
+	}
+	r := decodeRequest(now, from, ident.Pool(e.GetPool()), e.GetRequest())
+	o.offer(from, enqueueEvent{request: r})
+}
+
+func (m *Manager) handleReport(now time.Time, from ident.Host, r *peerpb.Report) {
+	o := m.find(r.GetPool())
+	if o == nil {
+		if len(r.GetQueued())+len(r.GetInService()) > 0 {
+			m.disown(from, r.GetPool(), "")
+		}
+		return
+	}
+	o.offer(from, decodeReport(now, from, r))
+}
+
+// disown answers that this host does not own the pool.
+func (m *Manager) disown(to ident.Host, pool, id string) {
+	view := m.options.Members.View()
+	_ = m.options.Sender.Send(to, &peerpb.Frame{Body: &peerpb.Frame_NotOwner{NotOwner: &peerpb.NotOwner{
+		Pool:  pool,
+		Id:    id,
+		Owner: string(view.Owner(m.options.DataCentre, ident.Pool(pool))),
+	}}})
+}
+
+func (m *Manager) handleHint(now time.Time, h *peerpb.PoolHint) {
+	m.offer("", h.GetPool(), hintEvent{hint: admission.PeerPool{
+		DataCentre: ident.DataCentre(h.GetDataCentre()),
+		FreeSlots:  int(h.GetFreeSlots()),
+		LowestRank: int(h.GetLowestRank()),
+		Wait:       time.Duration(h.GetWaitUs()) * time.Microsecond,
+		At:         now,
+	}})
+}
+
+// handleStrikes keeps the strikes for the case that this host owns the pool
+// next, and hands them to the owner if it does now.
+func (m *Manager) handleStrikes(now time.Time, list *peerpb.StrikeList) {
+	records := decodeStrikes(now, list)
+	m.mu.Lock()
+	m.strikes[ident.Pool(list.GetPool())] = records
+	m.mu.Unlock()
+	m.offer("", list.GetPool(), strikeEvent{strikes: records})
+}
+
+func decodeDecline(d *peerpb.Decline) admission.Decline {
+	return admission.Decline{
+		ID:     ident.Request(d.GetId()),
+		Target: ident.Target(d.GetTarget()),
+		Cause:  admission.DeclineCause(d.GetCause()),
+	}
+}
+
+func decodeProgressBatch(b *peerpb.ProgressBatch) progressEvent {
+	items := make([]admission.Progress, 0, len(b.GetItems()))
+	for _, item := range b.GetItems() {
+		items = append(items, decodeProgress(item))
+	}
+	return progressEvent{items: items}
+}
+
+func decodeReport(now time.Time, from ident.Host, r *peerpb.Report) reportEvent {
+	pool := ident.Pool(r.GetPool())
+	e := reportEvent{from: from, epoch: r.GetEpoch()}
+	for _, info := range r.GetQueued() {
+		e.queued = append(e.queued, decodeRequest(now, from, pool, info))
+	}
+	for _, s := range r.GetInService() {
+		e.inService = append(e.inService, admission.InService{
+			Request:    decodeRequest(now, from, pool, s.GetRequest()),
+			Target:     ident.Target(s.GetTarget()),
+			Dispatched: now.Add(-time.Duration(s.GetSinceDispatchMs()) * time.Millisecond),
+			Tokens:     int(s.GetTokens()),
+		})
+	}
+	return e
+}
--- /dev/null
+++ b/pool/owner_share.go
@@ -0,0 +1,89 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+	"github.com/cornelyard/cornelyard/membership"
+)
+
+// share tells the owners of the same pool in other data centres how full this
+// part is, and which requests are suspected of crashing targets.
+func (o *owner) share(now time.Time) {
+	if now.Sub(o.shared) < shareInterval {
+		return
+	}
+	o.shared = now
+	snapshot := o.scheduler.Snapshot()
+	o.status.Store(&snapshot)
+	view := o.options.Members.View()
+	hint := o.encodeHint(now)
+	for _, dc := range dataCentres(view) {
+		if dc == o.key.dataCentre {
+			continue
+		}
+		remote := view.Owner(dc, o.key.pool)
+		if remote != "" {
+			o.send(remote, &peerpb.Frame{Body: &peerpb.Frame_PoolHint{PoolHint: hint}})
+		}
+	}
+	o.shareStrikes(now, view)
+}
+
+func (o *owner) encodeHint(now time.Time) *peerpb.PoolHint {
+	hint := o.scheduler.Hint(now)
+	return &peerpb.PoolHint{
+		Pool:       string(o.key.pool),
+		DataCentre: string(o.key.dataCentre),
+		FreeSlots:  int32(hint.FreeSlots),
+		LowestRank: int32(hint.LowestRank),
+		WaitUs:     hint.Wait.Microseconds(),
+	}
+}
+
+// shareStrikes tells every host of this data centre, any of which may own the
+// pool next, and the pool's owners elsewhere.
+func (o *owner) shareStrikes(now time.Time, view *membership.View) {
+	records := o.scheduler.Strikes(now)
+	if len(records) == 0 {
+		return
+	}
+	list := encodeStrikes(now, o.key.pool, records)
+	frame := &peerpb.Frame{Body: &peerpb.Frame_Strikes{Strikes: list}}
+	for _, host := range liveMembers(view, o.key.dataCentre) {
+		if host != o.options.Host {
+			o.send(host, frame)
+		}
+	}
+	for _, dc := range dataCentres(view) {
+		if remote := view.Owner(dc, o.key.pool); dc != o.key.dataCentre && remote != "" {
+			o.send(remote, frame)
+		}
+	}
+}
+
+// dataCentres returns the data centres that have a member that is not dead.
+func dataCentres(view *membership.View) []ident.DataCentre {
+	seen := make(map[ident.DataCentre]struct{})
+	var found []ident.DataCentre
+	for _, m := range view.Members {
+		if _, ok := seen[m.DataCentre]; ok || m.State == membership.Dead {
+			continue
+		}
+		seen[m.DataCentre] = struct{}{}
+		found = append(found, m.DataCentre)
+	}
+	return found
+}
+
+// liveMembers returns the hosts of a data centre that are not dead.
+func liveMembers(view *membership.View, dc ident.DataCentre) []ident.Host {
+	var live []ident.Host
+	for _, m := range view.Members {
+		if m.DataCentre == dc && m.State != membership.Dead {
+			live = append(live, m.Host)
+		}
+	}
+	return live
+}
--- /dev/null
+++ b/pool/request_codec.go
@@ -0,0 +1,53 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+)
+
+// encodeRequest turns points in time into durations relative to now.
+func encodeRequest(now time.Time, r *admission.Request) *peerpb.RequestInfo {
+	info := &peerpb.RequestInfo{
+		Id:            string(r.ID),
+		Team:          string(r.Team),
+		Tier:          string(r.Tier),
+		WaitedMs:      now.Sub(r.Arrived).Milliseconds(),
+		RemainingMs:   r.Deadline.Sub(now).Milliseconds(),
+		PromptTokens:  int32(r.PromptTokens),
+		MaxTokens:     int32(r.MaxTokens),
+		Prefix:        r.Prefix,
+		Digest:        uint64(r.Digest),
+		NonIdempotent: r.NonIdempotent,
+		Forwarded:     r.Forwarded,
+	}
+	for _, target := range r.Avoid {
+		info.Avoid = append(info.Avoid, string(target))
+	}
+	return info
+}
+
+// decodeRequest turns durations into points in time on the own clock.
+func decodeRequest(now time.Time, from ident.Host, pool ident.Pool, info *peerpb.RequestInfo) admission.Request {
+	r := admission.Request{
+		ID:            ident.Request(info.GetId()),
+		Entry:         from,
+		Pool:          pool,
+		Team:          ident.Team(info.GetTeam()),
+		Tier:          ident.Tier(info.GetTier()),
+		Arrived:       now.Add(-time.Duration(info.GetWaitedMs()) * time.Millisecond),
+		Deadline:      now.Add(time.Duration(info.GetRemainingMs()) * time.Millisecond),
+		PromptTokens:  int(info.GetPromptTokens()),
+		MaxTokens:     int(info.GetMaxTokens()),
+		Prefix:        info.GetPrefix(),
+		Digest:        admission.Digest(info.GetDigest()),
+		NonIdempotent: info.GetNonIdempotent(),
+		Forwarded:     info.GetForwarded(),
+	}
+	for _, target := range info.GetAvoid() {
+		r.Avoid = append(r.Avoid, ident.Target(target))
+	}
+	return r
+}
