--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,170 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+	"github.com/cornelyard/cornelyard/outcome"
+)
+
+func TestEveryEntryGetsGrants(t *testing.T) {
+	s := newFakeSystem(t, testSnapshot(4), threeHosts()...)
+	for _, h := range s.hosts {
+		a := s.wait(h.acquire(t.Context(), testRequest("r-"+string(h.name), "filing")))
+		if a.err != nil {
+			t.Fatalf("entry %s: %v", h.name, a.err)
+		}
+		a.grant.End(admission.End{Outcome: outcome.Completed})
+	}
+}
+
+func TestSlotIsFreedByDeclineAndEnd(t *testing.T) {
+	s := newFakeSystem(t, testSnapshot(1), threeHosts()...)
+	h := s.other()
+	first := s.wait(h.acquire(t.Context(), testRequest("r1", "filing")))
+	second := h.acquire(t.Context(), testRequest("r2", "filing"))
+	first.grant.Decline(admission.DeclineExpired)
+	granted := s.wait(second)
+	third := h.acquire(t.Context(), testRequest("r3", "filing"))
+	granted.grant.End(admission.End{Outcome: outcome.Completed})
+	if a := s.wait(third); a.err != nil {
+		t.Fatal(a.err)
+	}
+}
+
+func TestQueuedRequestsSurviveTheOwner(t *testing.T) {
+	s := newFakeSystem(t, testSnapshot(1), threeHosts()...)
+	h := s.other()
+	running := s.wait(h.acquire(t.Context(), testRequest("running", "filing")))
+	var queued []<-chan acquired
+	for i := range 5 {
+		queued = append(queued, h.acquire(t.Context(), testRequest(fmt.Sprintf("q%d", i), "filing")))
+	}
+	s.until("five requests queued", func() bool { return h.waiting() == 5 })
+	s.kill(s.owner().name)
+	next := s.owner()
+	s.until("the new owner knows what runs", func() bool { return next.inService() == 1 })
+	running.grant.End(admission.End{Outcome: outcome.Completed})
+	for range queued {
+		a := s.firstOf(queued)
+		if a.err != nil {
+			t.Fatalf("%s: %v", a.id, a.err)
+		}
+		a.grant.End(admission.End{Outcome: outcome.Completed})
+	}
+}
+
+func TestNewOwnerAdmitsNoMoreThanTheSlots(t *testing.T) {
+	s := newFakeSystem(t, testSnapshot(2), threeHosts()...)
+	h := s.other()
+	for _, id := range []string{"r1", "r2"} {
+		if a := s.wait(h.acquire(t.Context(), testRequest(id, "filing"))); a.err != nil {
+			t.Fatal(a.err)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	waiting := h.acquire(ctx, testRequest("r3", "filing"))
+	s.kill(s.owner().name)
+	next := s.owner()
+	s.until("the new owner knows both and queues the third", func() bool {
+		return next.inService() == 2 && next.queued() == 1
+	})
+	cancel()
+	if a := s.wait(waiting); !errors.Is(a.err, context.Canceled) {
+		t.Fatalf("a third request got %v with two slots in use", a.grant)
+	}
+}
+
+func TestSlotsOfADeadEntryAreFreed(t *testing.T) {
+	s := newFakeSystem(t, testSnapshot(1), threeHosts()...)
+	h := s.other()
+	s.wait(h.acquire(t.Context(), testRequest("lost", "filing")))
+	next := s.owner().acquire(t.Context(), testRequest("next", "filing"))
+	s.kill(h.name)
+	if a := s.wait(next); a.err != nil {
+		t.Fatal(a.err)
+	}
+}
+
+func TestFramesLostInACutAreMadeUpFor(t *testing.T) {
+	s := newFakeSystem(t, testSnapshot(1), threeHosts()...)
+	h, owner := s.other(), s.owner()
+	running := s.wait(h.acquire(t.Context(), testRequest("running", "filing")))
+	s.network.setCut(h.name, owner.name, true)
+	running.grant.End(admission.End{Outcome: outcome.Completed})
+	queued := h.acquire(t.Context(), testRequest("queued", "filing"))
+	s.network.setCut(h.name, owner.name, false)
+	if a := s.wait(queued); a.err != nil {
+		t.Fatal(a.err)
+	}
+}
+
+func TestSecondGrantOfARequestIsGivenBack(t *testing.T) {
+	s := newFakeSystem(t, testSnapshot(1), threeHosts()...)
+	h, owner := s.other(), s.owner()
+	s.wait(h.acquire(t.Context(), testRequest("r1", "filing")))
+	h.client.HandleFrame(owner.name, &peerpb.Frame{Body: &peerpb.Frame_Grant{Grant: &peerpb.Grant{
+		Pool: string(testPool), Id: "r1", Target: "t0", LeaseMs: 1000,
+	}}})
+	s.until("the owner still accounts for the running request", func() bool {
+		return owner.inService() == 1
+	})
+}
+
+// waiting counts the tickets of this entry that are queued.
+func (h *fakeHost) waiting() int {
+	h.client.mu.Lock()
+	defer h.client.mu.Unlock()
+	n := 0
+	for _, p := range h.client.pools {
+		for _, ticket := range p.tickets {
+			if ticket.grant == nil {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// inService counts what this host knows to run as the owner.
+func (h *fakeHost) inService() int {
+	n := 0
+	for _, status := range h.manager.Statuses() {
+		for _, tier := range status.Snapshot.Tiers {
+			n += tier.InService
+		}
+	}
+	return n
+}
+
+// queued counts what this host has queued as the owner.
+func (h *fakeHost) queued() int {
+	n := 0
+	for _, status := range h.manager.Statuses() {
+		for _, tier := range status.Snapshot.Tiers {
+			n += tier.Queued
+		}
+	}
+	return n
+}
+
+// firstOf returns the first result of any of the channels.
+func (s *fakeSystem) firstOf(channels []<-chan acquired) acquired {
+	s.t.Helper()
+	var got acquired
+	s.until("one of the queued requests has an answer", func() bool {
+		for _, c := range channels {
+			select {
+			case got = <-c:
+				return true
+			default:
+			}
+		}
+		return false
+	})
+	return got
+}
