Reach the platform over HTTP, and stand in for it

platform.Table and platform.Objects both have a Get, so one type cannot be both: Client is the table and the host list, Client.Objects the object store.

A write whose connection was obtained may have taken effect unless the platform says otherwise, so it ends with ErrUnclear; only a missing connection and the statuses 429 and 503 are ErrUnavailable. Writes carry a body that cannot be rewound: with GetBody and an Idempotency-Key header net/http resends them when a reused connection is closed after the request, and TestAWriteIsNotResentOverAnotherConnection then fails: the second write is reported as done.

--- /dev/null
+++ b/internal/standin/connection.go
@@ -0,0 +1,32 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+)
+
+type connectionKey struct{}
+
+// connection counts the requests of one TCP connection.
+type connection struct {
+	requests atomic.Int64
+}
+
+func withConnection(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, new(connection))
+}
+
+// CountRequest counts r on its connection and reports whether the connection
+// carried a request before.
+func CountRequest(r *http.Request) (reused bool) {
+	c, ok := r.Context().Value(connectionKey{}).(*connection)
+	return ok && c.requests.Add(1) > 1
+}
+
+// CutConnection ends the handler and closes its connection without an end of
+// the answer. It does not return.
+func CutConnection() {
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,144 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/cornelyard/cornelyard/internal/standin"
+	"github.com/cornelyard/cornelyard/platform"
+)
+
+// Platform is the stand-in. It is safe for concurrent use.
+type Platform struct {
+	store  *store
+	hosts  hostList
+	reads  *rate.Limiter
+	writes *rate.Limiter
+
+	mu     sync.Mutex
+	faults Faults
+	counts Counts
+}
+
+// New returns an empty platform.
+func New(o Options) *Platform {
+	return &Platform{
+		store:  newStore(),
+		hosts:  hostList{lag: o.HostLag},
+		reads:  newLimiter(o.ReadsPerSecond),
+		writes: newLimiter(o.WritesPerSecond),
+	}
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	burst := max(1, int(perSecond))
+	return rate.NewLimiter(rate.Limit(perSecond), burst)
+}
+
+// SetHosts replaces the true host list.
+func (p *Platform) SetHosts(hosts []platform.HostEntry) {
+	p.hosts.set(time.Now(), hosts)
+}
+
+// SetFaults replaces all faults.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// Counts returns the counts since the start.
+func (p *Platform) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// Serve serves the services on the first listener and the control on the
+// second until ctx ends.
+func (p *Platform) Serve(ctx context.Context, service, control net.Listener) error {
+	return standin.Serve(ctx,
+		standin.Endpoint{Listener: service, Handler: p.Handler()},
+		standin.Endpoint{Listener: control, Handler: p.ControlHandler()},
+	)
+}
+
+// admit counts a read or write and applies the faults that come before its
+// effect. It answers the refused ones itself and reports false.
+func (p *Platform) admit(w http.ResponseWriter, r *http.Request, write bool) bool {
+	if _, err := standin.BufferBody(r); err != nil {
+		return false
+	}
+	faults := p.count(write)
+	if faults.Hang {
+		<-r.Context().Done()
+		return false
+	}
+	if err := standin.Sleep(r.Context(), time.Duration(faults.DelayMs)*time.Millisecond); err != nil {
+		return false
+	}
+	if faults.Outage {
+		p.refuse(w, http.StatusServiceUnavailable)
+		return false
+	}
+	if !p.limiter(write).Allow() {
+		p.refuse(w, http.StatusTooManyRequests)
+		return false
+	}
+	if write && p.takeFault(func(f *Faults) *int { return &f.LostRequests }) {
+		standin.CutConnection()
+	}
+	return true
+}
+
+// confirm applies the faults that come after a write's effect.
+func (p *Platform) confirm() {
+	if p.takeFault(func(f *Faults) *int { return &f.LostConfirmations }) {
+		standin.CutConnection()
+	}
+}
+
+func (p *Platform) limiter(write bool) *rate.Limiter {
+	if write {
+		return p.writes
+	}
+	return p.reads
+}
+
+func (p *Platform) count(write bool) Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if write {
+		p.counts.Writes++
+	} else {
+		p.counts.Reads++
+	}
+	return p.faults
+}
+
+func (p *Platform) refuse(w http.ResponseWriter, status int) {
+	p.mu.Lock()
+	p.counts.Refused++
+	p.mu.Unlock()
+	w.WriteHeader(status)
+}
+
+func (p *Platform) countConflict() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Conflicts++
+}
+
+func (p *Platform) takeFault(field func(*Faults) *int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return take(field(&p.faults))
+}
