Stand in for the engines, the plain services and the network

Each stand-in is a package with a handler, a control handler for its faults and Serve; the command standin runs one as a process.

The engine batches continuously in steps: every running request gets one token a step, and the oldest prompts share a prefill chunk of 512 tokens that adds to the step's time. An answer follows from its prompt alone (engine.Answer), so a test can check it to the byte. A request that the engine takes is recorded as a run of its own even if its connection is closed at once, so that a resent request shows as two runs.

A link of the fault proxy that is cut holds bytes back in place of dropping them: over TCP a lost segment is sent again when the path is back.

--- /dev/null
+++ b/internal/standin/engine/answer_writer.go
@@ -0,0 +1,215 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/cornelyard/cornelyard/internal/standin"
+)
+
+// wrongID is an id that no caller sends.
+const wrongID = "another-request"
+
+const doneFrame = "data: [DONE]\n\n"
+
+// answerWriter writes the answer of one run to one connection. Its methods cut
+// the connection where the answer can't be whole.
+type answerWriter struct {
+	engine   *Engine
+	run      *run
+	faults   RequestFaults
+	response *echo.Response
+	ctx      context.Context
+}
+
+func (w *answerWriter) headerID(own string) string {
+	if w.faults.WrongID {
+		return wrongID
+	}
+	return own
+}
+
+func (w *answerWriter) chunkID() string {
+	return w.run.kind.idPrefix() + w.headerID(w.run.id)
+}
+
+// whole writes the answer as one JSON document of a stated length.
+func (w *answerWriter) whole() {
+	progress, ok := w.awaitEnd()
+	if !ok {
+		return
+	}
+	if progress.state == RunCancelled {
+		standin.CutConnection()
+	}
+	body, err := json.Marshal(w.wholeChunk(progress.tokens))
+	if err != nil {
+		standin.CutConnection()
+	}
+	w.response.Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	w.response.Header().Set(echo.HeaderContentLength, strconv.Itoa(len(body)))
+	w.response.WriteHeader(http.StatusOK)
+	if w.faults.CutAfterTokens > 0 {
+		_, _ = w.response.Write(body[:len(body)/2])
+		w.response.Flush()
+		standin.CutConnection()
+	}
+	_, _ = w.response.Write(body)
+}
+
+// awaitEnd waits for the end of the run; it reports false if the caller left
+// first.
+func (w *answerWriter) awaitEnd() (progress, bool) {
+	for {
+		progress := w.engine.progress(w.run)
+		if progress.ended() && !w.faults.NeverEnd {
+			return progress, w.engine.frozen.Wait(w.ctx) == nil
+		}
+		select {
+		case <-progress.changed:
+		case <-w.ctx.Done():
+			return progress, false
+		}
+	}
+}
+
+// stream writes the frames of the tokens after the offset and the end of the
+// stream.
+func (w *answerWriter) stream(after int) {
+	w.response.Header().Set(echo.HeaderContentType, "text/event-stream")
+	w.response.Header().Set(echo.HeaderCacheControl, "no-cache")
+	w.response.WriteHeader(http.StatusOK)
+	w.response.Flush()
+	for sent := after; ; {
+		progress := w.engine.progress(w.run)
+		if w.engine.frozen.Wait(w.ctx) != nil {
+			return
+		}
+		sent = w.writeTokens(sent, progress.tokens)
+		if progress.ended() {
+			w.endStream(progress)
+			return
+		}
+		select {
+		case <-progress.changed:
+		case <-w.ctx.Done():
+			return
+		}
+	}
+}
+
+// writeTokens writes the frames after sent up to last and returns the last
+// offset written.
+func (w *answerWriter) writeTokens(sent, last int) int {
+	if sent >= last {
+		return sent
+	}
+	for sent < last {
+		sent++
+		w.writeToken(sent)
+		if sent == w.faults.CutAfterTokens {
+			w.response.Flush()
+			standin.CutConnection()
+		}
+	}
+	w.response.Flush()
+	return sent
+}
+
+func (w *answerWriter) writeToken(offset int) {
+	if offset == w.faults.SkipFrame {
+		return
+	}
+	frame := w.frame(offset, w.tokenChunk(offset))
+	if offset == w.faults.RepeatFrame {
+		frame += frame
+	}
+	_, _ = w.response.Write([]byte(frame))
+}
+
+func (w *answerWriter) endStream(p progress) {
+	if p.state == RunCancelled {
+		standin.CutConnection()
+	}
+	if w.faults.NeverEnd {
+		<-w.ctx.Done()
+		return
+	}
+	var end strings.Builder
+	end.WriteString(w.frame(p.tokens, w.finishChunk()))
+	if w.run.request.includesUsage() {
+		end.WriteString(w.frame(p.tokens, w.usageChunk()))
+	}
+	end.WriteString(doneFrame)
+	_, _ = w.response.Write([]byte(end.String()))
+	w.response.Flush()
+}
+
+func (w *answerWriter) frame(offset int, c chunk) string {
+	data, err := json.Marshal(c)
+	if err != nil {
+		standin.CutConnection()
+	}
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", offset, data)
+}
+
+func (w *answerWriter) chunk(stream bool, choices ...choice) chunk {
+	return chunk{
+		ID:      w.chunkID(),
+		Object:  w.run.kind.object(stream),
+		Created: w.run.created.Unix(),
+		Model:   w.run.request.Model,
+		Choices: choices,
+	}
+}
+
+func (w *answerWriter) tokenChunk(offset int) chunk {
+	text := token(w.run.digest, offset)
+	if w.run.kind == completionKind {
+		return w.chunk(true, choice{Text: &text})
+	}
+	delta := &answerMessage{Content: text}
+	if offset == 1 {
+		delta.Role = "assistant"
+	}
+	return w.chunk(true, choice{Delta: delta})
+}
+
+func (w *answerWriter) finishChunk() chunk {
+	reason := w.run.finishReason()
+	if w.run.kind == completionKind {
+		return w.chunk(true, choice{Text: new(string), FinishReason: &reason})
+	}
+	return w.chunk(true, choice{Delta: &answerMessage{}, FinishReason: &reason})
+}
+
+func (w *answerWriter) usageChunk() chunk {
+	c := w.chunk(true)
+	c.Choices = []choice{}
+	c.Usage = w.engine.usage(w.run)
+	return c
+}
+
+func (w *answerWriter) wholeChunk(tokens int) chunk {
+	var text strings.Builder
+	for offset := 1; offset <= tokens; offset++ {
+		text.WriteString(token(w.run.digest, offset))
+	}
+	reason := w.run.finishReason()
+	content := text.String()
+	only := choice{FinishReason: &reason}
+	if w.run.kind == completionKind {
+		only.Text = &content
+	} else {
+		only.Message = &answerMessage{Role: "assistant", Content: content}
+	}
+	c := w.chunk(false, only)
+	c.Usage = w.engine.usage(w.run)
+	return c
+}
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,398 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/internal/standin"
+)
+
+const bound = 10 * time.Second
+
+// fixture is a running engine whose HTTP server counts requests of connections
+// as Serve does.
+type fixture struct {
+	t       *testing.T
+	engine  *Engine
+	url     string
+	client  *http.Client
+	crashed chan struct{}
+}
+
+func start(t *testing.T, o Options) *fixture {
+	t.Helper()
+	f := &fixture{t: t, client: &http.Client{Transport: &http.Transport{}}, crashed: make(chan struct{})}
+	o.DecodeGap = time.Millisecond
+	o.Crash = func() { close(f.crashed) }
+	f.engine = New(o)
+	server := httptest.NewUnstartedServer(f.engine.Handler())
+	standin.Configure(server.Config)
+	server.Start()
+	f.url = server.URL
+	ctx, cancel := context.WithCancel(context.Background())
+	ran := make(chan struct{})
+	go func() {
+		defer close(ran)
+		_ = f.engine.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		f.client.CloseIdleConnections()
+		server.CloseClientConnections()
+		server.Close()
+		cancel()
+		<-ran
+	})
+	return f
+}
+
+func (f *fixture) post(ctx context.Context, id string, request Request) (*http.Response, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+"/v1/chat/completions", io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Header.Set(requestIDHeader, id)
+	return f.client.Do(r)
+}
+
+func (f *fixture) until(what string, condition func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(bound)
+	for !condition() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func user(text string) []Message {
+	return []Message{{Role: "user", Content: Content(text)}}
+}
+
+// streamed is what a stream held.
+type streamed struct {
+	text  string
+	ids   []string
+	last  int
+	done  bool
+	usage *usage
+}
+
+func readStream(body io.Reader) streamed {
+	var s streamed
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		if offset, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			s.last, _ = strconv.Atoi(offset)
+		}
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			s.done = true
+			continue
+		}
+		s.add(data)
+	}
+	return s
+}
+
+func (s *streamed) add(data string) {
+	var c chunk
+	if json.Unmarshal([]byte(data), &c) != nil {
+		return
+	}
+	s.ids = append(s.ids, c.ID)
+	if len(c.Choices) > 0 {
+		s.text += c.Choices[0].Delta.Content
+	}
+	if c.Usage != nil {
+		s.usage = c.Usage
+	}
+}
+
+func (f *fixture) stream(id, prompt string, tokens int) streamed {
+	f.t.Helper()
+	response, err := f.post(context.Background(), id, Request{
+		Model: "m", Messages: user(prompt), MaxTokens: tokens,
+		Stream: true, StreamOptions: &StreamOptions{IncludeUsage: true},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if got := response.Header.Get(requestIDHeader); got != id {
+		f.t.Logf("the answer names request %q", got)
+	}
+	return readStream(response.Body)
+}
+
+func TestStreamIsWhole(t *testing.T) {
+	f := start(t, Options{})
+	got := f.stream("r1", "hello", 20)
+	if want := Answer(ChatPrompt(user("hello")), 20); got.text != want || !got.done {
+		t.Fatalf("got %q, done %v; want %q", got.text, got.done, want)
+	}
+	if got.usage == nil || got.usage.CompletionTokens != 20 {
+		t.Fatalf("usage is %+v", got.usage)
+	}
+	for _, id := range got.ids {
+		if id != "chatcmpl-r1" {
+			t.Fatalf("a chunk names %q", id)
+		}
+	}
+}
+
+func TestWholeAnswer(t *testing.T) {
+	f := start(t, Options{})
+	prompt := "hello " + LengthMarker(7)
+	response, err := f.post(context.Background(), "r1", Request{Model: "m", Messages: user(prompt), MaxTokens: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var c chunk
+	if err := json.NewDecoder(response.Body).Decode(&c); err != nil {
+		t.Fatal(err)
+	}
+	want := Answer(ChatPrompt(user(prompt)), 7)
+	if c.Choices[0].Message.Content != want || *c.Choices[0].FinishReason != "stop" {
+		t.Fatalf("got %+v, want %q", c.Choices[0], want)
+	}
+}
+
+func TestACutStreamIsResumedInTheSameRun(t *testing.T) {
+	f := start(t, Options{ResumeWindow: time.Minute})
+	f.engine.SetFaults(Faults{RequestFaults: RequestFaults{CutAfterTokens: 5}})
+	first := f.stream("r1", "hello", 20)
+	if first.done || first.last != 5 {
+		t.Fatalf("the cut stream got to %d, done %v", first.last, first.done)
+	}
+	response, err := f.client.Get(f.url + "/v1/streams/r1?after=5")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	rest := readStream(response.Body)
+	if want := Answer(ChatPrompt(user("hello")), 20); first.text+rest.text != want || !rest.done {
+		t.Fatalf("got %q, done %v; want %q", first.text+rest.text, rest.done, want)
+	}
+	record := f.engine.Record()
+	if record.Received()["r1"] != 1 {
+		t.Fatalf("the engine ran %+v", record.Runs)
+	}
+}
+
+func TestAnAbandonedStreamIsCancelledAndItsPrefillIsWasted(t *testing.T) {
+	f := start(t, Options{ResumeWindow: time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	response, err := f.post(ctx, "r1", Request{Messages: user("hello"), MaxTokens: 100_000, Stream: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	f.until("the first token", func() bool { return f.engine.Record().Runs[0].Tokens > 0 })
+	cancel()
+	f.until("the cancellation", func() bool { return f.engine.Record().Runs[0].State == RunCancelled })
+	if record := f.engine.Record(); record.WastedPrefillTokens != record.PrefillTokens || record.PrefillTokens == 0 {
+		t.Fatalf("wasted %d of %d", record.WastedPrefillTokens, record.PrefillTokens)
+	}
+}
+
+func TestACachedPrefixCostsNoPrefill(t *testing.T) {
+	f := start(t, Options{})
+	prompt := strings.Repeat("0123456789abcdef", 64) // 256 tokens
+	f.stream("r1", prompt, 1)
+	f.stream("r2", prompt+" and more", 1)
+	runs := f.engine.Record().Runs
+	if runs[0].CachedTokens != 0 || runs[1].CachedTokens != 256 {
+		t.Fatalf("cached %d and %d tokens", runs[0].CachedTokens, runs[1].CachedTokens)
+	}
+	if want := runs[1].PromptTokens - 256; runs[1].PrefillTokens != want {
+		t.Fatalf("computed %d tokens, want %d", runs[1].PrefillTokens, want)
+	}
+}
+
+func TestTheCacheForgetsWhatWasUsedLongestAgo(t *testing.T) {
+	cache := newPrefixCache(2)
+	cache.add([]uint64{1, 2})
+	cache.match([]uint64{1})
+	cache.add([]uint64{3})
+	if cache.match([]uint64{1}) != 1 || cache.match([]uint64{2}) != 0 {
+		t.Fatal("block 2 should have gone, and block 1 stayed")
+	}
+}
+
+func TestAnswerFaults(t *testing.T) {
+	want := Answer(ChatPrompt(user("hello")), 6)
+	cases := []struct {
+		name   string
+		faults RequestFaults
+		check  func(s streamed) bool
+	}{
+		{"skip", RequestFaults{SkipFrame: 3}, func(s streamed) bool { return len(s.text) == len(want)-9 }},
+		{"repeat", RequestFaults{RepeatFrame: 3}, func(s streamed) bool { return len(s.text) == len(want)+9 }},
+		{"wrong id", RequestFaults{WrongID: true}, func(s streamed) bool { return s.ids[0] == "chatcmpl-"+wrongID }},
+		{"late", RequestFaults{LateMs: 5}, func(s streamed) bool { return s.text == want && s.done }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := start(t, Options{})
+			f.engine.SetFaults(Faults{Times: 1, RequestFaults: c.faults})
+			if got := f.stream("r1", "hello", 6); !c.check(got) {
+				t.Fatalf("got %+v", got)
+			}
+			if got := f.stream("r2", "hello", 6); got.text != want {
+				t.Fatalf("the fault acts on a second request: %+v", got)
+			}
+		})
+	}
+}
+
+func TestAnswersAreCrossed(t *testing.T) {
+	f := start(t, Options{})
+	f.engine.SetFaults(Faults{Times: 2, RequestFaults: RequestFaults{Cross: true}})
+	other := make(chan streamed)
+	go func() { other <- f.stream("r1", "one", 5) }()
+	second, first := f.stream("r2", "two", 5), <-other
+	if first.ids[0] != "chatcmpl-r2" || second.ids[0] != "chatcmpl-r1" {
+		t.Fatalf("the answers name %q and %q", first.ids[0], second.ids[0])
+	}
+	if second.text != Answer(ChatPrompt(user("one")), 5) {
+		t.Fatalf("the second request got %q", second.text)
+	}
+}
+
+func TestANeverEndingStreamStaysOpen(t *testing.T) {
+	f := start(t, Options{})
+	f.engine.SetFaults(Faults{RequestFaults: RequestFaults{NeverEnd: true}})
+	ctx, cancel := context.WithCancel(context.Background())
+	response, err := f.post(ctx, "r1", Request{Messages: user("hello"), MaxTokens: 3, Stream: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	f.until("the end of the run", func() bool { return f.engine.Record().Runs[0].State == RunFinished })
+	time.AfterFunc(20*time.Millisecond, cancel)
+	if got := readStream(response.Body); got.done || got.last != 3 {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+func TestAReusedConnectionIsClosedAfterTheRequest(t *testing.T) {
+	f := start(t, Options{})
+	f.stream("r1", "hello", 1)
+	f.engine.SetFaults(Faults{RequestFaults: RequestFaults{CloseReused: true}})
+	response, err := f.post(context.Background(), "r2", Request{Messages: user("hello")})
+	if err == nil {
+		_ = response.Body.Close()
+		t.Fatal("the request was answered")
+	}
+	record := f.engine.Record()
+	if record.Received()["r2"] != 1 {
+		t.Fatalf("the engine received %+v", record.Runs)
+	}
+}
+
+func TestALeavingEngineRunsNothing(t *testing.T) {
+	f := start(t, Options{})
+	f.engine.SetFaults(Faults{Leaving: true})
+	response, err := f.post(context.Background(), "r1", Request{Messages: user("hello")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get(leavingHeader) != "true" {
+		t.Fatalf("got status %d", response.StatusCode)
+	}
+	if record := f.engine.Record(); len(record.Runs) != 0 || record.Refused["r1"] != 1 {
+		t.Fatalf("recorded %+v", record)
+	}
+}
+
+func TestAMarkedPromptCrashesTheEngine(t *testing.T) {
+	f := start(t, Options{})
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	go func() {
+		if response, err := f.post(ctx, "r1", Request{Messages: user("boom " + DefaultCrashMarker)}); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	select {
+	case <-f.crashed:
+	case <-ctx.Done():
+		t.Fatal("the engine did not crash")
+	}
+}
+
+func TestAFrozenEngineGoesOnAfterwards(t *testing.T) {
+	f := start(t, Options{})
+	f.engine.SetFaults(Faults{Freeze: true})
+	answer := make(chan streamed)
+	go func() { answer <- f.stream("r1", "hello", 5) }()
+	time.Sleep(20 * time.Millisecond)
+	if runs := f.engine.Record().Runs; len(runs) != 0 {
+		t.Fatalf("the frozen engine took %+v", runs)
+	}
+	f.engine.SetFaults(Faults{})
+	if got := <-answer; got.text != Answer(ChatPrompt(user("hello")), 5) {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+func TestStepsSlowDownWithTheBatchAndTheFault(t *testing.T) {
+	o := Options{DecodeGap: 10 * time.Millisecond, GapGrowth: 0.1, PrefillRate: 1000}
+	decoding, prompt := &run{}, &run{prefillLeft: 2000}
+	cases := []struct {
+		name  string
+		batch []*run
+		want  time.Duration
+	}{
+		{"one", []*run{decoding}, 10 * time.Millisecond},
+		{"three", []*run{decoding, decoding, decoding}, 12 * time.Millisecond},
+		{"a chunk of a prompt", []*run{prompt}, 512 * time.Millisecond},
+		{"both", []*run{prompt, decoding, prompt}, 522 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := planStep(c.batch, o).duration; got != c.want {
+				t.Fatalf("the step takes %v, want %v", got, c.want)
+			}
+		})
+	}
+	e := New(o)
+	running := &run{record: RunRecord{State: RunRunning}}
+	e.batch = []*run{running}
+	e.SetFaults(Faults{SlowFactor: 10})
+	if step, _ := e.nextStep(time.Time{}); step.duration != 100*time.Millisecond {
+		t.Fatalf("the slowed step takes %v", step.duration)
+	}
+}
+
+func TestLoadLags(t *testing.T) {
+	var history loadHistory
+	begin := time.Unix(100, 0)
+	history.note(begin, 1, 0)
+	history.note(begin.Add(time.Second), 2, 3)
+	if load := history.at(begin.Add(900 * time.Millisecond)); load.Running != 1 || load.Waiting != 0 {
+		t.Fatalf("the earlier load is %+v", load)
+	}
+	if load := history.at(begin.Add(time.Second)); load.Running != 2 || load.Waiting != 3 {
+		t.Fatalf("the later load is %+v", load)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/intake.go
@@ -0,0 +1,132 @@
+package engine
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// receive queues a run of the request and returns it with the faults that act
+// on the request.
+func (e *Engine) receive(id string, kind kind, request *Request, prompt string) (*run, RequestFaults) {
+	length, limited := answerLength(prompt, request.limit())
+	now := time.Now()
+	digest := xxhash.Sum64String(prompt)
+	r := &run{
+		kind:    kind,
+		request: request,
+		created: now,
+		digest:  digest,
+		blocks:  blockHashes(prompt),
+		length:  length,
+		limited: limited,
+		crashes: strings.Contains(prompt, e.options.CrashMarker),
+		changed: make(chan struct{}),
+		record: RunRecord{
+			State:        RunWaiting,
+			Received:     now,
+			PromptDigest: digest,
+			PromptTokens: promptTokens(prompt),
+		},
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.id = e.nameOf(id)
+	r.record.ID = r.id
+	e.remember(r)
+	e.waiting = append(e.waiting, r)
+	e.load.note(now, len(e.batch), len(e.waiting))
+	e.wakeUp()
+	return r, e.faults.requestFaults(prompt)
+}
+
+func (e *Engine) nameOf(id string) string {
+	if id != "" {
+		return id
+	}
+	e.unnamed++
+	return fmt.Sprintf("unnamed-%d", e.unnamed)
+}
+
+func (e *Engine) remember(r *run) {
+	e.byID[r.id] = r
+	e.history = append(e.history, r)
+	if len(e.history) <= maxRuns {
+		return
+	}
+	oldest := e.history[0]
+	e.history = e.history[1:]
+	if e.byID[oldest.id] == oldest {
+		delete(e.byID, oldest.id)
+	}
+}
+
+// refuse reports whether the engine refuses new work, and counts the request if
+// so.
+func (e *Engine) refuse(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Leaving {
+		e.refused[id]++
+	}
+	return e.faults.Leaving
+}
+
+// find returns the last run with the id, or nil.
+func (e *Engine) find(id string) *run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.RefuseResume {
+		return nil
+	}
+	return e.byID[id]
+}
+
+func (e *Engine) progress(r *run) progress {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return r.progress()
+}
+
+func (e *Engine) usage(r *run) *usage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return r.usage()
+}
+
+// cancel stops the run if it has not ended.
+func (e *Engine) cancel(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.active() {
+		r.end(time.Now(), RunCancelled)
+	}
+}
+
+// attach counts a reader of the run's answer.
+func (e *Engine) attach(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.readers++
+}
+
+// detach forgets a reader. Unless another comes within the grace, the run is
+// cancelled.
+func (e *Engine) detach(r *run, grace time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.readers--
+	if r.readers == 0 && r.active() {
+		time.AfterFunc(grace, func() { e.abandon(r) })
+	}
+}
+
+func (e *Engine) abandon(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.readers == 0 && r.active() {
+		r.end(time.Now(), RunCancelled)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/run.go
@@ -0,0 +1,87 @@
+package engine
+
+import (
+	"time"
+)
+
+// run is one received request. The engine's mutex guards the fields that
+// change.
+type run struct {
+	id      string
+	kind    kind
+	request *Request
+	created time.Time
+	digest  uint64
+	blocks  []uint64
+	length  int
+	limited bool
+	crashes bool
+
+	record      RunRecord
+	prefillLeft int
+	readers     int
+	// changed is closed and replaced when tokens or the state change.
+	changed chan struct{}
+}
+
+// progress is what a reader of a run's answer sees of it.
+type progress struct {
+	tokens  int
+	state   RunState
+	changed <-chan struct{}
+}
+
+func (p progress) ended() bool {
+	return p.state == RunFinished || p.state == RunCancelled
+}
+
+func (r *run) active() bool {
+	return r.record.State == RunWaiting || r.record.State == RunRunning
+}
+
+func (r *run) progress() progress {
+	return progress{tokens: r.record.Tokens, state: r.record.State, changed: r.changed}
+}
+
+func (r *run) notify() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// start takes the run into the batch. The prompt's last token is computed even
+// if its block is kept, since the answer begins there.
+func (r *run) start(now time.Time, cachedBlocks int) {
+	r.record.State = RunRunning
+	r.record.Started = now
+	r.record.CachedTokens = min(cachedBlocks*BlockTokens, max(0, r.record.PromptTokens-1))
+	r.prefillLeft = r.record.PromptTokens - r.record.CachedTokens
+}
+
+// addToken adds the next token and reports whether it was the last.
+func (r *run) addToken() bool {
+	r.record.Tokens++
+	r.notify()
+	return r.record.Tokens >= r.length
+}
+
+func (r *run) end(now time.Time, state RunState) {
+	r.record.State = state
+	r.record.Ended = now
+	r.notify()
+}
+
+func (r *run) usage() *usage {
+	return &usage{
+		PromptTokens:        r.record.PromptTokens,
+		CompletionTokens:    r.record.Tokens,
+		TotalTokens:         r.record.PromptTokens + r.record.Tokens,
+		PromptTokensDetails: usageDetails{CachedTokens: r.record.CachedTokens},
+	}
+}
+
+func (r *run) finishReason() string {
+	if r.limited {
+		return "length"
+	}
+	return "stop"
+}
--- /dev/null
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -0,0 +1,169 @@
+package faultproxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	bound = 10 * time.Second
+	// silence is how long a held back byte is waited for. A shorter or longer
+	// wait can't fail a correct proxy.
+	silence = 50 * time.Millisecond
+)
+
+// echoServer sends every line back in upper case.
+func echoServer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go echoLines(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func echoLines(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	lines := bufio.NewScanner(conn)
+	for lines.Scan() {
+		_, _ = io.WriteString(conn, strings.ToUpper(lines.Text())+"\n")
+	}
+}
+
+func openLink(t *testing.T) *Link {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	link, err := New(ctx).Add(LinkOptions{Name: "l", Listen: "127.0.0.1:0", Target: echoServer(t)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return link
+}
+
+func dial(t *testing.T, link *Link) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", link.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+func exchange(conn net.Conn, reader *bufio.Reader, wait time.Duration) (string, error) {
+	if _, err := io.WriteString(conn, "hello\n"); err != nil {
+		return "", err
+	}
+	return read(conn, reader, wait)
+}
+
+func read(conn net.Conn, reader *bufio.Reader, wait time.Duration) (string, error) {
+	_ = conn.SetReadDeadline(time.Now().Add(wait))
+	return reader.ReadString('\n')
+}
+
+func setFaults(t *testing.T, link *Link, f Faults) {
+	t.Helper()
+	if err := link.SetFaults(context.Background(), f); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCutsHoldBytesBack(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults Faults
+	}{
+		{"both ways", Faults{Cut: true}},
+		{"to the target", Faults{CutToTarget: true}},
+		{"to the client", Faults{CutToClient: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			link := openLink(t)
+			conn, reader := dial(t, link)
+			if _, err := exchange(conn, reader, bound); err != nil {
+				t.Fatal(err)
+			}
+			setFaults(t, link, c.faults)
+			if got, err := exchange(conn, reader, silence); err == nil {
+				t.Fatalf("%q came through the cut", got)
+			}
+			setFaults(t, link, Faults{})
+			if got, err := read(conn, reader, bound); err != nil || got != "HELLO\n" {
+				t.Fatalf("after the cut: %q, %v", got, err)
+			}
+		})
+	}
+}
+
+func TestDelayIsAddedBothWays(t *testing.T) {
+	link := openLink(t)
+	conn, reader := dial(t, link)
+	setFaults(t, link, Faults{DelayMs: 30})
+	begin := time.Now()
+	if _, err := exchange(conn, reader, bound); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(begin); took < 60*time.Millisecond {
+		t.Fatalf("the exchange took %v", took)
+	}
+}
+
+func TestResetEndsConnections(t *testing.T) {
+	link := openLink(t)
+	conn, reader := dial(t, link)
+	if _, err := exchange(conn, reader, bound); err != nil {
+		t.Fatal(err)
+	}
+	link.Reset()
+	if _, err := exchange(conn, reader, bound); err == nil {
+		t.Fatal("the connection outlived the reset")
+	}
+}
+
+func TestRefuseAndListenAgain(t *testing.T) {
+	link := openLink(t)
+	setFaults(t, link, Faults{Refuse: true})
+	if conn, err := net.Dial("tcp", link.Address); err == nil {
+		_ = conn.Close()
+		t.Fatal("the link accepted a connection")
+	}
+	setFaults(t, link, Faults{})
+	conn, reader := dial(t, link)
+	if _, err := exchange(conn, reader, bound); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestAnOrderlyEndIsForwarded(t *testing.T) {
+	link := openLink(t)
+	conn, reader := dial(t, link)
+	if _, err := io.WriteString(conn, "last"); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(bound))
+	got, err := io.ReadAll(reader)
+	if err != nil || string(got) != "LAST\n" {
+		t.Fatalf("got %q, %v", got, err)
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/hostlist_test.go
@@ -0,0 +1,33 @@
+package platform
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/platform"
+)
+
+func TestTheHostListLags(t *testing.T) {
+	begin := time.Unix(100, 0)
+	list := hostList{lag: 2 * time.Second}
+	list.set(begin, []platform.HostEntry{{Name: "a"}})
+	list.set(begin.Add(time.Second), []platform.HostEntry{{Name: "b"}})
+	cases := []struct {
+		after time.Duration
+		want  string
+	}{
+		{time.Second, ""},
+		{2 * time.Second, "a"},
+		{2900 * time.Millisecond, "a"},
+		{3 * time.Second, "b"},
+	}
+	for _, c := range cases {
+		got := ""
+		for _, host := range list.seen(begin.Add(c.after)) {
+			got += host.Name
+		}
+		if got != c.want {
+			t.Errorf("after %v the list shows %q, want %q", c.after, got, c.want)
+		}
+	}
+}
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -27,7 +27,8 @@
 func Serve(ctx context.Context, endpoints ...Endpoint) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, endpoint := range endpoints {
-		server := newServer(endpoint.Handler)
+		server := &http.Server{Handler: endpoint.Handler}
+		Configure(server)
 		group.Go(func() error { return serve(server, endpoint.Listener) })
 		group.Go(func() error {
 			<-ctx.Done()
@@ -37,12 +38,10 @@
 	return Error.Wrap(group.Wait())
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ConnContext:       withConnection,
-		ReadHeaderTimeout: headerTimeout,
-	}
+// Configure sets a server up as Serve does, so that CountRequest works.
+func Configure(server *http.Server) {
+	server.ConnContext = withConnection
+	server.ReadHeaderTimeout = headerTimeout
 }
 
 func serve(server *http.Server, listener net.Listener) error {
--- /dev/null
+++ b/internal/standin/service/record.go
@@ -0,0 +1,43 @@
+package service
+
+import "time"
+
+// Call is one received call.
+type Call struct {
+	// ID is the call's X-Request-Id.
+	ID       string    `json:"id"`
+	Received time.Time `json:"received"`
+	Method   string    `json:"method"`
+	Path     string    `json:"path"`
+	// Key is the member "idempotencyKey" of a JSON body.
+	Key string `json:"key,omitempty"`
+	// Finished says that the answer was written.
+	Finished bool `json:"finished"`
+}
+
+// Record tells what the service did since its start.
+type Record struct {
+	Calls []Call `json:"calls"`
+	// Refused counts the calls refused as leaving, by id.
+	Refused map[string]int `json:"refused"`
+}
+
+// Received counts the calls by id.
+func (r *Record) Received() map[string]int {
+	counts := make(map[string]int, len(r.Calls))
+	for _, call := range r.Calls {
+		counts[call.ID]++
+	}
+	return counts
+}
+
+// ReceivedKeys counts the calls by idempotency key, those without one left out.
+func (r *Record) ReceivedKeys() map[string]int {
+	counts := make(map[string]int)
+	for _, call := range r.Calls {
+		if call.Key != "" {
+			counts[call.Key]++
+		}
+	}
+	return counts
+}
