Check declarations and keep them on the platform

Findings carry file, path, line and column and are collected by a strict decoder. A tree shares its parsed documents with the tree it came from. The store makes each accepted change one transaction on the head row; the watcher brings versions into force. Not tested yet beyond the decoder.

--- /dev/null
+++ b/internal/strictjson/decode.go
@@ -0,0 +1,179 @@
+package strictjson
+
+import (
+	"encoding/json"
+	"errors"
+	"reflect"
+	"strings"
+
+	"github.com/cornelyard/cornelyard/finding"
+)
+
+// Decode fills the value that into points to and returns every fault. What
+// could be decoded is filled in even if there are faults elsewhere.
+func Decode(file string, data []byte, into any) finding.List {
+	d := &decoder{file: file, data: data}
+	root, err := parse(data)
+	if err != nil {
+		d.syntax(err)
+		return d.findings
+	}
+	d.decode("", root, reflect.ValueOf(into).Elem())
+	d.findings.Sort()
+	return d.findings
+}
+
+// decoder collects the findings of one text.
+type decoder struct {
+	file     string
+	data     []byte
+	findings finding.List
+}
+
+func (d *decoder) syntax(err error) {
+	var syntax *syntaxError
+	if errors.As(err, &syntax) {
+		d.add("", syntax.offset, syntax.message, "")
+	}
+}
+
+func (d *decoder) add(path Path, offset int, message, allowed string) {
+	at := positionAt(d.data, offset)
+	d.findings = append(d.findings, finding.Finding{
+		File:    d.file,
+		Path:    string(path),
+		Line:    at.Line,
+		Column:  at.Column,
+		Message: message,
+		Allowed: allowed,
+	})
+}
+
+func (d *decoder) raw(n *node) []byte { return d.data[n.offset:n.end] }
+
+func (d *decoder) decode(path Path, n *node, v reflect.Value) {
+	if _, ok := v.Addr().Interface().(json.Unmarshaler); ok {
+		d.custom(path, n, v)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.object(path, n, v)
+	case reflect.Slice:
+		d.array(path, n, v)
+	case reflect.Map:
+		d.dictionary(path, n, v)
+	default:
+		d.scalar(path, n, v)
+	}
+}
+
+func (d *decoder) custom(path Path, n *node, v reflect.Value) {
+	if n.kind == nullNode {
+		d.add(path, n.offset, "null is not allowed", "")
+		return
+	}
+	if err := json.Unmarshal(d.raw(n), v.Addr().Interface()); err != nil {
+		d.add(path, n.offset, err.Error(), "")
+	}
+}
+
+func (d *decoder) object(path Path, n *node, v reflect.Value) {
+	if !d.want(path, n, objectNode) {
+		return
+	}
+	fields := fieldsOf(v.Type())
+	seen := make(map[string]bool, len(n.members))
+	for _, m := range n.members {
+		at := path.Field(m.name)
+		if d.repeated(at, m, seen) {
+			continue
+		}
+		f, ok := fields.find(m.name)
+		if !ok {
+			d.add(at, m.offset, "unknown field", strings.Join(fields.names(), ", "))
+			continue
+		}
+		d.decode(at, m.value, v.Field(f.index))
+	}
+	for _, f := range fields {
+		if f.required && !seen[f.name] {
+			d.add(path.Field(f.name), n.offset, "the field is missing", "")
+		}
+	}
+}
+
+func (d *decoder) repeated(path Path, m member, seen map[string]bool) bool {
+	if seen[m.name] {
+		d.add(path, m.offset, "the name is given twice", "")
+		return true
+	}
+	seen[m.name] = true
+	return false
+}
+
+func (d *decoder) array(path Path, n *node, v reflect.Value) {
+	if !d.want(path, n, arrayNode) {
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(n.elements), len(n.elements)))
+	for i, e := range n.elements {
+		d.decode(path.Index(i), e, v.Index(i))
+	}
+}
+
+func (d *decoder) dictionary(path Path, n *node, v reflect.Value) {
+	if !d.want(path, n, objectNode) {
+		return
+	}
+	v.Set(reflect.MakeMapWithSize(v.Type(), len(n.members)))
+	seen := make(map[string]bool, len(n.members))
+	for _, m := range n.members {
+		at := path.Field(m.name)
+		if d.repeated(at, m, seen) {
+			continue
+		}
+		value := reflect.New(v.Type().Elem()).Elem()
+		d.decode(at, m.value, value)
+		key := reflect.ValueOf(m.name).Convert(v.Type().Key())
+		v.SetMapIndex(key, value)
+	}
+}
+
+func (d *decoder) scalar(path Path, n *node, v reflect.Value) {
+	if n.kind == nullNode {
+		d.add(path, n.offset, "null is not allowed", kindName(v.Kind()))
+		return
+	}
+	if err := json.Unmarshal(d.raw(n), v.Addr().Interface()); err != nil {
+		d.add(path, n.offset, "got "+d.describe(n), kindName(v.Kind()))
+	}
+}
+
+func (d *decoder) want(path Path, n *node, kind nodeKind) bool {
+	if n.kind == kind {
+		return true
+	}
+	d.add(path, n.offset, "got "+d.describe(n), string(kind))
+	return false
+}
+
+func (d *decoder) describe(n *node) string {
+	if n.kind == numberNode {
+		return "the number " + string(d.raw(n))
+	}
+	return string(n.kind)
+}
+
+func kindName(kind reflect.Kind) string {
+	switch kind {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number"
+	}
+}
--- /dev/null
+++ b/internal/strictjson/node_kind.go
@@ -0,0 +1,13 @@
+package strictjson
+
+// nodeKind is the type of a JSON value, worded for messages.
+type nodeKind string
+
+const (
+	objectNode nodeKind = "an object"
+	arrayNode  nodeKind = "an array"
+	stringNode nodeKind = "a string"
+	numberNode nodeKind = "a number"
+	boolNode   nodeKind = "true or false"
+	nullNode   nodeKind = "null"
+)
--- /dev/null
+++ b/internal/strictjson/path.go
@@ -0,0 +1,19 @@
+package strictjson
+
+import "strconv"
+
+// Path is a place inside a JSON value, such as "shares.acme" or "teams[2]".
+type Path string
+
+// Field returns the path of a member of the object at p.
+func (p Path) Field(name string) Path {
+	if p == "" {
+		return Path(name)
+	}
+	return p + "." + Path(name)
+}
+
+// Index returns the path of an element of the array at p.
+func (p Path) Index(i int) Path {
+	return p + "[" + Path(strconv.Itoa(i)) + "]"
+}
--- /dev/null
+++ b/internal/strictjson/position.go
@@ -0,0 +1,41 @@
+package strictjson
+
+import "bytes"
+
+// Position is a place in a text; lines and columns (in bytes) count from 1.
+type Position struct {
+	Line   int
+	Column int
+}
+
+func positionAt(data []byte, offset int) Position {
+	offset = min(offset, len(data))
+	before := data[:offset]
+	line := bytes.Count(before, []byte{'\n'}) + 1
+	column := offset - bytes.LastIndexByte(before, '\n')
+	return Position{Line: line, Column: column}
+}
+
+// Locate returns the position of the value at path, or of its nearest
+// enclosing value if it is absent.
+func Locate(data []byte, path Path) Position {
+	root, err := parse(data)
+	if err != nil {
+		return Position{Line: 1, Column: 1}
+	}
+	found := root
+	root.walk("", func(p Path, n *node) {
+		if p == path || isPrefix(p, path) {
+			found = n
+		}
+	})
+	return positionAt(data, found.offset)
+}
+
+func isPrefix(p, path Path) bool {
+	if len(p) >= len(path) || path[:len(p)] != p {
+		return false
+	}
+	next := path[len(p)]
+	return next == '.' || next == '['
+}
--- /dev/null
+++ b/settings/check_target.go
@@ -0,0 +1,27 @@
+package settings
+
+import "net/netip"
+
+// maxSlots is the largest ceiling of requests in service on one target.
+const maxSlots = 65536
+
+// checkTarget adds the findings of one target by itself.
+func checkTarget(e *entry) {
+	if e.target.Pool == "" {
+		e.fault("pool", "the pool is empty", "")
+	}
+	if !ValidName(string(e.target.DataCentre)) {
+		e.fault("dataCentre", "the name "+quote(string(e.target.DataCentre))+" is not allowed", allowedNames)
+	}
+	if !validAddress(e.target.Address) {
+		e.fault("address", quote(e.target.Address)+" is not an address", "IP:port, such as \"10.0.0.7:8000\"")
+	}
+	if e.target.Slots < 1 || e.target.Slots > maxSlots {
+		e.fault("slots", "the number of slots is out of range", "1 to 65536")
+	}
+}
+
+func validAddress(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && parsed.Port() != 0
+}
--- /dev/null
+++ b/settings/entry.go
@@ -0,0 +1,103 @@
+package settings
+
+import (
+	"slices"
+
+	"github.com/cornelyard/cornelyard/finding"
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/strictjson"
+)
+
+// entry is one parsed document. It is immutable, so that trees can share it.
+// At most one of the declarations is set.
+type entry struct {
+	Document
+	// version is the settings version that last changed the document; zero if
+	// it is not known.
+	version uint64
+
+	tier   *Tier
+	pool   *Pool
+	target *Target
+	team   *Team
+
+	// findings are the faults that show without the other documents.
+	findings finding.List
+}
+
+func newEntry(d Document, version uint64) *entry {
+	e := &entry{Document: d, version: version}
+	kind, name, ok := parsePath(d.Path)
+	if !ok {
+		e.fault("", "no document may have this path", DocumentPaths)
+		return e
+	}
+	if !ValidName(name) {
+		e.fault("", "the name "+name+" is not allowed", allowedNames)
+		return e
+	}
+	e.parse(kind, name)
+	return e
+}
+
+func (e *entry) parse(kind documentKind, name string) {
+	switch kind {
+	case tierDocument:
+		tier := &Tier{Name: ident.Tier(name)}
+		e.decode(tier)
+		e.tier = tier
+		checkTier(e)
+	case poolDocument:
+		pool := &Pool{Name: ident.Pool(name)}
+		e.decode(pool)
+		e.pool = pool
+		checkPool(e)
+	case targetDocument:
+		target := &Target{Name: ident.Target(name)}
+		e.decode(target)
+		e.target = target
+		checkTarget(e)
+	case teamDocument:
+		team := &Team{Name: ident.Team(name)}
+		e.decode(team)
+		e.team = team
+		checkTeam(e)
+	}
+}
+
+func (e *entry) decode(into any) {
+	e.findings = strictjson.Decode(e.Path, []byte(e.Body), into)
+}
+
+// fault adds a finding unless there is one for the same place.
+func (e *entry) fault(path strictjson.Path, message, allowed string) {
+	if e.faulty(path) {
+		return
+	}
+	e.findings = append(e.findings, e.locate(path, message, allowed))
+}
+
+// faulty reports whether there is a finding for the place or for the whole.
+func (e *entry) faulty(path strictjson.Path) bool {
+	return slices.ContainsFunc(e.findings, func(f finding.Finding) bool {
+		return f.Path == string(path) || f.Path == ""
+	})
+}
+
+func (e *entry) locate(path strictjson.Path, message, allowed string) finding.Finding {
+	at := strictjson.Locate([]byte(e.Body), path)
+	return finding.Finding{
+		File:    e.Path,
+		Path:    string(path),
+		Line:    at.Line,
+		Column:  at.Column,
+		Message: message,
+		Allowed: allowed,
+	}
+}
+
+// usable reports whether the declaration can be in force: its text was read,
+// and only what this release does not know or would not accept may be wrong.
+func (e *entry) usable() bool {
+	return !e.faulty("")
+}
--- /dev/null
+++ b/settings/loader.go
@@ -0,0 +1,161 @@
+package settings
+
+import (
+	"context"
+	"errors"
+	"strings"
+
+	"github.com/cornelyard/cornelyard/platform"
+)
+
+const (
+	// scanLimit bounds the rows asked for at once.
+	scanLimit = 200
+	// maxReplay bounds the changes that are replayed before the whole tree is
+	// read instead.
+	maxReplay = 500
+)
+
+// loader reads the settings rows of the platform's table.
+type loader struct {
+	table platform.Table
+}
+
+// head is the newest version and the revision of its row, which is zero before
+// the first change.
+type head struct {
+	version  uint64
+	revision uint64
+}
+
+func (l loader) head(ctx context.Context) (head, error) {
+	row, err := l.table.Get(ctx, headKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return head{}, nil
+	}
+	if err != nil {
+		return head{}, Error.Wrap(err)
+	}
+	var value headRow
+	if err := readRow(row, &value); err != nil {
+		return head{}, err
+	}
+	return head{version: value.Version, revision: row.Revision}, nil
+}
+
+// load returns the newest state, made from a known one where that costs less.
+func (l loader) load(ctx context.Context, from *state) (*state, head, error) {
+	newest, err := l.head(ctx)
+	if err != nil {
+		return nil, head{}, err
+	}
+	if newest.version < from.version {
+		return nil, head{}, Error.New("the platform shows version %d, but version %d is known: %w", newest.version, from.version, platform.ErrUnavailable)
+	}
+	if newest.version-from.version > maxReplay {
+		from, err = l.scan(ctx, from, newest.version)
+		if err != nil {
+			return nil, head{}, err
+		}
+	}
+	loaded, err := l.replay(ctx, from, newest.version)
+	return loaded, newest, err
+}
+
+// replay applies the changes up to the version.
+func (l loader) replay(ctx context.Context, from *state, version uint64) (*state, error) {
+	records, err := l.records(ctx, from.version, version)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range records {
+		from = from.after(r)
+	}
+	return from, nil
+}
+
+// records returns the changes after one version up to another one.
+func (l loader) records(ctx context.Context, after, upTo uint64) ([]Record, error) {
+	var records []Record
+	for after < upTo {
+		limit := min(scanLimit, int(upTo-after))
+		page, err := l.table.Scan(ctx, changePrefix, changeKey(after), limit)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		for _, row := range page {
+			var r Record
+			if err := readRow(row, &r); err != nil {
+				return nil, err
+			}
+			if r.Version != after+1 {
+				return nil, Error.New("change %d is missing", after+1)
+			}
+			records = append(records, r)
+			after = r.Version
+		}
+		if len(page) == 0 {
+			return nil, Error.New("change %d is missing", after+1)
+		}
+	}
+	return records, nil
+}
+
+// scan reads all documents. Changes that land meanwhile may or may not be in
+// the result, so it is labelled with the version before the scan; replaying
+// the changes after it gives the same tree in both cases. Entries of known are
+// used again where they are the same.
+func (l loader) scan(ctx context.Context, known *state, version uint64) (*state, error) {
+	tree := newTree(nil, 0)
+	after := ""
+	for {
+		page, err := l.table.Scan(ctx, documentPrefix, after, scanLimit)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		if len(page) == 0 {
+			return l.settle(ctx, &state{version: version, tree: tree})
+		}
+		for _, row := range page {
+			if err := takeDocument(tree, known.tree, row); err != nil {
+				return nil, err
+			}
+		}
+		after = page[len(page)-1].Key
+	}
+}
+
+// settle replays what landed during a scan, so that the state is whole.
+func (l loader) settle(ctx context.Context, scanned *state) (*state, error) {
+	newest, err := l.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return l.replay(ctx, scanned, newest.version)
+}
+
+func takeDocument(tree, known *Tree, row platform.Row) error {
+	var value documentRow
+	if err := readRow(row, &value); err != nil {
+		return err
+	}
+	path := strings.TrimPrefix(row.Key, documentPrefix)
+	tree.share(known, Document{Path: path, Body: value.Body}, value.Version)
+	return nil
+}
+
+// landed returns the version that the change became, if it was accepted.
+func (l loader) landed(ctx context.Context, id string) (version uint64, ok bool, err error) {
+	row, err := l.table.Get(ctx, landedKey(id))
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, false, nil
+	}
+	if err != nil {
+		return 0, false, Error.Wrap(err)
+	}
+	var value landedRow
+	if err := readRow(row, &value); err != nil {
+		return 0, false, err
+	}
+	return value.Version, true, nil
+}
--- a/settings/snapshot.go
+++ b/settings/snapshot.go
@@ -1,13 +1,14 @@
 package settings
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"github.com/cornelyard/cornelyard/ident"
 )
 
-// Snapshot is one immutable version of all declarations. Its maps must not be
-// changed by anyone.
+// Snapshot is one immutable version of all declarations. Its maps and slices
+// must not be changed by anyone.
 type Snapshot struct {
 	// Version counts accepted changes from 1.
 	Version uint64
@@ -17,39 +18,86 @@
 	Teams   map[ident.Team]*Team
 
 	callers map[string]ident.Team
+	admins  map[string]ident.Team
 	models  map[string]ident.Pool
+	targets map[poolPlace][]*Target
+}
+
+// poolPlace names the part of a pool in one data centre.
+type poolPlace struct {
+	pool ident.Pool
+	dc   ident.DataCentre
 }
 
 // NewSnapshot indexes the declarations; the caller has checked them.
 func NewSnapshot(version uint64, tiers []*Tier, pools []*Pool, targets []*Target, teams []*Team) *Snapshot {
-	s := &Snapshot{
-		Version: version,
-		Tiers:   make(map[ident.Tier]*Tier, len(tiers)),
-		Pools:   make(map[ident.Pool]*Pool, len(pools)),
-		Targets: make(map[ident.Target]*Target, len(targets)),
-		Teams:   make(map[ident.Team]*Team, len(teams)),
-		callers: make(map[string]ident.Team),
-		models:  make(map[string]ident.Pool, len(pools)),
-	}
+	s := newSnapshot(version, len(teams))
 	for _, tier := range tiers {
 		s.Tiers[tier.Name] = tier
 	}
 	for _, pool := range pools {
 		s.Pools[pool.Name] = pool
-		if pool.Kind == EnginePool {
-			s.models[pool.Model] = pool.Name
-		}
 	}
 	for _, target := range targets {
 		s.Targets[target.Name] = target
 	}
 	for _, team := range teams {
 		s.Teams[team.Name] = team
+	}
+	s.index()
+	return s
+}
+
+func newSnapshot(version uint64, teams int) *Snapshot {
+	return &Snapshot{
+		Version: version,
+		Tiers:   make(map[ident.Tier]*Tier),
+		Pools:   make(map[ident.Pool]*Pool),
+		Targets: make(map[ident.Target]*Target),
+		Teams:   make(map[ident.Team]*Team, teams),
+		callers: make(map[string]ident.Team, teams),
+		admins:  make(map[string]ident.Team, teams),
+		models:  make(map[string]ident.Pool),
+		targets: make(map[poolPlace][]*Target),
+	}
+}
+
+// add takes the entry's declaration in.
+func (s *Snapshot) add(e *entry) {
+	switch {
+	case e.tier != nil:
+		s.Tiers[e.tier.Name] = e.tier
+	case e.pool != nil:
+		s.Pools[e.pool.Name] = e.pool
+	case e.target != nil:
+		s.Targets[e.target.Name] = e.target
+	case e.team != nil:
+		s.Teams[e.team.Name] = e.team
+	}
+}
+
+// index fills the lookups from the declarations.
+func (s *Snapshot) index() {
+	for _, pool := range s.Pools {
+		if pool.Kind == EnginePool {
+			s.models[pool.Model] = pool.Name
+		}
+	}
+	for _, team := range s.Teams {
 		for _, hash := range team.CallerTokenHashes {
 			s.callers[hash] = team.Name
 		}
+		for _, hash := range team.AdminTokenHashes {
+			s.admins[hash] = team.Name
+		}
+	}
+	for _, target := range s.Targets {
+		place := poolPlace{pool: target.Pool, dc: target.DataCentre}
+		s.targets[place] = append(s.targets[place], target)
+	}
+	for _, targets := range s.targets {
+		slices.SortFunc(targets, func(a, b *Target) int { return cmp.Compare(a.Name, b.Name) })
 	}
-	return s
 }
 
 // CallerTeam returns the team that the hash of a caller's token belongs to.
@@ -58,6 +106,12 @@
 	return team, ok
 }
 
+// AdminTeam returns the team whose subtree the token with that hash may change.
+func (s *Snapshot) AdminTeam(tokenHash string) (ident.Team, bool) {
+	team, ok := s.admins[tokenHash]
+	return team, ok
+}
+
 // ModelPool returns the pool that serves the model.
 func (s *Snapshot) ModelPool(model string) (ident.Pool, bool) {
 	pool, ok := s.models[model]
@@ -66,12 +120,5 @@
 
 // PoolTargets returns the targets of a pool in one data centre, sorted by name.
 func (s *Snapshot) PoolTargets(pool ident.Pool, dc ident.DataCentre) []*Target {
-	var found []*Target
-	for _, target := range s.Targets {
-		if target.Pool == pool && target.DataCentre == dc {
-			found = append(found, target)
-		}
-	}
-	sort.Slice(found, func(i, j int) bool { return found[i].Name < found[j].Name })
-	return found
+	return s.targets[poolPlace{pool: pool, dc: dc}]
 }
--- /dev/null
+++ b/settings/state.go
@@ -0,0 +1,16 @@
+package settings
+
+// state is one version of the tree. It is immutable.
+type state struct {
+	version uint64
+	tree    *Tree
+}
+
+func emptyState() *state {
+	return &state{tree: newTree(nil, 0)}
+}
+
+// after returns the state that the record's change leads to.
+func (s *state) after(r Record) *state {
+	return &state{version: r.Version, tree: s.tree.with(r.Edits, r.Version)}
+}
--- /dev/null
+++ b/settings/store.go
@@ -0,0 +1,165 @@
+package settings
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+// Store accepts changes to the declarations and keeps their history on the
+// platform's table. Its calls are safe for concurrent use.
+type Store struct {
+	options StoreOptions
+	loader  loader
+	replica *replica
+	// turn holds one token; the changes of one host take turns, so that they
+	// don't conflict with each other.
+	turn chan struct{}
+}
+
+// NewStore returns a store.
+func NewStore(o StoreOptions) *Store {
+	o = o.withDefaults()
+	s := &Store{
+		options: o,
+		loader:  loader{table: o.Table},
+		turn:    make(chan struct{}, 1),
+	}
+	s.replica = newReplica(timeline.Discard{}, &log.Logger{Level: log.PanicLevel})
+	if o.Watcher != nil {
+		s.replica = o.Watcher.replica
+	}
+	return s
+}
+
+// Apply makes the change a new version, or refuses it with a finding.List, a
+// *ConflictError, a *ForbiddenError or a *BaseError; a refused change is
+// nowhere in force. It fails with platform.ErrUnavailable if nothing was
+// changed, and with an *UnclearError if that could not be told in time.
+func (s *Store) Apply(ctx context.Context, c Change) (Result, error) {
+	a, err := s.begin(c)
+	if err != nil {
+		return Result{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.options.Timeout)
+	defer cancel()
+	if err := s.takeTurn(ctx); err != nil {
+		return Result{}, err
+	}
+	defer s.endTurn()
+	return a.run(ctx)
+}
+
+// Check returns what Apply would do, without doing it.
+func (s *Store) Check(ctx context.Context, c Change) (Result, error) {
+	a, err := s.begin(c)
+	if err != nil {
+		return Result{}, err
+	}
+	plan, err := a.plan(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	return Result{Version: plan.from.version, Changed: len(plan.edits) > 0, Edits: plan.edits}, nil
+}
+
+func (s *Store) begin(c Change) (*attempt, error) {
+	if c.ID == "" {
+		c.ID = uuid.NewString()
+	}
+	if err := c.check().Err(); err != nil {
+		return nil, err
+	}
+	return &attempt{store: s, change: c}, nil
+}
+
+func (s *Store) takeTurn(ctx context.Context) error {
+	select {
+	case s.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return Error.New("nothing was changed: %w", ctx.Err())
+	}
+}
+
+func (s *Store) endTurn() { <-s.turn }
+
+// Head returns the newest version.
+func (s *Store) Head(ctx context.Context) (uint64, error) {
+	newest, err := s.loader.head(ctx)
+	return newest.version, err
+}
+
+// History returns up to limit changes after the version, oldest first.
+func (s *Store) History(ctx context.Context, after uint64, limit int) ([]Record, error) {
+	newest, err := s.loader.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if after >= newest.version {
+		return nil, nil
+	}
+	return s.loader.records(ctx, after, min(newest.version, after+uint64(max(limit, 0))))
+}
+
+// At returns the documents of a version; zero means the newest. Its cost grows
+// with the number of changes since then.
+func (s *Store) At(ctx context.Context, version uint64) (*Tree, uint64, error) {
+	newest, _, err := s.loader.load(ctx, s.replica.load())
+	if err != nil {
+		return nil, 0, err
+	}
+	if version == 0 || version == newest.version {
+		return newest.tree, newest.version, nil
+	}
+	if version > newest.version {
+		return nil, 0, &BaseError{Version: version, Head: newest.version}
+	}
+	records, err := s.loader.records(ctx, version, newest.version)
+	if err != nil {
+		return nil, 0, err
+	}
+	return newest.tree.before(records), version, nil
+}
+
+// before returns the tree as it was before the records, which lead to t.
+func (t *Tree) before(records []Record) *Tree {
+	for _, r := range slices.Backward(records) {
+		t = t.with(r.undo(), 0)
+	}
+	return t
+}
+
+// undo returns the edits that take the change back.
+func (r Record) undo() []Edit {
+	edits := make([]Edit, 0, len(r.Edits))
+	for _, edit := range r.Edits {
+		edits = append(edits, Edit{Path: edit.Path, Before: edit.After, After: edit.Before})
+	}
+	return edits
+}
+
+// newBackOff returns the pauses between the attempts of one change.
+func newBackOff() backoff.BackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = retryInterval
+	b.MaxInterval = maxRetryInterval
+	return b
+}
+
+// isRefusal reports whether the error is final and says that the change is
+// nowhere in force.
+func isRefusal(err error) bool {
+	var findings interface{ Err() error }
+	var conflict *ConflictError
+	var forbidden *ForbiddenError
+	var base *BaseError
+	return errors.As(err, &findings) || errors.As(err, &conflict) ||
+		errors.As(err, &forbidden) || errors.As(err, &base)
+}
--- /dev/null
+++ b/settings/store_options.go
@@ -0,0 +1,36 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/platform"
+)
+
+const (
+	// defaultApplyTimeout bounds one change with its retries.
+	defaultApplyTimeout = 10 * time.Second
+
+	retryInterval    = 10 * time.Millisecond
+	maxRetryInterval = 500 * time.Millisecond
+)
+
+// StoreOptions configures a Store.
+type StoreOptions struct {
+	Table platform.Table
+	// Watcher gets each change that is accepted here at once; nil means none.
+	Watcher *Watcher
+	// Timeout bounds one change with its retries. It defaults to 10 seconds.
+	Timeout time.Duration
+	// Now is the clock for the history. It defaults to time.Now.
+	Now func() time.Time
+}
+
+func (o StoreOptions) withDefaults() StoreOptions {
+	if o.Timeout <= 0 {
+		o.Timeout = defaultApplyTimeout
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return o
+}
--- /dev/null
+++ b/settings/tree.go
@@ -0,0 +1,128 @@
+package settings
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cornelyard/cornelyard/finding"
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+// Tree is an immutable set of documents. Trees made from one another share
+// what they have in common.
+type Tree struct {
+	entries map[string]*entry
+}
+
+// ParseTree parses the documents and returns the tree with all its findings.
+func ParseTree(documents []Document) (*Tree, finding.List) {
+	tree := newTree(documents, 0)
+	return tree, checkTree(tree, tree)
+}
+
+func newTree(documents []Document, version uint64) *Tree {
+	tree := &Tree{entries: make(map[string]*entry, len(documents))}
+	for _, d := range documents {
+		tree.entries[d.Path] = newEntry(d, version)
+	}
+	return tree
+}
+
+// Len returns the number of documents.
+func (t *Tree) Len() int { return len(t.entries) }
+
+// Document returns the document at path.
+func (t *Tree) Document(path string) (Document, bool) {
+	e, ok := t.entries[path]
+	if !ok {
+		return Document{}, false
+	}
+	return e.Document, true
+}
+
+// Documents returns all documents, sorted by path.
+func (t *Tree) Documents() []Document {
+	documents := make([]Document, 0, len(t.entries))
+	for _, path := range t.paths() {
+		documents = append(documents, t.entries[path].Document)
+	}
+	return documents
+}
+
+func (t *Tree) paths() []string {
+	return slices.Sorted(maps.Keys(t.entries))
+}
+
+// with returns the tree that the edits lead to, as of the version.
+func (t *Tree) with(edits []Edit, version uint64) *Tree {
+	next := &Tree{entries: maps.Clone(t.entries)}
+	for _, edit := range edits {
+		if edit.Removes() {
+			delete(next.entries, edit.Path)
+			continue
+		}
+		next.share(t, Document{Path: edit.Path, Body: edit.After}, version)
+	}
+	return next
+}
+
+// share takes the document's entry from known, or parses it if it is not there.
+func (t *Tree) share(known *Tree, d Document, version uint64) {
+	e, ok := known.entries[d.Path]
+	if !ok || e.Body != d.Body || e.version != version {
+		e = newEntry(d, version)
+	}
+	t.entries[d.Path] = e
+}
+
+// Diff returns the edits that lead from t to the documents. Documents of t that
+// are missing there are removed if prune says so for their path.
+func (t *Tree) Diff(documents []Document, prune func(path string) bool) []Edit {
+	edits := t.puts(documents)
+	wanted := make(map[string]bool, len(documents))
+	for _, d := range documents {
+		wanted[d.Path] = true
+	}
+	for path, e := range t.entries {
+		if !wanted[path] && prune(path) {
+			edits = append(edits, Edit{Path: path, Before: e.Body})
+		}
+	}
+	sortEdits(edits)
+	return edits
+}
+
+// puts returns the edits for the documents that differ from the tree's.
+func (t *Tree) puts(documents []Document) []Edit {
+	var edits []Edit
+	for _, d := range documents {
+		known, _ := t.Document(d.Path)
+		if known.Body != d.Body {
+			edits = append(edits, Edit{Path: d.Path, Before: known.Body, After: d.Body})
+		}
+	}
+	return edits
+}
+
+// snapshot indexes the declarations that can be in force.
+func (t *Tree) snapshot(version uint64) *Snapshot {
+	s := newSnapshot(version, len(t.entries))
+	for _, e := range t.entries {
+		if e.usable() {
+			s.add(e)
+		}
+	}
+	s.index()
+	return s
+}
+
+// poolSizes counts the targets of each pool.
+func (t *Tree) poolSizes() map[ident.Pool]int {
+	sizes := make(map[ident.Pool]int)
+	for _, e := range t.entries {
+		if e.target != nil {
+			sizes[e.target.Pool]++
+		}
+	}
+	return sizes
+}
--- /dev/null
+++ b/settings/watcher.go
@@ -0,0 +1,188 @@
+package settings
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Watcher brings each accepted version into force on this host. It never
+// applies a version below its own. It implements Source.
+type Watcher struct {
+	*replica
+	options WatcherOptions
+	loader  loader
+	// heard is the highest version that another host has shown.
+	heard atomic.Uint64
+	nudge chan struct{}
+
+	statusMu sync.Mutex
+	status   syncStatus
+}
+
+var _ Source = (*Watcher)(nil)
+
+// NewWatcher returns a watcher that has no settings yet.
+func NewWatcher(o WatcherOptions) *Watcher {
+	o = o.withDefaults()
+	return &Watcher{
+		replica: newReplica(o.Recorder, o.Logger),
+		options: o,
+		loader:  loader{table: o.Table},
+		nudge:   make(chan struct{}, 1),
+	}
+}
+
+// Run follows the platform until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	for {
+		w.sync(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-w.nudge:
+		case <-time.After(w.pause()):
+		}
+	}
+}
+
+// pause returns the interval, varied by the jitter.
+func (w *Watcher) pause() time.Duration {
+	factor := 1 + w.options.Jitter*(2*rand.Float64()-1)
+	return time.Duration(factor * float64(w.options.Interval))
+}
+
+// Nudge says that another host has the version in force. It does not block.
+func (w *Watcher) Nudge(version uint64) {
+	if version <= w.load().version || !raise(&w.heard, version) {
+		return
+	}
+	select {
+	case w.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// raise sets value to version if that is higher.
+func raise(value *atomic.Uint64, version uint64) bool {
+	for {
+		old := value.Load()
+		if version <= old {
+			return false
+		}
+		if value.CompareAndSwap(old, version) {
+			return true
+		}
+	}
+}
+
+// Version returns the version in force, or zero.
+func (w *Watcher) Version() uint64 { return w.load().version }
+
+// Tree returns the documents in force and their version.
+func (w *Watcher) Tree() (*Tree, uint64) {
+	s := w.load()
+	return s.tree, s.version
+}
+
+// Export returns the whole tree, for Import on another host, if its version is
+// above have; else nothing.
+func (w *Watcher) Export(have uint64) ([]byte, error) {
+	s := w.load()
+	if s.version <= have {
+		return nil, nil
+	}
+	return encodeState(s)
+}
+
+// Import brings an export into force if its version is above the own.
+func (w *Watcher) Import(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	s, err := decodeState(data, w.load())
+	if err != nil {
+		return err
+	}
+	w.install(s)
+	return nil
+}
+
+// Ready returns nil if settings are in force, else what is missing.
+func (w *Watcher) Ready() error {
+	if w.Current() != nil {
+		return nil
+	}
+	w.statusMu.Lock()
+	defer w.statusMu.Unlock()
+	return w.status.missing()
+}
+
+// sync brings the newest version that can be reached into force.
+func (w *Watcher) sync(ctx context.Context) {
+	heard := w.heard.Load()
+	status := syncStatus{tried: true}
+	status.platform = w.syncPlatform(ctx)
+	if w.behind(heard, status) {
+		status.peers = w.syncPeers(ctx)
+	}
+	if ctx.Err() == nil {
+		w.setStatus(status)
+	}
+}
+
+// behind reports whether the other hosts have to be asked.
+func (w *Watcher) behind(heard uint64, status syncStatus) bool {
+	version := w.load().version
+	return version < heard || (version == 0 && status.platform != nil)
+}
+
+func (w *Watcher) syncPlatform(ctx context.Context) error {
+	known := w.load()
+	if current, err := w.headIsKnown(ctx, known); current || err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	newest, _, err := w.loader.load(ctx, known)
+	if err != nil {
+		return err
+	}
+	w.install(newest)
+	return nil
+}
+
+func (w *Watcher) headIsKnown(ctx context.Context, known *state) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.options.HeadTimeout)
+	defer cancel()
+	newest, err := w.loader.head(ctx)
+	if err != nil {
+		return false, err
+	}
+	return newest.version <= known.version, nil
+}
+
+func (w *Watcher) syncPeers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	data, err := w.options.Fetch(ctx, w.load().version)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return w.Import(data)
+}
+
+func (w *Watcher) setStatus(status syncStatus) {
+	w.statusMu.Lock()
+	previous := w.status
+	w.status = status
+	w.statusMu.Unlock()
+	switch {
+	case previous.platform == nil && status.platform != nil:
+		w.logger.Warn().Err(status.platform).Msg("settings: platform not readable")
+	case previous.platform != nil && status.platform == nil:
+		w.logger.Info().Msg("settings: platform readable again")
+	}
+}
--- /dev/null
+++ b/settings/watcher_options.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+const (
+	defaultInterval = time.Second
+	// defaultHeadTimeout bounds the read that shows whether the platform
+	// answers.
+	defaultHeadTimeout = time.Second
+	// loadTimeout bounds all reads of one new version.
+	loadTimeout = 10 * time.Second
+)
+
+// Fetch asks the other hosts for an export of a version above have. It returns
+// nothing if they have none.
+type Fetch func(ctx context.Context, have uint64) ([]byte, error)
+
+// WatcherOptions configures a Watcher.
+type WatcherOptions struct {
+	Table platform.Table
+	// Interval is the time between two reads of the head version. It defaults
+	// to 1 second.
+	Interval time.Duration
+	// Jitter is the part of the interval, from 0 to 1, by which it is varied.
+	Jitter float64
+	// HeadTimeout is how long the platform may take to tell the head version
+	// before the peers are asked. It defaults to 1 second.
+	HeadTimeout time.Duration
+	// Fetch asks the other hosts; nil means that there are none.
+	Fetch Fetch
+	// Recorder takes an event for each version in force; nil means none.
+	Recorder timeline.Recorder
+	// Logger takes log lines; nil means none.
+	Logger *log.Logger
+}
+
+func (o WatcherOptions) withDefaults() WatcherOptions {
+	if o.Interval <= 0 {
+		o.Interval = defaultInterval
+	}
+	if o.HeadTimeout <= 0 {
+		o.HeadTimeout = defaultHeadTimeout
+	}
+	if o.Fetch == nil {
+		o.Fetch = func(context.Context, uint64) ([]byte, error) { return nil, nil }
+	}
+	if o.Recorder == nil {
+		o.Recorder = timeline.Discard{}
+	}
+	if o.Logger == nil {
+		o.Logger = silentLogger()
+	}
+	return o
+}
