Check host settings and test the declarations' findings

The settings file of a host is decoded by the same strict decoder; its table in docs/HOST-SETTINGS.md is held to the types by a test. A syntax error is placed on the character that it names: the decoder counts it from zero in some states and from one in others.

--- /dev/null
+++ b/config/checker.go
@@ -0,0 +1,198 @@
+package config
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+
+	"github.com/cornelyard/cornelyard/finding"
+	"github.com/cornelyard/cornelyard/internal/strictjson"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+const (
+	// peerKeyBytes is the length of a peer key.
+	peerKeyBytes = 32
+
+	allowedName    = "1 to 63 of a-z, 0-9, '.', '_' and '-', with a letter or digit at both ends"
+	allowedAddress = "IP:port, such as \"10.0.0.7:8000\""
+	allowedDialed  = "the IP:port at which this host can be dialed"
+	allowedURL     = "http or https with IP:port, such as \"http://10.0.0.1:7000\""
+	allowedKey     = "32 bytes as 64 hex digits"
+	allowedHash    = "the SHA-256 of the token as 64 lower-case hex digits"
+	allowedLevels  = "debug, info, warn, error"
+)
+
+// checker collects the findings of one settings file.
+type checker struct {
+	file     string
+	data     []byte
+	host     Host
+	findings finding.List
+}
+
+// check adds what the types do not tell. Places that have a finding already get
+// no second one.
+func (c *checker) check() {
+	c.name("host", string(c.host.Host))
+	c.name("dataCentre", string(c.host.DataCentre))
+	c.addresses()
+	c.platform()
+	c.keys()
+	c.level()
+	c.limits()
+	c.timing()
+	c.findings.Sort()
+}
+
+func (c *checker) add(path strictjson.Path, message, allowed string) {
+	if c.faulty(path) {
+		return
+	}
+	at := strictjson.Locate(c.data, path)
+	c.findings = append(c.findings, finding.Finding{
+		File:    c.file,
+		Path:    string(path),
+		Line:    at.Line,
+		Column:  at.Column,
+		Message: message,
+		Allowed: allowed,
+	})
+}
+
+func (c *checker) faulty(path strictjson.Path) bool {
+	return slices.ContainsFunc(c.findings, func(f finding.Finding) bool {
+		return f.Path == string(path) || f.Path == ""
+	})
+}
+
+func (c *checker) name(path strictjson.Path, name string) {
+	if !settings.ValidName(name) {
+		c.add(path, "the name "+strconv.Quote(name)+" is not allowed", allowedName)
+	}
+}
+
+func (c *checker) addresses() {
+	c.address("callerAddress", c.host.CallerAddress)
+	c.address("peerAddress", c.host.PeerAddress)
+	c.address("operatorAddress", c.host.OperatorAddress)
+	c.dialed()
+	for i, seed := range c.host.Seeds {
+		c.address(strictjson.Path("seeds").Index(i), seed)
+	}
+	c.distinct()
+}
+
+func (c *checker) address(path strictjson.Path, address string) {
+	if _, ok := parseAddress(address); !ok {
+		c.add(path, strconv.Quote(address)+" is not an address", allowedAddress)
+	}
+}
+
+// dialed checks that other hosts can use the advertised address.
+func (c *checker) dialed() {
+	parsed, ok := parseAddress(c.host.AdvertisedPeerAddress)
+	switch {
+	case !ok:
+		c.add("advertisedPeerAddress", strconv.Quote(c.host.AdvertisedPeerAddress)+" is not an address", allowedAddress)
+	case parsed.Addr().IsUnspecified():
+		c.add("advertisedPeerAddress", "other hosts cannot dial "+parsed.String(), allowedDialed)
+	}
+}
+
+// distinct checks that no address is listened on twice.
+func (c *checker) distinct() {
+	if c.host.PeerAddress == c.host.CallerAddress {
+		c.add("peerAddress", "the address is the callers' as well", "")
+	}
+	if c.host.OperatorAddress == c.host.CallerAddress || c.host.OperatorAddress == c.host.PeerAddress {
+		c.add("operatorAddress", "the address is the callers' or the peers' as well", "")
+	}
+}
+
+func parseAddress(address string) (netip.AddrPort, bool) {
+	parsed, err := netip.ParseAddrPort(address)
+	return parsed, err == nil && parsed.Port() != 0
+}
+
+func (c *checker) platform() {
+	parsed, err := url.Parse(c.host.Platform)
+	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		c.add("platform", strconv.Quote(c.host.Platform)+" is not a base URL", allowedURL)
+		return
+	}
+	if _, ok := parseAddress(parsed.Host); !ok {
+		c.add("platform", strconv.Quote(parsed.Host)+" is not an address", allowedURL)
+	}
+}
+
+func (c *checker) keys() {
+	if len(c.host.PeerKeys) == 0 {
+		c.add("peerKeys", "there is no key", "one or more, "+allowedKey)
+	}
+	for i, key := range c.host.PeerKeys {
+		if decoded, err := hex.DecodeString(key); err != nil || len(decoded) != peerKeyBytes {
+			c.add(strictjson.Path("peerKeys").Index(i), "this is not a key", allowedKey)
+		}
+	}
+	if len(c.host.OperatorTokenHashes) == 0 {
+		c.add("operatorTokenHashes", "there is no hash, so nobody could change the settings", "one or more, "+allowedHash)
+	}
+	for i, hash := range c.host.OperatorTokenHashes {
+		if !settings.ValidTokenHash(hash) {
+			c.add(strictjson.Path("operatorTokenHashes").Index(i), "this is not the hash of a token", allowedHash)
+		}
+	}
+}
+
+func (c *checker) level() {
+	switch c.host.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		c.add("logLevel", "unknown level "+strconv.Quote(c.host.LogLevel), allowedLevels)
+	}
+}
+
+func (c *checker) limits() {
+	l := c.host.Limits
+	c.positive("limits.maxBodyBytes", l.MaxBodyBytes)
+	c.positive("limits.maxRequests", int64(l.MaxRequests))
+	c.positive("limits.maxConnections", int64(l.MaxConnections))
+	c.positive("limits.streamBufferBytes", int64(l.StreamBufferBytes))
+	c.positive("limits.timelineEvents", int64(l.TimelineEvents))
+}
+
+func (c *checker) positive(path strictjson.Path, value int64) {
+	if value < 0 {
+		c.add(path, "the limit is negative", "1 or more; 0 means the default")
+	}
+}
+
+func (c *checker) timing() {
+	t := c.host.Timing
+	c.duration("timing.heartbeat", t.Heartbeat)
+	c.duration("timing.suspectAfter", t.SuspectAfter)
+	c.duration("timing.deadAfter", t.DeadAfter)
+	c.duration("timing.grantLease", t.GrantLease)
+	c.duration("timing.readinessDelay", t.ReadinessDelay)
+	c.duration("timing.drainLimit", t.DrainLimit)
+	c.order(t)
+}
+
+// order checks that silence outlasts heartbeats.
+func (c *checker) order(t Timing) {
+	if t.SuspectAfter <= t.Heartbeat {
+		c.add("timing.suspectAfter", "a host is suspected between two heartbeats", "more than heartbeat")
+	}
+	if t.DeadAfter <= t.SuspectAfter {
+		c.add("timing.deadAfter", "a host is dead before it is suspected", "more than suspectAfter")
+	}
+}
+
+func (c *checker) duration(path strictjson.Path, value settings.Duration) {
+	if value < 0 {
+		c.add(path, "the duration is negative", "0s means the default")
+	}
+}
--- /dev/null
+++ b/config/documentation_test.go
@@ -0,0 +1,80 @@
+package config_test
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cornelyard/cornelyard/config"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// row is one line of the table in docs/HOST-SETTINGS.md.
+type row struct {
+	field, kind, standard string
+}
+
+var rowPattern = regexp.MustCompile("^\\| `([A-Za-z.]+)` \\| ([a-z ]+) \\| (`[^`]*`|required|empty) \\| \\S.* \\|$")
+
+// TestDocumentationMatchesTheTypes holds the table to the types, both ways.
+func TestDocumentationMatchesTheTypes(t *testing.T) {
+	text, err := os.ReadFile("../docs/HOST-SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var documented []row
+	for line := range strings.Lines(string(text)) {
+		if m := rowPattern.FindStringSubmatch(strings.TrimSpace(line)); m != nil {
+			documented = append(documented, row{field: m[1], kind: m[2], standard: strings.Trim(m[3], "`")})
+		}
+	}
+	declared := rows("", reflect.ValueOf(config.Host{PeerAddress: "peerAddress"}.WithDefaults()))
+	if !slices.Equal(documented, declared) {
+		t.Errorf("the table has\n%v\nthe types say\n%v", documented, declared)
+	}
+}
+
+func rows(prefix string, v reflect.Value) []row {
+	var found []row
+	for i := range v.NumField() {
+		name, options, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ",")
+		value := v.Field(i)
+		if value.Kind() == reflect.Struct {
+			found = append(found, rows(prefix+name+".", value)...)
+			continue
+		}
+		r := row{field: prefix + name, kind: kindOf(value), standard: "required"}
+		if options != "" {
+			r.standard = standardOf(value)
+		}
+		found = append(found, r)
+	}
+	return found
+}
+
+func kindOf(v reflect.Value) string {
+	switch {
+	case v.Type() == reflect.TypeFor[settings.Duration]():
+		return "duration"
+	case v.Kind() == reflect.Slice:
+		return "list of string"
+	case v.Kind() == reflect.String:
+		return "string"
+	default:
+		return "number"
+	}
+}
+
+func standardOf(v reflect.Value) string {
+	if d, ok := v.Interface().(settings.Duration); ok {
+		return d.Std().String()
+	}
+	if v.Kind() == reflect.Slice {
+		return "empty"
+	}
+	return fmt.Sprint(v.Interface())
+}
--- a/config/host.go
+++ b/config/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/cornelyard/cornelyard/ident"
-	"github.com/cornelyard/cornelyard/settings"
 )
 
 // Host is the settings file of cornelyardd. All addresses are IP:port.
@@ -25,38 +24,8 @@
 	PeerKeys []string `json:"peerKeys"`
 	// OperatorTokenHashes are SHA-256 hashes, in hex, of the operators' tokens.
 	OperatorTokenHashes []string `json:"operatorTokenHashes"`
-	Limits              Limits   `json:"limits"`
-	Timing              Timing   `json:"timing"`
+	Limits              Limits   `json:"limits,omitzero"`
+	Timing              Timing   `json:"timing,omitzero"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"logLevel,omitempty"`
 }
-
-// Limits bounds what this host takes on. Zero means the default.
-type Limits struct {
-	// MaxBodyBytes bounds a request's body.
-	MaxBodyBytes int64 `json:"maxBodyBytes,omitempty"`
-	// MaxRequests bounds the requests held at once.
-	MaxRequests int `json:"maxRequests,omitempty"`
-	// MaxConnections bounds the callers' connections.
-	MaxConnections int `json:"maxConnections,omitempty"`
-	// StreamBufferBytes bounds what is held for one slow caller.
-	StreamBufferBytes int `json:"streamBufferBytes,omitempty"`
-	// TimelineEvents is the size of the time line's ring.
-	TimelineEvents int `json:"timelineEvents,omitempty"`
-}
-
-// Timing holds this host's intervals. Zero means the default.
-type Timing struct {
-	// Heartbeat is the interval of heartbeats.
-	Heartbeat settings.Duration `json:"heartbeat,omitempty"`
-	// SuspectAfter and DeadAfter are silences.
-	SuspectAfter settings.Duration `json:"suspectAfter,omitempty"`
-	DeadAfter    settings.Duration `json:"deadAfter,omitempty"`
-	// GrantLease is how long a grant may wait for its dispatch.
-	GrantLease settings.Duration `json:"grantLease,omitempty"`
-	// ReadinessDelay is how long a stopping host still listens, so that the
-	// balancer can notice.
-	ReadinessDelay settings.Duration `json:"readinessDelay,omitempty"`
-	// DrainLimit bounds a planned stop; zero waits for every stream.
-	DrainLimit settings.Duration `json:"drainLimit,omitempty"`
-}
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -9,6 +9,9 @@
 	"github.com/cornelyard/cornelyard/finding"
 )
 
+// maxQuoted bounds the bytes of a value that a message quotes.
+const maxQuoted = 32
+
 // Decode fills the value that into points to and returns every fault. What
 // could be decoded is filled in even if there are faults elsewhere.
 func Decode(file string, data []byte, into any) finding.List {
@@ -69,13 +72,26 @@
 }
 
 func (d *decoder) custom(path Path, n *node, v reflect.Value) {
+	allowed := ""
+	if form, ok := v.Addr().Interface().(Form); ok {
+		allowed = form.JSONForm()
+	}
 	if n.kind == nullNode {
-		d.add(path, n.offset, "null is not allowed", "")
+		d.add(path, n.offset, "null is not allowed", allowed)
 		return
 	}
 	if err := json.Unmarshal(d.raw(n), v.Addr().Interface()); err != nil {
-		d.add(path, n.offset, err.Error(), "")
+		d.add(path, n.offset, "got "+d.quote(n), allowed)
+	}
+}
+
+// quote returns the beginning of the value's text.
+func (d *decoder) quote(n *node) string {
+	raw := d.raw(n)
+	if len(raw) > maxQuoted {
+		return string(raw[:maxQuoted]) + "..."
 	}
+	return string(raw)
 }
 
 func (d *decoder) object(path Path, n *node, v reflect.Value) {
--- a/internal/strictjson/parser.go
+++ b/internal/strictjson/parser.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"strconv"
+	"strings"
 	"unicode/utf8"
 )
 
@@ -61,8 +63,7 @@
 	}
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
-		offset := max(int(syntax.Offset)-1, p.next())
-		return nil, &syntaxError{offset: offset, message: syntax.Error()}
+		return nil, &syntaxError{offset: p.fault(syntax), message: syntax.Error()}
 	}
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return nil, &syntaxError{offset: len(p.data), message: "the text ends too early"}
@@ -70,6 +71,16 @@
 	return nil, &syntaxError{offset: p.next(), message: err.Error()}
 }
 
+// fault returns the offset of the character that the error names. It is at the
+// error's offset or one before it, as the decoder's state or its scanner found it.
+func (p *parser) fault(err *json.SyntaxError) int {
+	at := int(err.Offset)
+	if at < len(p.data) && strings.Contains(err.Error(), strconv.QuoteRune(rune(p.data[at]))) {
+		return at
+	}
+	return max(at-1, 0)
+}
+
 func (p *parser) value(depth int) (*node, error) {
 	n := &node{offset: p.next()}
 	if depth > maxDepth {
--- a/settings/attempt.go
+++ b/settings/attempt.go
@@ -13,8 +13,9 @@
 type attempt struct {
 	store  *Store
 	change Change
-	// base is the version that the change is held against.
-	base uint64
+	// base is the version that the change is held against, once based is set.
+	base  uint64
+	based bool
 	// unclear says that a commit may have taken effect unseen.
 	unclear bool
 }
@@ -138,12 +139,7 @@
 
 // checkBase looks for changes of the same documents since the base.
 func (a *attempt) checkBase(ctx context.Context, newest uint64) error {
-	if a.base == 0 {
-		a.base = a.change.Base
-	}
-	if a.base == 0 {
-		a.base = newest
-	}
+	a.fixBase(newest)
 	if a.base > newest {
 		return &BaseError{Version: a.base, Head: newest}
 	}
@@ -158,6 +154,18 @@
 	return nil
 }
 
+// fixBase settles the base at the first attempt.
+func (a *attempt) fixBase(newest uint64) {
+	if a.based {
+		return
+	}
+	a.based = true
+	a.base = a.change.Base
+	if a.base == 0 {
+		a.base = newest
+	}
+}
+
 // conflicts returns, for each document, the newest of the records that touch it.
 func (a *attempt) conflicts(records []Record) []Conflict {
 	var conflicts []Conflict
--- a/settings/store.go
+++ b/settings/store.go
@@ -7,8 +7,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
-	"github.com/phuslu/log"
 
+	"github.com/cornelyard/cornelyard/finding"
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
@@ -31,7 +31,7 @@
 		loader:  loader{table: o.Table},
 		turn:    make(chan struct{}, 1),
 	}
-	s.replica = newReplica(timeline.Discard{}, &log.Logger{Level: log.PanicLevel})
+	s.replica = newReplica(timeline.Discard{}, silentLogger())
 	if o.Watcher != nil {
 		s.replica = o.Watcher.replica
 	}
@@ -156,7 +156,7 @@
 // isRefusal reports whether the error is final and says that the change is
 // nowhere in force.
 func isRefusal(err error) bool {
-	var findings interface{ Err() error }
+	var findings finding.List
 	var conflict *ConflictError
 	var forbidden *ForbiddenError
 	var base *BaseError
