Connect the hosts: peer mesh, membership, time line, metrics, logging

Cause: the entry and the pool owner need ordered frames between hosts, a view of who is alive, and a common account of events.

Change: peer keeps one yamux session a pair of hosts over mutual TLS 1.3 with certificates derived from the shared keys. The host with the smaller name decides which of several connections stays (new message Welcome), so both keep the same one. membership decides purely from heartbeats, ended sessions, refused connections and member lists; a Tracker feeds it. The member lists now say which members are dead and their settings version (two new fields), because hosts keep few sessions to other data centres. Owner falls back to leaving hosts if no other is alive, so that a stop of all hosts still finishes what is queued.

Ruled out: keeping the session dialled by the smaller name on both sides by itself, because a lost session would block the other side's new dial until the smaller name has noticed the loss.

Conclusion: three or more hosts in one process find each other through one seed, and frames and calls pass, also under -race.

--- /dev/null
+++ b/membership/input.go
@@ -0,0 +1,71 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+	"github.com/cornelyard/cornelyard/platform"
+)
+
+// input is one thing that the tracker learned.
+type input interface {
+	apply(t *Tracker, now time.Time)
+}
+
+type helloInput struct{ hello *peerpb.Hello }
+
+func (in helloInput) apply(t *Tracker, now time.Time) {
+	self := memberFromProto(in.hello.GetSelf())
+	t.state.greeted(self.Member, now)
+	t.state.told(self.Host, membersFromProto(in.hello.GetMembers()), now)
+	t.learnVersion(in.hello.GetSettingsVersion())
+}
+
+type heartbeatInput struct {
+	from      ident.Host
+	heartbeat *peerpb.Heartbeat
+}
+
+func (in heartbeatInput) apply(t *Tracker, now time.Time) {
+	h := in.heartbeat
+	t.state.heard(beat{
+		host:            in.from,
+		incarnation:     h.GetIncarnation(),
+		settingsVersion: h.GetSettingsVersion(),
+		leaving:         h.GetLeaving(),
+	}, now)
+	t.state.told(in.from, membersFromProto(h.GetMembers()), now)
+	t.learnVersion(h.GetSettingsVersion())
+}
+
+type sessionUpInput struct{ host ident.Host }
+
+func (in sessionUpInput) apply(t *Tracker, now time.Time) {
+	t.told[in.host] = now.Add(-handshakeAllowance)
+}
+
+type sessionDownInput struct{ host ident.Host }
+
+func (in sessionDownInput) apply(t *Tracker, _ time.Time) {
+	delete(t.told, in.host)
+	t.state.closed(in.host)
+}
+
+type refusedInput struct{ host ident.Host }
+
+func (in refusedInput) apply(t *Tracker, now time.Time) {
+	t.state.refused(in.host, now)
+}
+
+type hostListInput struct{ hosts []platform.HostEntry }
+
+func (in hostListInput) apply(t *Tracker, now time.Time) {
+	t.state.listed(in.hosts, now)
+}
+
+func (t *Tracker) learnVersion(version uint64) {
+	if t.onSettingsVersion != nil && version > t.version.Load() {
+		t.onSettingsVersion(version)
+	}
+}
--- a/membership/owner.go
+++ b/membership/owner.go
@@ -8,12 +8,20 @@
 
 // Owner returns the host of the data centre that owns the pool: the one with
 // the highest rendezvous hash among the members that are not dead and not
-// leaving. It returns "" if there is none.
+// leaving. If all that are not dead are leaving, one of them still owns the
+// pool. It returns "" if there is none.
 func (v *View) Owner(dc ident.DataCentre, pool ident.Pool) ident.Host {
+	if owner := v.owner(dc, pool, false); owner != "" {
+		return owner
+	}
+	return v.owner(dc, pool, true)
+}
+
+func (v *View) owner(dc ident.DataCentre, pool ident.Pool, leaving bool) ident.Host {
 	var best ident.Host
 	var bestScore uint64
 	for _, m := range v.Members {
-		if m.DataCentre != dc || m.State == Dead || m.Leaving {
+		if m.DataCentre != dc || m.State == Dead || m.Leaving != leaving {
 			continue
 		}
 		score := rendezvousScore(m.Host, pool)
--- /dev/null
+++ b/membership/proto.go
@@ -0,0 +1,66 @@
+package membership
+
+import (
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+)
+
+// ToProto returns the member as it is sent to other hosts.
+func (m Member) ToProto() *peerpb.Member {
+	return &peerpb.Member{
+		Host:            string(m.Host),
+		DataCentre:      string(m.DataCentre),
+		PeerAddress:     m.PeerAddress,
+		OperatorAddress: m.OperatorAddress,
+		Incarnation:     m.Incarnation,
+		Leaving:         m.Leaving,
+		SettingsVersion: m.SettingsVersion,
+	}
+}
+
+// Hello returns the greeting that the host of the view sends: itself and the
+// members that it counts.
+func (v *View) Hello() *peerpb.Hello {
+	hello := &peerpb.Hello{Self: v.Self.ToProto(), SettingsVersion: v.Self.SettingsVersion}
+	for _, m := range v.Members {
+		if m.Host != v.Self.Host && m.State != Dead {
+			hello.Members = append(hello.Members, m.ToProto())
+		}
+	}
+	return hello
+}
+
+func memberFromProto(p *peerpb.Member) relayedMember {
+	return relayedMember{
+		Member: Member{
+			Host:            ident.Host(p.GetHost()),
+			DataCentre:      ident.DataCentre(p.GetDataCentre()),
+			PeerAddress:     p.GetPeerAddress(),
+			OperatorAddress: p.GetOperatorAddress(),
+			Incarnation:     p.GetIncarnation(),
+			Leaving:         p.GetLeaving(),
+			SettingsVersion: p.GetSettingsVersion(),
+		},
+		dead: p.GetDead(),
+	}
+}
+
+func membersFromProto(list []*peerpb.Member) []relayedMember {
+	members := make([]relayedMember, 0, len(list))
+	for _, p := range list {
+		if p.GetHost() != "" {
+			members = append(members, memberFromProto(p))
+		}
+	}
+	return members
+}
+
+func membersToProto(list []relayedMember) []*peerpb.Member {
+	members := make([]*peerpb.Member, 0, len(list))
+	for _, m := range list {
+		p := m.ToProto()
+		p.Dead = m.dead
+		members = append(members, p)
+	}
+	return members
+}
--- /dev/null
+++ b/metrics/tags.go
@@ -0,0 +1,13 @@
+package metrics
+
+// Tag keys.
+const (
+	TagTier      = "tier"
+	TagTeam      = "team"
+	TagPool      = "pool"
+	TagTarget    = "target"
+	TagReason    = "reason"
+	TagResult    = "result"
+	TagOperation = "operation"
+	TagState     = "state"
+)
--- /dev/null
+++ b/peer/call.go
@@ -0,0 +1,141 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+)
+
+// Call implements Caller. Without a session it waits for one to open. A context
+// without a deadline gets one.
+func (m *Mesh) Call(ctx context.Context, to ident.Host, method string, body []byte) ([]byte, error) {
+	ctx, cancel := withDefaultTimeout(ctx)
+	defer cancel()
+	call := &peerpb.Call{Method: method, Body: body}
+	if to == m.self {
+		return replyBody(m.serve(ctx, m.self, call))
+	}
+	s, err := m.awaitSession(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := s.call(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	return replyBody(reply)
+}
+
+func withDefaultTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, callTimeout)
+}
+
+func replyBody(reply *peerpb.Reply) ([]byte, error) {
+	if reply.GetError() != "" {
+		return nil, Error.New("%s", reply.GetError())
+	}
+	return reply.GetBody(), nil
+}
+
+// awaitSession returns the session to the host, and has it dialled if there is
+// none.
+func (m *Mesh) awaitSession(ctx context.Context, to ident.Host) (*session, error) {
+	l, mayDial := m.reach(to)
+	if l == nil {
+		return nil, ErrNoSession
+	}
+	open, changed := l.wait()
+	defer l.done()
+	if open != nil {
+		return open, nil
+	}
+	if !mayDial {
+		return nil, ErrNoSession
+	}
+	m.wake()
+	select {
+	case <-changed:
+	case <-ctx.Done():
+		return nil, ErrNoSession
+	}
+	if s := l.session(); s != nil {
+		return s, nil
+	}
+	return nil, ErrNoSession
+}
+
+// call makes one unary exchange on a stream of its own.
+func (s *session) call(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error) {
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer func() { _ = stream.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
+	defer stop()
+	if err := writeMessage(stream, call); err != nil {
+		return nil, err
+	}
+	reply := &peerpb.Reply{}
+	if err := readMessage(bufio.NewReader(stream), maxFrameBytes, reply); err != nil {
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		return nil, Error.Wrap(err)
+	}
+	return reply, nil
+}
+
+// acceptCalls serves unary calls until the session ends.
+func (s *session) acceptCalls(ctx context.Context) {
+	slots := make(chan struct{}, maxCalls)
+	for {
+		stream, err := s.mux.AcceptStream()
+		if err != nil {
+			s.close(Error.Wrap(err))
+			return
+		}
+		select {
+		case slots <- struct{}{}:
+			s.mesh.connections.Go(func() {
+				s.serveCall(ctx, stream)
+				<-slots
+			})
+		default:
+			_ = stream.Close()
+		}
+	}
+}
+
+func (s *session) serveCall(ctx context.Context, stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
+	defer cancel()
+	_ = stream.SetDeadline(time.Now().Add(maxCallTime))
+	call := &peerpb.Call{}
+	if err := readMessage(bufio.NewReader(stream), maxFrameBytes, call); err != nil {
+		return
+	}
+	_ = writeMessage(stream, s.mesh.serve(ctx, s.host, call))
+}
+
+// serve runs the method of a call.
+func (m *Mesh) serve(ctx context.Context, from ident.Host, call *peerpb.Call) *peerpb.Reply {
+	method, ok := m.methods[call.GetMethod()]
+	if !ok {
+		return &peerpb.Reply{Error: "unknown method " + call.GetMethod()}
+	}
+	body, err := method(ctx, from, call.GetBody())
+	if err != nil {
+		return &peerpb.Reply{Error: err.Error()}
+	}
+	return &peerpb.Reply{Body: body}
+}
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"bufio"
+	"io"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+// Field numbers of Frame that are written apart from its body.
+const (
+	fieldClockWall    protowire.Number = 1
+	fieldClockLogical protowire.Number = 2
+)
+
+// appendFrame appends f to buffer, with its length before it and stamped with
+// the clock's reading. It leaves f unchanged, so that one frame can go to
+// several hosts.
+func appendFrame(buffer []byte, f *peerpb.Frame, now timeline.Timestamp) ([]byte, error) {
+	stamp := protowire.SizeTag(fieldClockWall) + protowire.SizeVarint(uint64(now.Wall)) +
+		protowire.SizeTag(fieldClockLogical) + protowire.SizeVarint(uint64(now.Logical))
+	size := stamp + proto.Size(f)
+	if size > maxFrameBytes {
+		return buffer, Error.New("frame of %d bytes is too large", size)
+	}
+	buffer = protowire.AppendVarint(buffer, uint64(size))
+	buffer = protowire.AppendTag(buffer, fieldClockWall, protowire.VarintType)
+	buffer = protowire.AppendVarint(buffer, uint64(now.Wall))
+	buffer = protowire.AppendTag(buffer, fieldClockLogical, protowire.VarintType)
+	buffer = protowire.AppendVarint(buffer, uint64(now.Logical))
+	return proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buffer, f)
+}
+
+// writeMessage writes one length-prefixed message.
+func writeMessage(w io.Writer, m proto.Message) error {
+	_, err := protodelim.MarshalTo(w, m)
+	return Error.Wrap(err)
+}
+
+// readMessage reads one length-prefixed message of at most limit bytes.
+func readMessage(r *bufio.Reader, limit int64, m proto.Message) error {
+	return protodelim.UnmarshalOptions{MaxSize: limit}.UnmarshalFrom(r, m)
+}
+
+// readFrame reads one frame. A frame without a body is malformed; one with a
+// body of a later version reads as having none and is skipped by the caller.
+func readFrame(r *bufio.Reader) (*peerpb.Frame, error) {
+	f := &peerpb.Frame{}
+	if err := readMessage(r, maxFrameBytes, f); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
--- /dev/null
+++ b/peer/counters.go
@@ -0,0 +1,35 @@
+package peer
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cornelyard/cornelyard/metrics"
+)
+
+// counters is the metrics of the mesh.
+type counters struct {
+	scope          tally.Scope
+	sessions       tally.Gauge
+	framesSent     tally.Counter
+	framesReceived tally.Counter
+	bytesSent      tally.Counter
+	backlogs       tally.Counter
+}
+
+func newCounters(scope tally.Scope) *counters {
+	return &counters{
+		scope:          scope,
+		sessions:       scope.Gauge(metrics.PeerSessions),
+		framesSent:     scope.Counter(metrics.PeerFramesSent),
+		framesReceived: scope.Counter(metrics.PeerFramesReceived),
+		bytesSent:      scope.Counter(metrics.PeerBytesSent),
+		backlogs:       scope.Counter(metrics.PeerBacklogs),
+	}
+}
+
+// handshakeFailed counts a connection that never became a session. The side is
+// "dialled" or "accepted".
+func (c *counters) handshakeFailed(side string) {
+	tags := map[string]string{metrics.TagReason: side}
+	c.scope.Tagged(tags).Counter(metrics.PeerHandshakesFailed).Inc(1)
+}
--- /dev/null
+++ b/peer/dial.go
@@ -0,0 +1,135 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/membership"
+)
+
+// dialler looks for missing sessions. It belongs to one goroutine.
+type dialler struct {
+	mesh *Mesh
+	// version is the view that planned was made from.
+	version uint64
+	planned []membership.Member
+	seeds   []*seed
+}
+
+// dialMissing dials hosts without a session until ctx ends.
+func (m *Mesh) dialMissing(ctx context.Context) error {
+	d := &dialler{mesh: m}
+	for _, address := range m.options.Seeds {
+		d.seeds = append(d.seeds, newSeed(address))
+	}
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		d.step(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-m.hurry:
+		case <-m.options.Members.Changed():
+		}
+	}
+}
+
+// step begins the dials that are due.
+func (d *dialler) step(ctx context.Context, now time.Time) {
+	view := d.mesh.options.Members.View()
+	if view.Version != d.version {
+		d.version = view.Version
+		d.planned = plan(view)
+	}
+	for _, member := range d.planned {
+		d.dialMember(ctx, member, now)
+	}
+	d.tendLinks(ctx, view, now)
+	d.dialSeeds(ctx, view, now)
+}
+
+// tendLinks dials the hosts that frames or calls wait for, and closes the
+// sessions to dead members.
+func (d *dialler) tendLinks(ctx context.Context, view *membership.View, now time.Time) {
+	for _, l := range d.mesh.allLinks() {
+		member, known := view.Member(l.host)
+		if !known {
+			continue
+		}
+		if member.State == membership.Dead {
+			l.closeIfSilent(now)
+		}
+		if l.wanted() {
+			d.dialMember(ctx, member, now)
+		}
+	}
+}
+
+func (d *dialler) dialMember(ctx context.Context, member membership.Member, now time.Time) {
+	m := d.mesh
+	l := m.link(member.Host)
+	eager := m.self < member.Host || l.wanted()
+	if !l.beginDial(now, eager) {
+		return
+	}
+	m.connections.Go(func() { m.dialLink(ctx, l, member.PeerAddress) })
+}
+
+func (m *Mesh) dialLink(ctx context.Context, l *link, address string) {
+	s, err := m.dial(ctx, address)
+	if err == nil && s.host == l.host {
+		s.run(ctx)
+		return
+	}
+	if errors.Is(err, errDuplicate) {
+		l.dialYielded(time.Now())
+		return
+	}
+	if refused(err) {
+		m.handlers.refused(l.host)
+	}
+	if l.dialFailed(time.Now()) {
+		l.deliver(func() { m.handlers.down(l.host) })
+	}
+	if err != nil {
+		m.noteFailed("dialled", address, err)
+		return
+	}
+	// The address belongs to another host now.
+	s.run(ctx)
+}
+
+// dial opens a session to whatever host listens at the address.
+func (m *Mesh) dial(ctx context.Context, address string) (*session, error) {
+	select {
+	case m.dials <- struct{}{}:
+		defer func() { <-m.dials }()
+	case <-ctx.Done():
+		return nil, errStopped
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	g, err := m.greetDialled(ctx, raw)
+	if err != nil {
+		return nil, err
+	}
+	return m.settle(g)
+}
+
+// hostAt returns the member with that peer address.
+func hostAt(view *membership.View, address string) (ident.Host, bool) {
+	for _, m := range view.Members {
+		if m.PeerAddress == address {
+			return m.Host, true
+		}
+	}
+	return "", false
+}
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -1,6 +1,11 @@
 package peer
 
-import "github.com/zeebo/errs"
+import (
+	"errors"
+	"syscall"
+
+	"github.com/zeebo/errs"
+)
 
 var (
 	// Error is the class of all errors of this package.
@@ -9,4 +14,14 @@
 	ErrNoSession = Error.New("no session")
 	// ErrBacklog says that the host takes frames too slowly.
 	ErrBacklog = Error.New("backlog full")
+
+	errDuplicate = Error.New("another session is kept")
+	errSelf      = Error.New("the connection leads to this host itself")
+	errDead      = Error.New("the member is dead")
+	errStopped   = Error.New("the mesh is stopped")
 )
+
+// refused tells whether a dial error proves that no process listens there.
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- /dev/null
+++ b/peer/key.go
@@ -0,0 +1,47 @@
+package peer
+
+import (
+	"crypto/ed25519"
+	"crypto/hkdf"
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// keyInfo separates the certificates' keys from other uses of a peer key.
+const keyInfo = "cornelyard peer certificate"
+
+// Key is a secret shared by all hosts. Whoever has it may join the mesh.
+type Key [keyBytes]byte
+
+// ParseKey reads a key from 64 hexadecimal digits.
+func ParseKey(text string) (Key, error) {
+	var k Key
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != keyBytes {
+		return k, Error.New("a peer key is 64 hexadecimal digits")
+	}
+	copy(k[:], raw)
+	return k, nil
+}
+
+// ParseKeys reads several keys.
+func ParseKeys(texts []string) ([]Key, error) {
+	keys := make([]Key, 0, len(texts))
+	for _, text := range texts {
+		k, err := ParseKey(text)
+		if err != nil {
+			return nil, err
+		}
+		keys = append(keys, k)
+	}
+	return keys, nil
+}
+
+// private derives the private key of the certificate.
+func (k Key) private() (ed25519.PrivateKey, error) {
+	seed, err := hkdf.Key(sha256.New, k[:], nil, keyInfo, ed25519.SeedSize)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return ed25519.NewKeyFromSeed(seed), nil
+}
--- /dev/null
+++ b/peer/limits.go
@@ -0,0 +1,64 @@
+package peer
+
+import "time"
+
+const (
+	// keyBytes is the size of a peer key.
+	keyBytes = 32
+
+	// maxHelloBytes bounds a message of the handshake.
+	maxHelloBytes = 256 << 10
+	// maxFrameBytes bounds one frame and one unary message.
+	maxFrameBytes = 8 << 20
+	// maxBacklogBytes bounds the frames that wait for one host.
+	maxBacklogBytes = 16 << 20
+	// maxPendingBytes bounds the frames that wait for a session to open.
+	maxPendingBytes = 1 << 20
+	// keptBufferBytes is the largest send buffer kept for reuse.
+	keptBufferBytes = 16 << 10
+	// localRingFrames bounds the frames from this host to itself.
+	localRingFrames = 8192
+
+	// dialTimeout bounds the TCP connect, and handshakeTimeout all that comes
+	// after it until the session is open.
+	dialTimeout      = 2 * time.Second
+	handshakeTimeout = 4 * time.Second
+	// writeTimeout is how long a host may take no byte.
+	writeTimeout = 5 * time.Second
+	// writePieceBytes is how much is written under one deadline.
+	writePieceBytes = 64 << 10
+	// maxCallTime bounds the serving of a unary call.
+	maxCallTime = 30 * time.Second
+	// callTimeout bounds a unary call without a deadline of its own.
+	callTimeout = 5 * time.Second
+
+	// maxHandshakes bounds the incoming handshakes in progress.
+	maxHandshakes = 64
+	// maxCalls bounds the unary calls served at once for one host.
+	maxCalls = 32
+	// maxDials bounds the outgoing handshakes in progress.
+	maxDials = 16
+
+	// planInterval is how often missing sessions are looked for.
+	planInterval = 100 * time.Millisecond
+	// graceOfYounger is how long the host with the larger name waits for the
+	// other one to dial.
+	graceOfYounger = 200 * time.Millisecond
+	// settledAfter is the age from which a session gives way to a new
+	// connection between the same two processes. A younger one was opened by
+	// both sides at the same time.
+	settledAfter = time.Second
+	// deadSessionSilence is the silence after which the session to a dead
+	// member is closed.
+	deadSessionSilence = time.Second
+
+	// firstRedial and maxRedial bound the jittered intervals between dials.
+	firstRedial = 100 * time.Millisecond
+	maxRedial   = 5 * time.Second
+
+	// remoteLinks is how many hosts of each other data centre are dialled.
+	remoteLinks = 2
+	// lostRemoteLinks replaces remoteLinks while none of the data centre's hosts
+	// is alive.
+	lostRemoteLinks = 4
+)
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,207 @@
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+// link is the way to one other host: at most one session, the dials that lead
+// to it, and the few frames that wait for it.
+type link struct {
+	host ident.Host
+
+	// handling makes the handlers' calls for the host come one after another.
+	handling sync.Mutex
+
+	mu      sync.Mutex
+	current *session
+	// tail is closed when the handlers are done with the latest session.
+	tail    <-chan struct{}
+	pending *outbox
+	// waiting counts the calls that wait for a session.
+	waiting int
+	dials   dialState
+	// changed is closed when a session opens or a dial fails.
+	changed chan struct{}
+}
+
+func newLink(host ident.Host) *link {
+	return &link{
+		host:    host,
+		pending: newOutbox(maxPendingBytes),
+		dials:   newDialState(),
+		changed: make(chan struct{}),
+	}
+}
+
+// deliver runs one call of the handlers.
+func (l *link) deliver(f func()) {
+	l.handling.Lock()
+	defer l.handling.Unlock()
+	f()
+}
+
+// session returns the open session, or nil.
+func (l *link) session() *session {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open()
+}
+
+func (l *link) open() *session {
+	if l.current == nil || l.current.isClosed() {
+		return nil
+	}
+	return l.current
+}
+
+// admit decides whether s is kept, as the host with the smaller name does. A
+// session that has just opened between the same two processes stays, because
+// both sides dialled at once; an older one gives way, because the other side
+// dials only when it has lost it.
+func (l *link) admit(s *session, number uint64, now time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if open := l.open(); open != nil {
+		if s.incarnation < open.incarnation {
+			return errDuplicate
+		}
+		if s.incarnation == open.incarnation && now.Sub(open.opened) < settledAfter {
+			return errDuplicate
+		}
+	}
+	s.number = number
+	l.install(s)
+	return nil
+}
+
+// follow takes over the decision of the host with the smaller name. An earlier
+// decision that arrives late is ignored.
+func (l *link) follow(s *session) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if open := l.open(); open != nil {
+		late := s.incarnation == open.incarnation && s.number < open.number
+		if late || s.incarnation < open.incarnation {
+			return errDuplicate
+		}
+	}
+	l.install(s)
+	return nil
+}
+
+// install makes s the current session. l.mu is held.
+func (l *link) install(s *session) {
+	if l.current != nil {
+		l.current.close(errDuplicate)
+	}
+	s.previous = l.tail
+	l.tail = s.finished
+	l.current = s
+	waiting, _ := l.pending.take()
+	s.outbox.prepend(waiting)
+	l.pending = newOutbox(maxPendingBytes)
+	l.dials.succeeded()
+	l.announce()
+}
+
+// closeIfSilent closes the session to a member that was declared dead, so that
+// both sides exchange their state anew when it returns.
+func (l *link) closeIfSilent(now time.Time) {
+	s := l.session()
+	if s != nil && s.silence(now) > deadSessionSilence {
+		s.close(errDead)
+	}
+}
+
+// remove forgets s after its end.
+func (l *link) remove(s *session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current == s {
+		l.current = nil
+	}
+}
+
+// push queues a frame on the session. Without one, it waits for the session to
+// open if mayDial says that the host can be dialled.
+func (l *link) push(f *peerpb.Frame, clock *timeline.Clock, mayDial bool) (opened *session, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.open(); s != nil {
+		return s, s.outbox.push(f, clock)
+	}
+	if !mayDial || l.dials.resting(time.Now()) {
+		return nil, ErrNoSession
+	}
+	if err := l.pending.push(f, clock); err != nil {
+		return nil, ErrNoSession
+	}
+	return nil, nil
+}
+
+// wanted tells whether frames or calls wait for a session.
+func (l *link) wanted() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waiting > 0 || !l.pending.empty()
+}
+
+// beginDial tells whether a dial may begin now. eager is false for the host
+// that should leave the first move to the other side.
+func (l *link) beginDial(now time.Time, eager bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open() != nil {
+		l.dials.settle()
+		return false
+	}
+	return l.dials.begin(now, eager)
+}
+
+// dialFailed ends a dial without a session. It tells whether frames that had
+// been queued are lost.
+func (l *link) dialFailed(now time.Time) (lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dials.failed(now)
+	l.announce()
+	if l.open() != nil {
+		return false
+	}
+	lost = !l.pending.empty()
+	l.pending = newOutbox(maxPendingBytes)
+	return lost
+}
+
+// dialYielded ends a dial that gave way to a connection from the other side,
+// which is about to become the session.
+func (l *link) dialYielded(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dials.failed(now)
+}
+
+// wait begins to wait for a session and returns it if it is open already. The
+// caller calls done when it stops waiting.
+func (l *link) wait() (open *session, changed <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting++
+	return l.open(), l.changed
+}
+
+func (l *link) done() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting--
+}
+
+func (l *link) announce() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
--- /dev/null
+++ b/peer/mesh.go
@@ -0,0 +1,197 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+	"github.com/cornelyard/cornelyard/membership"
+)
+
+// Mesh keeps the sessions to the other hosts. It implements Sender, Caller and
+// membership.Sender, and is safe for concurrent use.
+type Mesh struct {
+	options  Options
+	self     ident.Host
+	tls      *tls.Config
+	counters *counters
+	handlers handlers
+	methods  map[string]Method
+	local    chan *peerpb.Frame
+	// hurry wakes the planner.
+	hurry chan struct{}
+	// sessions numbers the sessions that this host has admitted.
+	sessions atomic.Uint64
+	open     atomic.Int64
+	dials    chan struct{}
+	// connections counts the goroutines of handshakes and sessions.
+	connections sync.WaitGroup
+
+	mu    sync.Mutex
+	links map[ident.Host]*link
+
+	bound     chan struct{}
+	boundAddr net.Addr
+}
+
+// NewMesh returns a mesh that doesn't listen yet. It fails if there is no key.
+func NewMesh(o Options) (*Mesh, error) {
+	o.fillIn()
+	credentials, err := newCredentials(o.Keys)
+	if err != nil {
+		return nil, err
+	}
+	return &Mesh{
+		options:  o,
+		self:     o.Members.View().Self.Host,
+		tls:      credentials.config(),
+		counters: newCounters(o.Scope),
+		methods:  make(map[string]Method),
+		local:    make(chan *peerpb.Frame, localRingFrames),
+		hurry:    make(chan struct{}, 1),
+		dials:    make(chan struct{}, maxDials),
+		links:    make(map[ident.Host]*link),
+		bound:    make(chan struct{}),
+	}, nil
+}
+
+// AddHandler adds a handler, which gets every frame. It is called before Run.
+func (m *Mesh) AddHandler(h Handler) {
+	m.handlers = append(m.handlers, h)
+}
+
+// RegisterMethod sets what serves the unary calls of that name. It is called
+// before Run.
+func (m *Mesh) RegisterMethod(name string, method Method) {
+	m.methods[name] = method
+}
+
+// Run listens, dials and serves until ctx ends. It returns nil then, or an error
+// if the address can't be listened on. All its goroutines have ended when it
+// returns.
+func (m *Mesh) Run(ctx context.Context) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", m.options.Listen)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	m.boundAddr = listener.Addr()
+	close(m.bound)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return m.accept(ctx, listener) })
+	group.Go(func() error { return m.dialMissing(ctx) })
+	group.Go(func() error { return m.deliverLocal(ctx) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return Error.Wrap(listener.Close())
+	})
+	err = group.Wait()
+	m.connections.Wait()
+	return err
+}
+
+// Address returns the address that the mesh listens on. It waits for Run to
+// listen, or for ctx to end.
+func (m *Mesh) Address(ctx context.Context) (net.Addr, error) {
+	select {
+	case <-m.bound:
+		return m.boundAddr, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Send implements Sender.
+func (m *Mesh) Send(to ident.Host, f *peerpb.Frame) error {
+	if to == m.self {
+		return m.sendLocal(f)
+	}
+	l, mayDial := m.reach(to)
+	if l == nil {
+		return ErrNoSession
+	}
+	s, err := l.push(f, m.options.Clock, mayDial)
+	if s != nil && errors.Is(err, ErrBacklog) {
+		m.counters.backlogs.Inc(1)
+		s.close(ErrBacklog)
+	}
+	if s == nil && err == nil {
+		m.wake()
+	}
+	return err
+}
+
+// Connected implements membership.Sender.
+func (m *Mesh) Connected() []ident.Host {
+	var hosts []ident.Host
+	for _, l := range m.allLinks() {
+		if l.session() != nil {
+			hosts = append(hosts, l.host)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// link returns the link to the host, a new one if there is none.
+func (m *Mesh) link(host ident.Host) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l, ok := m.links[host]
+	if !ok {
+		l = newLink(host)
+		m.links[host] = l
+	}
+	return l
+}
+
+// reach returns the link to a host and whether it can be dialled. The link is
+// nil if the host is unknown and has no session.
+func (m *Mesh) reach(host ident.Host) (l *link, mayDial bool) {
+	member, known := m.options.Members.View().Member(host)
+	mayDial = known && member.State != membership.Dead && member.PeerAddress != ""
+	if mayDial {
+		return m.link(host), true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.links[host], false
+}
+
+func (m *Mesh) allLinks() []*link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]*link, 0, len(m.links))
+	for _, l := range m.links {
+		all = append(all, l)
+	}
+	return all
+}
+
+func (m *Mesh) wake() {
+	select {
+	case m.hurry <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Mesh) noteUp(s *session) {
+	m.counters.sessions.Update(float64(m.open.Add(1)))
+	m.options.Logger.Info().Str("host", string(s.host)).Msg("Session is open.")
+}
+
+func (m *Mesh) noteDown(s *session) {
+	m.counters.sessions.Update(float64(m.open.Add(-1)))
+	m.options.Logger.Info().Str("host", string(s.host)).
+		Dur("age", time.Since(s.opened)).Err(s.cause).Msg("Session ended.")
+	m.wake()
+}
--- /dev/null
+++ b/peer/options.go
@@ -0,0 +1,39 @@
+package peer
+
+import (
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cornelyard/cornelyard/logging"
+	"github.com/cornelyard/cornelyard/membership"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+// Options configures a Mesh.
+type Options struct {
+	// Listen is the address to listen on, as IP:port.
+	Listen string
+	// Keys are the peer keys. The first is presented, all are accepted.
+	Keys []Key
+	// Seeds are peer addresses to dial while their hosts are unknown.
+	Seeds []string
+	// Members gives the own host and the others' addresses.
+	Members membership.Source
+	// Clock is the process's hybrid logical clock.
+	Clock *timeline.Clock
+	// Logger and Scope may be nil.
+	Logger *log.Logger
+	Scope  tally.Scope
+}
+
+func (o *Options) fillIn() {
+	if o.Clock == nil {
+		o.Clock = timeline.NewClock()
+	}
+	if o.Logger == nil {
+		o.Logger = logging.Discard().For("peer")
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+}
--- /dev/null
+++ b/peer/session.go
@@ -0,0 +1,158 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+// session is one open connection to another host.
+type session struct {
+	*greeted
+	mesh        *Mesh
+	host        ident.Host
+	incarnation uint64
+	// number is the accepting order at the host with the smaller name.
+	number uint64
+	opened time.Time
+	outbox *outbox
+	// lastRead is when a frame last arrived, in Unix nanoseconds.
+	lastRead atomic.Int64
+
+	// previous is closed when the handlers are done with the session before.
+	previous <-chan struct{}
+	finished chan struct{}
+
+	closeOnce sync.Once
+	closed    chan struct{}
+	cause     error
+}
+
+func newSession(m *Mesh, g *greeted) *session {
+	s := &session{
+		greeted:     g,
+		mesh:        m,
+		host:        g.host(),
+		incarnation: g.hello.GetSelf().GetIncarnation(),
+		opened:      time.Now(),
+		outbox:      newOutbox(maxBacklogBytes),
+		finished:    make(chan struct{}),
+		closed:      make(chan struct{}),
+	}
+	s.lastRead.Store(s.opened.UnixNano())
+	return s
+}
+
+// run serves the session until it ends, with a goroutine for each direction and
+// one for unary calls.
+func (s *session) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group sync.WaitGroup
+	group.Go(s.write)
+	group.Go(func() { s.acceptCalls(ctx) })
+	group.Go(func() { s.closeWith(ctx) })
+	s.read()
+	cancel()
+	group.Wait()
+}
+
+// closeWith closes the session when ctx ends.
+func (s *session) closeWith(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		s.close(errStopped)
+	case <-s.closed:
+	}
+}
+
+// close ends the session. The first cause is kept.
+func (s *session) close(cause error) {
+	s.closeOnce.Do(func() {
+		s.cause = cause
+		close(s.closed)
+		s.greeted.close()
+	})
+}
+
+func (s *session) isClosed() bool {
+	select {
+	case <-s.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// read passes frames to the handlers, from SessionUp to SessionDown.
+func (s *session) read() {
+	if s.previous != nil {
+		<-s.previous
+	}
+	l := s.mesh.link(s.host)
+	l.deliver(func() { s.mesh.handlers.up(s.host, s.hello) })
+	s.mesh.noteUp(s)
+	s.close(s.readFrames(l))
+	l.remove(s)
+	l.deliver(func() { s.mesh.handlers.down(s.host) })
+	s.mesh.noteDown(s)
+	close(s.finished)
+}
+
+func (s *session) readFrames(l *link) error {
+	for {
+		f, err := readFrame(s.reader)
+		if err != nil {
+			return err
+		}
+		s.lastRead.Store(time.Now().UnixNano())
+		s.mesh.options.Clock.Observe(timeline.Timestamp{Wall: f.GetClockWall(), Logical: f.GetClockLogical()})
+		s.mesh.counters.framesReceived.Inc(1)
+		if f.GetBody() == nil {
+			continue
+		}
+		l.deliver(func() { s.mesh.handlers.frame(s.host, f) })
+	}
+}
+
+// write sends what is queued, as much as there is at a time.
+func (s *session) write() {
+	for {
+		select {
+		case <-s.closed:
+			return
+		case <-s.outbox.ready:
+		}
+		encoded, frames := s.outbox.take()
+		if err := s.writeAll(encoded); err != nil {
+			s.close(Error.Wrap(err))
+			return
+		}
+		s.mesh.counters.framesSent.Inc(frames)
+		s.mesh.counters.bytesSent.Inc(int64(len(encoded)))
+	}
+}
+
+// writeAll writes in pieces, each of which must be taken in writeTimeout.
+func (s *session) writeAll(encoded []byte) error {
+	for len(encoded) > 0 {
+		piece := encoded[:min(len(encoded), writePieceBytes)]
+		if err := s.stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if _, err := s.stream.Write(piece); err != nil {
+			return err
+		}
+		encoded = encoded[len(piece):]
+	}
+	return nil
+}
+
+// silence is how long no frame has arrived.
+func (s *session) silence(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, s.lastRead.Load()))
+}
--- /dev/null
+++ b/timeline/ring.go
@@ -0,0 +1,114 @@
+package timeline
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+const (
+	// DefaultEvents is the size of a ring whose size isn't given.
+	DefaultEvents = 16384
+	// maxDetailBytes bounds the detail of one event.
+	maxDetailBytes = 256
+)
+
+// RingOptions configures a Ring.
+type RingOptions struct {
+	Host  ident.Host
+	Clock *Clock
+	// Events is how many events are kept; zero means DefaultEvents.
+	Events int
+}
+
+// Ring is a Recorder that keeps the latest events of one process in bounded
+// memory. It is safe for concurrent use.
+type Ring struct {
+	host  ident.Host
+	clock *Clock
+	limit uint64
+
+	mu sync.Mutex
+	// records holds the event with sequence s at (s-1) % limit.
+	records []record
+	last    uint64
+}
+
+// NewRing returns an empty ring. Its memory grows as events arrive.
+func NewRing(o RingOptions) *Ring {
+	if o.Events <= 0 {
+		o.Events = DefaultEvents
+	}
+	if o.Clock == nil {
+		o.Clock = NewClock()
+	}
+	return &Ring{host: o.Host, clock: o.Clock, limit: uint64(o.Events)}
+}
+
+// Record implements Recorder.
+func (r *Ring) Record(e Event) {
+	if len(e.Detail) > maxDetailBytes {
+		e.Detail = e.Detail[:maxDetailBytes]
+	}
+	packed := pack(e)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	packed.time = r.clock.Now()
+	r.last++
+	if uint64(len(r.records)) < r.limit {
+		r.records = append(r.records, packed)
+		return
+	}
+	r.records[(r.last-1)%r.limit] = packed
+}
+
+// Events returns the kept events recorded after since, oldest first. An empty
+// request selects all requests; a limit of zero or less means no limit.
+func (r *Ring) Events(since Timestamp, request ident.Request, limit int) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := r.first()
+	kept := int(r.last - first + 1)
+	skip := sort.Search(kept, func(i int) bool {
+		return since.Before(r.at(first + uint64(i)).time)
+	})
+	var events []Event
+	for s := first + uint64(skip); s <= r.last; s++ {
+		if limit > 0 && len(events) == limit {
+			break
+		}
+		rec := r.at(s)
+		if request != "" && rec.request != request {
+			continue
+		}
+		events = append(events, rec.unpack(r.host, s))
+	}
+	return events
+}
+
+// Dropped counts the events that were overwritten.
+func (r *Ring) Dropped() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.first() - 1
+}
+
+// Recorded counts all events, the dropped ones included.
+func (r *Ring) Recorded() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.last
+}
+
+// first is the sequence of the oldest kept event, or last+1 if there is none.
+func (r *Ring) first() uint64 {
+	if r.last <= r.limit {
+		return 1
+	}
+	return r.last - r.limit + 1
+}
+
+func (r *Ring) at(sequence uint64) *record {
+	return &r.records[(sequence-1)%r.limit]
+}
--- /dev/null
+++ b/timeline/text.go
@@ -0,0 +1,69 @@
+package timeline
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// textTime is the layout of an event's time, in UTC.
+const textTime = "2006-01-02T15:04:05.000000Z"
+
+// String returns the event as one line.
+func (e Event) String() string {
+	var b strings.Builder
+	b.WriteString(e.Time.Time().UTC().Format(textTime))
+	fmt.Fprintf(&b, "+%d %-12s #%-6d %-16s", e.Time.Logical, e.Host, e.Sequence, e.Kind)
+	field(&b, "request", string(e.Request))
+	field(&b, "dispatch", string(e.Dispatch))
+	field(&b, "team", string(e.Team))
+	field(&b, "tier", string(e.Tier))
+	field(&b, "pool", string(e.Pool))
+	field(&b, "target", string(e.Target))
+	field(&b, "peer", string(e.Peer))
+	if e.Version != 0 {
+		fmt.Fprintf(&b, " version=%d", e.Version)
+	}
+	if e.Detail != "" {
+		fmt.Fprintf(&b, " detail=%q", e.Detail)
+	}
+	return b.String()
+}
+
+func field(b *strings.Builder, name, value string) {
+	if value == "" {
+		return
+	}
+	b.WriteByte(' ')
+	b.WriteString(name)
+	b.WriteByte('=')
+	b.WriteString(value)
+}
+
+// WriteText writes one line for each event.
+func WriteText(w io.Writer, events []Event) error {
+	for _, e := range events {
+		if _, err := fmt.Fprintln(w, e.String()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WriteJSONLines writes each event as a JSON object on a line of its own.
+func WriteJSONLines(w io.Writer, events []Event) error {
+	enc := json.NewEncoder(w)
+	for i := range events {
+		if err := enc.Encode(&events[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// At returns the earliest timestamp of that time.
+func At(t time.Time) Timestamp {
+	return Timestamp{Wall: t.UnixNano()}
+}
