--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,194 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cornelyard/cornelyard/config"
+	"github.com/cornelyard/cornelyard/entry"
+	"github.com/cornelyard/cornelyard/loadreport"
+	"github.com/cornelyard/cornelyard/logging"
+	"github.com/cornelyard/cornelyard/membership"
+	"github.com/cornelyard/cornelyard/metrics"
+	"github.com/cornelyard/cornelyard/peer"
+	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/platform/hostwatch"
+	"github.com/cornelyard/cornelyard/platform/restclient"
+	"github.com/cornelyard/cornelyard/pool"
+	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+const (
+	// platformTimeout bounds one call to the platform.
+	platformTimeout = 2 * time.Second
+	// hostListInterval is the time between two reads of the host list.
+	hostListInterval = time.Second
+	// settingsInterval is the time between two reads of the settings version.
+	settingsInterval = time.Second
+	// settingsJitter spreads the hosts' reads over the interval.
+	settingsJitter = 0.2
+)
+
+// Daemon is one host with all its parts.
+type Daemon struct {
+	config      config.Host
+	incarnation uint64
+	logs        *logging.Root
+	logger      *log.Logger
+	metrics     metrics.Metrics
+	clock       *timeline.Clock
+	ring        *timeline.Ring
+
+	table    platform.Table
+	objects  platform.Objects
+	hosts    *hostwatch.Watcher
+	settings *settings.Watcher
+	store    *settings.Store
+	tracker  *membership.Tracker
+	mesh     *peer.Mesh
+	client   *pool.Client
+	manager  *pool.Manager
+	targets  *target.Client
+	entry    *entry.Entry
+}
+
+// New puts a host together. It opens no connection and no listener.
+func New(o Options) (*Daemon, error) {
+	c := o.Config.WithDefaults()
+	d := &Daemon{
+		config:      c,
+		incarnation: membership.NewIncarnation(time.Now()),
+		logs:        logging.New(logging.Options{Level: c.LogLevel, Output: o.LogOutput}),
+		metrics:     metrics.New(),
+		clock:       timeline.NewClock(),
+	}
+	d.logger = d.logs.For("daemon")
+	d.ring = timeline.NewRing(timeline.RingOptions{
+		Host:   c.Host,
+		Clock:  d.clock,
+		Events: c.Limits.TimelineEvents,
+	})
+	d.buildPlatform()
+	d.buildMembers()
+	if err := d.buildMesh(); err != nil {
+		return nil, err
+	}
+	d.buildPools()
+	d.buildEntry()
+	d.connect()
+	return d, nil
+}
+
+func (d *Daemon) buildPlatform() {
+	client := restclient.New(restclient.Options{BaseURL: d.config.Platform, Timeout: platformTimeout})
+	d.table = client
+	d.objects = client.Objects()
+	d.hosts = hostwatch.New(hostwatch.Options{
+		List:     client,
+		Interval: hostListInterval,
+		Logger:   d.logs.For("hosts"),
+	})
+	d.settings = settings.NewWatcher(settings.WatcherOptions{
+		Table:    d.table,
+		Interval: settingsInterval,
+		Jitter:   settingsJitter,
+		Fetch:    d.fetchSettings,
+		Recorder: d.ring,
+		Logger:   d.logs.For("settings"),
+	})
+	d.store = settings.NewStore(settings.StoreOptions{Table: d.table, Watcher: d.settings})
+}
+
+func (d *Daemon) buildMembers() {
+	d.tracker = membership.NewTracker(membership.Options{
+		Self: membership.Member{
+			Host:            d.config.Host,
+			DataCentre:      d.config.DataCentre,
+			PeerAddress:     d.config.AdvertisedPeerAddress,
+			OperatorAddress: d.config.OperatorAddress,
+			Incarnation:     d.incarnation,
+			State:           membership.Alive,
+		},
+		HostList:         d.hosts,
+		HostListInterval: hostListInterval,
+		Timing:           d.config.Timing,
+		Recorder:         d.ring,
+		Logger:           d.logs.For("membership"),
+		Scope:            d.metrics.Scope,
+	})
+}
+
+func (d *Daemon) buildMesh() error {
+	keys, err := peer.ParseKeys(d.config.PeerKeys)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	d.mesh, err = peer.NewMesh(peer.Options{
+		Listen:  d.config.PeerAddress,
+		Keys:    keys,
+		Seeds:   d.config.Seeds,
+		Members: d.tracker,
+		Clock:   d.clock,
+		Logger:  d.logs.For("peer"),
+		Scope:   d.metrics.Scope,
+	})
+	return Error.Wrap(err)
+}
+
+func (d *Daemon) buildPools() {
+	d.client = pool.NewClient(pool.ClientOptions{
+		Members:  d.tracker,
+		Settings: d.settings,
+		Sender:   d.mesh,
+		Recorder: d.ring,
+		Logger:   d.logs.For("pool"),
+		Now:      time.Now,
+	})
+	d.manager = pool.NewManager(pool.ManagerOptions{
+		Host:       d.config.Host,
+		DataCentre: d.config.DataCentre,
+		Members:    d.tracker,
+		Settings:   d.settings,
+		Hosts:      d.hosts,
+		Sender:     d.mesh,
+		Loads:      loadreport.NewReader(time.Now),
+		Recorder:   d.ring,
+		Logger:     d.logs.For("pool"),
+		GrantLease: d.config.Timing.GrantLease.Std(),
+		Now:        time.Now,
+	})
+}
+
+func (d *Daemon) buildEntry() {
+	d.targets = target.NewClient(target.Options{
+		Recorder: d.ring,
+		Logger:   d.logs.For("target"),
+	})
+	d.entry = entry.New(entry.Options{
+		Address:     d.config.CallerAddress,
+		Host:        d.config.Host,
+		Incarnation: d.incarnation,
+		Settings:    d.settings,
+		Admitter:    d.client,
+		Targets:     d.targets,
+		Recorder:    d.ring,
+		Limits:      d.config.Limits,
+		Timing:      d.config.Timing,
+		Scope:       d.metrics.Scope,
+		Logger:      d.logs.For("entry"),
+		Ready:       d.settings.Ready,
+	})
+}
+
+// connect ties the parts that need each other.
+func (d *Daemon) connect() {
+	d.tracker.SetSender(d.mesh)
+	d.tracker.OnSettingsVersion(d.settings.Nudge)
+	d.mesh.AddHandler(d.tracker)
+	d.mesh.AddHandler(d.client)
+	d.mesh.AddHandler(d.manager)
+	d.mesh.RegisterMethod(methodSettings, d.exportSettings)
+}
--- /dev/null
+++ b/daemon/options.go
@@ -0,0 +1,15 @@
+package daemon
+
+import (
+	"io"
+
+	"github.com/cornelyard/cornelyard/config"
+)
+
+// Options configures a Daemon.
+type Options struct {
+	// Config is the host's checked settings.
+	Config config.Host
+	// LogOutput receives the log lines; nil means standard error.
+	LogOutput io.Writer
+}
--- /dev/null
+++ b/daemon/settings_exchange.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/membership"
+)
+
+const (
+	// methodSettings is the unary call that gives a host's declarations.
+	methodSettings = "settings.get"
+	// fetchTimeout bounds one fetch of the declarations from a peer.
+	fetchTimeout = 5 * time.Second
+)
+
+// fetchSettings asks the live member that has the newest declarations. It
+// returns nothing if no member has newer ones than version have.
+func (d *Daemon) fetchSettings(ctx context.Context, have uint64) ([]byte, error) {
+	newest := newestSettings(d.tracker.View(), have)
+	if newest == "" {
+		return nil, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	return d.mesh.Call(ctx, newest, methodSettings, binary.BigEndian.AppendUint64(nil, have))
+}
+
+func newestSettings(view *membership.View, have uint64) ident.Host {
+	var newest ident.Host
+	for _, m := range view.Members {
+		if m.Host == view.Self.Host || m.State == membership.Dead || m.SettingsVersion <= have {
+			continue
+		}
+		newest, have = m.Host, m.SettingsVersion
+	}
+	return newest
+}
+
+// exportSettings answers methodSettings; the body is the asker's version.
+func (d *Daemon) exportSettings(_ context.Context, _ ident.Host, body []byte) ([]byte, error) {
+	if len(body) != 8 {
+		return nil, Error.New("a settings call holds a version of 8 bytes")
+	}
+	return d.settings.Export(binary.BigEndian.Uint64(body))
+}
+
+// announceSettings tells the other hosts which version is in force here, until
+// ctx ends.
+func (d *Daemon) announceSettings(ctx context.Context) error {
+	for {
+		changed := d.settings.Changed()
+		d.tracker.SetSettingsVersion(d.settings.Version())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/dev/announce.go
@@ -0,0 +1,63 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// announce waits until every host is ready and says how to use the system. It
+// returns when ctx ends.
+func (s *system) announce(ctx context.Context) error {
+	if err := s.waitReady(ctx); err != nil {
+		return err
+	}
+	first := s.hosts[0]
+	s.printf("cornelyard dev: two hosts serve; Ctrl-C is a graceful stop.\n\n")
+	for _, host := range s.hosts {
+		s.printf("  %s  callers http://%s  operators http://%s\n", host.Host, host.CallerAddress, host.OperatorAddress)
+	}
+	for _, target := range s.targets {
+		s.printf("  target %s  http://%s  faults http://%s\n", target.declared.Name, target.declared.Address, target.control)
+	}
+	s.printf("  platform %s\n\n", s.platformURL)
+	s.printf("  caller token    %s\n  team token      %s\n  operator token  %s\n\n", CallerToken, TeamToken, OperatorToken)
+	s.printf("Try:\n\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' "+
+		"-d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":20,\"messages\":[{\"role\":\"user\",\"content\":\"Check code 4711.\"}]}'\n",
+		first.CallerAddress, CallerToken, model)
+	<-ctx.Done()
+	return nil
+}
+
+func (s *system) printf(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(s.out, format, arguments...)
+}
+
+func (s *system) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for _, host := range s.hosts {
+		for !isReady(ctx, host.CallerAddress) {
+			select {
+			case <-ctx.Done():
+				return Error.New("host %s is not ready in time", host.Host)
+			case <-time.After(checkInterval):
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/dev/declarations.go
@@ -0,0 +1,65 @@
+package dev
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// Tokens of the sample system.
+const (
+	// CallerToken is a caller's token of the team "bureau".
+	CallerToken = "sample-caller-token"
+	// TeamToken may change the subtree of the team "bureau".
+	TeamToken = "sample-team-token"
+	// OperatorToken may change everything.
+	OperatorToken = "sample-operator-token"
+)
+
+// peerKey is shared by the sample hosts.
+const peerKey = "6465762d73616d706c652d706565722d6b65792d6465762d73616d706c652d6b"
+
+const (
+	highDeadline = settings.Duration(30 * time.Second)
+	lowDeadline  = settings.Duration(5 * time.Minute)
+	tokenGap     = settings.Duration(80 * time.Millisecond)
+	maxQueue     = 1000
+)
+
+// declarations returns the documents of the sample system.
+func declarations(targets []standinTarget) ([]settings.Document, error) {
+	var tree sampleTree
+	tree.add("tiers/filing.json", settings.Tier{Rank: 0, DefaultDeadline: highDeadline})
+	tree.add("tiers/interactive.json", settings.Tier{Rank: 1, DefaultDeadline: highDeadline})
+	tree.add("tiers/batch.json", settings.Tier{Rank: 2, DefaultDeadline: lowDeadline})
+	tree.add("pools/"+string(enginePool)+".json", settings.Pool{
+		Kind: settings.EnginePool, Model: model, TokenGap: tokenGap, MaxQueue: maxQueue,
+	})
+	tree.add("pools/"+string(servicePool)+".json", settings.Pool{
+		Kind: settings.ServicePool, MaxQueue: maxQueue, NonIdempotentPaths: []string{"/file"},
+	})
+	tree.add("teams/bureau/team.json", settings.Team{
+		AdminTokenHashes:  []string{settings.TokenHash(TeamToken)},
+		CallerTokenHashes: []string{settings.TokenHash(CallerToken)},
+		DefaultTier:       "interactive",
+	})
+	for _, t := range targets {
+		tree.add("targets/"+string(t.declared.Name)+".json", t.declared)
+	}
+	return tree.documents, tree.err
+}
+
+// sampleTree collects documents and the first error.
+type sampleTree struct {
+	documents []settings.Document
+	err       error
+}
+
+func (t *sampleTree) add(path string, declaration any) {
+	body, err := json.MarshalIndent(declaration, "", "  ")
+	if err != nil && t.err == nil {
+		t.err = Error.Wrap(err)
+	}
+	t.documents = append(t.documents, settings.Document{Path: path, Body: string(body)})
+}
--- /dev/null
+++ b/dev/standins.go
@@ -0,0 +1,108 @@
+package dev
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/standin/engine"
+	standinplatform "github.com/cornelyard/cornelyard/internal/standin/platform"
+	"github.com/cornelyard/cornelyard/internal/standin/service"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// standinTarget is a stand-in together with its declaration.
+type standinTarget struct {
+	declared settings.Target
+	serve    func(ctx context.Context, service, control net.Listener) error
+	control  string
+}
+
+const (
+	enginePool   ident.Pool = "drafting"
+	servicePool  ident.Pool = "returns"
+	model                   = "draft-1"
+	engineSlots             = 8
+	serviceSlots            = 16
+)
+
+// Speeds of the sample engines.
+const (
+	baseGap     = 40 * time.Millisecond
+	basePrefill = 2000.0 // tokens per second
+)
+
+// startStandins listens for the platform and the targets and serves them until
+// ctx ends.
+func (s *system) startStandins(ctx context.Context) error {
+	s.platform = standinplatform.New(standinplatform.Options{})
+	address, _, err := serveStandin(ctx, s.platform.Serve)
+	if err != nil {
+		return err
+	}
+	s.platformURL = "http://" + address
+	s.targets = []standinTarget{
+		engineTarget("engine-slow", 1),
+		engineTarget("engine-medium", 2),
+		engineTarget("engine-fast", 4),
+		serviceTarget("returns-1"),
+	}
+	for i := range s.targets {
+		t := &s.targets[i]
+		t.declared.Address, t.control, err = serveStandin(ctx, t.serve)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func engineTarget(name ident.Target, speed int) standinTarget {
+	e := engine.New(engine.Options{
+		PrefillRate: basePrefill * float64(speed),
+		DecodeGap:   baseGap / time.Duration(speed),
+	})
+	return standinTarget{
+		declared: settings.Target{
+			Name:        name,
+			Pool:        enginePool,
+			DataCentre:  dataCentre,
+			Slots:       engineSlots,
+			EchoesID:    true,
+			Resumes:     true,
+			ReportsLoad: true,
+		},
+		serve: e.Serve,
+	}
+}
+
+func serviceTarget(name ident.Target) standinTarget {
+	return standinTarget{
+		declared: settings.Target{
+			Name:       name,
+			Pool:       servicePool,
+			DataCentre: dataCentre,
+			Slots:      serviceSlots,
+			EchoesID:   true,
+		},
+		serve: service.New(service.Options{}).Serve,
+	}
+}
+
+// serveStandin serves a stand-in on two free ports and returns their addresses.
+func serveStandin(
+	ctx context.Context, serve func(ctx context.Context, service, control net.Listener) error,
+) (address, control string, err error) {
+	first, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", "", Error.Wrap(err)
+	}
+	second, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		_ = first.Close()
+		return "", "", Error.Wrap(err)
+	}
+	go func() { _ = serve(ctx, first, second) }()
+	return first.Addr().String(), second.Addr().String(), nil
+}
