Accept, acquire, dispatch and stream

The way of one request through an entry: bearer token to team, tier and deadline; decoding of the OpenAI bodies and of calls to plain services; a slot from pool.Admitter; one dispatch by target.Client; the answer back through a bounded buffer, so that a slow caller holds up nobody else.

What is told about execution follows from target.Latch, which is set right before the first byte is written and can be barred against a write that comes after the request was given up. Ruled out: setting the latch around RoundTrip alone, because net/http's write loop may still write after RoundTrip returned for a cancelled context.

claim inserts the row of a non-idempotent request between the grant and the dispatch, in transactions shared by the host's requests, and settles it in the background.

--- /dev/null
+++ b/claim/claim.go
@@ -0,0 +1,37 @@
+package claim
+
+// Claim is the exclusive right to run one request. Exactly one of Complete, Lose
+// and Release must be called, once the request has reached its outcome. They
+// return at once; the platform is told in the background.
+type Claim struct {
+	claims *Claims
+	local  *localClaim
+	record *record
+	// revision is the row's, or zero if it is not known.
+	revision uint64
+}
+
+// Complete records that the request ran to its end. A nil answer was too large
+// to keep.
+func (c *Claim) Complete(answer *Answer) {
+	finding := Finding{Kept: answer}
+	if answer == nil {
+		finding.Refusal = refuseNotKept()
+	}
+	c.local.end(finding, false)
+	c.record.State = stateCompleted
+	c.claims.settle(&settlement{claim: c, answer: answer})
+}
+
+// Lose records that the request was dispatched and that its result is not known.
+func (c *Claim) Lose() {
+	c.local.end(Finding{Refusal: refuseUnknown()}, false)
+	c.record.State = stateUnknown
+	c.claims.settle(&settlement{claim: c})
+}
+
+// Release gives the key free, because the request did not run.
+func (c *Claim) Release() {
+	c.local.end(Finding{}, true)
+	c.claims.settle(&settlement{claim: c, release: true})
+}
--- /dev/null
+++ b/claim/local_claims.go
@@ -0,0 +1,38 @@
+package claim
+
+import "sync"
+
+// localClaims holds the unsettled claims of this process by row key.
+type localClaims struct {
+	mu    sync.Mutex
+	byKey map[string]*localClaim
+}
+
+func newLocalClaims() *localClaims {
+	return &localClaims{byKey: make(map[string]*localClaim)}
+}
+
+func (l *localClaims) get(key string) *localClaim {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byKey[key]
+}
+
+// add returns the claim that is there already, or nil after adding this one.
+func (l *localClaims) add(c *localClaim) *localClaim {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if present := l.byKey[c.key]; present != nil {
+		return present
+	}
+	l.byKey[c.key] = c
+	return nil
+}
+
+func (l *localClaims) remove(c *localClaim) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byKey[c.key] == c {
+		delete(l.byKey, c.key)
+	}
+}
--- /dev/null
+++ b/entry/accept_common.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 256
+
+func (in *incoming) newCall(pool ident.Pool, kind settings.PoolKind) *call {
+	request := in.echo.Request()
+	return &call{
+		id:       in.id,
+		identity: in.identity,
+		pool:     pool,
+		kind:     kind,
+		method:   request.Method,
+		query:    request.URL.RawQuery,
+		body:     in.body,
+		arrived:  in.arrived,
+		digest:   contentDigest(string(pool), request.URL.EscapedPath(), request.URL.RawQuery, in.body),
+	}
+}
+
+// checkIdempotency reads the headers about idempotency. The caller and the
+// pool's declaration can each mark a call as non-idempotent.
+func (in *incoming) checkIdempotency(c *call) *refusal {
+	header := in.echo.Request().Header
+	switch header.Get(headerNonIdempotent) {
+	case "", "false":
+	case "true":
+		c.nonIdempotent = true
+	default:
+		return refuse(outcome.BadRequest, headerNonIdempotent+" must be true or false")
+	}
+	c.key = header.Get(headerIdempotencyKey)
+	if len(c.key) > maxKeyBytes {
+		return refuse(outcome.BadRequest, "the "+headerIdempotencyKey+" is too long")
+	}
+	if c.nonIdempotent && c.key == "" {
+		return refuse(outcome.KeyMissing, "a non-idempotent request needs an "+headerIdempotencyKey)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/accept_engine.go
@@ -0,0 +1,37 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+func (e *Entry) acceptChat(in *incoming) (*call, *refusal) {
+	return acceptGeneration(in, decodeChat)
+}
+
+func (e *Entry) acceptCompletion(in *incoming) (*call, *refusal) {
+	return acceptGeneration(in, decodeCompletion)
+}
+
+func acceptGeneration(in *incoming, decode func([]byte) (*generation, *fault)) (*call, *refusal) {
+	g, problem := decode(in.body)
+	if problem != nil {
+		return nil, problem.refusal()
+	}
+	pool, ok := in.snapshot.ModelPool(g.model)
+	if !ok {
+		message := fmt.Sprintf("no pool serves the model %q", g.model)
+		return nil, &refusal{outcome.Refuse(outcome.UnknownPool, message, 0), "model"}
+	}
+	c := in.newCall(pool, settings.EnginePool)
+	c.path = in.echo.Path()
+	c.stream = g.stream
+	c.promptTokens = g.promptTokens
+	c.maxTokens = g.maxTokens
+	c.prefix = g.prefix
+	c.header = http.Header{"Content-Type": {contentTypeJSON}}
+	return c, in.checkIdempotency(c)
+}
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/claim"
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// call is one request as the caller sent it. It does not change.
+type call struct {
+	id       ident.Request
+	identity identity
+
+	pool   ident.Pool
+	kind   settings.PoolKind
+	method string
+	// path is escaped and begins with a slash, query is raw.
+	path   string
+	query  string
+	header http.Header
+	body   []byte
+
+	stream        bool
+	nonIdempotent bool
+	key           string
+
+	arrived      time.Time
+	promptTokens int
+	maxTokens    int
+	prefix       []uint64
+	digest       admission.Digest
+}
+
+func (c *call) admissionRequest(host ident.Host, avoid []ident.Target) admission.Request {
+	return admission.Request{
+		ID:            c.id,
+		Entry:         host,
+		Pool:          c.pool,
+		Team:          c.identity.team,
+		Tier:          c.identity.tier,
+		Arrived:       c.arrived,
+		Deadline:      c.identity.deadline,
+		PromptTokens:  c.promptTokens,
+		MaxTokens:     c.maxTokens,
+		Prefix:        c.prefix,
+		Digest:        c.digest,
+		NonIdempotent: c.nonIdempotent,
+		Avoid:         avoid,
+	}
+}
+
+func (c *call) claimRequest() claim.Request {
+	return claim.Request{
+		Request: c.id,
+		Team:    c.identity.team,
+		Key:     c.key,
+		Digest:  claim.NewDigest(c.method, string(c.pool), c.path, c.query, c.body),
+	}
+}
--- /dev/null
+++ b/entry/deliver.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cornelyard/cornelyard/outcome"
+)
+
+// writeTimeout bounds one write to a caller that doesn't read.
+const writeTimeout = 30 * time.Second
+
+// delivery writes one answer to one caller.
+type delivery struct {
+	in      *incoming
+	x       *execution
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	// head is set once it was written.
+	head *replyHead
+}
+
+// deliver passes the execution's answer on until it ends or the caller goes.
+func (e *Entry) deliver(in *incoming, x *execution) error {
+	writer := in.echo.Response()
+	d := &delivery{in: in, x: x, writer: writer, control: http.NewResponseController(writer)}
+	defer x.reply.discard()
+	var buffer []byte
+	for {
+		select {
+		case <-x.reply.readable:
+		case <-in.echo.Request().Context().Done():
+			x.abandon(stopCallerGone())
+			return nil
+		case <-x.detached:
+			return e.finishDelivery(d, x.detachedRefusal())
+		}
+		part := x.reply.take(buffer[:0])
+		buffer = part.bytes
+		if !d.write(part) {
+			x.abandon(stopCallerGone())
+			return nil
+		}
+		if part.ended {
+			return e.finishDelivery(d, part.refusal)
+		}
+	}
+}
+
+// write returns false if the caller is gone.
+func (d *delivery) write(part replyPart) bool {
+	_ = d.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if part.head != nil && d.head == nil {
+		d.writeHead(part)
+	}
+	if len(part.bytes) == 0 {
+		return true
+	}
+	if _, err := d.writer.Write(part.bytes); err != nil {
+		return false
+	}
+	if part.ended && part.refusal == nil {
+		return true
+	}
+	return d.control.Flush() == nil
+}
+
+func (d *delivery) writeHead(part replyPart) {
+	d.head = part.head
+	header := d.writer.Header()
+	for name, values := range part.head.header {
+		header[name] = values
+	}
+	header.Set(headerRequest, string(d.in.id))
+	if part.head.length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(part.head.length, 10))
+	}
+	d.announceOutcome(header)
+	d.writer.WriteHeader(part.head.status)
+}
+
+// announceOutcome tells the outcome in the head if it is known already, else in
+// the trailer. A body with a length has no trailer; its length tells.
+func (d *delivery) announceOutcome(header http.Header) {
+	if d.head.verified {
+		header.Set(headerOutcome, string(outcome.Completed))
+		return
+	}
+	if d.head.length < 0 {
+		header.Add("Trailer", headerOutcome)
+		header.Add("Trailer", headerReason)
+	}
+}
+
+// finishDelivery tells the outcome. An answer that can't carry an error any
+// more is cut, so that the caller doesn't take it for whole.
+func (e *Entry) finishDelivery(d *delivery, r *refusal) error {
+	if d.head == nil && r != nil {
+		return e.writeRefusal(d.in.echo, d.in.id, r)
+	}
+	if r == nil {
+		d.writeTrailer(string(outcome.Completed), "")
+		return nil
+	}
+	if !d.head.stream {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = d.writer.Write(errorEvent(r, string(d.in.id)))
+	d.writeTrailer(string(r.Outcome), string(r.Reason))
+	return nil
+}
+
+// writeTrailer has no effect on an answer that announced no trailer.
+func (d *delivery) writeTrailer(result, reason string) {
+	header := d.writer.Header()
+	if header.Get("Trailer") == "" {
+		return
+	}
+	header.Set(headerOutcome, result)
+	header.Set(headerReason, reason)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/labstack/echo/v4"
+	"github.com/phuslu/log"
+)
+
+// Entry accepts callers' requests on one listener.
+type Entry struct {
+	options   Options
+	occupancy *occupancy
+	retries   *retryBudget
+	metrics   *metrics
+	server    *http.Server
+
+	draining atomic.Bool
+	// executions counts the calls that have not reached their outcome.
+	executions sync.WaitGroup
+	// stopAll is the parent of all executions' contexts.
+	stopAll context.Context
+	cancel  context.CancelCauseFunc
+}
+
+// New returns an Entry; Run makes it listen.
+func New(o Options) *Entry {
+	o = o.withDefaults()
+	stopAll, cancel := context.WithCancelCause(context.Background())
+	e := &Entry{
+		options:   o,
+		occupancy: newOccupancy(o.Limits.MaxRequests),
+		retries:   newRetryBudget(),
+		metrics:   newMetrics(o.Scope),
+		stopAll:   stopAll,
+		cancel:    cancel,
+	}
+	connections := newConnections(o.Limits.MaxConnections)
+	e.server = &http.Server{
+		Addr:              o.Address,
+		Handler:           e.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         connections.changed,
+	}
+	return e
+}
+
+// Handler returns the callers' interface.
+func (e *Entry) Handler() http.Handler {
+	router := echo.New()
+	router.HideBanner = true
+	router.HidePort = true
+	router.HTTPErrorHandler = e.handleError
+	router.POST("/v1/chat/completions", e.handler(e.acceptChat))
+	router.POST("/v1/completions", e.handler(e.acceptCompletion))
+	router.GET("/v1/models", e.listModels)
+	router.Any("/services/:name", e.handler(e.acceptService))
+	router.Any("/services/:name/*", e.handler(e.acceptService))
+	router.GET("/healthz", e.health)
+	router.GET("/readyz", e.readiness)
+	return router
+}
+
+func (e *Entry) logger() *log.Logger { return e.options.Logger }
--- /dev/null
+++ b/entry/fakes_test.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/pool"
+	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+const (
+	testToken = "caller-token"
+	waitLimit = 20 * time.Second
+)
+
+// fakeSource is a settings.Source with one snapshot.
+type fakeSource struct{ snapshot *settings.Snapshot }
+
+func (s *fakeSource) Current() *settings.Snapshot { return s.snapshot }
+func (s *fakeSource) Changed() <-chan struct{}    { return nil }
+
+// fakeGrant remembers how it was given back.
+type fakeGrant struct {
+	target    settings.Target
+	expires   time.Time
+	preempted chan *outcome.Refusal
+	firstWord chan struct{}
+
+	mu       sync.Mutex
+	declines []admission.DeclineCause
+	ends     []admission.End
+}
+
+func (g *fakeGrant) Target() settings.Target              { return g.target }
+func (g *fakeGrant) Expires() time.Time                   { return g.expires }
+func (g *fakeGrant) Preempted() <-chan *outcome.Refusal   { return g.preempted }
+func (g *fakeGrant) Decline(cause admission.DeclineCause) { g.back(func() { g.declines = append(g.declines, cause) }) }
+func (g *fakeGrant) End(e admission.End)                  { g.back(func() { g.ends = append(g.ends, e) }) }
+
+func (g *fakeGrant) Progress(admission.Progress) {
+	select {
+	case g.firstWord <- struct{}{}:
+	default:
+	}
+}
+
+func (g *fakeGrant) back(change func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change()
+}
+
+func (g *fakeGrant) givenBack() (declines []admission.DeclineCause, ends []admission.End) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.declines, g.ends
+}
+
+// fakeAdmitter grants its targets in turn, the last one again and again.
+type fakeAdmitter struct {
+	mu      sync.Mutex
+	targets []settings.Target
+	lease   time.Duration
+	refusal *outcome.Refusal
+	block   bool
+
+	requests []admission.Request
+	grants   []*fakeGrant
+}
+
+func (a *fakeAdmitter) Acquire(ctx context.Context, r admission.Request) (pool.Grant, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.requests = append(a.requests, r)
+	if a.refusal != nil {
+		return nil, a.refusal
+	}
+	if a.block {
+		a.mu.Unlock()
+		<-ctx.Done()
+		a.mu.Lock()
+		return nil, ctx.Err()
+	}
+	next := a.targets[min(len(a.grants), len(a.targets)-1)]
+	grant := &fakeGrant{
+		target:    next,
+		expires:   time.Now().Add(a.lease),
+		preempted: make(chan *outcome.Refusal, 1),
+		firstWord: make(chan struct{}, 1),
+	}
+	a.grants = append(a.grants, grant)
+	return grant, nil
+}
+
+func (a *fakeAdmitter) asked() []admission.Request {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]admission.Request(nil), a.requests...)
+}
+
+func (a *fakeAdmitter) grant(i int) *fakeGrant {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if i >= len(a.grants) {
+		return nil
+	}
+	return a.grants[i]
+}
+
+// eventLog is a timeline.Recorder that keeps all.
+type eventLog struct {
+	mu     sync.Mutex
+	events []timeline.Event
+}
+
+func (l *eventLog) Record(e timeline.Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.events = append(l.events, e)
+}
+
+func (l *eventLog) count(kind timeline.Kind) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, e := range l.events {
+		if e.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// bed is an entry with fakes around it.
+type bed struct {
+	t        *testing.T
+	admitter *fakeAdmitter
+	events   *eventLog
+	entry    *Entry
+	server   *httptest.Server
+}
+
+func newBed(t *testing.T, change func(*Options), targets ...settings.Target) *bed {
+	t.Helper()
+	b := &bed{t: t, events: new(eventLog), admitter: &fakeAdmitter{targets: targets, lease: time.Minute}}
+	options := Options{
+		Host:     "host-1",
+		Settings: &fakeSource{testSnapshot()},
+		Admitter: b.admitter,
+		Targets:  target.NewClient(target.Options{Recorder: b.events}),
+		Recorder: b.events,
+	}
+	if change != nil {
+		change(&options)
+	}
+	b.entry = New(options)
+	b.server = httptest.NewServer(b.entry.Handler())
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+func testSnapshot() *settings.Snapshot {
+	tiers := []*settings.Tier{
+		{Name: "gold", Rank: 0, DefaultDeadline: settings.Duration(time.Minute), Teams: []ident.Team{"bureau"}},
+		{Name: "bulk", Rank: 5, DefaultDeadline: settings.Duration(time.Minute)},
+		{Name: "staff", Rank: 7, DefaultDeadline: settings.Duration(time.Minute), Teams: []ident.Team{"other"}},
+	}
+	pools := []*settings.Pool{
+		{Name: "drafts", Kind: settings.EnginePool, Model: "draft-1"},
+		{Name: "filing", Kind: settings.ServicePool, NonIdempotentPaths: []string{"/submit"}},
+	}
+	team := &settings.Team{Name: "bureau", DefaultTier: "bulk", CallerTokenHashes: []string{settings.TokenHash(testToken)}}
+	return settings.NewSnapshot(3, tiers, pools, nil, []*settings.Team{team})
+}
+
+func (b *bed) request(method, path, body string, header ...string) *http.Request {
+	b.t.Helper()
+	r, err := http.NewRequest(method, b.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+testToken)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", waitLimit, what)
+}
--- /dev/null
+++ b/entry/generation.go
@@ -0,0 +1,51 @@
+package entry
+
+// generation is what the scheduler has to know of a request to an engine.
+type generation struct {
+	model        string
+	stream       bool
+	promptTokens int
+	// maxTokens is the limit on generated tokens of all choices; zero means
+	// none.
+	maxTokens int
+	prefix    []uint64
+}
+
+// maxChoices bounds the choices of one request.
+const maxChoices = 128
+
+func newGeneration(model string, prompt []byte, maxTokens int, choices *int, stream bool) (*generation, *fault) {
+	if choices != nil && (*choices < 1 || *choices > maxChoices) {
+		return nil, &fault{"n", "the number of choices is out of range"}
+	}
+	if choices != nil {
+		maxTokens *= *choices
+	}
+	return &generation{
+		model:        model,
+		stream:       stream,
+		promptTokens: estimateTokens(len(prompt)),
+		maxTokens:    maxTokens,
+		prefix:       prefixHashes(prompt),
+	}, nil
+}
+
+// tokenLimit is a limit on generated tokens by its parameter's name.
+type tokenLimit struct {
+	param string
+	value *int
+}
+
+// firstLimit returns the first limit that is given, or zero.
+func firstLimit(limits ...tokenLimit) (int, *fault) {
+	for _, limit := range limits {
+		if limit.value == nil {
+			continue
+		}
+		if *limit.value < 1 || *limit.value > maxTokensLimit {
+			return 0, &fault{limit.param, "the limit on tokens is out of range"}
+		}
+		return *limit.value, nil
+	}
+	return 0, nil
+}
--- /dev/null
+++ b/entry/options.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cornelyard/cornelyard/claim"
+	"github.com/cornelyard/cornelyard/config"
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/pool"
+	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+const (
+	defaultMaxBodyBytes      = 4 << 20
+	defaultMaxRequests       = 4096
+	defaultMaxConnections    = 8192
+	defaultStreamBufferBytes = 256 << 10
+
+	defaultDeadline = time.Minute
+)
+
+// Options configures an Entry.
+type Options struct {
+	// Address is the callers' listener, as IP:port.
+	Address string
+	Host    ident.Host
+	// Incarnation tells this process from earlier ones of the host.
+	Incarnation uint64
+	Settings    settings.Source
+	Admitter    pool.Admitter
+	Targets     *target.Client
+	// Claims may be nil; non-idempotent requests are then refused.
+	Claims   *claim.Claims
+	Recorder timeline.Recorder
+	Limits   config.Limits
+	Timing   config.Timing
+	Scope    tally.Scope
+	Logger   *log.Logger
+	// Ready returns why this host is not ready, or nil. It may be nil.
+	Ready func() error
+}
+
+// withDefaults fills in what was left out.
+func (o Options) withDefaults() Options {
+	if o.Recorder == nil {
+		o.Recorder = timeline.Discard{}
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Logger == nil {
+		o.Logger = &log.Logger{Level: log.ErrorLevel}
+	}
+	if o.Ready == nil {
+		o.Ready = func() error { return nil }
+	}
+	o.Limits = limitsWithDefaults(o.Limits)
+	return o
+}
+
+func limitsWithDefaults(l config.Limits) config.Limits {
+	if l.MaxBodyBytes <= 0 {
+		l.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if l.MaxRequests <= 0 {
+		l.MaxRequests = defaultMaxRequests
+	}
+	if l.MaxConnections <= 0 {
+		l.MaxConnections = defaultMaxConnections
+	}
+	if l.StreamBufferBytes <= 0 {
+		l.StreamBufferBytes = defaultStreamBufferBytes
+	}
+	return l
+}
--- /dev/null
+++ b/entry/probes.go
@@ -0,0 +1,23 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+)
+
+// health answers as long as the process runs.
+func (e *Entry) health(c echo.Context) error {
+	return c.String(http.StatusOK, "ok\n")
+}
+
+// readiness tells a balancer whether to send callers here.
+func (e *Entry) readiness(c echo.Context) error {
+	if e.draining.Load() {
+		return c.String(http.StatusServiceUnavailable, "draining\n")
+	}
+	if err := e.options.Ready(); err != nil {
+		return c.String(http.StatusServiceUnavailable, err.Error()+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
--- /dev/null
+++ b/entry/prompt.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelyard/cornelyard/admission"
+)
+
+const (
+	// bytesPerToken is the estimate behind a prompt's token count.
+	bytesPerToken = 4
+	// prefixBlockBytes is the length of one hashed block of the prompt.
+	prefixBlockBytes = admission.PrefixBlockTokens * bytesPerToken
+	// maxPrefixBlocks bounds the hashes of one prompt.
+	maxPrefixBlocks = 64
+)
+
+// estimateTokens returns the estimated number of tokens of a text.
+func estimateTokens(bytes int) int {
+	return (bytes + bytesPerToken - 1) / bytesPerToken
+}
+
+// prefixHashes returns the chained hashes of the prompt's leading whole blocks.
+// Prompts that share their first n blocks share their first n hashes.
+func prefixHashes(prompt []byte) []uint64 {
+	blocks := min(len(prompt)/prefixBlockBytes, maxPrefixBlocks)
+	if blocks == 0 {
+		return nil
+	}
+	hashes := make([]uint64, 0, blocks)
+	chain := xxhash.New()
+	for i := range blocks {
+		_, _ = chain.Write(prompt[i*prefixBlockBytes : (i+1)*prefixBlockBytes])
+		hashes = append(hashes, chain.Sum64())
+	}
+	return hashes
+}
+
+// contentDigest identifies a request's content, so that resends of a request
+// that crashes targets are recognized.
+func contentDigest(poolName, path, query string, body []byte) admission.Digest {
+	d := xxhash.New()
+	for _, part := range []string{poolName, path, query} {
+		_, _ = d.WriteString(part)
+		_, _ = d.WriteString("\x00")
+	}
+	_, _ = d.Write(body)
+	return admission.Digest(d.Sum64())
+}
--- /dev/null
+++ b/entry/refusal.go
@@ -0,0 +1,20 @@
+package entry
+
+import "github.com/cornelyard/cornelyard/outcome"
+
+// refusal is an outcome.Refusal with the parameter it is about.
+type refusal struct {
+	*outcome.Refusal
+	param string
+}
+
+func refused(r *outcome.Refusal) *refusal {
+	if r == nil {
+		return nil
+	}
+	return &refusal{Refusal: r}
+}
+
+func refuse(reason outcome.Reason, message string) *refusal {
+	return refused(outcome.Refuse(reason, message, 0))
+}
--- /dev/null
+++ b/target/client.go
@@ -0,0 +1,278 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+const (
+	defaultDialTimeout   = 2 * time.Second
+	defaultMaxWholeBytes = 32 << 20
+	defaultMaxFrameBytes = 1 << 20
+
+	idleConnTimeout     = 10 * time.Second
+	maxIdleConnsPerHost = 64
+	maxHeaderBytes      = 64 << 10
+)
+
+// Options configures a Client. Zero values mean the defaults.
+type Options struct {
+	Recorder timeline.Recorder
+	Logger   *log.Logger
+	// DialTimeout bounds the time to connect.
+	DialTimeout time.Duration
+	// MaxWholeBytes bounds an engine's answer that is not streamed.
+	MaxWholeBytes int64
+	// MaxFrameBytes bounds one frame of a stream.
+	MaxFrameBytes int
+	// ResumeTries bounds the attempts to continue a stream after one cut.
+	ResumeTries uint
+}
+
+// Client dispatches calls to targets. It is safe for concurrent use.
+type Client struct {
+	options Options
+	// shared reuses connections, fresh does not.
+	shared *http.Transport
+	fresh  *http.Transport
+}
+
+// NewClient returns a Client.
+func NewClient(o Options) *Client {
+	if o.Recorder == nil {
+		o.Recorder = timeline.Discard{}
+	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.MaxWholeBytes == 0 {
+		o.MaxWholeBytes = defaultMaxWholeBytes
+	}
+	if o.MaxFrameBytes == 0 {
+		o.MaxFrameBytes = defaultMaxFrameBytes
+	}
+	if o.ResumeTries == 0 {
+		o.ResumeTries = defaultResumeTries
+	}
+	fresh := newTransport(o.DialTimeout)
+	fresh.DisableKeepAlives = true
+	return &Client{options: o, shared: newTransport(o.DialTimeout), fresh: fresh}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.shared.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Do dispatches the call and returns when the head of the answer has arrived.
+// The error is a *Failure. If the call's latch can still be barred after an
+// error, no byte has left.
+func (c *Client) Do(ctx context.Context, call Call) (*Answer, error) {
+	answer, err := c.dispatch(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+func (c *Client) dispatch(ctx context.Context, call Call) (*Answer, error) {
+	g := &gate{latch: call.Latch, notAfter: call.NotAfter, begun: call.Begun}
+	response, err := c.send(ctx, call, g)
+	if err == nil {
+		return c.read(ctx, call, response)
+	}
+	if call.Latch.Bar() {
+		return nil, fail(unsentKind(g), err)
+	}
+	if !canResume(call) {
+		return nil, fail(FailedDied, err)
+	}
+	return c.resumeHead(ctx, call)
+}
+
+func unsentKind(g *gate) FailureKind {
+	if g.expired.Load() {
+		return FailedExpired
+	}
+	return FailedDial
+}
+
+func (c *Client) send(ctx context.Context, call Call, g *gate) (*http.Response, error) {
+	request, err := newRequest(ctx, call, g)
+	if err != nil {
+		return nil, err
+	}
+	transport := c.shared
+	if call.NonIdempotent {
+		transport = c.fresh
+	}
+	return transport.RoundTrip(request)
+}
+
+func newRequest(ctx context.Context, call Call, g *gate) (*http.Request, error) {
+	address, err := requestURL(call)
+	if err != nil {
+		return nil, err
+	}
+	request := &http.Request{
+		Method: call.Method,
+		URL:    address,
+		Host:   call.Target.Address,
+		Header: outgoingHeader(call.Header, call.Dispatch, call.Kind),
+	}
+	setBody(request, call.Body)
+	return request.WithContext(httptrace.WithClientTrace(ctx, armingTrace(g))), nil
+}
+
+func requestURL(call Call) (*url.URL, error) {
+	if !strings.HasPrefix(call.Path, "/") {
+		return nil, Error.New("the path doesn't begin with a slash")
+	}
+	path, err := url.PathUnescape(call.Path)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &url.URL{
+		Scheme:   "http",
+		Host:     call.Target.Address,
+		Path:     path,
+		RawPath:  call.Path,
+		RawQuery: call.Query,
+	}, nil
+}
+
+// armingTrace hands each connection that net/http picks to the dispatch.
+func armingTrace(g *gate) *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*gatedConn); ok {
+			conn.arm(g)
+		}
+	}}
+}
+
+func newTransport(dialTimeout time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &gatedConn{Conn: conn}, nil
+		},
+		Protocols:              protocols,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// read checks the head of an answer and picks the way to read its body.
+func (c *Client) read(ctx context.Context, call Call, response *http.Response) (*Answer, error) {
+	if err := c.checkHead(call, response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	answer := &Answer{
+		Status: response.StatusCode,
+		Header: answerHeader(response.Header),
+		Length: response.ContentLength,
+	}
+	source, err := c.newSource(ctx, call, response)
+	if err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	answer.source = source
+	_, answer.Stream = source.(*stream)
+	if whole, ok := source.(*whole); ok {
+		answer.Length = int64(len(whole.chunk.Bytes))
+	}
+	return answer, nil
+}
+
+func (c *Client) checkHead(call Call, response *http.Response) error {
+	if call.Target.EchoesID && response.Header.Get(HeaderDispatch) != string(call.Dispatch) {
+		c.reject(call, "head")
+		return fail(FailedCrossed, Error.New("the answer's head has another dispatch id"))
+	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return fail(FailedFormat, Error.New("the target switched protocols"))
+	}
+	if isLeaving(response) {
+		return fail(FailedLeaving, Error.New("the target refuses new work"))
+	}
+	if call.Kind == settings.EnginePool && response.StatusCode >= http.StatusInternalServerError {
+		return fail(FailedStatus, Error.New("the engine answered with status %d", response.StatusCode))
+	}
+	return nil
+}
+
+func isLeaving(response *http.Response) bool {
+	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderLeaving) == "true"
+}
+
+func (c *Client) newSource(ctx context.Context, call Call, response *http.Response) (chunkSource, error) {
+	if call.Kind == settings.ServicePool {
+		return newRaw(call, response)
+	}
+	if isEventStream(response) {
+		return newStream(ctx, c, call, response.Body), nil
+	}
+	return c.readWhole(call, response)
+}
+
+func isEventStream(response *http.Response) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// reject records an answer that belongs to another dispatch.
+func (c *Client) reject(call Call, part string) {
+	c.options.Recorder.Record(timeline.Event{
+		Kind:     timeline.AnswerRejected,
+		Request:  call.Request,
+		Dispatch: call.Dispatch,
+		Target:   call.Target.Name,
+		Detail:   part,
+	})
+	if c.options.Logger == nil {
+		return
+	}
+	c.options.Logger.Warn().Str("request", string(call.Request)).Str("target", string(call.Target.Name)).
+		Msg("target: answer with another dispatch id dropped")
+}
+
+// ownID reports whether an engine's id names the dispatch. Engines may put the
+// kind of the object in front.
+func ownID(id string, dispatch ident.Dispatch) bool {
+	switch id {
+	case string(dispatch), "chatcmpl-" + string(dispatch), "cmpl-" + string(dispatch):
+		return true
+	default:
+		return false
+	}
+}
+
+func asFailure(kind FailureKind, err error) *Failure {
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return fail(kind, err)
+}
--- /dev/null
+++ b/target/errors.go
@@ -0,0 +1,13 @@
+package target
+
+import "github.com/zeebo/errs"
+
+var (
+	// Error is the class of all errors of this package.
+	Error = errs.Class("target")
+
+	errExpired  = Error.New("the right to begin the dispatch has expired")
+	errBarred   = Error.New("the dispatch was given up before it began")
+	errUnarmed  = Error.New("the connection is not handed to a dispatch")
+	errTooLarge = Error.New("the answer exceeds the limit")
+)
--- /dev/null
+++ b/target/gate.go
@@ -0,0 +1,35 @@
+package target
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// gate decides, right before the first byte is written, whether a dispatch may
+// begin.
+type gate struct {
+	latch *Latch
+	// notAfter is when the right to begin ends; zero means never.
+	notAfter time.Time
+	// begun is called once, after the latch is set; nil does nothing.
+	begun   func()
+	expired atomic.Bool
+}
+
+// pass returns nil if bytes of the dispatch may be written.
+func (g *gate) pass() error {
+	if g.latch.IsSet() {
+		return nil
+	}
+	if !g.notAfter.IsZero() && time.Now().After(g.notAfter) {
+		g.expired.Store(true)
+		return errExpired
+	}
+	if !g.latch.Set() {
+		return errBarred
+	}
+	if g.begun != nil {
+		g.begun()
+	}
+	return nil
+}
--- /dev/null
+++ b/target/whole.go
@@ -0,0 +1,54 @@
+package target
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+)
+
+// whole is an engine's answer that was read and checked before it is passed on.
+type whole struct {
+	chunk Chunk
+	taken bool
+}
+
+func (w *whole) next() (Chunk, error) {
+	if w.taken {
+		return Chunk{}, io.EOF
+	}
+	w.taken = true
+	return w.chunk, nil
+}
+
+func (w *whole) close() {}
+
+// readWhole reads an engine's JSON answer to its end and checks that it is
+// whole and has the id of the dispatch.
+func (c *Client) readWhole(call Call, response *http.Response) (chunkSource, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, c.options.MaxWholeBytes+1))
+	if err != nil {
+		return nil, fail(FailedDied, err)
+	}
+	if int64(len(body)) > c.options.MaxWholeBytes {
+		return nil, fail(FailedFormat, errTooLarge)
+	}
+	_ = response.Body.Close()
+	var message engineMessage
+	if err := json.Unmarshal(body, &message); err != nil {
+		return nil, fail(FailedFormat, Error.New("the answer is not a whole JSON document"))
+	}
+	if call.Target.EchoesID && isSuccess(response) && !ownID(message.ID, call.Dispatch) {
+		c.reject(call, "body")
+		return nil, fail(FailedCrossed, Error.New("the answer has another dispatch id"))
+	}
+	chunk := Chunk{Bytes: body, Usage: message.Usage}
+	if message.Usage != nil {
+		chunk.Tokens = message.Usage.CompletionTokens
+	}
+	return &whole{chunk: chunk}, nil
+}
+
+// isSuccess tells answers from error documents, which have no id.
+func isSuccess(response *http.Response) bool {
+	return response.StatusCode < http.StatusMultipleChoices
+}
