--- a/claim/judge.go
+++ b/claim/judge.go
@@ -12,7 +12,7 @@
 func (c *Claims) judge(ctx context.Context, r Request, value []byte) Finding {
 	held, err := decodeRecord(value)
 	if err != nil {
-		c.options.Logger.Error().Err(err).Str("key", r.rowKey()).Msg("claim: row is not readable")
+		c.options.Logger.Error().Err(err).Str("key", r.rowKey()).Msg("Row is not readable")
 		return Finding{Refusal: refuseUnknown()}
 	}
 	if held.Digest != r.Digest {
--- a/claim/settlement.go
+++ b/claim/settlement.go
@@ -60,7 +60,7 @@
 
 func (s *settlement) logUnfinished() {
 	s.claim.claims.options.Logger.Warn().Str("request", string(s.claim.record.Request)).
-		Msg("claim: process stops before the claim is settled")
+		Msg("Process stops before the claim is settled")
 }
 
 // awaitInsertion waits until the own insertion can't take effect any more
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,8 +5,10 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/cornelyard/cornelyard/claim"
 	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/entry"
+	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/loadreport"
 	"github.com/cornelyard/cornelyard/logging"
 	"github.com/cornelyard/cornelyard/membership"
@@ -52,6 +54,7 @@
 	client   *pool.Client
 	manager  *pool.Manager
 	targets  *target.Client
+	claims   *claim.Claims
 	entry    *entry.Entry
 }
 
@@ -167,6 +170,14 @@
 		Recorder: d.ring,
 		Logger:   d.logs.For("target"),
 	})
+	d.claims = claim.New(claim.Options{
+		Table:       d.table,
+		Objects:     d.objects,
+		Host:        d.config.Host,
+		Incarnation: d.incarnation,
+		Alive:       d.mayRun,
+		Logger:      d.logs.For("claim"),
+	})
 	d.entry = entry.New(entry.Options{
 		Address:     d.config.CallerAddress,
 		Host:        d.config.Host,
@@ -174,6 +185,7 @@
 		Settings:    d.settings,
 		Admitter:    d.client,
 		Targets:     d.targets,
+		Claims:      d.claims,
 		Recorder:    d.ring,
 		Limits:      d.config.Limits,
 		Timing:      d.config.Timing,
@@ -192,3 +204,12 @@
 	d.mesh.AddHandler(d.manager)
 	d.mesh.RegisterMethod(methodSettings, d.exportSettings)
 }
+
+// mayRun reports whether that process of a host may still be running.
+func (d *Daemon) mayRun(host ident.Host, incarnation uint64) bool {
+	member, known := d.tracker.View().Member(host)
+	if !known {
+		return false
+	}
+	return member.State != membership.Dead && member.Incarnation == incarnation
+}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/oklog/run"
 
@@ -21,8 +20,8 @@
 	d.addActor(&group, d.announceSettings)
 	d.addActor(&group, d.client.Run)
 	d.addActor(&group, d.manager.Run)
-	d.addActor(&group, d.entry.Run)
-	d.addStopper(ctx, &group)
+	d.addActor(&group, d.claims.Run)
+	d.addEntry(ctx, &group)
 	err := group.Run()
 	d.targets.Close()
 	_ = d.metrics.Closer.Close()
@@ -34,34 +33,22 @@
 	group.Add(func() error { return serve(ctx) }, func(error) { cancel() })
 }
 
-// addStopper adds the actor that waits for ctx and then drains the host. The
-// other parts run until it is done.
-func (d *Daemon) addStopper(ctx context.Context, group *run.Group) {
-	failed, cancel := context.WithCancel(context.Background())
+// addEntry adds the entry, whose end stops the other parts. It drains when ctx
+// ends, while the other parts go on.
+func (d *Daemon) addEntry(ctx context.Context, group *run.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	stopNotice := context.AfterFunc(ctx, d.beginDrain)
 	group.Add(func() error {
-		select {
-		case <-ctx.Done():
-			return d.drain(failed)
-		case <-failed.Done():
-			return nil
-		}
+		defer stopNotice()
+		err := d.entry.Run(ctx)
+		d.ring.Record(timeline.Event{Kind: timeline.DrainEnded})
+		return err
 	}, func(error) { cancel() })
 }
 
-// drain gives up the pools, lets the balancer notice, and waits for the
-// requests in progress.
-func (d *Daemon) drain(failed context.Context) error {
-	d.logger.Info().Msg("A planned stop begins.")
+// beginDrain gives up the pools, so that other hosts take them over.
+func (d *Daemon) beginDrain() {
+	d.logger.Info().Msg("The graceful stop begins.")
 	d.ring.Record(timeline.Event{Kind: timeline.DrainBegan})
 	d.tracker.SetLeaving()
-	d.entry.SetLeaving()
-	select {
-	case <-failed.Done():
-		return nil
-	case <-time.After(d.config.Timing.ReadinessDelay.Std()):
-	}
-	err := d.entry.Drain(failed)
-	d.ring.Record(timeline.Event{Kind: timeline.DrainEnded})
-	d.logger.Info().Msg("The planned stop is complete.")
-	return err
 }
--- a/entry/run_execution.go
+++ b/entry/run_execution.go
@@ -65,7 +65,7 @@
 	if errors.As(err, &r) {
 		return nil, refused(r)
 	}
-	x.entry.logger().Error().Err(err).Str("request", string(x.call.id)).Msg("entry: acquiring a slot failed")
+	x.entry.logger().Error().Err(err).Str("request", string(x.call.id)).Msg("Acquiring a slot failed")
 	return nil, x.notRun(outcome.NoTarget, "the pool could not be asked", failedRetryAfter)
 }
 
--- a/entry/serving.go
+++ b/entry/serving.go
@@ -31,7 +31,7 @@
 func (e *Entry) Serve(ctx context.Context, listener net.Listener) error {
 	failed := make(chan error, 1)
 	go func() { failed <- e.server.Serve(listener) }()
-	e.logger().Info().Str("address", listener.Addr().String()).Msg("entry: listening")
+	e.logger().Info().Str("address", listener.Addr().String()).Msg("Listening")
 	select {
 	case <-ctx.Done():
 		return e.Drain(context.WithoutCancel(ctx))
@@ -51,14 +51,14 @@
 	if e.draining.Swap(true) {
 		return nil
 	}
-	e.logger().Info().Int("requests", e.occupancy.held()).Msg("entry: drain began")
+	e.logger().Info().Int("requests", e.occupancy.held()).Msg("Drain began")
 	pause(ctx, e.options.Timing.ReadinessDelay.Std())
 	bounded, release := e.drainContext(ctx)
 	defer release()
 	if err := e.finishAll(bounded); err != nil {
 		return e.cutAll()
 	}
-	e.logger().Info().Msg("entry: drain ended")
+	e.logger().Info().Msg("Drain ended")
 	return nil
 }
 
@@ -90,7 +90,7 @@
 // cutAll ends the calls that outlasted the drain limit.
 func (e *Entry) cutAll() error {
 	count := e.occupancy.held()
-	e.logger().Warn().Int("requests", count).Msg("entry: drain limit reached, requests cut")
+	e.logger().Warn().Int("requests", count).Msg("Drain limit reached, requests cut")
 	e.cancel(stopDraining())
 	ctx, cancel := context.WithTimeout(context.Background(), cutTimeout)
 	defer cancel()
--- a/entry/write_refusal.go
+++ b/entry/write_refusal.go
@@ -45,7 +45,7 @@
 		e.writeRoutingError(c, routing.Code)
 		return
 	}
-	e.logger().Error().Err(err).Msg("entry: handler failed")
+	e.logger().Error().Err(err).Msg("Handler failed")
 	e.writeRoutingError(c, http.StatusInternalServerError)
 }
 
--- a/settings/replica.go
+++ b/settings/replica.go
@@ -79,13 +79,13 @@
 
 // report logs the version and what this release does not accept in it.
 func (r *replica) report(previous, next *state) {
-	r.logger.Info().Uint64("version", next.version).Msg("settings: version in force")
+	r.logger.Info().Uint64("version", next.version).Msg("Version in force")
 	for path, e := range next.tree.entries {
 		if previous.tree.entries[path] == e {
 			continue
 		}
 		for _, f := range e.findings {
-			r.logger.Warn().Uint64("version", next.version).Str("finding", f.String()).Msg("settings: document not accepted by this release")
+			r.logger.Warn().Uint64("version", next.version).Str("finding", f.String()).Msg("Document not accepted by this release")
 		}
 	}
 }
--- a/settings/watcher.go
+++ b/settings/watcher.go
@@ -181,8 +181,8 @@
 	w.statusMu.Unlock()
 	switch {
 	case previous.platform == nil && status.platform != nil:
-		w.logger.Warn().Err(status.platform).Msg("settings: platform not readable")
+		w.logger.Warn().Err(status.platform).Msg("Platform not readable")
 	case previous.platform != nil && status.platform == nil:
-		w.logger.Info().Msg("settings: platform readable again")
+		w.logger.Info().Msg("Platform readable again")
 	}
 }
--- a/target/client.go
+++ b/target/client.go
@@ -255,7 +255,7 @@
 		return
 	}
 	c.options.Logger.Warn().Str("request", string(call.Request)).Str("target", string(call.Target.Name)).
-		Msg("target: answer with another dispatch id dropped")
+		Msg("Answer with another dispatch id dropped")
 }
 
 // ownID reports whether an engine's id names the dispatch. Engines may put the
