--- a/dev/system.go
+++ b/dev/system.go
@@ -22,8 +22,8 @@
 var Error = errs.Class("dev")
 
 const (
-	dataCentre ident.DataCentre = "colombo-1"
-	hostCount                   = 2
+	dataCentre = ident.DataCentre("colombo-1")
+	hostCount  = 2
 	// readinessDelay is short, as no balancer has to notice the stop.
 	readinessDelay = settings.Duration(200 * time.Millisecond)
 	// startLimit bounds the time until the system serves.
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -46,7 +46,6 @@
 	epoch     uint64
 	decided   time.Time
 	shared    time.Time
-	strikes   int
 
 	mu sync.Mutex
 	// unsynced names entries whose frames were dropped for want of room.
