Predict, route, shed and preempt in one pool

Cause: the first scheduler bound requests late and in order but knew neither rates nor deadlines, did not preempt and had no baselines.

Change: package routing learns prefill and decode rates for each target (least squares with forgetting, and a slowdown that rises faster than it falls), answer lengths for each team, prefix records, slot limits held down by the token gap, dial backoff and load hints; filters and scores are plug-ins. Package usage is the ledger. Package admission has the predictive policy and three baselines behind settings.Pool.Policy, strikes with exoneration, peer hints and forwarding, a retry budget.

--- a/admission/options.go
+++ b/admission/options.go
@@ -1,9 +1,16 @@
 package admission
 
-import "github.com/cornelyard/cornelyard/ident"
+import (
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/usage"
+)
 
-// Options names the pool that a Scheduler decides for.
+// Options configures a Scheduler.
 type Options struct {
 	DataCentre ident.DataCentre
 	Pool       ident.Pool
+	// Usage takes the account of all requests; nil means none is kept.
+	Usage *usage.Ledger
+	// Seed makes the jitter of backoffs differ between hosts.
+	Seed uint64
 }
--- /dev/null
+++ b/admission/predictive_place.go
@@ -0,0 +1,102 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/routing"
+)
+
+// maxAside bounds the requests that one decision passes over.
+const maxAside = 16
+
+// grantReserved gives the slots of preempted requests to those they were stopped
+// for.
+func (p *predictive) grantReserved(now time.Time, actions []Action) []Action {
+	s := p.scheduler
+	for _, reserved := range s.reserved {
+		q := s.queue[reserved.id]
+		if q == nil || reserved.target.FreeSlots(now) == 0 {
+			continue
+		}
+		if p.router.Allows(now, &q.work, reserved.target.Target) {
+			actions = append(actions, s.grant(now, q, reserved.target))
+		}
+	}
+	s.reserved = s.reserved[:0]
+	return actions
+}
+
+// place grants free slots in order.
+func (p *predictive) place(now time.Time, actions []Action) []Action {
+	s := p.scheduler
+	free := s.freeSlots(now)
+	for _, tier := range s.tiers {
+		for free > 0 && len(p.aside) < maxAside {
+			q := tier.first()
+			if q == nil {
+				break
+			}
+			choice := p.router.Rank(now, &q.work, s.routes)
+			if !p.accepts(now, q, choice) {
+				p.passOver(now, q, choice)
+				continue
+			}
+			actions = append(actions, s.grant(now, q, s.byTarget[choice.Free.Name]))
+			free--
+		}
+	}
+	p.putBack()
+	return actions
+}
+
+// accepts says whether the request takes the best free target.
+func (p *predictive) accepts(now time.Time, q *queued, choice routing.Choice) bool {
+	if choice.Free == nil {
+		return false
+	}
+	if !p.trusted() {
+		return true
+	}
+	if !q.meets(now, duration(choice.FreeScore)) {
+		return false
+	}
+	return !choice.WorthWaiting() || !q.meets(now, duration(choice.BusyScore))
+}
+
+// passOver leaves a request out of the rest of this decision. If it can wait for
+// a busy target it is promised a slot there; if not, it is at risk.
+func (p *predictive) passOver(now time.Time, q *queued, choice routing.Choice) {
+	q.team.tier.extract(q)
+	p.aside = append(p.aside, q)
+	p.waiting = true
+	if choice.Busy != nil && q.meets(now, duration(choice.BusyScore)) {
+		choice.Busy.Promised++
+		return
+	}
+	q.riskAt = earlier(q.riskAt, now)
+	q.team.tier.risk.fix(q)
+	if p.trusted() && choice.Free != nil {
+		p.bringGiveUpForward(now, q)
+	}
+}
+
+// bringGiveUpForward has a request that can be started nowhere in time looked at
+// by the give-up rule in this decision.
+func (p *predictive) bringGiveUpForward(now time.Time, q *queued) {
+	if q.giveUp.After(now) {
+		q.giveUp = now
+		p.scheduler.giveUp.fix(q)
+	}
+}
+
+func (p *predictive) putBack() {
+	for i, q := range p.aside {
+		q.team.tier.insert(q)
+		p.aside[i] = nil
+	}
+	p.aside = p.aside[:0]
+}
+
+func duration(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/admission/request_heap.go
+++ b/admission/request_heap.go
@@ -12,6 +12,10 @@
 	heapReverse
 	// heapGiveUp orders all requests by the time to give up.
 	heapGiveUp
+	// heapRisk orders a tier's requests by the time to look for a victim.
+	heapRisk
+	// heapArrival orders requests by arrival, for the baselines.
+	heapArrival
 	heapKinds
 )
 
--- a/admission/snapshot.go
+++ b/admission/snapshot.go
@@ -20,8 +20,9 @@
 	Rank      int        `json:"rank"`
 	Queued    int        `json:"queued"`
 	InService int        `json:"inService"`
-	// Wait is the predicted wait of a new request.
-	Wait time.Duration `json:"waitNanoseconds"`
+	// Backlog is the expected time in service of the queued requests, in seconds
+	// of one slot.
+	Backlog float64 `json:"backlogSeconds"`
 }
 
 // TargetSnapshot shows one target.
@@ -30,12 +31,48 @@
 	InService int          `json:"inService"`
 	// Ceiling is the declared number of slots.
 	Ceiling int `json:"ceiling"`
-	// Slots is the number of slots that are in use or may be granted now.
+	// Slots is the number of slots that the token gap allows.
 	Slots   int  `json:"slots"`
 	Leaving bool `json:"leaving"`
-	Suspect bool `json:"suspect"`
+	// Failing says that the target could not be reached and is probed.
+	Failing bool `json:"failing"`
 	// PrefillRate is learned, in prompt tokens a second.
 	PrefillRate float64 `json:"prefillRate"`
-	// TokenGap is the learned time between tokens of one stream.
+	// TokenGap is the predicted time between tokens of one more stream.
 	TokenGap time.Duration `json:"tokenGapNanoseconds"`
 }
+
+// Snapshot shows the state at the last decision to operators.
+func (s *Scheduler) Snapshot() Snapshot {
+	snapshot := Snapshot{DataCentre: s.options.DataCentre, Pool: s.options.Pool}
+	for _, tier := range s.tiers {
+		snapshot.Tiers = append(snapshot.Tiers, tier.snapshot())
+	}
+	for _, target := range s.targets {
+		snapshot.Targets = append(snapshot.Targets, target.snapshot(s.decided))
+	}
+	return snapshot
+}
+
+func (t *tierQueue) snapshot() TierSnapshot {
+	return TierSnapshot{
+		Tier:      t.name,
+		Rank:      t.rank,
+		Queued:    t.queued,
+		InService: len(t.running.items),
+		Backlog:   t.backlog,
+	}
+}
+
+func (t *targetState) snapshot(at time.Time) TargetSnapshot {
+	return TargetSnapshot{
+		Target:      t.Name,
+		InService:   t.InService,
+		Ceiling:     t.settings.Slots,
+		Slots:       t.Limit.Slots(),
+		Leaving:     t.Leaving,
+		Failing:     t.Health.Failing(),
+		PrefillRate: t.Estimator.PrefillRate(at),
+		TokenGap:    t.Estimator.Gap(at, t.InService+1),
+	}
+}
--- a/admission/target_state.go
+++ b/admission/target_state.go
@@ -1,32 +1,51 @@
 package admission
 
 import (
-	"github.com/cornelyard/cornelyard/ident"
+	"time"
+
+	"github.com/cornelyard/cornelyard/routing"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
 // targetState is what the scheduler knows of one target.
 type targetState struct {
+	*routing.Target
 	settings settings.Target
 	// declared is false when the target is no longer in the settings.
 	declared bool
 	// refusing says that the target itself refused new work.
 	refusing bool
-	running  map[ident.Request]*running
+	running  runningList
+	// freeing counts the preempted requests in service.
+	freeing int
+	// bound holds what an early-binding policy queued for this target.
+	bound *requestHeap
 }
 
-func newTargetState(s settings.Target) *targetState {
-	return &targetState{settings: s, declared: true, running: make(map[ident.Request]*running)}
+// updateLeaving brings routing's view of the target up to date.
+func (t *targetState) updateLeaving() {
+	t.Leaving = !t.declared || t.settings.Leaving || t.refusing
 }
 
-func (t *targetState) leaving() bool {
-	return !t.declared || t.settings.Leaving || t.refusing
-}
+// overdueShare is the part of its age that an overdue request is expected to
+// take further.
+const overdueShare = 0.1
 
-// free returns the number of slots that may be granted.
-func (t *targetState) free() int {
-	if t.leaving() {
-		return 0
+// updateNextFree predicts when the first request in service ends.
+func (t *targetState) updateNextFree(now time.Time) {
+	t.NextFree = time.Time{}
+	for _, r := range t.running.items {
+		end := r.expectedEnd
+		if end.Before(now) {
+			end = now.Add(time.Duration(overdueShare * float64(now.Sub(r.granted))))
+		}
+		if t.NextFree.IsZero() || end.Before(t.NextFree) {
+			t.NextFree = end
+		}
 	}
-	return max(0, t.settings.Slots-len(t.running))
+}
+
+// slotAfterPreemption says whether the end of one more request frees a slot.
+func (t *targetState) slotAfterPreemption(now time.Time) bool {
+	return t.InService-t.freeing-1 < t.Slots(now)
 }
--- a/admission/tier_queue.go
+++ b/admission/tier_queue.go
@@ -10,25 +10,33 @@
 type tierQueue struct {
 	name ident.Tier
 	rank int
-	// queued counts the queued requests of all teams.
-	queued  int
-	running map[ident.Request]*running
 
 	teams   map[ident.Team]*teamQueue
 	order   *teamHeap
 	reverse *teamHeap
 	clock   *fairClock
+	risk    *requestHeap
+	// queued counts the queued requests of all teams, and backlog their expected
+	// time in service, in seconds of one slot.
+	queued  int
+	backlog float64
+	demand  demand
+
+	running runningList
+	// freeing counts the preempted requests in service.
+	freeing int
 }
 
 func newTierQueue(name ident.Tier, rank int, now time.Time) *tierQueue {
 	return &tierQueue{
 		name:    name,
 		rank:    rank,
-		running: make(map[ident.Request]*running),
 		teams:   make(map[ident.Team]*teamQueue),
 		order:   &teamHeap{kind: teamHeapOrder, less: usedLess},
 		reverse: &teamHeap{kind: teamHeapReverse, less: usedMore},
 		clock:   newFairClock(now),
+		risk:    newRequestHeap(heapRisk, riskEarlier),
+		running: runningList{kind: runningOfTier},
 	}
 }
 
@@ -41,6 +49,13 @@
 
 func usedMore(a, b *teamQueue) bool { return usedLess(b, a) }
 
+func riskEarlier(a, b *queued) bool {
+	if !a.riskAt.Equal(b.riskAt) {
+		return a.riskAt.Before(b.riskAt)
+	}
+	return a.sequence < b.sequence
+}
+
 // team returns the queue of a team, made on first use.
 func (t *tierQueue) team(name ident.Team, weight float64) *teamQueue {
 	team, ok := t.teams[name]
@@ -51,29 +66,46 @@
 	return team
 }
 
-// add queues a request of a team.
-func (t *tierQueue) add(q *queued, team *teamQueue) {
+// enqueue adds a new request of a team. A team that was idle starts level with
+// the others: no credit is saved up.
+func (t *tierQueue) enqueue(now time.Time, q *queued, team *teamQueue) {
 	if team.order.Len() == 0 {
-		// A team that was idle starts level with the others: no credit is saved up.
 		team.used = max(team.used, t.clock.level)
 	}
 	q.team = team
-	team.order.add(q)
-	team.reverse.add(q)
-	t.order.add(team)
-	t.reverse.add(team)
+	t.insert(q)
+	t.risk.add(q)
 	t.queued++
+	t.backlog += q.cost
+	t.demand.add(now, q.cost)
 }
 
-// remove takes a queued request out.
-func (t *tierQueue) remove(q *queued) {
-	team := q.team
-	team.order.remove(q)
-	team.reverse.remove(q)
+// dequeue takes a request out for good.
+func (t *tierQueue) dequeue(q *queued) {
+	t.extract(q)
+	t.risk.remove(q)
 	t.queued--
-	if team.order.Len() == 0 {
-		t.order.remove(team)
-		t.reverse.remove(team)
+	t.backlog -= q.cost
+	if t.queued == 0 {
+		t.backlog = 0
+	}
+}
+
+// insert puts a request into the order of service.
+func (t *tierQueue) insert(q *queued) {
+	q.team.order.add(q)
+	q.team.reverse.add(q)
+	t.order.add(q.team)
+	t.reverse.add(q.team)
+}
+
+// extract takes a request out of the order of service, perhaps for a while.
+func (t *tierQueue) extract(q *queued) {
+	q.team.order.remove(q)
+	q.team.reverse.remove(q)
+	if q.team.order.Len() == 0 {
+		t.order.remove(q.team)
+		t.reverse.remove(q.team)
 	}
 }
 
@@ -86,7 +118,8 @@
 	return team.order.first()
 }
 
-// last returns the request to shed first, or nil.
+// last returns the request to shed first, or nil: the latest deadline of the
+// team that used most.
 func (t *tierQueue) last() *queued {
 	team := t.reverse.first()
 	if team == nil {
@@ -95,6 +128,14 @@
 	return team.reverse.first()
 }
 
+// serving counts the requests in service that were not ordered to stop.
+func (t *tierQueue) serving() int { return len(t.running.items) - t.freeing }
+
+// served notes that a request of the team is served next.
+func (t *tierQueue) served(team *teamQueue) {
+	t.clock.level = max(t.clock.level, team.used)
+}
+
 // charge adds token-seconds, which may be negative, to a team's account.
 func (t *tierQueue) charge(now time.Time, team *teamQueue, tokenSeconds float64) {
 	if t.clock.mustRescale(now) {
--- /dev/null
+++ b/routing/pace.go
@@ -0,0 +1,11 @@
+package routing
+
+import "time"
+
+// Pace holds the least predicted times of a piece of work over a pool.
+type Pace struct {
+	// Loaded is the time beside what is in service now.
+	Loaded time.Duration
+	// Idle is the time on an idle pool.
+	Idle time.Duration
+}
--- /dev/null
+++ b/routing/prediction.go
@@ -0,0 +1,31 @@
+package routing
+
+import "time"
+
+// Prediction splits the predicted time on a target.
+type Prediction struct {
+	Prefill time.Duration
+	Decode  time.Duration
+}
+
+// Total returns the whole predicted time.
+func (p Prediction) Total() time.Duration { return p.Prefill + p.Decode }
+
+// Predict returns the time that so many prompt tokens, of which some are cached,
+// and answer tokens take on the target beside what it has in service.
+func (t *Target) Predict(now time.Time, promptTokens, cached, tokens int) Prediction {
+	computed := max(0, promptTokens-cached) + t.PendingPrefill
+	batch := t.InService + 1 + t.Load.Foreign(now)
+	return Prediction{
+		Prefill: t.Estimator.Prefill(now, computed),
+		Decode:  time.Duration(max(0, tokens-1)) * t.Estimator.Gap(now, batch),
+	}
+}
+
+// PredictIdle returns the same as if nothing else were in service.
+func (t *Target) PredictIdle(now time.Time, promptTokens, cached, tokens int) Prediction {
+	return Prediction{
+		Prefill: t.Estimator.Prefill(now, max(0, promptTokens-cached)),
+		Decode:  time.Duration(max(0, tokens-1)) * t.Estimator.Gap(now, 1),
+	}
+}
--- /dev/null
+++ b/usage/row.go
@@ -0,0 +1,7 @@
+package usage
+
+// Row is what was counted under one key.
+type Row struct {
+	Key
+	Counters
+}
