--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,57 @@
+// Command bench runs the measurements. Each prints its report to standard
+// output; what it says meanwhile goes to standard error.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/oklog/run"
+
+	"github.com/cornelyard/cornelyard/bench/command"
+	"github.com/cornelyard/cornelyard/bench/report"
+)
+
+func main() {
+	app := kingpin.New("bench", "Measurements of cornelyard, each against its baseline in the same run.")
+	output := app.Flag("output", "Form of the report.").Default(string(report.Text)).Enum(report.Formats...)
+	commands := []command.Command{}
+	name := kingpin.MustParse(app.Parse(os.Args[1:]))
+	for _, c := range commands {
+		if c.Name() == name {
+			exit(measure(c, report.Format(*output)))
+		}
+	}
+}
+
+func exit(err error) {
+	if err == nil {
+		os.Exit(0)
+	}
+	fmt.Fprintln(os.Stderr, "bench:", err)
+	os.Exit(1)
+}
+
+// measure runs the measurement until its end or a signal.
+func measure(c command.Command, format report.Format) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group run.Group
+	group.Add(func() error {
+		result, err := c.Run(ctx)
+		if err != nil {
+			return err
+		}
+		return report.Write(os.Stdout, format, result)
+	}, func(error) { cancel() })
+	group.Add(run.SignalHandler(ctx, os.Interrupt, syscall.SIGTERM))
+	err := group.Run()
+	if errors.Is(err, run.ErrSignal) {
+		return errors.New("interrupted")
+	}
+	return err
+}
--- /dev/null
+++ b/bench/report/doc.go
@@ -0,0 +1,2 @@
+// Package report writes what a measurement gave.
+package report
