Let a link of the fault proxy tell its clients apart

Hosts reach each other at one advertised address each, so a link stands for a destination and not for a pair of hosts; cutting one pair needs to know who opened a connection. Giving each host a loopback address of its own was ruled out, since traffic stays on 127.0.0.1. The proxy looks the client's socket up in the kernel's table and in the open files of the processes it was told of.

--- a/internal/standin/faultproxy/link.go
+++ b/internal/standin/faultproxy/link.go
@@ -9,22 +9,24 @@
 
 const dialTimeout = 2 * time.Second
 
-// Link is one named path through the proxy.
+// Link is one named way through the proxy to a target.
 type Link struct {
 	Name string `json:"name"`
 	// Address is where the link accepts connections.
 	Address string `json:"address"`
 	Target  string `json:"target"`
 
-	toTarget direction
-	toClient direction
+	ctx     context.Context
+	sources *sources
 
 	mu       sync.Mutex
 	listener net.Listener
-	pairs    map[*pair]struct{}
+	faults   Faults
+	paths    map[string]*path
+	pairs    map[*pair]string
 }
 
-func newLink(ctx context.Context, o LinkOptions) (*Link, error) {
+func newLink(ctx context.Context, o LinkOptions, sources *sources) (*Link, error) {
 	listener, err := net.Listen("tcp", o.Listen)
 	if err != nil {
 		return nil, err
@@ -33,26 +35,38 @@
 		Name:     o.Name,
 		Address:  listener.Addr().String(),
 		Target:   o.Target,
+		ctx:      ctx,
+		sources:  sources,
 		listener: listener,
-		pairs:    make(map[*pair]struct{}),
+		paths:    make(map[string]*path),
+		pairs:    make(map[*pair]string),
 	}
-	go link.accept(ctx, listener)
+	go link.accept(listener)
 	return link, nil
 }
 
-// SetFaults replaces the link's faults.
-func (l *Link) SetFaults(ctx context.Context, f Faults) error {
-	delay := int64(f.DelayMs) * int64(time.Millisecond)
-	l.toTarget.delay.Store(delay)
-	l.toClient.delay.Store(delay)
-	l.toTarget.gate.Set(f.Cut || f.CutToTarget)
-	l.toClient.gate.Set(f.Cut || f.CutToClient)
+// SetFaults replaces the faults of the whole link.
+func (l *Link) SetFaults(f Faults) error {
+	l.mu.Lock()
+	l.faults = f
+	for _, p := range l.paths {
+		p.set(f)
+	}
+	l.mu.Unlock()
+	if !f.Refuse {
+		return l.listenAgain()
+	}
+	l.stopListening()
+	l.Reset()
+	return nil
+}
+
+// SetSourceFaults replaces the faults of one source's connections.
+func (l *Link) SetSourceFaults(source string, f Faults) {
+	l.path(source).set(f)
 	if f.Refuse {
-		l.stopListening()
-		l.Reset()
-		return nil
+		l.ResetSource(source)
 	}
-	return l.listenAgain(ctx)
 }
 
 // Reset resets the open connections.
@@ -64,6 +78,17 @@
 	}
 }
 
+// ResetSource resets the open connections of one source.
+func (l *Link) ResetSource(source string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p, from := range l.pairs {
+		if from == source {
+			p.reset()
+		}
+	}
+}
+
 func (l *Link) stopListening() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -73,7 +98,7 @@
 	}
 }
 
-func (l *Link) listenAgain(ctx context.Context) error {
+func (l *Link) listenAgain() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.listener != nil {
@@ -84,40 +109,59 @@
 		return err
 	}
 	l.listener = listener
-	go l.accept(ctx, listener)
+	go l.accept(listener)
 	return nil
 }
 
-func (l *Link) accept(ctx context.Context, listener net.Listener) {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+func (l *Link) accept(listener net.Listener) {
+	stop := context.AfterFunc(l.ctx, func() { _ = listener.Close() })
 	defer stop()
 	for {
 		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		go l.forward(ctx, client)
+		go l.forward(client)
 	}
 }
 
-func (l *Link) forward(ctx context.Context, client net.Conn) {
+func (l *Link) forward(client net.Conn) {
+	source := l.sources.of(client)
+	path := l.path(source)
+	if path.refuse.Load() {
+		reset(client)
+		return
+	}
 	target, err := net.DialTimeout("tcp", l.Target, dialTimeout)
 	if err != nil {
 		reset(client)
 		return
 	}
 	p := &pair{client: client, target: target}
-	l.add(p)
+	l.add(p, source)
 	defer l.remove(p)
-	stop := context.AfterFunc(ctx, p.reset)
+	stop := context.AfterFunc(l.ctx, p.reset)
 	defer stop()
-	p.forward(ctx, &l.toTarget, &l.toClient)
+	p.forward(l.ctx, &path.toTarget, &path.toClient)
+}
+
+// path returns the path of a source. A new one has the faults of the whole link.
+func (l *Link) path(source string) *path {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := l.paths[source]
+	if !ok {
+		p = new(path)
+		p.set(l.faults)
+		l.paths[source] = p
+	}
+	return p
 }
 
-func (l *Link) add(p *pair) {
+func (l *Link) add(p *pair, source string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pairs[p] = struct{}{}
+	l.pairs[p] = source
 }
 
 func (l *Link) remove(p *pair) {
--- /dev/null
+++ b/internal/standin/faultproxy/path.go
@@ -0,0 +1,22 @@
+package faultproxy
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// path holds the faults of one source's connections over a link.
+type path struct {
+	toTarget direction
+	toClient direction
+	refuse   atomic.Bool
+}
+
+func (p *path) set(f Faults) {
+	delay := int64(f.DelayMs) * int64(time.Millisecond)
+	p.toTarget.delay.Store(delay)
+	p.toClient.delay.Store(delay)
+	p.toTarget.gate.Set(f.Cut || f.CutToTarget)
+	p.toClient.gate.Set(f.Cut || f.CutToClient)
+	p.refuse.Store(f.Refuse)
+}
--- a/internal/standin/faultproxy/proxy.go
+++ b/internal/standin/faultproxy/proxy.go
@@ -11,9 +11,13 @@
 	"github.com/cornelyard/cornelyard/internal/standin"
 )
 
+// sourceParam limits a call on the control listener to one source.
+const sourceParam = "source"
+
 // Proxy is a set of links. It is safe for concurrent use.
 type Proxy struct {
-	ctx context.Context
+	ctx     context.Context
+	sources sources
 
 	mu    sync.Mutex
 	links []*Link
@@ -31,7 +35,7 @@
 	if p.find(o.Name) != nil {
 		return nil, standin.Error.New("link %q exists", o.Name)
 	}
-	link, err := newLink(p.ctx, o)
+	link, err := newLink(p.ctx, o, &p.sources)
 	if err != nil {
 		return nil, standin.Error.Wrap(err)
 	}
@@ -55,6 +59,11 @@
 	return nil
 }
 
+// SetSource makes the process known by the name.
+func (p *Proxy) SetSource(s Source) {
+	p.sources.set(s)
+}
+
 // Serve serves the control listener until ctx ends.
 func (p *Proxy) Serve(ctx context.Context, control net.Listener) error {
 	return standin.Serve(ctx, standin.Endpoint{Listener: control, Handler: p.ControlHandler()})
@@ -67,6 +76,7 @@
 	router.POST("/links", p.postLink)
 	router.POST("/links/:name/faults", p.postFaults)
 	router.POST("/links/:name/reset", p.postReset)
+	router.POST("/sources", p.postSource)
 	return router
 }
 
@@ -97,7 +107,11 @@
 	if err := c.Bind(&faults); err != nil {
 		return err
 	}
-	if err := link.SetFaults(p.ctx, faults); err != nil {
+	if source := c.QueryParam(sourceParam); source != "" {
+		link.SetSourceFaults(source, faults)
+		return c.NoContent(http.StatusNoContent)
+	}
+	if err := link.SetFaults(faults); err != nil {
 		return echo.NewHTTPError(http.StatusConflict, err.Error())
 	}
 	return c.NoContent(http.StatusNoContent)
@@ -108,6 +122,19 @@
 	if link == nil {
 		return echo.ErrNotFound
 	}
-	link.Reset()
+	if source := c.QueryParam(sourceParam); source != "" {
+		link.ResetSource(source)
+	} else {
+		link.Reset()
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (p *Proxy) postSource(c echo.Context) error {
+	var source Source
+	if err := c.Bind(&source); err != nil {
+		return err
+	}
+	p.SetSource(source)
 	return c.NoContent(http.StatusNoContent)
 }
--- a/internal/standin/faultproxy/proxy_test.go
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -46,14 +47,21 @@
 }
 
 func openLink(t *testing.T) *Link {
+	t.Helper()
+	_, link := openProxy(t)
+	return link
+}
+
+func openProxy(t *testing.T) (*Proxy, *Link) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	link, err := New(ctx).Add(LinkOptions{Name: "l", Listen: "127.0.0.1:0", Target: echoServer(t)})
+	proxy := New(ctx)
+	link, err := proxy.Add(LinkOptions{Name: "l", Listen: "127.0.0.1:0", Target: echoServer(t)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return link
+	return proxy, link
 }
 
 func dial(t *testing.T, link *Link) (net.Conn, *bufio.Reader) {
@@ -80,7 +88,7 @@
 
 func setFaults(t *testing.T, link *Link, f Faults) {
 	t.Helper()
-	if err := link.SetFaults(context.Background(), f); err != nil {
+	if err := link.SetFaults(f); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -167,3 +175,31 @@
 		t.Fatalf("got %q, %v", got, err)
 	}
 }
+
+func TestFaultsActOnOneSource(t *testing.T) {
+	cases := []struct {
+		name   string
+		source string
+		cut    bool
+	}{
+		{"this process", "this", true},
+		{"another process", "other", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			proxy, link := openProxy(t)
+			proxy.SetSource(Source{Name: "this", PID: os.Getpid()})
+			proxy.SetSource(Source{Name: "other", PID: os.Getppid()})
+			link.SetSourceFaults(c.source, Faults{Cut: true})
+			conn, reader := dial(t, link)
+			wait := bound
+			if c.cut {
+				wait = silence
+			}
+			_, err := exchange(conn, reader, wait)
+			if cut := err != nil; cut != c.cut {
+				t.Fatalf("cut is %v (%v), want %v", cut, err, c.cut)
+			}
+		})
+	}
+}
