--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/target"
 	"github.com/cornelyard/cornelyard/timeline"
+	"github.com/cornelyard/cornelyard/usage"
 )
 
 const (
@@ -43,6 +44,7 @@
 	metrics     metrics.Metrics
 	clock       *timeline.Clock
 	ring        *timeline.Ring
+	usage       *usage.Ledger
 
 	table    platform.Table
 	objects  platform.Objects
@@ -74,6 +76,7 @@
 		Clock:  d.clock,
 		Events: c.Limits.TimelineEvents,
 	})
+	d.usage = usage.NewLedger(usage.Options{Host: c.Host, Incarnation: d.incarnation})
 	d.buildPlatform()
 	d.buildMembers()
 	if err := d.buildMesh(); err != nil {
@@ -159,6 +162,7 @@
 		Sender:     d.mesh,
 		Loads:      loadreport.NewReader(time.Now),
 		Recorder:   d.ring,
+		Usage:      d.usage,
 		Logger:     d.logs.For("pool"),
 		GrantLease: d.config.Timing.GrantLease.Std(),
 		Now:        time.Now,
--- a/pool/fake_system_test.go
+++ b/pool/fake_system_test.go
@@ -17,6 +17,7 @@
 	"github.com/cornelyard/cornelyard/platform"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/timeline"
+	"github.com/cornelyard/cornelyard/usage"
 )
 
 const (
@@ -107,6 +108,7 @@
 		Sender:     sender,
 		Loads:      noLoads{},
 		Recorder:   timeline.Discard{},
+		Usage:      usage.NewLedger(usage.Options{Host: name}),
 		Logger:     logger,
 		GrantLease: time.Second,
 		Now:        time.Now,
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -119,7 +119,12 @@
 
 // rebuild starts from nothing and asks every live member for a report.
 func (o *owner) rebuild(now time.Time) {
-	o.scheduler = admission.New(admission.Options{DataCentre: o.key.dataCentre, Pool: o.key.pool})
+	o.scheduler = admission.New(admission.Options{
+		DataCentre: o.key.dataCentre,
+		Pool:       o.key.pool,
+		Usage:      o.options.Usage,
+		Seed:       uint64(now.UnixNano()),
+	})
 	o.configure(now, o.config)
 	o.epoch = uint64(now.UnixNano())
 	o.decided = now
--- a/pool/owner_options.go
+++ b/pool/owner_options.go
@@ -11,6 +11,7 @@
 	"github.com/cornelyard/cornelyard/platform"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/timeline"
+	"github.com/cornelyard/cornelyard/usage"
 )
 
 // ManagerOptions configures a Manager. All fields are required.
@@ -25,7 +26,9 @@
 	// Loads reads the load reports of targets.
 	Loads    LoadReader
 	Recorder timeline.Recorder
-	Logger   *log.Logger
+	// Usage takes the account of all requests of the owned pools.
+	Usage  *usage.Ledger
+	Logger *log.Logger
 	// GrantLease is how long a grant may wait for its dispatch.
 	GrantLease time.Duration
 	// Now reads the clock.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -115,6 +115,18 @@
 	})
 }
 
+func TestRefusalReachesTheCaller(t *testing.T) {
+	s := newFakeSystem(t, testSnapshot(), threeHosts()...)
+	a := s.wait(s.other().acquire(t.Context(), testRequest("r1", "filing")))
+	var refusal *outcome.Refusal
+	if !errors.As(a.err, &refusal) {
+		t.Fatalf("got %v, want a refusal", a.err)
+	}
+	if refusal.Reason != outcome.NoTarget || refusal.Outcome != outcome.NotRun {
+		t.Fatalf("got %v", refusal)
+	}
+}
+
 // waiting counts the tickets of this entry that are queued.
 func (h *fakeHost) waiting() int {
 	h.client.mu.Lock()
