Serve an entry that cannot reach the pool's owner

Cause: with one link cut inside a data centre, the members' view keeps the owner alive through the others, so the cut-off entry sent to it for ever and its requests ran into their deadlines. Ruled out: letting the reachable hosts relay (two hops and a new message), and declaring the owner dead on the word of one host (it would flap for all). Change: after 1.5 s without reaching an owner the entry schedules its own requests for 5 s at a time, with each target's slots divided by the known hosts. Seen failing with the rule switched off: both new tests get no answer in 20 s; with it they pass under -race.

--- a/pool/build_config.go
+++ b/pool/build_config.go
@@ -11,9 +11,11 @@
 )
 
 // buildConfig gathers what the scheduler of a pool has to know.
-func (m *Manager) buildConfig(view *membership.View, snapshot *settings.Snapshot, name ident.Pool) admission.Config {
+func (m *Manager) buildConfig(
+	view *membership.View, snapshot *settings.Snapshot, name ident.Pool, fallback bool,
+) admission.Config {
 	leaving := leavingTargets(m.options.Hosts.Entries())
-	divisor := cautiousDivisor(view, m.options.DataCentre)
+	divisor := cautiousDivisor(view, m.options.DataCentre, fallback)
 	c := admission.Config{Pool: *snapshot.Pools[name], Tiers: tiersByRank(snapshot)}
 	for _, declared := range snapshot.PoolTargets(name, m.options.DataCentre) {
 		target := *declared
@@ -46,9 +48,9 @@
 }
 
 // cautiousDivisor returns by how much slots are divided. A host that reaches
-// nobody of its data centre cannot tell whether the others died or it was cut
-// off, so it takes only its share of each target.
-func cautiousDivisor(view *membership.View, dc ident.DataCentre) int {
+// nobody of its data centre, or not the owner, cannot tell whether the others
+// died or it was cut off, so it takes only its share of each target.
+func cautiousDivisor(view *membership.View, dc ident.DataCentre, fallback bool) int {
 	known, live := 0, 0
 	for _, m := range view.Members {
 		if m.DataCentre != dc {
@@ -59,8 +61,8 @@
 			live++
 		}
 	}
-	if live > 1 || known == 0 {
+	if live > 1 && !fallback {
 		return 1
 	}
-	return known
+	return max(known, 1)
 }
--- a/pool/client.go
+++ b/pool/client.go
@@ -19,6 +19,11 @@
 	// forwardPatience is how long another data centre may stay unreachable
 	// before the next one is tried.
 	forwardPatience = 500 * time.Millisecond
+	// fallbackAfter is how long an owner may be out of reach before this host
+	// schedules its own requests.
+	fallbackAfter = 1500 * time.Millisecond
+	// fallbackHold is how long it does so before it tries the owner again.
+	fallbackHold = 5 * time.Second
 )
 
 // Client is the entry's side of pools. It implements Admitter and peer.Handler.
@@ -130,7 +135,7 @@
 
 // announce sends a waiting ticket to the owner. The mutex is held.
 func (c *Client) announce(view *membership.View, p *clientPool, t *ticket) {
-	owner := ownerOf(view, p.key)
+	owner := c.ownerFor(view, p)
 	if owner == "" || p.needReport || (p.owner != "" && p.owner != owner) {
 		return
 	}
@@ -140,6 +145,9 @@
 		Request: encodeRequest(c.options.Now(), &t.request),
 	}}}
 	t.announced = c.options.Sender.Send(owner, frame) == nil
+	if !t.announced {
+		p.denied(c.options.Now())
+	}
 }
 
 // send sends a frame to the owner of k. A frame that cannot be sent is made up
@@ -150,7 +158,7 @@
 		return
 	}
 	if c.options.Sender.Send(p.owner, f) != nil {
-		p.needReport = true
+		p.denied(c.options.Now())
 	}
 }
 
--- a/pool/client_handler.go
+++ b/pool/client_handler.go
@@ -60,6 +60,9 @@
 	if !ok {
 		return nil, nil
 	}
+	if p.owner == from {
+		p.served()
+	}
 	return p, p.tickets[id]
 }
 
@@ -202,7 +205,7 @@
 	p, ok := c.pools[key{dataCentre: member.DataCentre, pool: ident.Pool(n.GetPool())}]
 	if ok && p.owner == from {
 		p.owner = ""
-		p.needReport = true
+		p.denied(c.options.Now())
 	}
 }
 
--- a/pool/client_reconcile.go
+++ b/pool/client_reconcile.go
@@ -18,6 +18,16 @@
 	return owner
 }
 
+// ownerFor returns the host that schedules this entry's requests in p: the
+// owner, or this host itself if it could not reach the owner. The mutex is held.
+func (c *Client) ownerFor(view *membership.View, p *clientPool) ident.Host {
+	local := p.key.dataCentre == view.Self.DataCentre
+	if local && p.inFallback(c.options.Now()) {
+		return view.Self.Host
+	}
+	return ownerOf(view, p.key)
+}
+
 // reconcile tells each pool's present owner what it has to know.
 func (c *Client) reconcile() {
 	view := c.options.Members.View()
@@ -33,7 +43,7 @@
 }
 
 func (c *Client) reconcilePool(view *membership.View, p *clientPool) {
-	owner := ownerOf(view, p.key)
+	owner := c.ownerFor(view, p)
 	if owner != "" && owner != p.owner {
 		p.owner = owner
 		p.needReport = true
@@ -83,6 +93,7 @@
 	sent := c.options.Sender.Send(p.owner, &peerpb.Frame{Body: &peerpb.Frame_Report{Report: r}}) == nil
 	p.needReport = !sent
 	if !sent {
+		p.denied(now)
 		return
 	}
 	for _, t := range p.tickets {
--- a/pool/manager.go
+++ b/pool/manager.go
@@ -22,8 +22,11 @@
 	mu      sync.Mutex
 	owners  map[ident.Pool]*runningOwner
 	strikes map[ident.Pool][]admission.StrikeRecord
-	stopped bool
-	done    sync.WaitGroup
+	// fallbacks tells until when this host schedules its own requests in pools
+	// that it doesn't own.
+	fallbacks map[ident.Pool]time.Time
+	stopped   bool
+	done      sync.WaitGroup
 }
 
 // runningOwner is an owner with its goroutine.
@@ -38,6 +41,8 @@
 		options: o,
 		owners:  make(map[ident.Pool]*runningOwner),
 		strikes: make(map[ident.Pool][]admission.StrikeRecord),
+
+		fallbacks: make(map[ident.Pool]time.Time),
 	}
 }
 
@@ -90,28 +95,30 @@
 ) {
 	k := key{dataCentre: m.options.DataCentre, pool: name}
 	mine := ownerOf(view, k) == m.options.Host
+	fallback := !mine && m.options.Now().Before(m.fallbacks[name])
 	running, ok := m.owners[name]
-	if !mine {
-		if ok {
-			m.stopOwner(name, running)
-		}
+	if ok && (!mine && !fallback || running.fallback != fallback) {
+		m.stopOwner(name, running)
+		ok = false
+	}
+	if !mine && !fallback {
 		return
 	}
-	config := m.buildConfig(view, snapshot, name)
+	config := m.buildConfig(view, snapshot, name, fallback)
 	if !ok {
-		m.startOwner(k, config)
+		m.startOwner(k, config, fallback)
 		return
 	}
 	running.offer("", configEvent{config: config})
 	running.offer("", membersEvent{live: live})
 }
 
-func (m *Manager) startOwner(k key, config admission.Config) {
+func (m *Manager) startOwner(k key, config admission.Config, fallback bool) {
 	if m.stopped {
 		return
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	o := &runningOwner{owner: newOwner(m.options, k), stop: stop}
+	o := &runningOwner{owner: newOwner(m.options, k, fallback), stop: stop}
 	m.owners[k.pool] = o
 	if known := m.strikes[k.pool]; len(known) > 0 {
 		o.offer("", strikeEvent{strikes: known})
@@ -121,13 +128,13 @@
 		defer m.done.Done()
 		o.run(ctx, config)
 	}()
-	m.options.Logger.Info().Str("pool", string(k.pool)).Msg("This host owns the pool now.")
+	m.options.Logger.Info().Str("pool", string(k.pool)).Bool("fallback", fallback).Msg("This host schedules the pool now.")
 }
 
 func (m *Manager) stopOwner(name ident.Pool, o *runningOwner) {
 	o.stop()
 	delete(m.owners, name)
-	m.options.Logger.Info().Str("pool", string(name)).Msg("This host no longer owns the pool.")
+	m.options.Logger.Info().Str("pool", string(name)).Msg("This host no longer schedules the pool.")
 }
 
 func (m *Manager) stopAll() {
--- a/pool/manager_handler.go
+++ b/pool/manager_handler.go
@@ -54,6 +54,32 @@
 	return m.owners[ident.Pool(pool)]
 }
 
+// findFor returns the owner that schedules the host's requests. Requests that
+// this host sends to itself without owning the pool start a fallback owner, whose
+// time is renewed by each of them.
+func (m *Manager) findFor(from ident.Host, pool string) *runningOwner {
+	o := m.find(pool)
+	own := from == m.options.Host
+	if o != nil && (own || !o.fallback) {
+		if o.fallback {
+			m.renewFallback(ident.Pool(pool))
+		}
+		return o
+	}
+	if !own {
+		return nil
+	}
+	m.renewFallback(ident.Pool(pool))
+	m.reconcile(m.options.Members.View(), m.options.Settings.Current())
+	return m.find(pool)
+}
+
+func (m *Manager) renewFallback(pool ident.Pool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fallbacks[pool] = m.options.Now().Add(fallbackHold)
+}
+
 func (m *Manager) offer(from ident.Host, pool string, e event) {
 	if o := m.find(pool); o != nil {
 		o.offer(from, e)
@@ -61,7 +87,7 @@
 }
 
 func (m *Manager) handleEnqueue(now time.Time, from ident.Host, e *peerpb.Enqueue) {
-	o := m.find(e.GetPool())
+	o := m.findFor(from, e.GetPool())
 	if o == nil {
 		m.disown(from, e.GetPool(), e.GetRequest().GetId())
 		return
@@ -71,7 +97,7 @@
 }
 
 func (m *Manager) handleReport(now time.Time, from ident.Host, r *peerpb.Report) {
-	o := m.find(r.GetPool())
+	o := m.findFor(from, r.GetPool())
 	if o == nil {
 		if len(r.GetQueued())+len(r.GetInService()) > 0 {
 			m.disown(from, r.GetPool(), "")
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -32,7 +32,10 @@
 type owner struct {
 	options ManagerOptions
 	key     key
-	inbox   chan event
+	// fallback says that this host is not the owner but schedules its own
+	// requests, because it could not reach the owner.
+	fallback bool
+	inbox    chan event
 	// reporting holds the targets whose load is polled.
 	reporting atomic.Pointer[[]settings.Target]
 	// status is the newest picture for operators.
@@ -52,9 +55,10 @@
 	unsynced map[ident.Host]struct{}
 }
 
-func newOwner(o ManagerOptions, k key) *owner {
+func newOwner(o ManagerOptions, k key, fallback bool) *owner {
 	own := &owner{
 		options:  o,
+		fallback: fallback,
 		key:      k,
 		inbox:    make(chan event, inboxSize),
 		unsynced: make(map[ident.Host]struct{}),
@@ -129,13 +133,21 @@
 	o.epoch = uint64(now.UnixNano())
 	o.decided = now
 	o.ready = false
-	members := liveMembers(o.options.Members.View(), o.key.dataCentre)
+	members := o.entries()
 	o.recovery = newRecovery(now, members)
 	for _, host := range members {
 		o.askReport(host)
 	}
 }
 
+// entries returns the hosts whose requests are scheduled here.
+func (o *owner) entries() []ident.Host {
+	if o.fallback {
+		return []ident.Host{o.options.Host}
+	}
+	return liveMembers(o.options.Members.View(), o.key.dataCentre)
+}
+
 func (o *owner) configure(now time.Time, c admission.Config) {
 	o.config = c
 	o.scheduler.Configure(now, c)
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -115,6 +115,42 @@
 	})
 }
 
+// The entry reaches neither the owner nor anyone who disagrees about who that
+// is; its membership view still holds the owner for alive.
+func TestEntryThatCannotReachTheOwnerServesItself(t *testing.T) {
+	s := newFakeSystem(t, testSnapshot(6), threeHosts()...)
+	h, owner := s.other(), s.owner()
+	s.network.setCut(h.name, owner.name, true)
+	var held []Grant
+	for _, id := range []string{"r1", "r2"} {
+		a := s.wait(h.acquire(t.Context(), testRequest(id, "filing")))
+		if a.err != nil {
+			t.Fatal(a.err)
+		}
+		held = append(held, a.grant)
+	}
+	third := h.acquire(t.Context(), testRequest("r3", "filing"))
+	s.until("the third request is queued", func() bool { return h.queued() == 1 })
+	s.until("the cautious share of 6 slots among 3 hosts is in use", func() bool { return h.inService() == 2 })
+	held[0].End(admission.End{Outcome: outcome.Completed})
+	if a := s.wait(third); a.err != nil {
+		t.Fatal(a.err)
+	}
+}
+
+func TestFallbackEndsWhenTheOwnerIsReachedAgain(t *testing.T) {
+	s := newFakeSystem(t, testSnapshot(6), threeHosts()...)
+	h, owner := s.other(), s.owner()
+	s.network.setCut(h.name, owner.name, true)
+	first := s.wait(h.acquire(t.Context(), testRequest("r1", "filing")))
+	if first.err != nil {
+		t.Fatal(first.err)
+	}
+	s.network.setCut(h.name, owner.name, false)
+	s.until("the owner accounts for the request again", func() bool { return owner.inService() == 1 })
+	s.until("the fallback has ended", func() bool { return len(h.manager.Statuses()) == 0 })
+}
+
 func TestRefusalReachesTheCaller(t *testing.T) {
 	s := newFakeSystem(t, testSnapshot(), threeHosts()...)
 	a := s.wait(s.other().acquire(t.Context(), testRequest("r1", "filing")))
