Run a cluster of real processes, and prove the path through it

internal/testbed starts daemons and stand-ins as processes from a typed description, with the fault proxy on every link if wanted; chatclient calls them as a caller does and shows all that a caller sees. The tests and the measurements share both.

test/path_test.go: four hosts in two data centres serve streamed and whole answers through each entry, checked to the byte; the pool owner is killed with SIGKILL while both engines of its data centre are full and 45 calls through living entries are under way, and every one of them gets its whole answer, with no dispatch id received twice. test/openai_test.go: the OpenAI client gets whole and streamed answers through two hosts and reads refusals as that API's errors.

bench overhead sets calls through the hosts against direct calls to the same engine, in turns, with the same arrivals.

--- a/bench/main.go
+++ b/bench/main.go
@@ -13,13 +13,16 @@
 	"github.com/oklog/run"
 
 	"github.com/cornelyard/cornelyard/bench/command"
+	"github.com/cornelyard/cornelyard/bench/overhead"
 	"github.com/cornelyard/cornelyard/bench/report"
 )
 
 func main() {
 	app := kingpin.New("bench", "Measurements of cornelyard, each against its baseline in the same run.")
 	output := app.Flag("output", "Form of the report.").Default(string(report.Text)).Enum(report.Formats...)
-	commands := []command.Command{}
+	commands := []command.Command{
+		overhead.Register(app),
+	}
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	for _, c := range commands {
 		if c.Name() == name {
--- /dev/null
+++ b/bench/overhead/options.go
@@ -0,0 +1,18 @@
+package overhead
+
+import "time"
+
+// options of the measurement.
+type options struct {
+	// rate is the mean number of calls per second.
+	rate float64
+	// duration is the length of one phase; phases alternate.
+	duration time.Duration
+	rounds   int
+	hosts    int
+	// tokens is the length of an answer.
+	tokens int
+	// decodeGap is the engine's time between tokens.
+	decodeGap time.Duration
+	seed      uint64
+}
--- /dev/null
+++ b/internal/chatclient/answer.go
@@ -0,0 +1,35 @@
+package chatclient
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/outcome"
+)
+
+// Answer is what a caller got.
+type Answer struct {
+	Status    int
+	Outcome   outcome.Outcome
+	Reason    outcome.Reason
+	RequestID ident.Request
+	// RetryAfter is zero if the answer names none.
+	RetryAfter time.Duration
+	Content    string
+	Tokens     int
+	// Whole says that the answer ended as a whole one does.
+	Whole bool
+	// Err is the error that the answer holds, as its body or as its last event.
+	Err *APIError
+	// FirstToken and Total are times since the call began.
+	FirstToken time.Duration
+	Total      time.Duration
+}
+
+// APIError is an error as the OpenAI API shapes it, with the outcome.
+type APIError struct {
+	Message string          `json:"message"`
+	Type    string          `json:"type"`
+	Code    outcome.Reason  `json:"code"`
+	Outcome outcome.Outcome `json:"outcome"`
+}
--- /dev/null
+++ b/internal/testbed/binaries.go
@@ -0,0 +1,50 @@
+package testbed
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+)
+
+const modulePath = "github.com/cornelyard/cornelyard"
+
+// Binaries are the paths of the programs that a cluster is made of.
+type Binaries struct {
+	Daemon  string
+	Standin string
+	dir     string
+}
+
+var build = sync.OnceValues(buildBinaries)
+
+// Build builds the programs, once in the life of this process.
+func Build() (*Binaries, error) { return build() }
+
+// Remove deletes the programs that Build built. Nothing may run after it.
+func Remove() {
+	if binaries, err := build(); err == nil {
+		_ = os.RemoveAll(binaries.dir)
+	}
+}
+
+func buildBinaries() (*Binaries, error) {
+	dir, err := os.MkdirTemp("", "cornelyard-bin-")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	command := exec.Command("go", "build", "-o", dir+string(filepath.Separator),
+		modulePath+"/cmd/cornelyardd", modulePath+"/internal/standin/cmd/standin")
+	var output bytes.Buffer
+	command.Stderr = &output
+	if err := command.Run(); err != nil {
+		_ = os.RemoveAll(dir)
+		return nil, Error.New("go build: %v\n%s", err, output.Bytes())
+	}
+	return &Binaries{
+		Daemon:  filepath.Join(dir, "cornelyardd"),
+		Standin: filepath.Join(dir, "standin"),
+		dir:     dir,
+	}, nil
+}
--- /dev/null
+++ b/internal/testbed/host.go
@@ -0,0 +1,84 @@
+package testbed
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cornelyard/cornelyard/config"
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/chatclient"
+)
+
+const pollInterval = 10 * time.Millisecond
+
+// Host is the process of one daemon.
+type Host struct {
+	*Process
+	// Settings is what the host's settings file holds.
+	Settings config.Host
+	// onStart is called after each start.
+	onStart func(*Host) error
+}
+
+// Host returns the host's name.
+func (h *Host) Host() ident.Host { return h.Settings.Host }
+
+// CallerURL is the base URL for callers.
+func (h *Host) CallerURL() string { return "http://" + h.Settings.CallerAddress }
+
+// OperatorURL is the base URL for operators.
+func (h *Host) OperatorURL() string { return "http://" + h.Settings.OperatorAddress }
+
+// Caller returns a client that calls the host with the token.
+func (h *Host) Caller(token string) *chatclient.Client {
+	return &chatclient.Client{BaseURL: h.CallerURL(), Token: token}
+}
+
+// Start starts the daemon, also again after its end.
+func (h *Host) Start() error {
+	if err := h.Process.Start(); err != nil {
+		return err
+	}
+	return h.onStart(h)
+}
+
+// WaitReady waits until the daemon says that it takes callers.
+func (h *Host) WaitReady(ctx context.Context) error {
+	return poll(ctx, h.Name+" is ready", func() bool {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.CallerURL()+"/readyz", nil)
+		if err != nil {
+			return false
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+func (h *Host) writeSettings(path string) error {
+	data, err := json.MarshalIndent(h.Settings, "", "  ")
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(os.WriteFile(path, data, 0o600))
+}
+
+// poll waits until the condition holds.
+func poll(ctx context.Context, what string, condition func() bool) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return Error.New("not reached: %s", what)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/testbed/hosts.go
@@ -0,0 +1,128 @@
+package testbed
+
+import (
+	"context"
+	"path/filepath"
+	"strings"
+
+	"github.com/cornelyard/cornelyard/config"
+	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// peerKey is the key of every host, 32 bytes in hex.
+var peerKey = strings.Repeat("5a", 32)
+
+// startHosts lists the hosts and the targets with the platform and starts the
+// daemons.
+func (c *Cluster) startHosts(context.Context) error {
+	for _, spec := range c.Spec.Hosts {
+		host, err := c.newHost(spec)
+		if err != nil {
+			return err
+		}
+		c.Hosts = append(c.Hosts, host)
+	}
+	if err := c.Platform.SetHosts(c.HostEntries()); err != nil {
+		return err
+	}
+	for _, host := range c.Hosts {
+		if err := c.startHost(host); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) newHost(spec HostSpec) (*Host, error) {
+	h := &Host{
+		Settings: config.Host{
+			Host:                spec.Name,
+			DataCentre:          spec.DataCentre,
+			PeerKeys:            []string{peerKey},
+			OperatorTokenHashes: []string{settings.TokenHash(OperatorToken)},
+			Timing:              c.Spec.Timing,
+			Limits:              c.Spec.Limits,
+		},
+		onStart: c.identify,
+	}
+	for _, address := range []*string{&h.Settings.CallerAddress, &h.Settings.PeerAddress, &h.Settings.OperatorAddress} {
+		free, err := FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		*address = free
+	}
+	return h, c.linkHost(h)
+}
+
+// linkHost gives the host the addresses that others and it use for each other.
+func (c *Cluster) linkHost(h *Host) error {
+	peerAddress, err := c.through(peerLink(h.Settings.Host), h.Settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	if peerAddress != h.Settings.PeerAddress {
+		h.Settings.AdvertisedPeerAddress = peerAddress
+	}
+	platformAddress, err := c.through(platformLink(h.Settings.Host), c.Platform.Address)
+	h.Settings.Platform = "http://" + platformAddress
+	return err
+}
+
+// startHost starts a daemon for the first time; its seeds are all other hosts.
+func (c *Cluster) startHost(h *Host) error {
+	for _, other := range c.Hosts {
+		if other != h {
+			h.Settings.Seeds = append(h.Settings.Seeds, other.peerAddress())
+		}
+	}
+	name := string(h.Settings.Host)
+	path := filepath.Join(c.dir, name+".json")
+	if err := h.writeSettings(path); err != nil {
+		return err
+	}
+	h.Process = c.newProcess(name, c.Binaries.Daemon, "--settings", path)
+	return h.Start()
+}
+
+// identify tells the fault proxy which process the host is now.
+func (c *Cluster) identify(h *Host) error {
+	if c.proxy == nil {
+		return nil
+	}
+	return c.proxy.setSource(string(h.Settings.Host), h.PID())
+}
+
+// peerAddress returns the address that other hosts dial.
+func (h *Host) peerAddress() string {
+	if h.Settings.AdvertisedPeerAddress != "" {
+		return h.Settings.AdvertisedPeerAddress
+	}
+	return h.Settings.PeerAddress
+}
+
+// HostEntries returns the platform's host list with everything live.
+func (c *Cluster) HostEntries() []platform.HostEntry {
+	var entries []platform.HostEntry
+	for _, h := range c.Hosts {
+		entries = append(entries, platform.HostEntry{
+			Name:       string(h.Settings.Host),
+			Role:       platform.RoleEntry,
+			DataCentre: h.Settings.DataCentre,
+			Address:    h.peerAddress(),
+			State:      platform.HostLive,
+		})
+	}
+	for _, spec := range c.Spec.Targets {
+		declared := c.Targets[spec.Name].Declared
+		entries = append(entries, platform.HostEntry{
+			Name:       string(declared.Name),
+			Role:       platform.RoleTarget,
+			DataCentre: declared.DataCentre,
+			Address:    declared.Address,
+			State:      platform.HostLive,
+		})
+	}
+	return entries
+}
--- /dev/null
+++ b/internal/testbed/process.go
@@ -0,0 +1,103 @@
+package testbed
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"syscall"
+	"time"
+)
+
+// Process is one running program. It can be started again after its end.
+type Process struct {
+	Name string
+	// Log is the file that takes the program's output over all its starts.
+	Log string
+
+	binary string
+	args   []string
+	cmd    *exec.Cmd
+	ended  chan struct{}
+}
+
+// Start starts the program.
+func (p *Process) Start() error {
+	log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(p.binary, p.args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return Error.Wrap(err)
+	}
+	ended := make(chan struct{})
+	p.cmd, p.ended = cmd, ended
+	go func() {
+		_ = cmd.Wait()
+		close(ended)
+	}()
+	return nil
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Running reports whether the program has not ended.
+func (p *Process) Running() bool {
+	if p.cmd == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends the program with SIGKILL and waits for its end.
+func (p *Process) Kill() error {
+	err := p.signal(syscall.SIGKILL)
+	if p.cmd != nil {
+		<-p.ended
+	}
+	return err
+}
+
+// Terminate asks the program to stop with SIGTERM. It does not wait.
+func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+
+// Freeze stops the program's execution until Thaw.
+func (p *Process) Freeze() error { return p.signal(syscall.SIGSTOP) }
+
+// Thaw continues a frozen program.
+func (p *Process) Thaw() error { return p.signal(syscall.SIGCONT) }
+
+// Wait waits for the end of the program and returns its exit status, which is
+// -1 if a signal ended it.
+func (p *Process) Wait(limit time.Duration) (int, error) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-p.ended:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-timer.C:
+		return 0, Error.New("%s still runs after %v", p.Name, limit)
+	}
+}
+
+// signal signals the program's process group. A program that has ended is no
+// error.
+func (p *Process) signal(signal syscall.Signal) error {
+	if !p.Running() {
+		return nil
+	}
+	err := syscall.Kill(-p.PID(), signal)
+	if errors.Is(err, syscall.ESRCH) {
+		return nil
+	}
+	return Error.Wrap(err)
+}
--- /dev/null
+++ b/test/cluster_test.go
@@ -0,0 +1,122 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/config"
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/testbed"
+	"github.com/cornelyard/cornelyard/membership"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+const (
+	// bound limits each wait; it is far above what any of them needs.
+	bound = time.Minute
+
+	model   = "drafting"
+	desk    = ident.Pool("desk")
+	token   = "shop-token"
+	teamOne = ident.Team("shops")
+)
+
+// timing makes hosts notice failures sooner than in production.
+var timing = config.Timing{
+	Heartbeat:      settings.Duration(100 * time.Millisecond),
+	SuspectAfter:   settings.Duration(500 * time.Millisecond),
+	DeadAfter:      settings.Duration(time.Second),
+	ReadinessDelay: settings.Duration(100 * time.Millisecond),
+}
+
+// baseSpec describes a cluster with one engine pool and one service pool, and
+// without hosts and targets.
+func baseSpec() testbed.Spec {
+	return testbed.Spec{
+		Tiers: []settings.Tier{
+			{Name: "urgent", Rank: 0, DefaultDeadline: settings.Duration(bound)},
+			{Name: "standard", Rank: 1, DefaultDeadline: settings.Duration(bound)},
+		},
+		Pools: []settings.Pool{
+			{Name: model, Kind: settings.EnginePool, Model: model, MaxQueue: 1000},
+			{Name: desk, Kind: settings.ServicePool, MaxQueue: 1000},
+		},
+		Teams:  []testbed.TeamSpec{{Name: teamOne, Token: token, DefaultTier: "standard"}},
+		Timing: timing,
+	}
+}
+
+// hosts returns n hosts of a data centre, named after it.
+func hosts(dc ident.DataCentre, n int) []testbed.HostSpec {
+	var specs []testbed.HostSpec
+	for i := range n {
+		name := ident.Host(fmt.Sprintf("%s-h%d", dc, i+1))
+		specs = append(specs, testbed.HostSpec{Name: name, DataCentre: dc})
+	}
+	return specs
+}
+
+// startCluster starts the cluster, stops it at the end of the test and shows its
+// logs if the test failed.
+func startCluster(t *testing.T, spec testbed.Spec) *testbed.Cluster {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	cluster, err := testbed.Start(ctx, spec)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(cluster.Logs())
+		}
+		cluster.Stop()
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cluster
+}
+
+// ownerOf returns the host that owns the pool in the data centre while all
+// hosts live.
+func ownerOf(cluster *testbed.Cluster, dc ident.DataCentre, pool ident.Pool) *testbed.Host {
+	view := &membership.View{}
+	for _, h := range cluster.Hosts {
+		view.Members = append(view.Members, membership.Member{
+			Host: h.Host(), DataCentre: h.Settings.DataCentre, State: membership.Alive,
+		})
+	}
+	return cluster.Host(view.Owner(dc, pool))
+}
+
+// until waits for the condition.
+func until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(bound)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// checkRunOnce checks that no engine, and no two engines, received an id twice.
+func checkRunOnce(t *testing.T, cluster *testbed.Cluster, engines ...ident.Target) {
+	t.Helper()
+	received := make(map[string]int)
+	for _, name := range engines {
+		record, err := cluster.Targets[name].EngineRecord()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for id, count := range record.Received() {
+			received[id] += count
+		}
+	}
+	for id, count := range received {
+		if count > 1 {
+			t.Errorf("dispatch %s was received %d times", id, count)
+		}
+	}
+}
--- /dev/null
+++ b/test/openai_test.go
@@ -0,0 +1,123 @@
+package test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/cornelyard/cornelyard/internal/chatclient"
+	"github.com/cornelyard/cornelyard/internal/testbed"
+)
+
+func openAISpec() testbed.Spec {
+	spec := baseSpec()
+	spec.Hosts = hosts("west", 2)
+	spec.Targets = []testbed.TargetSpec{testbed.Engine("west-e1", model, "west", slotsPerEngine)}
+	return spec
+}
+
+func openAIClient(host *testbed.Host, token string) openai.Client {
+	return openai.NewClient(
+		option.WithBaseURL(host.CallerURL()+"/v1"),
+		option.WithAPIKey(token),
+		option.WithMaxRetries(0),
+	)
+}
+
+func chatParams(model, prompt string, tokens int64) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:     model,
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)},
+		MaxTokens: openai.Int(tokens),
+	}
+}
+
+func TestOpenAIClient(t *testing.T) {
+	cluster := startCluster(t, openAISpec())
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	for _, host := range cluster.Hosts {
+		client := openAIClient(host, token)
+		t.Run(string(host.Host())+" whole", func(t *testing.T) { checkWhole(ctx, t, client) })
+		t.Run(string(host.Host())+" streamed", func(t *testing.T) { checkStreamed(ctx, t, client) })
+		t.Run(string(host.Host())+" refusals", func(t *testing.T) { checkRefusals(ctx, t, host) })
+	}
+}
+
+func checkWhole(ctx context.Context, t *testing.T, client openai.Client) {
+	const prompt = "a whole answer"
+	completion, err := client.Chat.Completions.New(ctx, chatParams(model, prompt, 20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := completion.Choices[0].Message.Content, chatclient.Expected(prompt, 20); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if completion.Usage.CompletionTokens != 20 {
+		t.Errorf("the usage is %+v", completion.Usage)
+	}
+}
+
+func checkStreamed(ctx context.Context, t *testing.T, client openai.Client) {
+	const prompt = "a streamed answer"
+	params := chatParams(model, prompt, 20)
+	params.StreamOptions.IncludeUsage = openai.Bool(true)
+	stream := client.Chat.Completions.NewStreaming(ctx, params)
+	defer func() { _ = stream.Close() }()
+	var accumulated openai.ChatCompletionAccumulator
+	for stream.Next() {
+		if !accumulated.AddChunk(stream.Current()) {
+			t.Fatal("a chunk does not fit the stream")
+		}
+	}
+	if err := stream.Err(); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := accumulated.Choices[0].Message.Content, chatclient.Expected(prompt, 20); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if accumulated.Usage.CompletionTokens != 20 {
+		t.Errorf("the usage is %+v", accumulated.Usage)
+	}
+}
+
+func checkRefusals(ctx context.Context, t *testing.T, host *testbed.Host) {
+	cases := []struct {
+		name    string
+		token   string
+		model   string
+		options []option.RequestOption
+		status  int
+		code    string
+	}{
+		{name: "unknown token", token: "nobody", model: model, status: 401, code: "unauthorized"},
+		{name: "unknown model", token: token, model: "none", status: 404, code: "unknown-pool"},
+		{
+			name: "bad deadline", token: token, model: model, status: 400, code: "bad-request",
+			options: []option.RequestOption{option.WithHeader("X-Cornelyard-Deadline-Ms", "soon")},
+		},
+		{
+			name: "non-idempotent without a key", token: token, model: model, status: 400, code: "key-missing",
+			options: []option.RequestOption{option.WithHeader("X-Cornelyard-Non-Idempotent", "true")},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			client := openAIClient(host, c.token)
+			_, err := client.Chat.Completions.New(ctx, chatParams(c.model, "refuse me", 5), c.options...)
+			var refusal *openai.Error
+			if !errors.As(err, &refusal) {
+				t.Fatalf("got %v", err)
+			}
+			if refusal.StatusCode != c.status || refusal.Code != c.code || refusal.Message == "" {
+				t.Errorf("got status %d, code %q, message %q", refusal.StatusCode, refusal.Code, refusal.Message)
+			}
+			if got := refusal.Response.Header.Get("X-Cornelyard-Outcome"); got != "not-run" {
+				t.Errorf("the outcome is %q", got)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/test/path_test.go
@@ -0,0 +1,143 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/chatclient"
+	"github.com/cornelyard/cornelyard/internal/testbed"
+	"github.com/cornelyard/cornelyard/outcome"
+)
+
+const (
+	slotsPerEngine = 4
+	slowGap        = "--decode-gap=20ms"
+)
+
+func pathSpec() testbed.Spec {
+	spec := baseSpec()
+	spec.Hosts = append(hosts("west", 3), hosts("east", 1)...)
+	spec.Targets = []testbed.TargetSpec{
+		testbed.Engine("west-e1", model, "west", slotsPerEngine, slowGap),
+		testbed.Engine("west-e2", model, "west", slotsPerEngine, slowGap),
+		testbed.Engine("east-e1", model, "east", slotsPerEngine),
+		testbed.Service("west-s1", desk, "west", slotsPerEngine),
+		testbed.Service("east-s1", desk, "east", slotsPerEngine),
+	}
+	return spec
+}
+
+// checkAnswer checks that a call got the whole answer to its own prompt.
+func checkAnswer(t *testing.T, call chatclient.Call, answer chatclient.Answer, err error) {
+	t.Helper()
+	want := chatclient.Expected(call.Prompt, call.MaxTokens)
+	if err != nil || !answer.Whole || answer.Content != want {
+		t.Errorf("%q (stream %v): status %d, whole %v, error %v, %+v, %d tokens of %d",
+			call.Prompt, call.Stream, answer.Status, answer.Whole, err, answer.Err, answer.Tokens, call.MaxTokens)
+	}
+}
+
+func TestEachEntryServesStreamedAndWholeAnswers(t *testing.T) {
+	cluster := startCluster(t, pathSpec())
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	for _, host := range cluster.Hosts {
+		for _, stream := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s stream %v", host.Host(), stream), func(t *testing.T) {
+				call := chatclient.Call{
+					Model: model, Stream: stream, MaxTokens: 12,
+					Prompt: fmt.Sprintf("through %s, stream %v", host.Host(), stream),
+				}
+				answer, err := host.Caller(token).Complete(ctx, call)
+				checkAnswer(t, call, answer, err)
+				if !stream && answer.Outcome != outcome.Completed {
+					t.Errorf("the outcome is %q", answer.Outcome)
+				}
+			})
+		}
+	}
+	checkRunOnce(t, cluster, "west-e1", "west-e2", "east-e1")
+}
+
+// burst is a number of calls that are made at once.
+type burst struct {
+	running   sync.WaitGroup
+	streaming atomic.Int64
+	done      atomic.Int64
+}
+
+// start makes n calls through the host. Every third is not streamed.
+func (b *burst) start(ctx context.Context, host *testbed.Host, n, tokens int, check func(chatclient.Call, chatclient.Answer, error)) {
+	for i := range n {
+		call := chatclient.Call{
+			Model: model, MaxTokens: tokens, Stream: i%3 != 2,
+			Prompt: fmt.Sprintf("call %d through %s", i, host.Host()),
+			OnToken: func(tokens int) {
+				if tokens == 1 {
+					b.streaming.Add(1)
+				}
+			},
+		}
+		b.running.Go(func() {
+			answer, err := host.Caller(token).Complete(ctx, call)
+			b.done.Add(1)
+			check(call, answer, err)
+		})
+	}
+}
+
+func TestOwnerIsKilledWhileRequestsAreQueuedAndStreaming(t *testing.T) {
+	const (
+		perEntry = 15
+		tokens   = 100
+	)
+	cluster := startCluster(t, pathSpec())
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	owner := ownerOf(cluster, "west", model)
+	living, dying := &burst{}, &burst{}
+	for _, host := range cluster.Hosts {
+		if host == owner {
+			dying.start(ctx, host, perEntry, tokens, func(chatclient.Call, chatclient.Answer, error) {})
+			continue
+		}
+		living.start(ctx, host, perEntry, tokens, func(call chatclient.Call, answer chatclient.Answer, err error) {
+			checkAnswer(t, call, answer, err)
+		})
+	}
+	until(t, "streams through living entries", func() bool { return living.streaming.Load() > 0 })
+	until(t, "full engines", func() bool { return running(t, cluster, "west-e1", "west-e2") == 2*slotsPerEngine })
+	if err := owner.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	done := living.done.Load()
+	if done == 3*perEntry {
+		t.Fatal("nothing was queued or streaming when the owner was killed")
+	}
+	t.Logf("%s owned the pool; %d of %d calls through living entries were done when it was killed", owner.Host(), done, 3*perEntry)
+	living.running.Wait()
+	dying.running.Wait()
+	checkRunOnce(t, cluster, "west-e1", "west-e2", "east-e1")
+}
+
+// running counts the requests that run on the engines.
+func running(t *testing.T, cluster *testbed.Cluster, engines ...ident.Target) int {
+	t.Helper()
+	count := 0
+	for _, name := range engines {
+		record, err := cluster.Targets[name].EngineRecord()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, run := range record.Runs {
+			if run.State == "running" {
+				count++
+			}
+		}
+	}
+	return count
+}
