--- /dev/null
+++ b/settings/export_test.go
@@ -0,0 +1,21 @@
+package settings
+
+import (
+	"context"
+
+	"github.com/cornelyard/cornelyard/platform"
+)
+
+// ScanForTest reads the whole tree by scan, as a host far behind does.
+func ScanForTest(ctx context.Context, table platform.Table) (*Tree, uint64, error) {
+	l := loader{table: table}
+	newest, err := l.head(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	s, err := l.scan(ctx, emptyState(), newest.version)
+	if err != nil {
+		return nil, 0, err
+	}
+	return s.tree, s.version, nil
+}
--- /dev/null
+++ b/settings/store_test.go
@@ -0,0 +1,292 @@
+package settings_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/finding"
+	standin "github.com/cornelyard/cornelyard/internal/standin/platform"
+	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+func TestEachAcceptedChangeIsAVersion(t *testing.T) {
+	s := newSite(t)
+	store := s.store()
+	s.apply(store, firstChange())
+	for _, deadline := range []string{"10s", "30s"} {
+		s.apply(store, change("tiers/gold.json", tierBody(deadline)))
+	}
+	same := s.apply(store, change("tiers/gold.json", tierBody("30s")))
+	if same.Changed || same.Version != 3 {
+		t.Errorf("a change of nothing gave %+v", same)
+	}
+	records, err := s.store().History(context.Background(), 0, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(records) != 3 || records[2].Version != 3 || records[2].Author != "ana" || records[2].Principal != "operator" {
+		t.Fatalf("history %+v", records)
+	}
+	for version, want := range map[uint64]string{1: "30s", 2: "10s", 3: "30s", 0: "30s"} {
+		tree, _, err := store.At(context.Background(), version)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d, _ := tree.Document("tiers/gold.json"); d.Body != tierBody(want) {
+			t.Errorf("version %d has %s", version, d.Body)
+		}
+	}
+	_, _, err = store.At(context.Background(), 9)
+	var base *settings.BaseError
+	if !errors.As(err, &base) {
+		t.Errorf("a version that does not exist gave %v", err)
+	}
+}
+
+func TestRefusedChangesAreNowhereInForce(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func() settings.Change
+		check  func(error) bool
+	}{
+		{"faulty document", func() settings.Change { return change("tiers/gold.json", `{"rank": 0}`) }, isFindings("defaultDeadline: the field is missing")},
+		{"tier in use", func() settings.Change {
+			c := change("tiers/silver.json", `{"rank": 1, "defaultDeadline": "1s"}`)
+			c.Deletes = []string{"tiers/gold.json"}
+			return c
+		}, isFindings("tiers/gold.json: removed while in use by teams/desk/team.json, teams/press/team.json")},
+		{"absent document", func() settings.Change {
+			c := change("tiers/gold.json", tierBody("1s"))
+			c.Deletes = []string{"tiers/none.json"}
+			return c
+		}, isFindings("there is no such document")},
+		{"no author, no reason", func() settings.Change {
+			c := change("tiers/gold.json", tierBody("1s"))
+			c.Author, c.Reason = "", "two\nlines"
+			return c
+		}, func(err error) bool { return isFindings("author")(err) && isFindings("reason")(err) }},
+		{"document twice", func() settings.Change {
+			c := change("tiers/gold.json", tierBody("1s"))
+			c.Deletes = []string{"tiers/gold.json"}
+			return c
+		}, isFindings("names the document twice")},
+		{"another team's subtree", func() settings.Change {
+			c := change("teams/press/team.json", teamBody("e", "f"))
+			c.Principal = settings.TeamPrincipal("desk", hash("a"))
+			return c
+		}, isForbidden},
+		{"a path that begins like the own subtree", func() settings.Change {
+			c := change("teams/desk-2/team.json", teamBody("e", "f"))
+			c.Principal = settings.TeamPrincipal("desk", hash("a"))
+			return c
+		}, isForbidden},
+		{"shared document by a team", func() settings.Change {
+			c := change("tiers/gold.json", tierBody("1s"))
+			c.Principal = settings.TeamPrincipal("desk", hash("a"))
+			return c
+		}, isForbidden},
+		{"another team's token", func() settings.Change {
+			c := change("teams/desk/team.json", teamBody("e", "f"))
+			c.Principal = settings.TeamPrincipal("desk", hash("c"))
+			return c
+		}, isForbidden},
+		{"base from the future", func() settings.Change {
+			c := change("tiers/gold.json", tierBody("1s"))
+			c.Base = 7
+			return c
+		}, func(err error) bool { var base *settings.BaseError; return errors.As(err, &base) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t)
+			store := s.store()
+			s.apply(store, firstChange())
+			if _, err := store.Apply(context.Background(), c.change()); !c.check(err) {
+				t.Errorf("got %v", err)
+			}
+			tree, version, err := s.store().At(context.Background(), 0)
+			if err != nil || version != 1 || tree.Len() != 3 {
+				t.Errorf("version %d with %d documents, %v", version, tree.Len(), err)
+			}
+		})
+	}
+}
+
+func isFindings(part string) func(error) bool {
+	return func(err error) bool {
+		var list finding.List
+		return errors.As(err, &list) && strings.Contains(list.Error(), part)
+	}
+}
+
+func isForbidden(err error) bool {
+	var forbidden *settings.ForbiddenError
+	return errors.As(err, &forbidden)
+}
+
+func TestATeamChangesItsOwnSubtree(t *testing.T) {
+	s := newSite(t)
+	store := s.store()
+	s.apply(store, firstChange())
+	c := change("teams/desk/team.json", teamBody("e", "b"))
+	c.Principal = settings.TeamPrincipal("desk", hash("a"))
+	s.apply(store, c)
+
+	c = change("teams/desk/team.json", teamBody("a", "b"))
+	c.Principal = settings.TeamPrincipal("desk", hash("a"))
+	if _, err := store.Apply(context.Background(), c); !isForbidden(err) {
+		t.Errorf("the replaced token gave %v", err)
+	}
+}
+
+func TestAConflictShowsBothVersionsAndTheirAuthors(t *testing.T) {
+	s := newSite(t)
+	store := s.store()
+	s.apply(store, firstChange())
+	theirs := change("tiers/gold.json", tierBody("10s"))
+	theirs.Author, theirs.Reason = "bea", "faster"
+	s.apply(s.store(), theirs)
+	s.apply(s.store(), change("teams/press/team.json", teamBody("c", "e")))
+
+	mine := change("tiers/gold.json", tierBody("20s"))
+	mine.Base = 1
+	_, err := store.Apply(context.Background(), mine)
+	var conflict *settings.ConflictError
+	if !errors.As(err, &conflict) || len(conflict.Conflicts) != 1 {
+		t.Fatalf("got %v", err)
+	}
+	got := conflict.Conflicts[0]
+	if got.Base != 1 || got.Author != "ana" || got.Theirs.Version != 2 || got.Theirs.Author != "bea" {
+		t.Errorf("conflict %+v", got)
+	}
+	other := change("teams/desk/team.json", teamBody("a", "f"))
+	other.Base = 1
+	if result := s.apply(store, other); result.Version != 4 {
+		t.Errorf("a change of another document gave %+v", result)
+	}
+}
+
+// TestRacersOnOneDocumentConflict holds one racer's commit back until another
+// one's has landed; neither names a base.
+func TestRacersOnOneDocumentConflict(t *testing.T) {
+	s := newSite(t)
+	s.apply(s.store(), firstChange())
+	table := &gatedTable{Table: s.table(), before: func() {
+		s.apply(s.store(), change("tiers/gold.json", tierBody("10s")))
+	}}
+	store := settings.NewStore(settings.StoreOptions{Table: table, Timeout: patience})
+	_, err := store.Apply(context.Background(), change("tiers/gold.json", tierBody("20s")))
+	var conflict *settings.ConflictError
+	if !errors.As(err, &conflict) || conflict.Conflicts[0].Base != 1 || conflict.Conflicts[0].Theirs.Version != 2 {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestRacersOnDifferentDocumentsBothLand(t *testing.T) {
+	s := newSite(t)
+	s.apply(s.store(), firstChange())
+	table := &gatedTable{Table: s.table(), before: func() {
+		s.apply(s.store(), change("tiers/gold.json", tierBody("10s")))
+	}}
+	store := settings.NewStore(settings.StoreOptions{Table: table, Timeout: patience})
+	if result := s.apply(store, change("teams/desk/team.json", teamBody("e", "f"))); result.Version != 3 {
+		t.Fatalf("got %+v", result)
+	}
+}
+
+// gatedTable calls before ahead of the first commit.
+type gatedTable struct {
+	platform.Table
+	before func()
+}
+
+func (g *gatedTable) Commit(ctx context.Context, t platform.Transaction) (uint64, error) {
+	if g.before != nil {
+		before := g.before
+		g.before = nil
+		before()
+	}
+	return g.Table.Commit(ctx, t)
+}
+
+func TestUnclearCommitsAreReadBack(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults standin.Faults
+	}{
+		{"lost confirmation", standin.Faults{LostConfirmations: 1}},
+		{"lost request", standin.Faults{LostRequests: 1}},
+		{"one after the other", standin.Faults{LostRequests: 1, LostConfirmations: 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t)
+			store := s.store()
+			s.apply(store, firstChange())
+			s.platform.SetFaults(c.faults)
+			result := s.apply(store, change("tiers/gold.json", tierBody("10s")))
+			if result.Version != 2 || !result.Changed || len(result.Edits) != 1 {
+				t.Errorf("got %+v", result)
+			}
+			if head, err := store.Head(context.Background()); err != nil || head != 2 {
+				t.Errorf("the head is %d, %v", head, err)
+			}
+		})
+	}
+}
+
+func TestAnOutageAfterALostConfirmationIsUnclear(t *testing.T) {
+	s := newSite(t)
+	s.apply(s.store(), firstChange())
+	table := s.table()
+	store := settings.NewStore(settings.StoreOptions{
+		Table:   &outageTable{Table: table, platform: s.platform},
+		Timeout: 300 * time.Millisecond,
+	})
+	c := change("tiers/gold.json", tierBody("10s"))
+	c.ID = "change-1"
+	_, err := store.Apply(context.Background(), c)
+	var unclear *settings.UnclearError
+	if !errors.As(err, &unclear) || unclear.ID != "change-1" {
+		t.Fatalf("got %v", err)
+	}
+	s.platform.SetFaults(standin.Faults{})
+	if again := s.apply(s.store(), c); again.Version != 2 {
+		t.Errorf("the same change again gave %+v", again)
+	}
+	if head, _ := store.Head(context.Background()); head != 2 {
+		t.Errorf("the head is %d", head)
+	}
+}
+
+// outageTable loses the confirmation of each commit and begins an outage.
+type outageTable struct {
+	platform.Table
+	platform *standin.Platform
+}
+
+func (o *outageTable) Commit(ctx context.Context, t platform.Transaction) (uint64, error) {
+	o.platform.SetFaults(standin.Faults{LostConfirmations: 1})
+	revision, err := o.Table.Commit(ctx, t)
+	o.platform.SetFaults(standin.Faults{Outage: true})
+	return revision, err
+}
+
+func TestAnOutageChangesNothing(t *testing.T) {
+	s := newSite(t)
+	s.apply(s.store(), firstChange())
+	s.platform.SetFaults(standin.Faults{Outage: true})
+	_, err := s.storeFor(100*time.Millisecond).Apply(context.Background(), change("tiers/gold.json", tierBody("10s")))
+	var unclear *settings.UnclearError
+	if !errors.Is(err, platform.ErrUnavailable) || errors.As(err, &unclear) {
+		t.Fatalf("got %v", err)
+	}
+	s.platform.SetFaults(standin.Faults{})
+	if head, err := s.store().Head(context.Background()); err != nil || head != 1 {
+		t.Errorf("the head is %d, %v", head, err)
+	}
+}
--- /dev/null
+++ b/settings/testkit_test.go
@@ -0,0 +1,113 @@
+package settings_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	standin "github.com/cornelyard/cornelyard/internal/standin/platform"
+	"github.com/cornelyard/cornelyard/platform/restclient"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// patience bounds every wait of these tests.
+const patience = 30 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// site is a platform with the clients of its hosts.
+type site struct {
+	platform *standin.Platform
+	server   *httptest.Server
+	t        *testing.T
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	services := standin.New(standin.Options{})
+	server := httptest.NewServer(services.Handler())
+	t.Cleanup(server.Close)
+	return &site{platform: services, server: server, t: t}
+}
+
+func (s *site) table() *restclient.Client {
+	client := restclient.New(restclient.Options{BaseURL: s.server.URL, Timeout: 2 * time.Second})
+	s.t.Cleanup(client.CloseIdleConnections)
+	return client
+}
+
+func (s *site) store() *settings.Store {
+	return settings.NewStore(settings.StoreOptions{Table: s.table(), Timeout: patience})
+}
+
+// storeFor returns a store that gives up after the timeout.
+func (s *site) storeFor(timeout time.Duration) *settings.Store {
+	return settings.NewStore(settings.StoreOptions{Table: s.table(), Timeout: timeout})
+}
+
+// run starts the watcher and stops it at the end of the test.
+func (s *site) run(w *settings.Watcher) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- w.Run(ctx) }()
+	s.t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			s.t.Errorf("the watcher ended with %v", err)
+		}
+	})
+}
+
+func (s *site) apply(store *settings.Store, c settings.Change) settings.Result {
+	s.t.Helper()
+	result, err := store.Apply(context.Background(), c)
+	if err != nil {
+		s.t.Fatalf("apply: %v", err)
+	}
+	return result
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("gave up waiting: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func hash(digit string) string { return strings.Repeat(digit, 64) }
+
+// change returns an operator's change of one document.
+func change(path, body string) settings.Change {
+	return settings.Change{
+		Author:    "ana",
+		Reason:    "a test",
+		Principal: settings.OperatorPrincipal(),
+		Puts:      []settings.Document{{Path: path, Body: body}},
+	}
+}
+
+// firstChange declares two teams with admin tokens, and their tier.
+func firstChange() settings.Change {
+	c := change("tiers/gold.json", `{"rank": 0, "defaultDeadline": "30s"}`)
+	c.Puts = append(c.Puts,
+		settings.Document{Path: "teams/desk/team.json", Body: teamBody("a", "b")},
+		settings.Document{Path: "teams/press/team.json", Body: teamBody("c", "d")},
+	)
+	return c
+}
+
+func teamBody(admin, caller string) string {
+	return `{"adminTokenHashes": ["` + hash(admin) + `"], "callerTokenHashes": ["` + hash(caller) + `"], "defaultTier": "gold"}`
+}
+
+func tierBody(deadline string) string {
+	return `{"rank": 0, "defaultDeadline": "` + deadline + `"}`
+}
--- /dev/null
+++ b/settings/watcher_test.go
@@ -0,0 +1,170 @@
+package settings_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	standin "github.com/cornelyard/cornelyard/internal/standin/platform"
+	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+// eventLog keeps the versions of settings events.
+type eventLog struct {
+	mu       sync.Mutex
+	versions []uint64
+}
+
+func (l *eventLog) Record(e timeline.Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e.Kind == timeline.SettingsApplied {
+		l.versions = append(l.versions, e.Version)
+	}
+}
+
+func (l *eventLog) all() []uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]uint64(nil), l.versions...)
+}
+
+const interval = 5 * time.Millisecond
+
+func (s *site) watcher(fetch settings.Fetch) *settings.Watcher {
+	return settings.NewWatcher(settings.WatcherOptions{
+		Table: s.table(), Interval: interval, Jitter: 0.2, HeadTimeout: 200 * time.Millisecond, Fetch: fetch,
+	})
+}
+
+func TestAWatcherFollowsThePlatform(t *testing.T) {
+	s := newSite(t)
+	events := &eventLog{}
+	w := settings.NewWatcher(settings.WatcherOptions{Table: s.table(), Interval: interval, Recorder: events})
+	if err := w.Ready(); err == nil || !strings.Contains(err.Error(), "not read yet") {
+		t.Errorf("before the start: %v", err)
+	}
+	s.run(w)
+	waitFor(t, "the empty platform is seen", func() bool {
+		err := w.Ready()
+		return err != nil && strings.Contains(err.Error(), "no declarations have been applied yet")
+	})
+	changed := w.Changed()
+	s.apply(s.store(), firstChange())
+	waitFor(t, "version 1", func() bool { return w.Version() == 1 })
+	<-changed
+	if err := w.Ready(); err != nil {
+		t.Error(err)
+	}
+	if _, ok := w.Current().Teams["desk"]; !ok {
+		t.Error("the team is not in the snapshot")
+	}
+	s.apply(s.store(), change("tiers/gold.json", tierBody("9s")))
+	waitFor(t, "version 2", func() bool { return w.Version() == 2 })
+	if got := w.Current().Tiers["gold"].DefaultDeadline.Std(); got != 9*time.Second {
+		t.Errorf("deadline %v", got)
+	}
+	if got := events.all(); len(got) != 2 || got[0] != 1 || got[1] != 2 {
+		t.Errorf("events %v", got)
+	}
+}
+
+func TestALocalChangeIsInForceAtOnce(t *testing.T) {
+	s := newSite(t)
+	w := s.watcher(nil)
+	store := settings.NewStore(settings.StoreOptions{Table: s.table(), Watcher: w})
+	if result := s.apply(store, firstChange()); w.Version() != result.Version || w.Ready() != nil {
+		t.Errorf("version %d in force after %+v", w.Version(), result)
+	}
+}
+
+func TestAHostThatStartsDuringAnOutageAsksItsPeers(t *testing.T) {
+	s := newSite(t)
+	old := s.watcher(nil)
+	store := settings.NewStore(settings.StoreOptions{Table: s.table(), Watcher: old})
+	s.apply(store, firstChange())
+	s.apply(store, change("tiers/gold.json", tierBody("9s")))
+	s.platform.SetFaults(standin.Faults{Outage: true})
+
+	young := s.watcher(func(_ context.Context, have uint64) ([]byte, error) { return old.Export(have) })
+	s.run(young)
+	waitFor(t, "the peer's version", func() bool { return young.Version() == 2 })
+	if young.Current().Tiers["gold"].DefaultDeadline.Std() != 9*time.Second {
+		t.Error("the peer's declaration is not in force")
+	}
+	s.platform.SetFaults(standin.Faults{})
+	s.apply(s.store(), change("tiers/gold.json", tierBody("8s")))
+	waitFor(t, "the version after the outage", func() bool { return young.Version() == 3 })
+}
+
+func TestWithNeitherPlatformNorPeersAHostIsNotReady(t *testing.T) {
+	s := newSite(t)
+	s.apply(s.store(), firstChange())
+	s.platform.SetFaults(standin.Faults{Outage: true})
+	w := s.watcher(func(context.Context, uint64) ([]byte, error) { return nil, settings.Error.New("no peer answers") })
+	s.run(w)
+	waitFor(t, "the reason", func() bool {
+		err := w.Ready()
+		return err != nil && strings.Contains(err.Error(), "unavailable") && strings.Contains(err.Error(), "no peer answers")
+	})
+	if w.Current() != nil {
+		t.Error("there is a snapshot")
+	}
+}
+
+func TestANudgeFetchesFromThePeerWhenThePlatformIsDown(t *testing.T) {
+	s := newSite(t)
+	ahead, behind := s.watcher(nil), (*settings.Watcher)(nil)
+	store := settings.NewStore(settings.StoreOptions{Table: s.table(), Watcher: ahead})
+	s.apply(store, firstChange())
+	behind = settings.NewWatcher(settings.WatcherOptions{
+		Table: s.table(), Interval: time.Hour,
+		Fetch: func(_ context.Context, have uint64) ([]byte, error) { return ahead.Export(have) },
+	})
+	s.run(behind)
+	waitFor(t, "version 1", func() bool { return behind.Version() == 1 })
+	s.apply(store, change("tiers/gold.json", tierBody("9s")))
+	s.platform.SetFaults(standin.Faults{Outage: true})
+	behind.Nudge(2)
+	waitFor(t, "version 2", func() bool { return behind.Version() == 2 })
+}
+
+func TestNoHostGoesBack(t *testing.T) {
+	s := newSite(t)
+	w := s.watcher(nil)
+	store := settings.NewStore(settings.StoreOptions{Table: s.table(), Watcher: w})
+	s.apply(store, firstChange())
+	old, err := w.Export(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.apply(store, change("tiers/gold.json", tierBody("9s")))
+	for _, data := range [][]byte{old, nil} {
+		if err := w.Import(data); err != nil || w.Version() != 2 {
+			t.Fatalf("version %d after an import, %v", w.Version(), err)
+		}
+	}
+	if err := w.Import([]byte("{")); err == nil {
+		t.Error("a broken export was taken")
+	}
+	if data, err := w.Export(2); err != nil || data != nil {
+		t.Errorf("an export for a host that has it: %q, %v", data, err)
+	}
+
+	// A platform that has lost everything is not followed.
+	empty := newSite(t)
+	lost := settings.NewWatcher(settings.WatcherOptions{Table: empty.table(), Interval: interval})
+	data, _ := w.Export(0)
+	if err := lost.Import(data); err != nil {
+		t.Fatal(err)
+	}
+	empty.run(lost)
+	reads := empty.platform.Counts().Reads
+	waitFor(t, "some reads of the empty platform", func() bool { return empty.platform.Counts().Reads > reads+3 })
+	if lost.Version() != 2 {
+		t.Errorf("version %d", lost.Version())
+	}
+}
