--- /dev/null
+++ b/daemon/run.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/oklog/run"
+
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+// Run serves until ctx ends, and then stops gracefully: no request in progress
+// is cut, unless the drain limit passes. It returns an error if a part fails,
+// such as a listener whose address is in use.
+func (d *Daemon) Run(ctx context.Context) error {
+	var group run.Group
+	d.addActor(&group, d.mesh.Run)
+	d.addActor(&group, d.tracker.Run)
+	d.addActor(&group, d.hosts.Run)
+	d.addActor(&group, d.settings.Run)
+	d.addActor(&group, d.announceSettings)
+	d.addActor(&group, d.client.Run)
+	d.addActor(&group, d.manager.Run)
+	d.addActor(&group, d.claims.Run)
+	d.addEntry(ctx, &group)
+	err := group.Run()
+	d.targets.Close()
+	_ = d.metrics.Closer.Close()
+	return err
+}
+
+func (d *Daemon) addActor(group *run.Group, serve func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return serve(ctx) }, func(error) { cancel() })
+}
+
+// addEntry adds the entry, whose end stops the other parts. It drains when ctx
+// ends, while the other parts go on.
+func (d *Daemon) addEntry(ctx context.Context, group *run.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	stopNotice := context.AfterFunc(ctx, d.beginDrain)
+	group.Add(func() error {
+		defer stopNotice()
+		err := d.entry.Run(ctx)
+		d.ring.Record(timeline.Event{Kind: timeline.DrainEnded})
+		return err
+	}, func(error) { cancel() })
+}
+
+// beginDrain gives up the pools, so that other hosts take them over.
+func (d *Daemon) beginDrain() {
+	d.logger.Info().Msg("The graceful stop begins.")
+	d.ring.Record(timeline.Event{Kind: timeline.DrainBegan})
+	d.tracker.SetLeaving()
+}
--- a/pool/manager.go
+++ b/pool/manager.go
@@ -121,13 +121,13 @@
 		defer m.done.Done()
 		o.run(ctx, config)
 	}()
-	m.options.Logger.Info().Str("pool", string(k.pool)).Msg("pool: this host owns the pool")
+	m.options.Logger.Info().Str("pool", string(k.pool)).Msg("This host owns the pool now.")
 }
 
 func (m *Manager) stopOwner(name ident.Pool, o *runningOwner) {
 	o.stop()
 	delete(m.owners, name)
-	m.options.Logger.Info().Str("pool", string(name)).Msg("pool: another host owns the pool")
+	m.options.Logger.Info().Str("pool", string(name)).Msg("This host no longer owns the pool.")
 }
 
 func (m *Manager) stopAll() {
