Serve the operators' interface and gather what the hosts know

Each host answers for all: it asks the others by unary calls and names those that don't answer. A team's token reads the shared documents and what is its own.

--- /dev/null
+++ b/internal/operatortest/system.go
@@ -0,0 +1,151 @@
+package operatortest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/ident"
+	standin "github.com/cornelyard/cornelyard/internal/standin/platform"
+	"github.com/cornelyard/cornelyard/membership"
+	"github.com/cornelyard/cornelyard/operator"
+	"github.com/cornelyard/cornelyard/platform/restclient"
+	"github.com/cornelyard/cornelyard/pool"
+	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/timeline"
+	"github.com/cornelyard/cornelyard/usage"
+)
+
+const (
+	// OperatorToken is the operators' token on every host.
+	OperatorToken = "operator-token"
+
+	syncInterval     = 10 * time.Millisecond
+	applyTimeout     = 2 * time.Second
+	platformPatience = 2 * time.Second
+	dataCentre       = ident.DataCentre("col-1")
+)
+
+// System is several hosts with their platform.
+type System struct {
+	Platform *standin.Platform
+	Hosts    []*Host
+
+	network *network
+	tables  []*restclient.Client
+	url     string
+	closers []func()
+	running sync.WaitGroup
+}
+
+// Start starts the hosts "host-1" and so on. Close stops them.
+func Start(count int) *System {
+	s := &System{
+		Platform: standin.New(standin.Options{}),
+		network:  &network{methods: make(map[ident.Host][]operator.Method)},
+	}
+	server := httptest.NewServer(s.Platform.Handler())
+	s.url = server.URL
+	s.closers = append(s.closers, server.Close)
+	for i := range count {
+		s.Hosts = append(s.Hosts, s.startHost(ident.Host(fmt.Sprintf("host-%d", i+1))))
+	}
+	s.SetState("", membership.Alive)
+	return s
+}
+
+// Close stops all hosts and the platform.
+func (s *System) Close() {
+	for i := len(s.closers) - 1; i >= 0; i-- {
+		s.closers[i]()
+	}
+	s.running.Wait()
+	for _, table := range s.tables {
+		table.CloseIdleConnections()
+	}
+}
+
+// Addresses returns the operator addresses of all hosts.
+func (s *System) Addresses() []string {
+	var addresses []string
+	for _, h := range s.Hosts {
+		addresses = append(addresses, h.Address)
+	}
+	return addresses
+}
+
+// Cut makes the host unreachable for the other hosts.
+func (s *System) Cut(host ident.Host) { s.network.cut(host) }
+
+// SetState makes every host see that one in the state, and all others alive.
+func (s *System) SetState(host ident.Host, state membership.State) {
+	var all []membership.Member
+	for _, h := range s.Hosts {
+		member := s.member(h.Name)
+		if h.Name == host {
+			member.State = state
+		}
+		all = append(all, member)
+	}
+	for _, h := range s.Hosts {
+		h.members.set(all)
+	}
+}
+
+func (s *System) member(name ident.Host) membership.Member {
+	return membership.Member{Host: name, DataCentre: dataCentre, Incarnation: 1, State: membership.Alive}
+}
+
+func (s *System) startHost(name ident.Host) *Host {
+	table := restclient.New(restclient.Options{BaseURL: s.url, Timeout: platformPatience})
+	s.tables = append(s.tables, table)
+	h := &Host{
+		Name:     name,
+		Timeline: timeline.NewRing(timeline.RingOptions{Host: name}),
+		Usage:    usage.NewLedger(usage.Options{Host: name, Incarnation: 1}),
+		members:  &members{view: membership.View{Self: s.member(name)}},
+	}
+	h.Settings = settings.NewWatcher(settings.WatcherOptions{Table: table, Interval: syncInterval, Recorder: h.Timeline})
+	h.Store = settings.NewStore(settings.StoreOptions{Table: table, Watcher: h.Settings, Timeout: applyTimeout})
+	h.Operator = operator.New(operator.Options{
+		OperatorTokenHashes: []string{settings.TokenHash(OperatorToken)},
+		Settings:            h.Settings,
+		Store:               h.Store,
+		Members:             h.members,
+		Caller:              s.network,
+		Pools:               pools{ownedPool(name)},
+		Timeline:            h.Timeline,
+		Usage:               h.Usage,
+		UsageInterval:       syncInterval,
+		Ready:               h.Settings.Ready,
+		Metrics:             http.HandlerFunc(writeMetrics),
+	})
+	s.network.connect(name, h.Operator.Methods())
+	s.serve(h)
+	return h
+}
+
+func (s *System) serve(h *Host) {
+	server := httptest.NewServer(h.Operator.Handler())
+	h.Address = server.Listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	s.running.Go(func() { _ = h.Settings.Run(ctx) })
+	s.closers = append(s.closers, server.Close, cancel)
+}
+
+func ownedPool(host ident.Host) pool.Status {
+	name := ident.Pool("pool-of-" + string(host))
+	return pool.Status{Pool: name, Snapshot: admission.Snapshot{
+		Pool:    name,
+		Tiers:   []admission.TierSnapshot{{Tier: "gold", Queued: 3, InService: 2}},
+		Targets: []admission.TargetSnapshot{{Target: "e1", InService: 2, Ceiling: 4, Slots: 4}},
+	}}
+}
+
+func writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("cornelyard_settings_version 1\n"))
+}
--- /dev/null
+++ b/operator/api/error.go
@@ -0,0 +1,19 @@
+package api
+
+import (
+	"github.com/cornelyard/cornelyard/finding"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// Error is the reason of a refusal. It implements error.
+type Error struct {
+	Code    ErrorCode `json:"code"`
+	Message string    `json:"message"`
+	// Findings are the faults, if Code is Findings or BadRequest.
+	Findings finding.List `json:"findings,omitempty"`
+	// Conflicts are the documents in dispute, if Code is Conflict.
+	Conflicts []settings.Conflict `json:"conflicts,omitempty"`
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Message }
--- /dev/null
+++ b/operator/api/history.go
@@ -0,0 +1,10 @@
+package api
+
+import "github.com/cornelyard/cornelyard/settings"
+
+// History is a part of the accepted changes, oldest first.
+type History struct {
+	// Head is the newest version.
+	Head    uint64            `json:"head"`
+	Records []settings.Record `json:"records"`
+}
--- /dev/null
+++ b/operator/api/status.go
@@ -0,0 +1,7 @@
+package api
+
+// Status shows all hosts, sorted by name.
+type Status struct {
+	Hosts       []HostStatus  `json:"hosts"`
+	Unreachable []Unreachable `json:"unreachable,omitempty"`
+}
--- /dev/null
+++ b/operator/authorize.go
@@ -0,0 +1,44 @@
+package operator
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/cornelyard/cornelyard/operator/api"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+const bearerPrefix = "Bearer "
+
+// handler serves a request whose token is known.
+type handler func(c echo.Context, who settings.Principal) error
+
+// authorized finds out whose token a request carries.
+func (o *Operator) authorized(next handler) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		who, ok := o.principal(c.Request().Header.Get(echo.HeaderAuthorization))
+		if !ok {
+			return &api.Error{Code: api.Unauthorized, Message: "the bearer token is missing or unknown"}
+		}
+		return next(c, who)
+	}
+}
+
+func (o *Operator) principal(header string) (settings.Principal, bool) {
+	token, ok := strings.CutPrefix(header, bearerPrefix)
+	if !ok || token == "" {
+		return settings.Principal{}, false
+	}
+	hash := settings.TokenHash(token)
+	if slices.Contains(o.options.OperatorTokenHashes, hash) {
+		return settings.OperatorPrincipal(), true
+	}
+	snapshot := o.options.Settings.Current()
+	if snapshot == nil {
+		return settings.Principal{}, false
+	}
+	team, ok := snapshot.AdminTeam(hash)
+	return settings.TeamPrincipal(team, hash), ok
+}
--- /dev/null
+++ b/operator/error_handler.go
@@ -0,0 +1,72 @@
+package operator
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/cornelyard/cornelyard/finding"
+	"github.com/cornelyard/cornelyard/operator/api"
+	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// retryAfterSeconds is when a request that found the platform down may come
+// back.
+const retryAfterSeconds = "1"
+
+func (o *Operator) handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	refusal := describe(err)
+	if refusal.Code == api.Internal {
+		o.options.Logger.Error().Str("path", c.Path()).Err(err).Msg("A request failed.")
+	}
+	if refusal.Code == api.Unavailable || refusal.Code == api.Unclear {
+		c.Response().Header().Set("Retry-After", retryAfterSeconds)
+	}
+	_ = c.JSON(refusal.Code.Status(), api.ErrorReply{Error: refusal})
+}
+
+// describe maps an error to what the client is told.
+func describe(err error) *api.Error {
+	var refusal *api.Error
+	var findings finding.List
+	var conflict *settings.ConflictError
+	var forbidden *settings.ForbiddenError
+	var base *settings.BaseError
+	var unclear *settings.UnclearError
+	var http *echo.HTTPError
+	switch {
+	case errors.As(err, &refusal):
+		return refusal
+	case errors.As(err, &findings):
+		return &api.Error{Code: api.Findings, Message: findings.Error(), Findings: findings}
+	case errors.As(err, &conflict):
+		return &api.Error{Code: api.Conflict, Message: conflict.Error(), Conflicts: conflict.Conflicts}
+	case errors.As(err, &forbidden):
+		return &api.Error{Code: api.Forbidden, Message: forbidden.Error()}
+	case errors.As(err, &base):
+		return &api.Error{Code: api.NotFound, Message: base.Error()}
+	case errors.As(err, &unclear):
+		return &api.Error{Code: api.Unclear, Message: unclear.Error()}
+	case errors.Is(err, platform.ErrUnavailable):
+		return &api.Error{Code: api.Unavailable, Message: err.Error()}
+	case errors.As(err, &http):
+		return describeHTTP(http)
+	default:
+		return &api.Error{Code: api.Internal, Message: err.Error()}
+	}
+}
+
+// describeHTTP maps the errors of the router.
+func describeHTTP(err *echo.HTTPError) *api.Error {
+	message := strings.ToLower(http.StatusText(err.Code))
+	if err.Code == http.StatusNotFound || err.Code == http.StatusMethodNotAllowed {
+		return &api.Error{Code: api.NotFound, Message: message}
+	}
+	return &api.Error{Code: api.BadRequest, Message: message}
+}
--- /dev/null
+++ b/operator/method.go
@@ -0,0 +1,43 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/peer"
+)
+
+// Names of the unary calls that the hosts make to each other.
+const (
+	methodStatus   = "status.read"
+	methodTimeline = "timeline.read"
+	methodUsage    = "usage.read"
+)
+
+// Method is a unary call that this host answers for the others.
+type Method struct {
+	Name  string
+	Serve peer.Method
+}
+
+// Methods returns the calls to register with the mesh.
+func (o *Operator) Methods() []Method {
+	return []Method{
+		{Name: methodStatus, Serve: serve(o.localStatus)},
+		{Name: methodTimeline, Serve: serve(o.localTimeline)},
+		{Name: methodUsage, Serve: serve(o.localUsage)},
+	}
+}
+
+// serve turns a typed answer into a method.
+func serve[Request, Reply any](answer func(Request) Reply) peer.Method {
+	return func(_ context.Context, _ ident.Host, body []byte) ([]byte, error) {
+		var request Request
+		if err := json.Unmarshal(body, &request); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		reply, err := json.Marshal(answer(request))
+		return reply, Error.Wrap(err)
+	}
+}
--- /dev/null
+++ b/operator/usage.go
@@ -0,0 +1,58 @@
+package operator
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/operator/api"
+	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/usage"
+)
+
+// usageQuery asks a host for its reports.
+type usageQuery struct {
+	// OwnOnly leaves out what the host keeps of others.
+	OwnOnly bool `json:"ownOnly,omitempty"`
+}
+
+// usageReply holds a host's own report and the last ones that it knows of
+// others.
+type usageReply struct {
+	Reports []usage.Report `json:"reports"`
+}
+
+func (o *Operator) usage(c echo.Context, who settings.Principal) error {
+	all := gather(c.Request().Context(), o, methodUsage, func(ident.Host) usageQuery { return usageQuery{} }, o.localUsage)
+	sums := usage.NewLedger(usage.Options{})
+	for _, a := range all.answers {
+		for _, report := range a.reply.Reports {
+			sums.Merge(report)
+			o.options.Usage.Merge(report)
+		}
+	}
+	summary := withoutCounter(sums.Sum(o.options.Now()))
+	summary.Rows = visibleRows(who, summary.Rows)
+	return c.JSON(http.StatusOK, api.Usage{Summary: summary, Unreachable: all.unreachable})
+}
+
+// withoutCounter removes the source that stands for the adding ledger itself.
+func withoutCounter(summary usage.Summary) usage.Summary {
+	var sources []usage.Source
+	for _, source := range summary.Sources {
+		if source.Host != "" {
+			sources = append(sources, source)
+		}
+	}
+	summary.Sources = sources
+	return summary
+}
+
+func (o *Operator) localUsage(query usageQuery) usageReply {
+	reply := usageReply{Reports: []usage.Report{o.options.Usage.Report(o.options.Now())}}
+	if !query.OwnOnly {
+		reply.Reports = append(reply.Reports, o.options.Usage.Foreign()...)
+	}
+	return reply
+}
--- /dev/null
+++ b/operator/visibility.go
@@ -0,0 +1,67 @@
+package operator
+
+import (
+	"strings"
+
+	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/timeline"
+	"github.com/cornelyard/cornelyard/usage"
+)
+
+// A team reads the shared documents and its own; of the rest, what is about
+// itself.
+
+func mayRead(who settings.Principal, path string) bool {
+	return !strings.HasPrefix(path, "teams/") || who.MayChange(path)
+}
+
+func visibleDocuments(who settings.Principal, prefix string, all []settings.Document) []settings.Document {
+	visible := []settings.Document{}
+	for _, d := range all {
+		if strings.HasPrefix(d.Path, prefix) && mayRead(who, d.Path) {
+			visible = append(visible, d)
+		}
+	}
+	return visible
+}
+
+// visibleRecords leaves out the edits of other teams' documents.
+func visibleRecords(who settings.Principal, all []settings.Record) []settings.Record {
+	visible := []settings.Record{}
+	for _, r := range all {
+		var edits []settings.Edit
+		for _, edit := range r.Edits {
+			if mayRead(who, edit.Path) {
+				edits = append(edits, edit)
+			}
+		}
+		if len(edits) > 0 {
+			r.Edits = edits
+			visible = append(visible, r)
+		}
+	}
+	return visible
+}
+
+func visibleEvents(who settings.Principal, all []timeline.Event) []timeline.Event {
+	if who.Operator {
+		return all
+	}
+	var visible []timeline.Event
+	for _, e := range all {
+		if e.Team == who.Team {
+			visible = append(visible, e)
+		}
+	}
+	return visible
+}
+
+func visibleRows(who settings.Principal, all []usage.Row) []usage.Row {
+	visible := []usage.Row{}
+	for _, row := range all {
+		if who.Operator || row.Team == who.Team {
+			visible = append(visible, row)
+		}
+	}
+	return visible
+}
--- a/settings/store.go
+++ b/settings/store.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/cornelyard/cornelyard/finding"
+	"github.com/cornelyard/cornelyard/logging"
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
@@ -31,7 +32,7 @@
 		loader:  loader{table: o.Table},
 		turn:    make(chan struct{}, 1),
 	}
-	s.replica = newReplica(timeline.Discard{}, silentLogger())
+	s.replica = newReplica(timeline.Discard{}, logging.Discard().For("settings"))
 	if o.Watcher != nil {
 		s.replica = o.Watcher.replica
 	}
--- a/settings/watcher.go
+++ b/settings/watcher.go
@@ -6,6 +6,10 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cornelyard/cornelyard/metrics"
 )
 
 // Watcher brings each accepted version into force on this host. It never
@@ -20,6 +24,11 @@
 
 	statusMu sync.Mutex
 	status   syncStatus
+
+	// lastRead is when the platform last told its newest version.
+	lastRead     time.Time
+	versionGauge tally.Gauge
+	ageGauge     tally.Gauge
 }
 
 var _ Source = (*Watcher)(nil)
@@ -32,6 +41,10 @@
 		options: o,
 		loader:  loader{table: o.Table},
 		nudge:   make(chan struct{}, 1),
+
+		lastRead:     time.Now(),
+		versionGauge: o.Scope.Gauge(metrics.SettingsVersion),
+		ageGauge:     o.Scope.Gauge(metrics.SettingsAge),
 	}
 }
 
@@ -130,7 +143,17 @@
 	}
 	if ctx.Err() == nil {
 		w.setStatus(status)
+		w.measure(status)
+	}
+}
+
+// measure updates the metrics after a sync.
+func (w *Watcher) measure(status syncStatus) {
+	if status.platform == nil {
+		w.lastRead = time.Now()
 	}
+	w.versionGauge.Update(float64(w.load().version))
+	w.ageGauge.Update(time.Since(w.lastRead).Seconds())
 }
 
 // behind reports whether the other hosts have to be asked.
--- a/settings/watcher_options.go
+++ b/settings/watcher_options.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/cornelyard/cornelyard/logging"
 	"github.com/cornelyard/cornelyard/platform"
 	"github.com/cornelyard/cornelyard/timeline"
 )
@@ -40,6 +42,8 @@
 	Recorder timeline.Recorder
 	// Logger takes log lines; nil means none.
 	Logger *log.Logger
+	// Scope takes the metrics; nil means none.
+	Scope tally.Scope
 }
 
 func (o WatcherOptions) withDefaults() WatcherOptions {
@@ -55,8 +59,11 @@
 	if o.Recorder == nil {
 		o.Recorder = timeline.Discard{}
 	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
 	if o.Logger == nil {
-		o.Logger = silentLogger()
+		o.Logger = logging.Discard().For("settings")
 	}
 	return o
 }
