Preempt only when waiting would miss the deadline

Cause: requests were preempted on arrival because the predicted wait took the whole backlog of the tier as served before them, predictions counted the batch at the moment of the grant, and the gap of a target left out the pauses in which it computes prompts. Slow engines stood idle under overload while requests waited for fast ones.

Change: the wait counts what is due earlier (backlog by deadline); the expected batch is the recent mean if larger; gaps of all streams are joined over a short window; a free slot is not left to wait for a better one while requests are being shed; a request that would probably be preempted (learned hazard of its tier) is not started; the answer length that a start is judged by is the high quantile if possible.

--- /dev/null
+++ b/admission/backlog.go
@@ -0,0 +1,62 @@
+package admission
+
+import "time"
+
+const (
+	// backlogBuckets and backlogBucket set the span and resolution of a backlog.
+	backlogBuckets = 256
+	backlogBucket  = 250 * time.Millisecond
+	// backlogLater marks a request whose deadline is beyond the span.
+	backlogLater = -1
+)
+
+// backlog sums the expected time in service of queued requests, in seconds of
+// one slot, by deadline.
+type backlog struct {
+	total   float64
+	count   int
+	buckets [backlogBuckets]float64
+}
+
+// add takes in a request and returns its bucket.
+func (b *backlog) add(now, deadline time.Time, cost float64) int {
+	b.total += cost
+	b.count++
+	bucket := backlogLater
+	if left := deadline.Sub(now); left < (backlogBuckets-1)*backlogBucket {
+		bucket = bucketOf(deadline)
+		b.buckets[bucket] += cost
+	}
+	return bucket
+}
+
+// remove takes a request out of the bucket that add returned.
+func (b *backlog) remove(bucket int, cost float64) {
+	b.count--
+	if b.count == 0 {
+		*b = backlog{}
+		return
+	}
+	b.total -= cost
+	if bucket != backlogLater {
+		b.buckets[bucket] -= cost
+	}
+}
+
+// until returns the part of the backlog that is due up to the deadline.
+func (b *backlog) until(now, deadline time.Time) float64 {
+	span := int(deadline.Sub(now) / backlogBucket)
+	if span >= backlogBuckets-1 {
+		return b.total
+	}
+	sum := 0.0
+	first := bucketOf(now)
+	for i := range max(0, span) + 1 {
+		sum += b.buckets[(first+i)%backlogBuckets]
+	}
+	return sum
+}
+
+func bucketOf(at time.Time) int {
+	return int(at.UnixMilli()/backlogBucket.Milliseconds()) % backlogBuckets
+}
--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -62,6 +62,7 @@
 type modelResult struct {
 	offered, good, late, shed, infeasible, preempted int
 	finish                                           []float64
+	tokens, cutTokens                                int
 }
 
 type modelEvent struct {
@@ -89,15 +90,17 @@
 }
 
 const (
-	modelChunk    = 512
-	modelReport   = 100 * time.Millisecond
-	modelNetwork  = time.Millisecond
-	modelCancel   = 20 * time.Millisecond
-	modelPrefill  = 20_000.0
-	modelGap      = 5 * time.Millisecond
-	modelGrowth   = 0.1
-	modelSlots    = 8
-	modelCacheMax = 4096
+	modelChunk     = 512
+	modelReport    = 100 * time.Millisecond
+	modelNetwork   = time.Millisecond
+	modelCancel    = 20 * time.Millisecond
+	modelPrefill   = 20_000.0
+	modelGap       = 5 * time.Millisecond
+	modelGrowth    = 0.1
+	modelSlots     = 8
+	modelLoadLag   = 500 * time.Millisecond
+	modelLoadEvery = 200 * time.Millisecond
+	modelCacheMax  = 4096
 )
 
 // modelSpeeds are the speeds of the three kinds of engines.
@@ -147,6 +150,7 @@
 	for _, job := range jobs {
 		m.after(job.arrive, func() { m.arrive(job) })
 	}
+	m.reportLoads()
 	end := m.now.Add(limit)
 	for m.events.Len() > 0 && m.events[0].at.Before(end) {
 		event := heap.Pop(&m.events).(modelEvent)
@@ -155,6 +159,17 @@
 	}
 }
 
+// reportLoads has all engines report their load, some time late, again and again.
+func (m *model) reportLoads() {
+	for _, e := range m.engines {
+		report := LoadReport{Target: e.target, Running: len(e.batch), At: m.now}
+		m.after(modelLoadLag, func() { m.scheduler.Load(m.now, report) })
+	}
+	if len(m.events) > len(m.engines) {
+		m.after(modelLoadEvery, m.reportLoads)
+	}
+}
+
 func (m *model) arrive(job *modelJob) {
 	job.request.Deadline = m.now.Add(job.request.Deadline.Sub(job.request.Arrived))
 	job.request.Arrived = m.now
@@ -299,6 +314,7 @@
 	} else {
 		m.results[job.request.Tier].late++
 	}
+	m.results[job.request.Tier].cutTokens += job.streamed
 	job.engine.wasted += max(0, job.computed-job.left)
 	m.finish(job, End{Outcome: outcome.Interrupted, Reason: reason})
 	m.decide()
@@ -323,6 +339,7 @@
 	if e.Outcome == outcome.Completed {
 		result := m.results[job.request.Tier]
 		result.good++
+		result.tokens += job.tokens
 		result.finish = append(result.finish, m.now.Sub(job.request.Arrived).Seconds())
 	}
 	m.scheduler.End(m.now, e)
@@ -438,10 +455,11 @@
 
 // modelTotals sums up a run.
 type modelTotals struct {
-	good, offered    int
-	top              float64
-	wasted, computed int
-	p50, p99         float64
+	good, offered     int
+	top               float64
+	wasted, computed  int
+	tokens, cutTokens int
+	p50, p99          float64
 }
 
 func (m *model) totals() modelTotals {
@@ -449,6 +467,8 @@
 	var finish []float64
 	for _, r := range m.results {
 		t.good += r.good
+		t.tokens += r.tokens
+		t.cutTokens += r.cutTokens
 		t.offered += r.offered
 		finish = append(finish, r.finish...)
 	}
--- a/admission/predictive.go
+++ b/admission/predictive.go
@@ -16,6 +16,8 @@
 	aside []*queued
 	// waiting says that a free slot was left to wait for a better one.
 	waiting bool
+	// shed is when a request was last given up for want of capacity.
+	shed time.Time
 }
 
 func newPredictive(s *Scheduler) *predictive {
--- a/admission/predictive_place.go
+++ b/admission/predictive_place.go
@@ -9,6 +9,9 @@
 // maxAside bounds the requests that one decision passes over.
 const maxAside = 16
 
+// pressedFor is how long the pool counts as pressed after a shed.
+const pressedFor = 5 * time.Second
+
 // grantReserved gives the slots of preempted requests to those they were stopped
 // for.
 func (p *predictive) grantReserved(now time.Time, actions []Action) []Action {
@@ -31,11 +34,16 @@
 	s := p.scheduler
 	free := s.freeSlots(now)
 	for _, tier := range s.tiers {
+		longest := tier.hazard.longest(now)
 		for free > 0 && len(p.aside) < maxAside {
 			q := tier.first()
 			if q == nil {
 				break
 			}
+			if q.cost > longest {
+				p.setAside(q)
+				continue
+			}
 			choice := p.router.Rank(now, &q.work, s.routes)
 			if !p.accepts(now, q, choice) {
 				p.passOver(now, q, choice)
@@ -49,7 +57,9 @@
 	return actions
 }
 
-// accepts says whether the request takes the best free target.
+// accepts says whether the request takes the best free target. It does if it is
+// likely to finish there in time; if it would only with luck, it rather waits for
+// a busy target where it is likely to.
 func (p *predictive) accepts(now time.Time, q *queued, choice routing.Choice) bool {
 	if choice.Free == nil {
 		return false
@@ -60,15 +70,30 @@
 	if !q.meets(now, duration(choice.FreeScore)) {
 		return false
 	}
-	return !choice.WorthWaiting() || !q.meets(now, duration(choice.BusyScore))
+	likelyBusy := choice.Busy != nil && p.likely(now, q, choice.Busy)
+	if !p.likely(now, q, choice.Free) {
+		return !likelyBusy
+	}
+	return p.pressed(now) || !choice.WorthWaiting() || !likelyBusy
+}
+
+// likely says whether even a long answer would finish in time on the target,
+// after the wait for a slot.
+func (p *predictive) likely(now time.Time, q *queued, target *routing.Target) bool {
+	run := p.router.Predict(now, &q.work, target, max(q.length.High, q.work.Length.Mid))
+	return q.meets(now, target.Wait(now)+run.Total())
+}
+
+// pressed says that capacity was short lately. Then no slot is left free to wait
+// for a better one: somebody would be shed for it.
+func (p *predictive) pressed(now time.Time) bool {
+	return !p.shed.IsZero() && now.Sub(p.shed) < pressedFor
 }
 
 // passOver leaves a request out of the rest of this decision. If it can wait for
 // a busy target it is promised a slot there; if not, it is at risk.
 func (p *predictive) passOver(now time.Time, q *queued, choice routing.Choice) {
-	q.team.tier.extract(q)
-	p.aside = append(p.aside, q)
-	p.waiting = true
+	p.setAside(q)
 	if choice.Busy != nil && q.meets(now, duration(choice.BusyScore)) {
 		choice.Busy.Promised++
 		return
@@ -80,6 +105,12 @@
 	}
 }
 
+func (p *predictive) setAside(q *queued) {
+	q.team.tier.extract(q)
+	p.aside = append(p.aside, q)
+	p.waiting = true
+}
+
 // bringGiveUpForward has a request that can be started nowhere in time looked at
 // by the give-up rule in this decision.
 func (p *predictive) bringGiveUpForward(now time.Time, q *queued) {
--- a/admission/predictive_preempt.go
+++ b/admission/predictive_preempt.go
@@ -45,23 +45,24 @@
 }
 
 // slack predicts the time that is left to spare if the request waits for its
-// turn.
+// turn and then for the target that suits it best.
 func (p *predictive) slack(now time.Time, q *queued) time.Duration {
 	s := p.scheduler
-	run := s.expectedSeconds(now, q.request.PromptTokens, q.work.Length.Mid) * (1 + riskMargin)
-	turn := s.wait(now, q.rank()) + p.nextSlot(now)
-	return q.deadline.Sub(now) - turn - duration(run) - preemptLead
+	choice := p.router.Rank(now, &q.work, s.routes)
+	best := choice.BusyScore
+	if choice.Busy == nil || choice.Free != nil && choice.FreeScore < best {
+		best = choice.FreeScore
+	}
+	took := duration(best * (1 + riskMargin))
+	return q.deadline.Sub(now) - p.ahead(now, q) - took - preemptLead
 }
 
-// nextSlot predicts the time until any slot is free.
-func (p *predictive) nextSlot(now time.Time) time.Duration {
-	next := maxWake
-	for _, target := range p.scheduler.routes {
-		if !target.Leaving {
-			next = min(next, target.Wait(now))
-		}
+// ahead predicts the wait for the queued requests that are served before q.
+func (p *predictive) ahead(now time.Time, q *queued) time.Duration {
+	if p.scheduler.firstQueued() == q {
+		return 0
 	}
-	return next
+	return p.scheduler.waitBehind(now, q.rank(), q.deadline)
 }
 
 // preempt orders a victim to stop. q, which may be nil, gets its slot.
--- a/admission/predictive_shed.go
+++ b/admission/predictive_shed.go
@@ -14,6 +14,7 @@
 		if p.stillInTime(now, q) {
 			continue
 		}
+		p.shed = now
 		actions = append(actions, s.giveAway(now, q, p.lateText(now, q)))
 	}
 	return actions
@@ -102,6 +103,7 @@
 			if q.victim != nil || !now.Add(s.wait(now, tier.rank)).After(q.giveUp) {
 				return actions
 			}
+			p.shed = now
 			actions = append(actions, s.giveAway(now, q, refusalText{
 				reason:     outcome.Shed,
 				message:    "the queue is too long for the deadline",
--- a/admission/service.go
+++ b/admission/service.go
@@ -33,10 +33,11 @@
 		s.observeWait(now, r, p)
 		return
 	}
+	streamed := p.Tokens - r.tokens
 	r.tokens = p.Tokens
 	r.target.Health.Recover()
 	if r.prefilled {
-		s.observeGap(now, r, p.Gap)
+		s.observeGap(now, r, streamed, p.Gap)
 	} else {
 		s.endPrefill(now, r, p.Prefill)
 	}
@@ -96,8 +97,7 @@
 	target := r.target
 	s.running[r.id()] = r
 	target.running.add(r)
-	target.InService++
-	target.Load.NoteInService(now, target.InService)
+	target.Enter(now)
 	r.team.tier.running.add(r)
 	if !r.prefilled {
 		target.PendingPrefill += r.computed
@@ -110,9 +110,9 @@
 	target, tier := r.target, r.team.tier
 	delete(s.running, r.id())
 	target.running.remove(r)
-	target.Load.NoteInService(now, target.InService)
-	target.InService--
+	target.Leave(now)
 	tier.running.remove(r)
+	tier.hazard.note(now, now.Sub(r.granted), r.preempted)
 	if !r.prefilled {
 		target.PendingPrefill -= r.computed
 	}
@@ -156,14 +156,14 @@
 	}
 }
 
-func (s *Scheduler) observeGap(now time.Time, r *running, gap time.Duration) {
+func (s *Scheduler) observeGap(now time.Time, r *running, tokens int, gap time.Duration) {
 	if gap <= 0 {
 		return
 	}
 	target := r.target
-	target.Estimator.ObserveGap(now, target.InService, gap)
+	target.Estimator.ObserveGap(now, target.InService, tokens, gap)
 	target.Limit.Observe(now, gap, target.InService)
-	s.estimator.ObserveGap(now, target.InService, gap)
+	s.estimator.ObserveGap(now, target.InService, tokens, gap)
 }
 
 // endPrefill takes in that the first token came.
@@ -216,7 +216,7 @@
 	case !r.prefilled:
 		s.endPrefill(now, r, e.Prefill)
 		if e.Tokens > 1 && e.Prefill > 0 {
-			s.observeGap(now, r, (e.Total-e.Prefill)/time.Duration(e.Tokens-1))
+			s.observeGap(now, r, e.Tokens-1, (e.Total-e.Prefill)/time.Duration(e.Tokens-1))
 		}
 	}
 	s.lengths.Observe(r.request.Team, e.Tokens, r.request.MaxTokens)
--- a/admission/snapshot.go
+++ b/admission/snapshot.go
@@ -60,7 +60,7 @@
 		Rank:      t.rank,
 		Queued:    t.queued,
 		InService: len(t.running.items),
-		Backlog:   t.backlog,
+		Backlog:   t.backlog.total,
 	}
 }
 
--- a/admission/tier_queue.go
+++ b/admission/tier_queue.go
@@ -16,15 +16,15 @@
 	reverse *teamHeap
 	clock   *fairClock
 	risk    *requestHeap
-	// queued counts the queued requests of all teams, and backlog their expected
-	// time in service, in seconds of one slot.
+	// queued counts the queued requests of all teams.
 	queued  int
-	backlog float64
+	backlog backlog
 	demand  demand
 
 	running runningList
 	// freeing counts the preempted requests in service.
 	freeing int
+	hazard  hazard
 }
 
 func newTierQueue(name ident.Tier, rank int, now time.Time) *tierQueue {
@@ -76,7 +76,7 @@
 	t.insert(q)
 	t.risk.add(q)
 	t.queued++
-	t.backlog += q.cost
+	q.bucket = t.backlog.add(now, q.deadline, q.cost)
 	t.demand.add(now, q.cost)
 }
 
@@ -85,10 +85,7 @@
 	t.extract(q)
 	t.risk.remove(q)
 	t.queued--
-	t.backlog -= q.cost
-	if t.queued == 0 {
-		t.backlog = 0
-	}
+	t.backlog.remove(q.bucket, q.cost)
 }
 
 // insert puts a request into the order of service.
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -20,26 +20,33 @@
 	return float64(slots)
 }
 
-// wait predicts how long a request at the end of the tier's queue waits: until
-// the queues of this tier and the higher ones are served by the slots that the
-// arrivals of the higher ones leave.
+// wait predicts how long a request at the end of the tier's queue waits.
 func (s *Scheduler) wait(now time.Time, rank int) time.Duration {
+	return s.waitBehind(now, rank, now.Add(noDeadline))
+}
+
+// waitBehind predicts how long a request of the tier waits for those that are
+// served before it: all that are queued in higher tiers, and those of its own
+// tier with an earlier deadline. They are served by the slots that the arrivals
+// of the higher tiers leave.
+func (s *Scheduler) waitBehind(now time.Time, rank int, deadline time.Time) time.Duration {
 	capacity := s.capacity(now)
 	if capacity == 0 {
 		return maxRetryAfter
 	}
-	backlog, taken := 0.0, 0.0
+	ahead, taken := 0.0, 0.0
 	for _, tier := range s.tiers {
-		if tier.rank > rank {
+		if tier.rank >= rank {
+			if tier.rank == rank {
+				ahead += tier.backlog.until(now, deadline)
+			}
 			break
 		}
-		backlog += tier.backlog
-		if tier.rank < rank {
-			taken += tier.demand.rate(now)
-		}
+		ahead += tier.backlog.total
+		taken += tier.demand.rate(now)
 	}
 	left := max(capacity-taken, leastShare*capacity)
-	return time.Duration(backlog / left * float64(time.Second))
+	return duration(ahead / left)
 }
 
 // retryAfter tells a refused caller of the tier when to come back.
@@ -47,3 +54,13 @@
 	wait := s.wait(now, rank)
 	return min(maxRetryAfter, max(minRetryAfter, wait.Round(time.Second)))
 }
+
+// firstQueued returns the request that is first in the order of service, or nil.
+func (s *Scheduler) firstQueued() *queued {
+	for _, tier := range s.tiers {
+		if q := tier.first(); q != nil {
+			return q
+		}
+	}
+	return nil
+}
--- a/routing/estimator.go
+++ b/routing/estimator.go
@@ -13,7 +13,7 @@
 
 	priorWeight   = 1.0
 	prefillForget = 0.95
-	gapForget     = 0.98
+	gapForget     = 0.97
 
 	// matureWeight is the number of observations from which on an outlier counts
 	// as a slowdown rather than as news about the usual speed.
@@ -31,6 +31,7 @@
 	gap         *Line
 	prefillSlow Slowdown
 	gapSlow     Slowdown
+	gapWindow   gapWindow
 }
 
 // NewEstimator returns an estimator that knows nothing yet.
@@ -75,11 +76,15 @@
 	observeWait(e.prefill, &e.prefillSlow, now, float64(tokens), waited.Seconds())
 }
 
-// ObserveGap takes in a mean time between tokens with so many requests in the
-// batch.
-func (e *Estimator) ObserveGap(now time.Time, batch int, gap time.Duration) {
-	if gap >= minGapReported {
-		observe(e.gap, &e.gapSlow, now, float64(batch), gap.Seconds())
+// ObserveGap takes in so many tokens of one stream, the mean time between them
+// and the number of requests in the batch.
+func (e *Estimator) ObserveGap(now time.Time, batch, tokens int, gap time.Duration) {
+	if gap < minGapReported || tokens <= 0 {
+		return
+	}
+	mean, meanBatch, full := e.gapWindow.add(now, batch, tokens, gap)
+	if full {
+		observe(e.gap, &e.gapSlow, now, meanBatch, mean.Seconds())
 	}
 }
 
--- a/routing/prediction.go
+++ b/routing/prediction.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Prediction splits the predicted time on a target.
 type Prediction struct {
@@ -15,13 +18,19 @@
 // and answer tokens take on the target beside what it has in service.
 func (t *Target) Predict(now time.Time, promptTokens, cached, tokens int) Prediction {
 	computed := max(0, promptTokens-cached) + t.PendingPrefill
-	batch := t.InService + 1 + t.Load.Foreign(now)
 	return Prediction{
 		Prefill: t.Estimator.Prefill(now, computed),
-		Decode:  time.Duration(max(0, tokens-1)) * t.Estimator.Gap(now, batch),
+		Decode:  time.Duration(max(0, tokens-1)) * t.Estimator.Gap(now, t.expectedBatch(now)),
 	}
 }
 
+// expectedBatch is the batch that one more request is expected to be in: what is
+// in service now, or lately if that was more, since slots fill up again.
+func (t *Target) expectedBatch(now time.Time) int {
+	lately := int(math.Ceil(t.occupancy.meanAt(now)))
+	return max(t.InService+1, lately) + t.Load.Foreign(now)
+}
+
 // PredictIdle returns the same as if nothing else were in service.
 func (t *Target) PredictIdle(now time.Time, promptTokens, cached, tokens int) Prediction {
 	return Prediction{
--- a/routing/target.go
+++ b/routing/target.go
@@ -30,7 +30,26 @@
 	// Turn is when the target was chosen last, as a count of choices.
 	Turn uint64
 
-	prefixes prefixMemory
+	prefixes  prefixMemory
+	occupancy occupancy
+}
+
+// Enter takes in that one more request is in service.
+func (t *Target) Enter(now time.Time) {
+	t.InService++
+	t.noteInService(now)
+}
+
+// Leave takes in that one request less is in service.
+func (t *Target) Leave(now time.Time) {
+	t.Load.NoteInService(now, t.InService)
+	t.InService--
+	t.noteInService(now)
+}
+
+func (t *Target) noteInService(now time.Time) {
+	t.Load.NoteInService(now, t.InService)
+	t.occupancy.change(now, t.InService)
 }
 
 // Slots returns the number of slots that may be used now.
