--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/cornelyard/cornelyard/logging"
 	"github.com/cornelyard/cornelyard/membership"
 	"github.com/cornelyard/cornelyard/metrics"
+	"github.com/cornelyard/cornelyard/operator"
 	"github.com/cornelyard/cornelyard/peer"
 	"github.com/cornelyard/cornelyard/platform"
 	"github.com/cornelyard/cornelyard/platform/hostwatch"
@@ -58,6 +59,7 @@
 	targets  *target.Client
 	claims   *claim.Claims
 	entry    *entry.Entry
+	operator *operator.Operator
 }
 
 // New puts a host together. It opens no connection and no listener.
@@ -84,6 +86,7 @@
 	}
 	d.buildPools()
 	d.buildEntry()
+	d.buildOperator()
 	d.connect()
 	return d, nil
 }
@@ -199,6 +202,23 @@
 	})
 }
 
+func (d *Daemon) buildOperator() {
+	d.operator = operator.New(operator.Options{
+		Address:             d.config.OperatorAddress,
+		OperatorTokenHashes: d.config.OperatorTokenHashes,
+		Settings:            d.settings,
+		Store:               d.store,
+		Members:             d.tracker,
+		Caller:              d.mesh,
+		Pools:               d.manager,
+		Timeline:            d.ring,
+		Usage:               d.usage,
+		Ready:               d.settings.Ready,
+		Metrics:             d.metrics.Handler,
+		Logger:              d.logs.For("operator"),
+	})
+}
+
 // connect ties the parts that need each other.
 func (d *Daemon) connect() {
 	d.tracker.SetSender(d.mesh)
@@ -207,6 +227,9 @@
 	d.mesh.AddHandler(d.client)
 	d.mesh.AddHandler(d.manager)
 	d.mesh.RegisterMethod(methodSettings, d.exportSettings)
+	for _, method := range d.operator.Methods() {
+		d.mesh.RegisterMethod(method.Name, method.Serve)
+	}
 }
 
 // mayRun reports whether that process of a host may still be running.
