Prove that hosts serve on while links are cut

With the fault proxy on every link: data centres cut from each other, every host cut from the platform, one entry cut from the pool's owner both ways and each way alone, and a stream whose connection to its engine is reset three times.

--- /dev/null
+++ b/test/cuts_test.go
@@ -0,0 +1,137 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/chatclient"
+	"github.com/cornelyard/cornelyard/internal/standin/faultproxy"
+	"github.com/cornelyard/cornelyard/internal/testbed"
+)
+
+var (
+	cut    = faultproxy.Faults{Cut: true}
+	mended = faultproxy.Faults{}
+)
+
+func cutSpec() testbed.Spec {
+	spec := baseSpec()
+	spec.Proxied = true
+	spec.Hosts = append(hosts("west", 3), hosts("east", 1)...)
+	spec.Targets = []testbed.TargetSpec{
+		testbed.Engine("west-e1", model, "west", slotsPerEngine),
+		testbed.Engine("east-e1", model, "east", slotsPerEngine),
+	}
+	return spec
+}
+
+// TestServingGoesOnDuringWideCuts checks that each host serves while data
+// centres or the platform are cut off, and after that.
+func TestServingGoesOnDuringWideCuts(t *testing.T) {
+	cluster := startCluster(t, cutSpec())
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	cases := []struct {
+		name string
+		set  func(f faultproxy.Faults) error
+	}{
+		{"the data centres from each other", func(f faultproxy.Faults) error {
+			return cluster.SetDataCentreFaults("west", "east", f)
+		}},
+		{"every host from the platform", func(f faultproxy.Faults) error { return setPlatformFaults(cluster, f) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for _, faults := range []faultproxy.Faults{cut, mended} {
+				if err := c.set(faults); err != nil {
+					t.Fatal(err)
+				}
+				checkEachHostServes(ctx, t, cluster, fmt.Sprintf("%s, cut %v", c.name, faults.Cut))
+			}
+		})
+	}
+	checkRunOnce(t, cluster, "west-e1", "east-e1")
+}
+
+// TestServingGoesOnWhileAnEntryCannotReachTheOwner checks the same for one
+// entry and the host that owns the pool.
+func TestServingGoesOnWhileAnEntryCannotReachTheOwner(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults faultproxy.Faults
+	}{
+		{"both ways", faultproxy.Faults{Cut: true}},
+		{"to the owner", faultproxy.Faults{CutToTarget: true}},
+		{"from the owner", faultproxy.Faults{CutToClient: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			cluster := startCluster(t, cutSpec())
+			ctx, cancel := context.WithTimeout(context.Background(), bound)
+			defer cancel()
+			owner := ownerOf(cluster, "west", model).Host()
+			entry := otherHost(cluster, "west", owner)
+			checkEachHostServes(ctx, t, cluster, "before")
+			for _, faults := range []faultproxy.Faults{c.faults, mended} {
+				if err := cluster.SetPeerFaults(entry, owner, faults); err != nil {
+					t.Fatal(err)
+				}
+				checkEachHostServes(ctx, t, cluster, fmt.Sprintf("faults %+v", faults))
+			}
+			checkRunOnce(t, cluster, "west-e1", "east-e1")
+		})
+	}
+}
+
+// TestAStreamOutlivesItsConnectionToTheTarget resets all connections to the
+// engine while a stream is under way.
+func TestAStreamOutlivesItsConnectionToTheTarget(t *testing.T) {
+	cluster := startCluster(t, cutSpec())
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	call := chatclient.Call{
+		Model: model, Prompt: "a stream that is reset", MaxTokens: 60, Stream: true,
+		OnToken: func(tokens int) {
+			if tokens%20 != 10 {
+				return
+			}
+			if err := cluster.ResetTarget("", "west-e1"); err != nil {
+				t.Error(err)
+			}
+		},
+	}
+	answer, err := cluster.Hosts[0].Caller(token).Complete(ctx, call)
+	checkAnswer(t, call, answer, err)
+	checkRunOnce(t, cluster, "west-e1")
+}
+
+func checkEachHostServes(ctx context.Context, t *testing.T, cluster *testbed.Cluster, what string) {
+	t.Helper()
+	for _, host := range cluster.Hosts {
+		call := chatclient.Call{Model: model, Prompt: fmt.Sprintf("%s: %s", host.Host(), what), MaxTokens: 5, Stream: true}
+		answer, err := host.Caller(token).Complete(ctx, call)
+		checkAnswer(t, call, answer, err)
+		t.Logf("%s served in %v", host.Host(), answer.Total)
+	}
+}
+
+func setPlatformFaults(cluster *testbed.Cluster, f faultproxy.Faults) error {
+	for _, host := range cluster.Hosts {
+		if err := cluster.SetPlatformFaults(host.Host(), f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// otherHost returns a host of the data centre that is not the given one.
+func otherHost(cluster *testbed.Cluster, dc ident.DataCentre, not ident.Host) ident.Host {
+	for _, host := range cluster.Hosts {
+		if host.Settings.DataCentre == dc && host.Host() != not {
+			return host.Host()
+		}
+	}
+	return ""
+}
