Call plain services through each entry

chatclient learns service calls; the path test checks a GET, a POST and a non-idempotent call through each of four hosts against the services' records.

--- a/internal/chatclient/answer.go
+++ b/internal/chatclient/answer.go
@@ -3,20 +3,14 @@
 import (
 	"time"
 
-	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
 )
 
 // Answer is what a caller got.
 type Answer struct {
-	Status    int
-	Outcome   outcome.Outcome
-	Reason    outcome.Reason
-	RequestID ident.Request
-	// RetryAfter is zero if the answer names none.
-	RetryAfter time.Duration
-	Content    string
-	Tokens     int
+	Head
+	Content string
+	Tokens  int
 	// Whole says that the answer ended as a whole one does.
 	Whole bool
 	// Err is the error that the answer holds, as its body or as its last event.
--- a/internal/chatclient/client.go
+++ b/internal/chatclient/client.go
@@ -6,13 +6,10 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/standin/engine"
-	"github.com/cornelyard/cornelyard/outcome"
 )
 
 // Client calls one host, or an engine directly.
@@ -36,7 +33,7 @@
 // Complete makes the call and reads the answer. The error tells that no answer
 // came or that the connection broke; what came before is returned with it.
 func (c *Client) Complete(ctx context.Context, call Call) (Answer, error) {
-	request, err := c.newRequest(ctx, call)
+	request, err := c.newChatRequest(ctx, call)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -46,13 +43,7 @@
 		return Answer{Total: time.Since(begin)}, Error.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer := Answer{
-		Status:     response.StatusCode,
-		Outcome:    outcome.Outcome(response.Header.Get("X-Cornelyard-Outcome")),
-		Reason:     outcome.Reason(response.Header.Get("X-Cornelyard-Reason")),
-		RequestID:  ident.Request(response.Header.Get("X-Cornelyard-Request-Id")),
-		RetryAfter: retryAfter(response.Header),
-	}
+	answer := Answer{Head: newHead(response)}
 	reader := answerReader{answer: &answer, begin: begin, onToken: call.OnToken}
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		err = reader.readStream(response.Body)
@@ -70,41 +61,31 @@
 	return http.DefaultClient
 }
 
-func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, error) {
+func (c *Client) newChatRequest(ctx context.Context, call Call) (*http.Request, error) {
 	body, err := json.Marshal(engine.Request{
 		Model: call.Model, Messages: userMessage(call.Prompt), MaxTokens: call.MaxTokens, Stream: call.Stream,
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.BaseURL+"/v1/chat/completions", nil)
+	return c.newRequest(ctx, http.MethodPost, "/v1/chat/completions", body, terms{
+		tier: call.Tier, deadline: call.Deadline, key: call.Key, nonIdempotent: call.NonIdempotent,
+	})
+}
+
+// newRequest builds a request whose body cannot be rewound, so that net/http
+// does not send it twice.
+func (c *Client) newRequest(ctx context.Context, method, path string, body []byte, t terms) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.BaseURL+path, nil)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	request.Body = io.NopCloser(bytes.NewReader(body))
-	request.ContentLength = int64(len(body))
-	header := request.Header
-	header.Set("Content-Type", "application/json")
-	header.Set("Authorization", "Bearer "+c.Token)
-	if call.Tier != "" {
-		header.Set("X-Cornelyard-Tier", string(call.Tier))
-	}
-	if call.Deadline > 0 {
-		header.Set("X-Cornelyard-Deadline-Ms", strconv.FormatInt(call.Deadline.Milliseconds(), 10))
-	}
-	if call.Key != "" {
-		header.Set("Idempotency-Key", call.Key)
-	}
-	if call.NonIdempotent {
-		header.Set("X-Cornelyard-Non-Idempotent", "true")
+	if len(body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		request.ContentLength = int64(len(body))
+		request.Header.Set("Content-Type", "application/json")
 	}
+	request.Header.Set("Authorization", "Bearer "+c.Token)
+	t.set(request.Header)
 	return request, nil
 }
-
-func retryAfter(header http.Header) time.Duration {
-	seconds, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
-}
--- a/internal/chatclient/doc.go
+++ b/internal/chatclient/doc.go
@@ -1,3 +1,4 @@
-// Package chatclient calls hosts as their callers do, and tells all that a
-// caller can see of an answer. Tests and measurements use it.
+// Package chatclient calls hosts as their callers do, for chat completions and
+// for plain services, and shows all that a caller sees of an answer. Tests and
+// measurements use it.
 package chatclient
--- /dev/null
+++ b/internal/chatclient/head.go
@@ -0,0 +1,46 @@
+package chatclient
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/outcome"
+)
+
+// Head is what an answer's status and header tell.
+type Head struct {
+	Status    int
+	Outcome   outcome.Outcome
+	Reason    outcome.Reason
+	RequestID ident.Request
+	// RetryAfter is zero if the answer names none.
+	RetryAfter time.Duration
+	// Replayed says that the answer is the kept one of an earlier call.
+	Replayed bool
+}
+
+func newHead(response *http.Response) Head {
+	header := response.Header
+	return Head{
+		Status:     response.StatusCode,
+		Outcome:    outcome.Outcome(header.Get("X-Cornelyard-Outcome")),
+		Reason:     outcome.Reason(header.Get("X-Cornelyard-Reason")),
+		RequestID:  ident.Request(header.Get("X-Cornelyard-Request-Id")),
+		RetryAfter: retryAfter(header),
+		Replayed:   header.Get("X-Cornelyard-Replayed") == "true",
+	}
+}
+
+// retryAfter prefers the header in milliseconds, which is the finer one.
+func retryAfter(header http.Header) time.Duration {
+	if ms, err := strconv.Atoi(header.Get("Retry-After-Ms")); err == nil {
+		return time.Duration(ms) * time.Millisecond
+	}
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -63,6 +64,51 @@
 	checkRunOnce(t, cluster, "west-e1", "west-e2", "east-e1")
 }
 
+func TestEachEntryCallsPlainServices(t *testing.T) {
+	cluster := startCluster(t, pathSpec())
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	for _, host := range cluster.Hosts {
+		for _, call := range []chatclient.ServiceCall{
+			{Pool: desk, Path: "/codes/4711", Method: http.MethodGet},
+			{Pool: desk, Path: "/codes", Body: "some text"},
+			{Pool: desk, Path: "/filings", Body: `{"idempotencyKey":"k"}`, Key: "key of " + string(host.Host()), NonIdempotent: true},
+		} {
+			t.Run(fmt.Sprintf("%s %s %s", host.Host(), call.Method, call.Path), func(t *testing.T) {
+				answer, err := host.Caller(token).CallService(ctx, call)
+				if err != nil || answer.Status != http.StatusOK || answer.Outcome != outcome.Completed {
+					t.Fatalf("status %d, outcome %q, error %v, %+v", answer.Status, answer.Outcome, err, answer.Err)
+				}
+				if answer.Echo.Path != call.Path || answer.Echo.Body != call.Body {
+					t.Errorf("the service received %+v", answer.Echo)
+				}
+			})
+		}
+	}
+	checkServedOnce(t, cluster, 3*len(cluster.Hosts), "west-s1", "east-s1")
+}
+
+// checkServedOnce checks that the services received that many calls and none
+// twice.
+func checkServedOnce(t *testing.T, cluster *testbed.Cluster, want int, services ...ident.Target) {
+	t.Helper()
+	received := make(map[string]int)
+	total := 0
+	for _, name := range services {
+		record, err := cluster.Targets[name].ServiceRecord()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for id, count := range record.Received() {
+			received[id] += count
+			total += count
+		}
+	}
+	if total != want || len(received) != want {
+		t.Errorf("the services received %d calls of %d ids, want %d", total, len(received), want)
+	}
+}
+
 // burst is a number of calls that are made at once.
 type burst struct {
 	running   sync.WaitGroup
