--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -114,8 +114,8 @@
 		return badRequest(c, standin.Error.New("after must be a token offset"))
 	}
 	run := e.find(c.Param("id"))
-	if run == nil {
-		return c.JSON(http.StatusNotFound, errorBody{errorDetail{Message: "no such stream", Type: "not_found_error"}})
+	if run == nil || e.refusesResume() {
+		return noSuchStream(c)
 	}
 	e.attach(run)
 	defer e.detach(run, e.grace(run))
@@ -131,7 +131,7 @@
 func (e *Engine) postCancel(c echo.Context) error {
 	run := e.find(c.Param("id"))
 	if run == nil {
-		return c.JSON(http.StatusNotFound, errorBody{errorDetail{Message: "no such stream", Type: "not_found_error"}})
+		return noSuchStream(c)
 	}
 	e.cancel(run)
 	return c.NoContent(http.StatusNoContent)
@@ -141,6 +141,10 @@
 	return c.JSON(http.StatusBadRequest, errorBody{errorDetail{Message: err.Error(), Type: "invalid_request_error"}})
 }
 
+func noSuchStream(c echo.Context) error {
+	return c.JSON(http.StatusNotFound, errorBody{errorDetail{Message: "no such stream", Type: "not_found_error"}})
+}
+
 func refuseLeaving(c echo.Context, id string) error {
 	c.Response().Header().Set(leavingHeader, "true")
 	c.Response().Header().Set(requestIDHeader, id)
--- a/internal/standin/engine/intake.go
+++ b/internal/standin/engine/intake.go
@@ -78,12 +78,15 @@
 func (e *Engine) find(id string) *run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.faults.RefuseResume {
-		return nil
-	}
 	return e.byID[id]
 }
 
+func (e *Engine) refusesResume() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.RefuseResume
+}
+
 func (e *Engine) progress(r *run) progress {
 	e.mu.Lock()
 	defer e.mu.Unlock()
