Add the operators' commands

validate, diff, apply, get, history, status, timeline, usage, schema and version, with documented exit statuses, JSON output and kingpin's completion.

--- /dev/null
+++ b/cli/command.go
@@ -0,0 +1,31 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// Command is one command of the tool.
+type Command interface {
+	// Register adds the command with its flags and arguments.
+	Register(app *kingpin.Application) *kingpin.CmdClause
+	// Run carries it out.
+	Run(ctx context.Context, s *Session) error
+}
+
+// Commands returns the commands of this package.
+func Commands() []Command {
+	return []Command{
+		&validateCommand{},
+		&diffCommand{},
+		&applyCommand{},
+		&getCommand{},
+		&historyCommand{},
+		&statusCommand{},
+		&timelineCommand{},
+		&usageCommand{},
+		&schemaCommand{},
+		&versionCommand{},
+	}
+}
--- /dev/null
+++ b/cli/diff.go
@@ -0,0 +1,77 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+const diffExamples = `Examples:
+  cornelyard diff declarations
+  cornelyard diff declarations --team press --exit-code
+`
+
+// diffCommand shows what apply would change.
+type diffCommand struct {
+	scope    scope
+	exitCode bool
+}
+
+// differences is the JSON output.
+type differences struct {
+	Version uint64          `json:"version"`
+	Edits   []settings.Edit `json:"edits"`
+	// Kept are the documents that are in force and not in the directory.
+	Kept []string `json:"kept,omitempty"`
+}
+
+// Register implements Command.
+func (c *diffCommand) Register(app *kingpin.Application) *kingpin.CmdClause {
+	command := app.Command("diff", "Show how a directory differs from the newest declarations.").HelpLong(diffExamples)
+	c.scope.register(command)
+	command.Flag("exit-code", "Exit with status 9 if there are differences.").BoolVar(&c.exitCode)
+	return command
+}
+
+func (c *scope) register(command *kingpin.CmdClause) {
+	command.Arg("directory", "Root of the declarations.").Required().StringVar(&c.directory)
+	command.Flag("team", "Only the subtree of this team.").PlaceHolder("TEAM").StringVar(&c.team)
+	command.Flag("prune", "Remove documents that are in force and not in the directory.").BoolVar(&c.prune)
+}
+
+// Run implements Command.
+func (c *diffCommand) Run(ctx context.Context, s *Session) error {
+	system, err := s.newClient()
+	if err != nil {
+		return err
+	}
+	defer system.Close()
+	found, err := c.scope.compare(ctx, system)
+	if err != nil {
+		return err
+	}
+	if err := found.print(s); err != nil {
+		return err
+	}
+	if c.exitCode && len(found.edits) > 0 {
+		return &exitError{status: ExitDifferent}
+	}
+	return nil
+}
+
+func (r *comparison) print(s *Session) error {
+	if s.JSON() {
+		edits := append([]settings.Edit{}, r.edits...)
+		return s.WriteJSON(differences{Version: r.version, Edits: edits, Kept: r.kept})
+	}
+	for _, edit := range r.edits {
+		s.printDiff(edit)
+	}
+	if len(r.edits) == 0 {
+		s.Printf("no difference from version %d\n", r.version)
+	}
+	r.noteKept(s)
+	return nil
+}
--- /dev/null
+++ b/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli holds the commands of the operators' tool, cornelyard.
+package cli
--- /dev/null
+++ b/cli/environment.go
@@ -0,0 +1,10 @@
+package cli
+
+import "io"
+
+// Environment is what the tool gets from its process.
+type Environment struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	Getenv func(string) string
+}
--- /dev/null
+++ b/cli/follow_test.go
@@ -0,0 +1,72 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/cli"
+	"github.com/cornelyard/cornelyard/internal/operatortest"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+const patience = 30 * time.Second
+
+// output is a buffer that is read while the tool writes.
+type output struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(data []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buffer.Write(data)
+}
+
+func (o *output) count(part string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Count(o.buffer.String(), part)
+}
+
+// TestTimelineFollows shows the events of several hosts as they come, each
+// once, until an interrupt.
+func TestTimelineFollows(t *testing.T) {
+	s := operatortest.Start(hosts)
+	defer s.Close()
+	out := &output{}
+	environment := cli.Environment{Stdout: out, Stderr: io.Discard, Getenv: func(name string) string {
+		return map[string]string{
+			"CORNELYARD_OPERATOR": s.Addresses()[0],
+			"CORNELYARD_TOKEN":    operatortest.OperatorToken,
+		}[name]
+	}}
+	ctx, interrupt := context.WithCancel(context.Background())
+	status := make(chan cli.ExitStatus, 1)
+	go func() {
+		status <- cli.Main(ctx, []string{"timeline", "--follow", "--request", "r1"}, environment, cli.Commands())
+	}()
+	const rounds = 3
+	for round := 1; round <= rounds; round++ {
+		for _, h := range s.Hosts {
+			h.Timeline.Record(timeline.Event{Kind: timeline.Accepted, Request: "r1"})
+		}
+		deadline := time.Now().Add(patience)
+		for out.count("request=r1") < round*hosts && time.Now().Before(deadline) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	interrupt()
+	if got := <-status; got != cli.ExitOK {
+		t.Errorf("exit status %d", got)
+	}
+	if got := out.count("request=r1"); got != rounds*hosts {
+		t.Errorf("%d events are shown, want %d", got, rounds*hosts)
+	}
+}
--- /dev/null
+++ b/cli/main.go
@@ -0,0 +1,74 @@
+package cli
+
+import (
+	"context"
+	"errors"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/cornelyard/cornelyard/finding"
+	"github.com/cornelyard/cornelyard/operator/api"
+)
+
+// exampleTemplate adds what kingpin's template leaves out.
+const exampleTemplate = `{{if .Context.SelectedCommand -}}
+{{with .Context.SelectedCommand.HelpLong}}{{.}}
+{{end -}}
+{{else}}` + exitStatuses + `{{end -}}
+`
+
+// Main runs the command that the arguments name and returns its exit status.
+func Main(ctx context.Context, arguments []string, environment Environment, commands []Command) ExitStatus {
+	app := kingpin.New("cornelyard", "Declares what cornelyard serves, and shows what it does.")
+	app.UsageTemplate(kingpin.DefaultUsageTemplate + exampleTemplate)
+	app.UsageWriter(environment.Stdout)
+	app.ErrorWriter(environment.Stderr)
+	app.HelpFlag.Short('h')
+	s := &Session{Environment: environment}
+	s.flags.register(app)
+	byName := make(map[string]Command, len(commands))
+	for _, command := range commands {
+		byName[command.Register(app).FullCommand()] = command
+	}
+	name, err := app.Parse(arguments)
+	if err != nil {
+		s.Notef("cornelyard: %v; try --help\n", err)
+		return ExitUsage
+	}
+	err = byName[name].Run(ctx, s)
+	s.report(err)
+	return statusOf(err)
+}
+
+// report writes the error: as JSON to the standard output if asked for, else as
+// text to the standard error output.
+func (s *Session) report(err error) {
+	if err == nil || err.Error() == "" {
+		return
+	}
+	if s.JSON() {
+		_ = s.WriteJSON(api.ErrorReply{Error: toAPI(err)})
+		return
+	}
+	if findings := toAPI(err).Findings; len(findings) > 0 {
+		s.Notef("%s\n", findings.Error())
+		return
+	}
+	s.Notef("cornelyard: %v\n", err)
+}
+
+// toAPI gives an error of the tool itself the form of a refusal.
+func toAPI(err error) *api.Error {
+	var refusal *api.Error
+	var findings finding.List
+	switch {
+	case errors.As(err, &refusal):
+		return refusal
+	case errors.As(err, &findings):
+		return &api.Error{Code: api.Findings, Message: findings.Error(), Findings: findings}
+	case statusOf(err) == ExitUsage:
+		return &api.Error{Code: api.BadRequest, Message: err.Error()}
+	default:
+		return &api.Error{Code: api.Internal, Message: err.Error()}
+	}
+}
--- /dev/null
+++ b/cli/read_tree.go
@@ -0,0 +1,94 @@
+package cli
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/cornelyard/cornelyard/finding"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// directories are those at the root of a tree that hold documents.
+var directories = []string{"pools", "targets", "teams", "tiers"}
+
+// tree is a directory of documents.
+type tree struct {
+	root      string
+	documents []settings.Document
+	findings  finding.List
+}
+
+// readTree reads all documents below root. Hidden files, and files beside the
+// directories that aren't JSON, such as a README, are left out.
+func readTree(root string) (*tree, error) {
+	t := &tree{root: root}
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		relative, err := filepath.Rel(root, path)
+		if err != nil || relative == "." {
+			return err
+		}
+		return t.visit(filepath.ToSlash(relative), entry)
+	})
+	return t, Error.Wrap(err)
+}
+
+func (t *tree) visit(path string, entry fs.DirEntry) error {
+	first, _, nested := strings.Cut(path, "/")
+	switch {
+	case strings.HasPrefix(entry.Name(), "."):
+		if entry.IsDir() {
+			return fs.SkipDir
+		}
+		return nil
+	case entry.IsDir() && !nested && !slices.Contains(directories, first):
+		t.find(path, "no documents may be in this directory", strings.Join(directories, ", "))
+		return fs.SkipDir
+	case entry.IsDir() || (!nested && !strings.HasSuffix(path, ".json")):
+		return nil
+	}
+	return t.read(path)
+}
+
+func (t *tree) read(path string) error {
+	body, err := os.ReadFile(filepath.Join(t.root, filepath.FromSlash(path)))
+	if err != nil {
+		return err
+	}
+	if len(body) == 0 {
+		t.find(path, "the document is empty", "")
+		return nil
+	}
+	t.documents = append(t.documents, settings.Document{Path: path, Body: string(body)})
+	return nil
+}
+
+func (t *tree) find(path, message, allowed string) {
+	t.findings = append(t.findings, finding.Finding{File: t.file(path), Message: message, Allowed: allowed})
+}
+
+// file returns the name of the document's file for messages.
+func (t *tree) file(path string) string { return filepath.Join(t.root, filepath.FromSlash(path)) }
+
+// rename puts the names of files in the place of the documents' paths.
+func (t *tree) rename(findings finding.List) finding.List {
+	renamed := slices.Clone(findings)
+	for i, f := range renamed {
+		if slices.ContainsFunc(t.documents, func(d settings.Document) bool { return d.Path == f.File }) {
+			renamed[i].File = t.file(f.File)
+		}
+	}
+	return renamed
+}
+
+// only leaves the documents whose paths begin with the prefix.
+func (t *tree) only(prefix string) {
+	t.documents = slices.DeleteFunc(t.documents, func(d settings.Document) bool {
+		return !strings.HasPrefix(d.Path, prefix)
+	})
+}
--- /dev/null
+++ b/cli/status.go
@@ -0,0 +1,113 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/cornelyard/cornelyard/operator/api"
+	"github.com/cornelyard/cornelyard/pool"
+)
+
+const statusExamples = `Examples:
+  cornelyard status
+  cornelyard status --output json
+`
+
+// columnGap is the number of blanks between two columns.
+const columnGap = 2
+
+// statusCommand shows all hosts and pools.
+type statusCommand struct{}
+
+// Register implements Command.
+func (c *statusCommand) Register(app *kingpin.Application) *kingpin.CmdClause {
+	return app.Command("status", "Show all hosts, the settings in force there, and the pools with their queues. Hosts that cannot be reached are named.").HelpLong(statusExamples)
+}
+
+// Run implements Command.
+func (c *statusCommand) Run(ctx context.Context, s *Session) error {
+	system, err := s.newClient()
+	if err != nil {
+		return err
+	}
+	defer system.Close()
+	status, err := system.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if s.JSON() {
+		return s.WriteJSON(status)
+	}
+	printHosts(s, status)
+	printPools(s, status)
+	noteUnreachable(s, status.Unreachable)
+	return nil
+}
+
+func printHosts(s *Session, status api.Status) {
+	table := newTable(s.Stdout)
+	row(table, "HOST", "DATA CENTRE", "SETTINGS", "ALIVE", "MISSING", "STATE")
+	for _, host := range status.Hosts {
+		row(table, host.Host, host.DataCentre, host.SettingsVersion, host.Alive, len(host.Missing), stateOf(host))
+	}
+	_ = table.Flush()
+}
+
+func stateOf(host api.HostStatus) string {
+	switch {
+	case host.NotReady != "":
+		return "not ready: " + host.NotReady
+	case host.Leaving:
+		return "stopping"
+	default:
+		return "ready"
+	}
+}
+
+func printPools(s *Session, status api.Status) {
+	table := newTable(s.Stdout)
+	row(table, "\nPOOL", "DATA CENTRE", "OWNER", "QUEUED", "IN SERVICE", "SLOTS")
+	for _, host := range status.Hosts {
+		for _, p := range host.Pools {
+			queued, inService, slots := totals(p)
+			row(table, p.Pool, host.DataCentre, host.Host, queued, inService, slots)
+		}
+	}
+	_ = table.Flush()
+}
+
+func totals(p pool.Status) (queued, inService, slots int) {
+	for _, tier := range p.Snapshot.Tiers {
+		queued += tier.Queued
+		inService += tier.InService
+	}
+	for _, target := range p.Snapshot.Targets {
+		slots += target.Slots
+	}
+	return queued, inService, slots
+}
+
+func noteUnreachable(s *Session, hosts []api.Unreachable) {
+	for _, host := range hosts {
+		s.Notef("not reached: %s: %s\n", host.Host, host.Reason)
+	}
+}
+
+func newTable(out io.Writer) *tabwriter.Writer {
+	return tabwriter.NewWriter(out, 0, 0, columnGap, ' ', 0)
+}
+
+// row writes one line of a table.
+func row(table io.Writer, cells ...any) {
+	for i, cell := range cells {
+		if i > 0 {
+			_, _ = io.WriteString(table, "\t")
+		}
+		_, _ = fmt.Fprint(table, cell)
+	}
+	_, _ = io.WriteString(table, "\n")
+}
--- /dev/null
+++ b/cli/timeline.go
@@ -0,0 +1,145 @@
+package cli
+
+import (
+	"context"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/operator/api"
+	"github.com/cornelyard/cornelyard/operator/client"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+const timelineExamples = `Examples:
+  cornelyard timeline --request 7f0c2f5e
+  cornelyard timeline --since 5m
+  cornelyard timeline --since 2026-01-31T08:00:00Z --output json
+  cornelyard timeline --follow
+`
+
+// followInterval is the time between two looks for new events.
+const followInterval = 500 * time.Millisecond
+
+// timelineCommand shows the events of all hosts.
+type timelineCommand struct {
+	request string
+	since   string
+	follow  bool
+	limit   int
+}
+
+// Register implements Command.
+func (c *timelineCommand) Register(app *kingpin.Application) *kingpin.CmdClause {
+	command := app.Command("timeline", "Show the events of all hosts in one order, as text or JSON lines. Dropped events are counted, and hosts that cannot be reached are named.").HelpLong(timelineExamples)
+	command.Flag("request", "Only the events of this request.").PlaceHolder("ID").StringVar(&c.request)
+	command.Flag("since", "Begin at a time (RFC 3339), or so long ago (such as 5m).").PlaceHolder("TIME").StringVar(&c.since)
+	command.Flag("follow", "Go on with new events until interrupted.").Short('f').BoolVar(&c.follow)
+	command.Flag("page", "Events of each host that are read at once.").Default("1000").IntVar(&c.limit)
+	return command
+}
+
+// Run implements Command.
+func (c *timelineCommand) Run(ctx context.Context, s *Session) error {
+	since, err := parseSince(c.since, time.Now())
+	if err != nil {
+		return err
+	}
+	system, err := s.newClient()
+	if err != nil {
+		return err
+	}
+	defer system.Close()
+	reader := &timelineReader{
+		session: s,
+		system:  system,
+		query:   api.TimelineQuery{Since: since, Request: ident.Request(c.request), Limit: c.limit},
+		dropped: make(map[ident.Host]uint64),
+		missing: make(map[ident.Host]bool),
+	}
+	for {
+		if err := reader.readAll(ctx); err != nil || !c.follow {
+			return ignoreInterrupt(ctx, err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(followInterval):
+		}
+	}
+}
+
+// ignoreInterrupt drops the error of a request that an interrupt has cut.
+func ignoreInterrupt(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func parseSince(text string, now time.Time) (timeline.Timestamp, error) {
+	if text == "" {
+		return timeline.Timestamp{}, nil
+	}
+	if ago, err := time.ParseDuration(text); err == nil {
+		return timeline.At(now.Add(-ago)), nil
+	}
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return timeline.Timestamp{}, &usageError{message: "--since is neither a time (RFC 3339) nor a duration"}
+	}
+	return timeline.At(at), nil
+}
+
+// timelineReader prints page after page.
+type timelineReader struct {
+	session *Session
+	system  *client.Client
+	query   api.TimelineQuery
+	// dropped and missing hold what was told already.
+	dropped map[ident.Host]uint64
+	missing map[ident.Host]bool
+}
+
+// readAll prints what there is now.
+func (r *timelineReader) readAll(ctx context.Context) error {
+	for {
+		page, err := r.system.Timeline(ctx, r.query)
+		if err != nil {
+			return err
+		}
+		r.query.Cursors = page.Cursors
+		if err := r.print(page); err != nil || !page.More {
+			return err
+		}
+	}
+}
+
+func (r *timelineReader) print(page api.Timeline) error {
+	write := timeline.WriteText
+	if r.session.JSON() {
+		write = timeline.WriteJSONLines
+	}
+	if err := write(r.session.Stdout, page.Events); err != nil {
+		return Error.Wrap(err)
+	}
+	r.note(page)
+	return nil
+}
+
+// note tells, once for each host, what is missing.
+func (r *timelineReader) note(page api.Timeline) {
+	for _, d := range page.Drops {
+		if r.dropped[d.Host] != d.Dropped {
+			r.session.Notef("dropped by %s: %d events\n", d.Host, d.Dropped)
+		}
+		r.dropped[d.Host] = d.Dropped
+	}
+	for _, host := range page.Unreachable {
+		if !r.missing[host.Host] {
+			r.session.Notef("not reached: %s: %s\n", host.Host, host.Reason)
+		}
+		r.missing[host.Host] = true
+	}
+}
--- /dev/null
+++ b/cli/validate.go
@@ -0,0 +1,98 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/cornelyard/cornelyard/config"
+	"github.com/cornelyard/cornelyard/finding"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+const validateExamples = `Examples:
+  cornelyard validate declarations
+  cornelyard validate --host /etc/cornelyard/host.json
+  cornelyard validate --output json declarations
+`
+
+// validateCommand checks a directory of declarations or settings of hosts.
+type validateCommand struct {
+	directory string
+	hosts     []string
+}
+
+// validation is the JSON output.
+type validation struct {
+	Documents int          `json:"documents"`
+	Hosts     int          `json:"hosts"`
+	Findings  finding.List `json:"findings"`
+}
+
+// Register implements Command.
+func (c *validateCommand) Register(app *kingpin.Application) *kingpin.CmdClause {
+	command := app.Command("validate", "Check declarations, or settings files of hosts, and list every fault. Needs no host.").HelpLong(validateExamples)
+	command.Flag("host", "Settings file of a host. May be repeated.").PlaceHolder("FILE").StringsVar(&c.hosts)
+	command.Arg("directory", "Root of the declarations.").StringVar(&c.directory)
+	return command
+}
+
+// Run implements Command.
+func (c *validateCommand) Run(_ context.Context, s *Session) error {
+	if c.directory == "" && len(c.hosts) == 0 {
+		return &usageError{message: "give a directory or --host"}
+	}
+	result := validation{Findings: finding.List{}}
+	if err := c.checkTree(&result); err != nil {
+		return err
+	}
+	for _, path := range c.hosts {
+		if err := checkHost(&result, path); err != nil {
+			return err
+		}
+	}
+	return result.print(s)
+}
+
+func (c *validateCommand) checkTree(result *validation) error {
+	if c.directory == "" {
+		return nil
+	}
+	t, err := readTree(c.directory)
+	if err != nil {
+		return err
+	}
+	_, findings := settings.ParseTree(t.documents)
+	result.Documents = len(t.documents)
+	result.Findings = append(result.Findings, t.findings...)
+	result.Findings = append(result.Findings, t.rename(findings)...)
+	return nil
+}
+
+func checkHost(result *validation, path string) error {
+	_, err := config.Load(path)
+	findings, isFindings := err.(finding.List)
+	if err != nil && !isFindings {
+		return err
+	}
+	result.Hosts++
+	result.Findings = append(result.Findings, findings...)
+	return nil
+}
+
+func (v validation) print(s *Session) error {
+	if !s.JSON() {
+		if err := v.Findings.Err(); err != nil {
+			return err
+		}
+		s.Printf("%d documents and %d settings files are valid\n", v.Documents, v.Hosts)
+		return nil
+	}
+	if err := s.WriteJSON(v); err != nil {
+		return err
+	}
+	if len(v.Findings) > 0 {
+		return &exitError{status: ExitFindings}
+	}
+	return nil
+}
--- a/internal/operatortest/host.go
+++ b/internal/operatortest/host.go
@@ -20,4 +20,6 @@
 	Operator *operator.Operator
 
 	members *members
+	// freeze stops its settings watcher.
+	freeze func()
 }
--- a/internal/operatortest/system.go
+++ b/internal/operatortest/system.go
@@ -81,6 +81,15 @@
 // Cut makes the host unreachable for the other hosts.
 func (s *System) Cut(host ident.Host) { s.network.cut(host) }
 
+// Freeze stops the host from following the settings.
+func (s *System) Freeze(host ident.Host) {
+	for _, h := range s.Hosts {
+		if h.Name == host {
+			h.freeze()
+		}
+	}
+}
+
 // SetState makes every host see that one in the state, and all others alive.
 func (s *System) SetState(host ident.Host, state membership.State) {
 	var all []membership.Member
@@ -134,6 +143,7 @@
 	h.Address = server.Listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.running.Go(func() { _ = h.Settings.Run(ctx) })
+	h.freeze = cancel
 	s.closers = append(s.closers, server.Close, cancel)
 }
 
--- a/settings/target.go
+++ b/settings/target.go
@@ -8,9 +8,9 @@
 	Pool       ident.Pool       `json:"pool"`
 	DataCentre ident.DataCentre `json:"dataCentre"`
 	// Address is IP:port.
-	Address string `json:"address"`
+	Address string `json:"address" jsonschema_description:"IP:port"`
 	// Slots is the ceiling of requests in service at once.
-	Slots int `json:"slots"`
+	Slots int `json:"slots" jsonschema:"minimum=1,maximum=65536" jsonschema_description:"ceiling of requests in service at once"`
 	// EchoesID says that the target returns the dispatch id in the
 	// X-Request-Id header and, for engines, in each frame's id.
 	EchoesID bool `json:"echoesID,omitempty"`
