--- a/cli/main.go
+++ b/cli/main.go
@@ -30,7 +30,11 @@
 	for _, command := range commands {
 		byName[command.Register(app).FullCommand()] = command
 	}
-	name, err := app.Parse(arguments)
+	name, err := parse(app, arguments)
+	var ended *endedError
+	if errors.As(err, &ended) {
+		return ended.status
+	}
 	if err != nil {
 		s.Notef("cornelyard: %v; try --help\n", err)
 		return ExitUsage
@@ -40,6 +44,22 @@
 	return statusOf(err)
 }
 
+// parse returns the command that the arguments name, or an *endedError if kingpin
+// has done what they ask for, such as showing help.
+func parse(app *kingpin.Application, arguments []string) (name string, err error) {
+	app.Terminate(func(status int) { panic(&endedError{status: ExitStatus(status)}) })
+	defer func() {
+		if cause := recover(); cause != nil {
+			ended, ok := cause.(*endedError)
+			if !ok {
+				panic(cause)
+			}
+			err = ended
+		}
+	}()
+	return app.Parse(arguments)
+}
+
 // report writes the error: as JSON to the standard output if asked for, else as
 // text to the standard error output.
 func (s *Session) report(err error) {
