Weigh the chance of preemption against the prompt it would waste

Cause: a fixed chance of preemption treated a short prompt and a long one alike, so lowering the waste cost many short answers.

Change: a request is started if the chance that it comes to its end is worth more than the prompt tokens it would waste, in prompts of mean length.

--- a/admission/enqueue.go
+++ b/admission/enqueue.go
@@ -35,6 +35,9 @@
 	}
 }
 
+// promptSmoothing is the weight of a new prompt in the mean.
+const promptSmoothing = 0.01
+
 // estimate fills in what is predicted of a new request.
 func (s *Scheduler) estimate(now time.Time, q *queued) {
 	r := &q.request
@@ -42,6 +45,7 @@
 	q.work.Length = q.length
 	q.work.Suspect = s.strikes.suspect(now, r.Digest)
 	q.cost = s.expectedSeconds(now, r.PromptTokens, q.length.Mean)
+	s.meanPrompt += promptSmoothing * (float64(r.PromptTokens) - s.meanPrompt)
 }
 
 // expectedSeconds predicts the time in service on an average target.
--- a/admission/hazard.go
+++ b/admission/hazard.go
@@ -11,13 +11,10 @@
 	// hazardPrior is the time in service without preemption that is assumed
 	// before any is known.
 	hazardPrior = 10.0 // seconds
-	// maxPreemptionChance is the chance of being preempted beyond which a request
-	// is not started.
-	maxPreemptionChance = 0.2
 )
 
 // hazard learns how often the requests of a tier are preempted for each second
-// in service, so that none is started that would hardly come to its end.
+// in service.
 type hazard struct {
 	preemptions float64
 	served      float64
@@ -33,15 +30,15 @@
 	}
 }
 
-// longest returns the longest time in service, in seconds, that a request has a
-// fair chance to end without being preempted.
-func (h *hazard) longest(now time.Time) float64 {
+// chance returns the chance that a request is preempted before it has been so
+// many seconds in service.
+func (h *hazard) chance(now time.Time, seconds float64) float64 {
 	h.decay(now)
-	rate := h.preemptions / (h.served + hazardPrior)
-	if rate == 0 {
-		return math.Inf(1)
+	if h.preemptions == 0 {
+		return 0
 	}
-	return -math.Log(1-maxPreemptionChance) / rate
+	rate := h.preemptions / (h.served + hazardPrior)
+	return 1 - math.Exp(-rate*seconds)
 }
 
 func (h *hazard) decay(now time.Time) {
--- a/admission/predictive_place.go
+++ b/admission/predictive_place.go
@@ -9,6 +9,10 @@
 // maxAside bounds the requests that one decision passes over.
 const maxAside = 16
 
+// wasteWeight is how many answers the prompt tokens of a request of mean length
+// are worth.
+const wasteWeight = 8
+
 // pressedFor is how long the pool counts as pressed after a shed.
 const pressedFor = 5 * time.Second
 
@@ -34,13 +38,12 @@
 	s := p.scheduler
 	free := s.freeSlots(now)
 	for _, tier := range s.tiers {
-		longest := tier.hazard.longest(now)
 		for free > 0 && len(p.aside) < maxAside {
 			q := tier.first()
 			if q == nil {
 				break
 			}
-			if q.cost > longest {
+			if p.futile(now, q) {
 				p.setAside(q)
 				continue
 			}
@@ -57,6 +60,17 @@
 	return actions
 }
 
+// futile says that the request would probably be preempted: the answer that may
+// come of it is not worth the prompt tokens that would be wasted.
+func (p *predictive) futile(now time.Time, q *queued) bool {
+	chance := q.team.tier.hazard.chance(now, q.cost)
+	if chance == 0 {
+		return false
+	}
+	prompt := float64(q.request.PromptTokens) / max(1, p.scheduler.meanPrompt)
+	return chance*(1+wasteWeight*prompt) > 1
+}
+
 // accepts says whether the request takes the best free target. It does if it is
 // likely to finish there in time; if it would only with luck, it rather waits for
 // a busy target where it is likely to.
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -29,6 +29,8 @@
 	sequence uint64
 	// decided is when Decide was last called.
 	decided time.Time
+	// meanPrompt is a decaying mean of the prompts' tokens.
+	meanPrompt float64
 	// freeing counts the preempted requests in service.
 	freeing int
 	// reserved lists requests whose victim has ended.
