--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,6 +39,7 @@
 // Daemon is one host with all its parts.
 type Daemon struct {
 	config      config.Host
+	started     time.Time
 	incarnation uint64
 	logs        *logging.Root
 	logger      *log.Logger
@@ -65,9 +66,11 @@
 // New puts a host together. It opens no connection and no listener.
 func New(o Options) (*Daemon, error) {
 	c := o.Config.WithDefaults()
+	started := time.Now()
 	d := &Daemon{
 		config:      c,
-		incarnation: membership.NewIncarnation(time.Now()),
+		started:     started,
+		incarnation: membership.NewIncarnation(started),
 		logs:        logging.New(logging.Options{Level: c.LogLevel, Output: o.LogOutput}),
 		metrics:     metrics.New(),
 		clock:       timeline.NewClock(),
@@ -198,7 +201,7 @@
 		Timing:      d.config.Timing,
 		Scope:       d.metrics.Scope,
 		Logger:      d.logs.For("entry"),
-		Ready:       d.settings.Ready,
+		Ready:       d.ready,
 	})
 }
 
@@ -213,7 +216,7 @@
 		Pools:               d.manager,
 		Timeline:            d.ring,
 		Usage:               d.usage,
-		Ready:               d.settings.Ready,
+		Ready:               d.ready,
 		Metrics:             d.metrics.Handler,
 		Logger:              d.logs.For("operator"),
 	})
--- /dev/null
+++ b/daemon/joined.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/membership"
+	"github.com/cornelyard/cornelyard/platform"
+)
+
+// joinLimit bounds how long a starting host waits for the other members. A host
+// that reaches nobody by then serves by itself.
+const joinLimit = 3 * time.Second
+
+// ready returns why this host should get no callers yet, or nil.
+func (d *Daemon) ready() error {
+	if err := d.settings.Ready(); err != nil {
+		return err
+	}
+	return d.joined(time.Now())
+}
+
+// joined returns nil once the host has met another member, knows that there is
+// none, or has waited for joinLimit. Until then it would take itself for the
+// owner of every pool.
+func (d *Daemon) joined(now time.Time) error {
+	if now.Sub(d.started) > joinLimit || hasPeer(d.tracker.View()) {
+		return nil
+	}
+	entries, err := d.hosts.Hosts(context.Background())
+	if err == nil && len(d.config.Seeds) == 0 && !listsPeer(entries, d.config.Host) {
+		return nil
+	}
+	return Error.New("no other host has been met yet")
+}
+
+func hasPeer(view *membership.View) bool {
+	for _, m := range view.Members {
+		if m.Host != view.Self.Host && m.State == membership.Alive {
+			return true
+		}
+	}
+	return false
+}
+
+func listsPeer(entries []platform.HostEntry, self ident.Host) bool {
+	for _, e := range entries {
+		if e.Role == platform.RoleEntry && e.Name != string(self) {
+			return true
+		}
+	}
+	return false
+}
