--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/cornelyard/cornelyard/logging"
 	"github.com/cornelyard/cornelyard/membership"
 	"github.com/cornelyard/cornelyard/metrics"
+	"github.com/cornelyard/cornelyard/operator"
 	"github.com/cornelyard/cornelyard/peer"
 	"github.com/cornelyard/cornelyard/platform"
 	"github.com/cornelyard/cornelyard/platform/hostwatch"
@@ -38,6 +39,7 @@
 // Daemon is one host with all its parts.
 type Daemon struct {
 	config      config.Host
+	started     time.Time
 	incarnation uint64
 	logs        *logging.Root
 	logger      *log.Logger
@@ -58,14 +60,17 @@
 	targets  *target.Client
 	claims   *claim.Claims
 	entry    *entry.Entry
+	operator *operator.Operator
 }
 
 // New puts a host together. It opens no connection and no listener.
 func New(o Options) (*Daemon, error) {
 	c := o.Config.WithDefaults()
+	started := time.Now()
 	d := &Daemon{
 		config:      c,
-		incarnation: membership.NewIncarnation(time.Now()),
+		started:     started,
+		incarnation: membership.NewIncarnation(started),
 		logs:        logging.New(logging.Options{Level: c.LogLevel, Output: o.LogOutput}),
 		metrics:     metrics.New(),
 		clock:       timeline.NewClock(),
@@ -84,6 +89,7 @@
 	}
 	d.buildPools()
 	d.buildEntry()
+	d.buildOperator()
 	d.connect()
 	return d, nil
 }
@@ -195,7 +201,24 @@
 		Timing:      d.config.Timing,
 		Scope:       d.metrics.Scope,
 		Logger:      d.logs.For("entry"),
-		Ready:       d.settings.Ready,
+		Ready:       d.ready,
+	})
+}
+
+func (d *Daemon) buildOperator() {
+	d.operator = operator.New(operator.Options{
+		Address:             d.config.OperatorAddress,
+		OperatorTokenHashes: d.config.OperatorTokenHashes,
+		Settings:            d.settings,
+		Store:               d.store,
+		Members:             d.tracker,
+		Caller:              d.mesh,
+		Pools:               d.manager,
+		Timeline:            d.ring,
+		Usage:               d.usage,
+		Ready:               d.ready,
+		Metrics:             d.metrics.Handler,
+		Logger:              d.logs.For("operator"),
 	})
 }
 
@@ -207,6 +230,9 @@
 	d.mesh.AddHandler(d.client)
 	d.mesh.AddHandler(d.manager)
 	d.mesh.RegisterMethod(methodSettings, d.exportSettings)
+	for _, method := range d.operator.Methods() {
+		d.mesh.RegisterMethod(method.Name, method.Serve)
+	}
 }
 
 // mayRun reports whether that process of a host may still be running.
