--- a/settings/attempt.go
+++ b/settings/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
@@ -18,6 +19,8 @@
 	based bool
 	// unclear says that a commit may have taken effect unseen.
 	unclear bool
+	// downSince is when the platform was first found down, of late.
+	downSince time.Time
 }
 
 // plan is what a change does to one version.
@@ -36,7 +39,10 @@
 		if err != nil && ctx.Err() == nil {
 			last = err
 		}
-		return result, permanent(err)
+		if err != nil && a.isFinal(err) {
+			return result, backoff.Permanent(err)
+		}
+		return result, err
 	}, backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(0))
 	switch {
 	case err == nil || isRefusal(err):
@@ -50,11 +56,20 @@
 	return Result{}, Error.New("nothing was changed: %w", err)
 }
 
-func permanent(err error) error {
-	if err != nil && isRefusal(err) {
-		return backoff.Permanent(err)
+// isFinal reports whether another attempt is of no use: the change is refused,
+// or the platform has been down for a while and no commit is unclear.
+func (a *attempt) isFinal(err error) bool {
+	if isRefusal(err) {
+		return true
+	}
+	if !errors.Is(err, platform.ErrUnavailable) {
+		a.downSince = time.Time{}
+		return false
+	}
+	if a.downSince.IsZero() {
+		a.downSince = time.Now()
 	}
-	return err
+	return !a.unclear && time.Since(a.downSince) > unavailableLimit
 }
 
 // try makes one attempt.
--- a/settings/store_options.go
+++ b/settings/store_options.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// unavailableLimit is how long a change waits for a platform that is down,
+	// as long as none of its commits is unclear.
+	unavailableLimit = time.Second
 	// defaultApplyTimeout bounds one change with its retries.
 	defaultApplyTimeout = 10 * time.Second
 
