--- a/internal/chatclient/answer.go
+++ b/internal/chatclient/answer.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/cornelyard/cornelyard/outcome"
 )
 
 // Answer is what a caller got.
@@ -19,11 +17,3 @@
 	FirstToken time.Duration
 	Total      time.Duration
 }
-
-// APIError is an error as the OpenAI API shapes it, with the outcome.
-type APIError struct {
-	Message string          `json:"message"`
-	Type    string          `json:"type"`
-	Code    outcome.Reason  `json:"code"`
-	Outcome outcome.Outcome `json:"outcome"`
-}
--- /dev/null
+++ b/internal/chatclient/answer_body.go
@@ -0,0 +1,13 @@
+package chatclient
+
+// answerBody is a whole answer, a frame of a stream or an error.
+type answerBody struct {
+	Choices []struct {
+		Delta   struct{ Content string }
+		Message struct{ Content string }
+	}
+	Usage *struct {
+		CompletionTokens int `json:"completion_tokens"`
+	}
+	Error *APIError
+}
--- a/internal/chatclient/answer_reader.go
+++ b/internal/chatclient/answer_reader.go
@@ -17,18 +17,6 @@
 	onToken func(int)
 }
 
-// answerBody is a whole answer, a frame of a stream or an error.
-type answerBody struct {
-	Choices []struct {
-		Delta   struct{ Content string }
-		Message struct{ Content string }
-	}
-	Usage *struct {
-		CompletionTokens int `json:"completion_tokens"`
-	}
-	Error *APIError
-}
-
 func (r *answerReader) readWhole(body io.Reader) error {
 	data, err := io.ReadAll(body)
 	if err != nil {
--- /dev/null
+++ b/internal/standin/engine/error_body.go
@@ -0,0 +1,11 @@
+package engine
+
+// errorBody is the error of the OpenAI API.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+}
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -16,16 +16,6 @@
 	leavingHeader   = "X-Target-Leaving"
 )
 
-// errorBody is the error of the OpenAI API.
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Message string `json:"message"`
-	Type    string `json:"type"`
-}
-
 // Handler serves the target listener.
 func (e *Engine) Handler() http.Handler {
 	router := standin.NewRouter()
--- a/internal/standin/engine/message.go
+++ b/internal/standin/engine/message.go
@@ -1,32 +1,7 @@
 package engine
 
-import "encoding/json"
-
 // Message is one message of a chat.
 type Message struct {
 	Role    string  `json:"role"`
 	Content Content `json:"content"`
 }
-
-// Content is the text of a message. In JSON it is a string or a list of text
-// parts.
-type Content string
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (c *Content) UnmarshalJSON(data []byte) error {
-	var text string
-	if err := json.Unmarshal(data, &text); err == nil {
-		*c = Content(text)
-		return nil
-	}
-	var parts []struct {
-		Text string `json:"text"`
-	}
-	if err := json.Unmarshal(data, &parts); err != nil {
-		return err
-	}
-	for _, part := range parts {
-		*c += Content(part.Text)
-	}
-	return nil
-}
--- a/internal/standin/engine/request.go
+++ b/internal/standin/engine/request.go
@@ -17,11 +17,6 @@
 	StreamOptions       *StreamOptions `json:"stream_options,omitempty"`
 }
 
-// StreamOptions asks for extras in a stream.
-type StreamOptions struct {
-	IncludeUsage bool `json:"include_usage,omitempty"`
-}
-
 // includesUsage reports whether the stream ends with a usage chunk.
 func (r *Request) includesUsage() bool {
 	return r.StreamOptions != nil && r.StreamOptions.IncludeUsage
--- a/internal/standin/faultproxy/direction.go
+++ b/internal/standin/faultproxy/direction.go
@@ -22,13 +22,6 @@
 	delay atomic.Int64 // nanoseconds
 }
 
-// piece is what one read returned, and when it may go on.
-type piece struct {
-	data []byte
-	err  error
-	due  time.Time
-}
-
 // copy forwards bytes from one connection to another until an orderly end, which
 // it forwards too, or an error, which it returns.
 func (d *direction) copy(ctx context.Context, to, from net.Conn) error {
--- /dev/null
+++ b/internal/standin/faultproxy/piece.go
@@ -0,0 +1,12 @@
+package faultproxy
+
+import (
+	"time"
+)
+
+// piece is what one read returned, and when it may go on.
+type piece struct {
+	data []byte
+	err  error
+	due  time.Time
+}
--- /dev/null
+++ b/internal/standin/faultproxy/socket_table.go
@@ -0,0 +1,61 @@
+package faultproxy
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+const (
+	socketTable = "/proc/net/tcp"
+
+	localField  = 1
+	remoteField = 2
+	inodeField  = 9
+)
+
+// socketInode returns the inode of the socket with these ends.
+func socketInode(local, remote net.Addr) (string, bool) {
+	table, err := os.Open(socketTable)
+	if err != nil {
+		return "", false
+	}
+	defer func() { _ = table.Close() }()
+	localText, remoteText := tableAddress(local), tableAddress(remote)
+	lines := bufio.NewScanner(table)
+	for lines.Scan() {
+		fields := strings.Fields(lines.Text())
+		if len(fields) > inodeField && fields[localField] == localText && fields[remoteField] == remoteText {
+			return fields[inodeField], true
+		}
+	}
+	return "", false
+}
+
+// tableAddress returns an IPv4 address as the kernel's table shows it.
+func tableAddress(address net.Addr) string {
+	parsed, err := netip.ParseAddrPort(address.String())
+	if err != nil || !parsed.Addr().Is4() {
+		return ""
+	}
+	ip := parsed.Addr().As4()
+	return fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(ip[:]), parsed.Port())
+}
+
+func hasOpen(pid int, link string) bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+	if err != nil {
+		return false
+	}
+	for _, file := range files {
+		if target, err := os.Readlink(file); err == nil && target == link {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/faultproxy/sources.go
@@ -0,0 +1,52 @@
+package faultproxy
+
+import (
+	"net"
+	"sync"
+)
+
+// sources finds out which process opened a connection, from the kernel's tables
+// of sockets and open files.
+type sources struct {
+	mu   sync.Mutex
+	pids map[string]int
+}
+
+func (s *sources) set(source Source) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pids == nil {
+		s.pids = make(map[string]int)
+	}
+	s.pids[source.Name] = source.PID
+}
+
+func (s *sources) list() []Source {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]Source, 0, len(s.pids))
+	for name, pid := range s.pids {
+		list = append(list, Source{Name: name, PID: pid})
+	}
+	return list
+}
+
+// of returns the name of the source that opened the accepted connection, or ""
+// if it is none of the known ones.
+func (s *sources) of(accepted net.Conn) string {
+	known := s.list()
+	if len(known) == 0 {
+		return ""
+	}
+	inode, ok := socketInode(accepted.RemoteAddr(), accepted.LocalAddr())
+	if !ok {
+		return ""
+	}
+	link := "socket:[" + inode + "]"
+	for _, source := range known {
+		if hasOpen(source.PID, link) {
+			return source.Name
+		}
+	}
+	return ""
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -2,31 +2,21 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/labstack/echo/v4"
-
 	"github.com/cornelyard/cornelyard/internal/standin"
 )
 
 // maxCalls bounds the calls that are remembered; later ones are not recorded.
 const maxCalls = 200_000
 
-// Headers of the target protocol.
-const (
-	requestIDHeader = "X-Request-Id"
-	leavingHeader   = "X-Target-Leaving"
-)
-
-// wrongID is an id that no caller sends.
-const wrongID = "another-request"
+// unrecorded is the place of a call that is not in the record.
+const unrecorded = -1
 
 // Service is the stand-in. It is safe for concurrent use.
 type Service struct {
@@ -70,57 +60,6 @@
 	return Record{Calls: slices.Clone(s.calls), Refused: maps.Clone(s.refused)}
 }
 
-// Handler serves the target listener.
-func (s *Service) Handler() http.Handler {
-	router := standin.NewRouter()
-	router.Any("/*", s.serveCall)
-	return router
-}
-
-// ControlHandler serves the control listener.
-func (s *Service) ControlHandler() http.Handler {
-	router := standin.NewRouter()
-	router.POST("/faults", s.postFaults)
-	router.GET("/record", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Record()) })
-	return router
-}
-
-func (s *Service) postFaults(c echo.Context) error {
-	var faults Faults
-	if err := c.Bind(&faults); err != nil {
-		return err
-	}
-	s.SetFaults(faults)
-	return c.NoContent(http.StatusNoContent)
-}
-
-func (s *Service) serveCall(c echo.Context) error {
-	reused := standin.CountRequest(c.Request())
-	ctx := c.Request().Context()
-	if s.frozen.Wait(ctx) != nil {
-		return nil
-	}
-	body, err := standin.BufferBody(c.Request())
-	if err != nil {
-		return c.NoContent(http.StatusBadRequest)
-	}
-	id := c.Request().Header.Get(requestIDHeader)
-	if s.refuse(id) {
-		c.Response().Header().Set(leavingHeader, "true")
-		return c.NoContent(http.StatusServiceUnavailable)
-	}
-	index, faults, delay := s.receive(c.Request(), body)
-	if faults.CloseReused && reused {
-		standin.CutConnection()
-	}
-	if standin.Sleep(ctx, delay) != nil || s.frozen.Wait(ctx) != nil {
-		return nil
-	}
-	s.answer(c, id, body, faults)
-	s.finish(index)
-	return nil
-}
-
 func (s *Service) refuse(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -142,70 +81,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.calls) < maxCalls {
-		s.calls = append(s.calls, call)
-	}
 	delay := s.options.Delay + time.Duration(s.faults.DelayMs)*time.Millisecond
-	return len(s.calls) - 1, s.faults.callFaults(), delay
-}
-
-func keyOf(body []byte) string {
-	var keyed struct {
-		Key string `json:"idempotencyKey"`
-	}
-	if json.Unmarshal(body, &keyed) != nil {
-		return ""
+	if len(s.calls) == maxCalls {
+		return unrecorded, s.faults.callFaults(), delay
 	}
-	return keyed.Key
+	s.calls = append(s.calls, call)
+	return len(s.calls) - 1, s.faults.callFaults(), delay
 }
 
 func (s *Service) finish(index int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls[index].Finished = true
-}
-
-func (s *Service) answer(c echo.Context, id string, body []byte, faults CallFaults) {
-	switch {
-	case faults.Crash:
-		s.options.Crash()
-		standin.CutConnection()
-	case faults.Hang:
-		<-c.Request().Context().Done()
-		standin.CutConnection()
-	case faults.Cut:
-		standin.CutConnection()
-	}
-	if faults.WrongID {
-		id = wrongID
-	}
-	c.Response().Header().Set(requestIDHeader, id)
-	if faults.FailStatus != 0 {
-		_ = c.NoContent(faults.FailStatus)
-		return
-	}
-	writeEcho(c, Echo{
-		ID:     id,
-		Method: c.Request().Method,
-		Path:   c.Request().URL.Path,
-		Query:  c.Request().URL.RawQuery,
-		Body:   string(body),
-	}, faults.CutInBody)
-}
-
-func writeEcho(c echo.Context, answer Echo, cut bool) {
-	data, err := json.Marshal(answer)
-	if err != nil {
-		standin.CutConnection()
-	}
-	response := c.Response()
-	response.Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
-	response.Header().Set(echo.HeaderContentLength, strconv.Itoa(len(data)))
-	response.WriteHeader(http.StatusOK)
-	if cut {
-		_, _ = response.Write(data[:len(data)/2])
-		response.Flush()
-		standin.CutConnection()
+	if index != unrecorded {
+		s.calls[index].Finished = true
 	}
-	_, _ = response.Write(data)
 }
--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -2,23 +2,17 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/platform/restclient"
-	"github.com/cornelyard/cornelyard/settings"
 )
 
 // OperatorToken is accepted by every host's operator listener.
 const OperatorToken = "testbed-operator"
 
-// startLimit bounds the start of one stand-in.
-const startLimit = 20 * time.Second
-
 // Cluster is a running cluster.
 type Cluster struct {
 	Spec     Spec
@@ -124,81 +118,3 @@
 func (c *Cluster) newProcess(name, binary string, args ...string) *Process {
 	return &Process{Name: name, Log: filepath.Join(c.dir, name+".log"), binary: binary, args: args}
 }
-
-// startStandin starts a stand-in and waits until it listens.
-func (c *Cluster) startStandin(ctx context.Context, name, kind string, flags ...string) (Standin, error) {
-	address, err := FreeAddress()
-	if err != nil {
-		return Standin{}, err
-	}
-	controlAddress, err := FreeAddress()
-	if err != nil {
-		return Standin{}, err
-	}
-	args := append([]string{kind, "--listen", address, "--control", controlAddress}, flags...)
-	s := Standin{
-		Process: c.newProcess(name, c.Binaries.Standin, args...),
-		Address: address,
-		control: control{address: controlAddress},
-	}
-	if err := s.Start(); err != nil {
-		return s, err
-	}
-	return s, s.WaitListening(ctx)
-}
-
-// WaitListening waits until the stand-in accepts connections.
-func (s *Standin) WaitListening(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, startLimit)
-	defer cancel()
-	return poll(ctx, s.Name+" listens", func() bool {
-		conn, err := net.Dial("tcp", s.control.address)
-		if err != nil {
-			return false
-		}
-		_ = conn.Close()
-		return true
-	})
-}
-
-func (c *Cluster) startPlatform(ctx context.Context) error {
-	standin, err := c.startStandin(ctx, "platform", "platform", c.Spec.PlatformFlags...)
-	c.Platform = &Platform{Standin: standin}
-	c.PlatformClient = restclient.New(restclient.Options{BaseURL: "http://" + standin.Address})
-	return err
-}
-
-func (c *Cluster) startProxy(ctx context.Context) error {
-	if !c.Spec.Proxied {
-		return nil
-	}
-	standin, err := c.startStandin(ctx, "faultproxy", "faultproxy")
-	c.proxy = &proxy{Standin: standin}
-	return err
-}
-
-func (c *Cluster) startTargets(ctx context.Context) error {
-	for _, spec := range c.Spec.Targets {
-		name := string(spec.Name)
-		standin, err := c.startStandin(ctx, name, string(c.poolKind(spec.Pool)), spec.Flags...)
-		target := &Target{Standin: standin, Declared: spec.Target}
-		c.Targets[spec.Name] = target
-		if err != nil {
-			return err
-		}
-		target.Declared.Address, err = c.through(targetLink(spec.Name), standin.Address)
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (c *Cluster) poolKind(pool ident.Pool) settings.PoolKind {
-	for _, p := range c.Spec.Pools {
-		if p.Name == pool {
-			return p.Kind
-		}
-	}
-	return settings.EnginePool
-}
--- /dev/null
+++ b/internal/testbed/platform.go
@@ -0,0 +1,29 @@
+package testbed
+
+import (
+	standinplatform "github.com/cornelyard/cornelyard/internal/standin/platform"
+	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/platform/restapi"
+)
+
+// Platform is the process of the platform's stand-in.
+type Platform struct {
+	Standin
+}
+
+// SetFaults replaces the faults of the platform.
+func (p *Platform) SetFaults(f standinplatform.Faults) error {
+	return p.control.post("/faults", f, nil)
+}
+
+// SetHosts replaces the true host list.
+func (p *Platform) SetHosts(hosts []platform.HostEntry) error {
+	return p.control.do("PUT", "/hosts", restapi.Hosts{Hosts: hosts}, nil)
+}
+
+// Counts reads how many calls reached the platform.
+func (p *Platform) Counts() (standinplatform.Counts, error) {
+	var counts standinplatform.Counts
+	err := p.control.get("/counts", &counts)
+	return counts, err
+}
--- /dev/null
+++ b/internal/testbed/target.go
@@ -0,0 +1,38 @@
+package testbed
+
+import (
+	"github.com/cornelyard/cornelyard/internal/standin/engine"
+	"github.com/cornelyard/cornelyard/internal/standin/service"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// Target is the process of a target's stand-in.
+type Target struct {
+	Standin
+	// Declared is how the target was declared at the start.
+	Declared settings.Target
+}
+
+// SetEngineFaults replaces the faults of an engine.
+func (t *Target) SetEngineFaults(f engine.Faults) error {
+	return t.control.post("/faults", f, nil)
+}
+
+// EngineRecord reads what an engine did since its start.
+func (t *Target) EngineRecord() (engine.Record, error) {
+	var record engine.Record
+	err := t.control.get("/record", &record)
+	return record, err
+}
+
+// SetServiceFaults replaces the faults of a plain service.
+func (t *Target) SetServiceFaults(f service.Faults) error {
+	return t.control.post("/faults", f, nil)
+}
+
+// ServiceRecord reads what a plain service did since its start.
+func (t *Target) ServiceRecord() (service.Record, error) {
+	var record service.Record
+	err := t.control.get("/record", &record)
+	return record, err
+}
