Let entries turn down grants for targets that they know to be leaving; run seeded faults

Cause: an owner that is cut off from the platform does not see the host list, and went on granting a target that was listed as leaving. Ruled out: passing the list between hosts, since the entries read it themselves. Change: an entry gives such a grant back as leaving, and the owner takes the target out.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -154,6 +154,7 @@
 	d.client = pool.NewClient(pool.ClientOptions{
 		Members:  d.tracker,
 		Settings: d.settings,
+		Hosts:    d.hosts,
 		Sender:   d.mesh,
 		Recorder: d.ring,
 		Logger:   d.logs.For("pool"),
--- /dev/null
+++ b/internal/faultrun/changes.go
@@ -0,0 +1,65 @@
+package faultrun
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cornelyard/cornelyard/internal/testbed"
+	"github.com/cornelyard/cornelyard/operator/api"
+	"github.com/cornelyard/cornelyard/operator/client"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+const (
+	// changePause is the time between two changes.
+	changePause = 300 * time.Millisecond
+	// changeLimit bounds one change with its tries.
+	changeLimit = 10 * time.Second
+)
+
+// changes makes one settings change after another.
+type changes struct {
+	cluster *testbed.Cluster
+
+	mu sync.Mutex
+	// accepted is the newest version that an operator was told of.
+	accepted uint64
+	count    int
+}
+
+// run makes changes until ctx ends.
+func (c *changes) run(ctx context.Context) {
+	var addresses []string
+	for _, h := range c.cluster.Hosts {
+		addresses = append(addresses, h.Settings.OperatorAddress)
+	}
+	operator := client.New(client.Options{Addresses: addresses, Token: testbed.OperatorToken})
+	defer operator.Close()
+	for n := 0; ctx.Err() == nil; n++ {
+		c.change(operator, n)
+		time.Sleep(changePause)
+	}
+}
+
+// change moves the default deadline of the low tier.
+func (c *changes) change(operator *client.Client, n int) {
+	ctx, cancel := context.WithTimeout(context.Background(), changeLimit)
+	defer cancel()
+	body := fmt.Sprintf(`{"rank": 1, "defaultDeadline": "%ds"}`, int(deadline.Seconds())+n%2)
+	result, err := operator.Apply(ctx, api.ApplyRequest{
+		ID:     "change-" + strconv.Itoa(n),
+		Author: "operator",
+		Reason: "fault run",
+		Puts:   []settings.Document{{Path: "tiers/" + string(low) + ".json", Body: body}},
+	})
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accepted = max(c.accepted, result.Version)
+	c.count++
+}
--- /dev/null
+++ b/internal/faultrun/promise.go
@@ -0,0 +1,23 @@
+package faultrun
+
+// Promise names one of the system's promises.
+type Promise string
+
+// Promises in the order of the brief.
+const (
+	AtMostOneDispatch  Promise = "at-most-one-dispatch"
+	TierOrder          Promise = "tier-order"
+	WholeAnswer        Promise = "whole-answer"
+	DidNotRun          Promise = "did-not-run"
+	NonIdempotentOnce  Promise = "non-idempotent-once"
+	LeavingTarget      Promise = "leaving-target"
+	PlannedStop        Promise = "planned-stop"
+	SettingsNeverBack  Promise = "settings-never-back"
+	EveryCallHasAnswer Promise = "every-call-has-an-answer"
+)
+
+// Promises lists all promises.
+var Promises = []Promise{
+	AtMostOneDispatch, TierOrder, WholeAnswer, DidNotRun, NonIdempotentOnce,
+	LeavingTarget, PlannedStop, SettingsNeverBack, EveryCallHasAnswer,
+}
--- /dev/null
+++ b/internal/faultrun/result.go
@@ -0,0 +1,105 @@
+package faultrun
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Result is what a run gave.
+type Result struct {
+	Seed     uint64        `json:"seed"`
+	Duration time.Duration `json:"durationNanoseconds"`
+	Calls    int           `json:"calls"`
+	Whole    int           `json:"whole"`
+	// Faults counts the faults that were injected, by kind.
+	Faults   []FaultCount `json:"faults"`
+	Promises []Verdict    `json:"promises"`
+	// Refusals counts the calls that were not answered whole, by reason.
+	Refusals []ReasonCount `json:"refusals"`
+	// Logs holds the output of all processes if a promise was broken.
+	Logs string `json:"-"`
+}
+
+// FaultCount counts the faults of one kind.
+type FaultCount struct {
+	Kind  FaultKind `json:"kind"`
+	Count int       `json:"count"`
+}
+
+// ReasonCount counts the calls that ended with a reason.
+type ReasonCount struct {
+	Reason string `json:"reason"`
+	Count  int    `json:"count"`
+}
+
+// Verdict tells how often a promise was tried and how often broken.
+type Verdict struct {
+	Promise Promise `json:"promise"`
+	Tried   int     `json:"tried"`
+	Broken  int     `json:"broken"`
+	// Examples describes the first breaks.
+	Examples []string `json:"examples,omitempty"`
+}
+
+// maxExamples bounds the described breaks of one promise.
+const maxExamples = 5
+
+func (v *Verdict) check(holds bool, describe func() string) {
+	v.Tried++
+	if holds {
+		return
+	}
+	v.Broken++
+	if len(v.Examples) < maxExamples {
+		v.Examples = append(v.Examples, describe())
+	}
+}
+
+// Broken returns the verdicts of the broken promises.
+func (r *Result) Broken() []Verdict {
+	var broken []Verdict
+	for _, v := range r.Promises {
+		if v.Broken > 0 {
+			broken = append(broken, v)
+		}
+	}
+	return broken
+}
+
+// WriteText implements report.Report.
+func (r *Result) WriteText(w io.Writer) error {
+	fmt.Fprintf(w, "seed %d, %v under faults, %d calls, %d answered whole\n\n", r.Seed, r.Duration, r.Calls, r.Whole)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "promise\ttried\tbroken")
+	for _, v := range r.Promises {
+		fmt.Fprintf(table, "%s\t%d\t%d\n", v.Promise, v.Tried, v.Broken)
+		for _, example := range v.Examples {
+			fmt.Fprintf(table, "  %s\t\t\n", example)
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return Error.Wrap(err)
+	}
+	var faults, reasons []string
+	for _, f := range r.Faults {
+		faults = append(faults, fmt.Sprintf("%s %d", f.Kind, f.Count))
+	}
+	for _, c := range r.Refusals {
+		reasons = append(reasons, fmt.Sprintf("%s %d", c.Reason, c.Count))
+	}
+	_, err := fmt.Fprintf(w, "\nfaults: %s\nnot whole: %s\n", strings.Join(faults, ", "), strings.Join(reasons, ", "))
+	return Error.Wrap(err)
+}
+
+func sortedReasons(counts map[string]int) []ReasonCount {
+	var sorted []ReasonCount
+	for reason, count := range counts {
+		sorted = append(sorted, ReasonCount{Reason: reason, Count: count})
+	}
+	slices.SortFunc(sorted, func(a, b ReasonCount) int { return strings.Compare(a.Reason, b.Reason) })
+	return sorted
+}
--- /dev/null
+++ b/internal/faultrun/run.go
@@ -0,0 +1,95 @@
+package faultrun
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cornelyard/cornelyard/internal/standin/engine"
+	"github.com/cornelyard/cornelyard/internal/standin/faultproxy"
+	standinplatform "github.com/cornelyard/cornelyard/internal/standin/platform"
+	"github.com/cornelyard/cornelyard/internal/testbed"
+)
+
+const (
+	// startLimit bounds the start of the cluster.
+	startLimit = time.Minute
+	// settleTime lets every host and every claim settle after the faults.
+	settleTime = 6 * time.Second
+)
+
+// Run starts a cluster, disturbs it and checks the promises. It returns an error
+// only if the run itself failed.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	o = o.withDefaults()
+	starting, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	cluster, err := testbed.Start(starting, spec())
+	defer cluster.Stop()
+	if err != nil {
+		return nil, err
+	}
+	r := &execution{options: o, cluster: cluster, archive: newArchive()}
+	r.callers = newCallers(cluster, o.Seed)
+	r.injector = newInjector(cluster, r.callers, r.archive)
+	r.changes = &changes{cluster: cluster}
+	r.disturb(ctx)
+	if err := r.heal(); err != nil {
+		return nil, err
+	}
+	return r.check(ctx)
+}
+
+// execution is one run.
+type execution struct {
+	options  Options
+	cluster  *testbed.Cluster
+	callers  *callers
+	injector *injector
+	changes  *changes
+	archive  *archive
+}
+
+// disturb makes calls and changes while faults are injected. The calls go on for
+// a while after the last fault.
+func (r *execution) disturb(ctx context.Context) {
+	calling, stopCalls := context.WithCancel(ctx)
+	defer stopCalls()
+	var busy sync.WaitGroup
+	for caller := range r.options.Callers {
+		busy.Go(func() { r.callers.run(calling, caller) })
+	}
+	busy.Go(func() { r.changes.run(calling) })
+	faulty, cancel := context.WithTimeout(ctx, r.options.Duration)
+	defer cancel()
+	var injecting sync.WaitGroup
+	for schedule := range faultsAtOnce {
+		injecting.Go(func() { r.injector.run(faulty, r.options.Seed, uint64(schedule)) })
+	}
+	injecting.Wait()
+	time.Sleep(settleTime)
+	stopCalls()
+	busy.Wait()
+}
+
+// heal ends what faults may be left and waits for the hosts.
+func (r *execution) heal() error {
+	c := r.cluster
+	if err := c.Platform.SetFaults(standinplatform.Faults{}); err != nil {
+		return err
+	}
+	if err := c.SetDataCentreFaults(first, second, faultproxy.Faults{}); err != nil {
+		return err
+	}
+	for _, spec := range c.Spec.Targets {
+		if spec.Pool == desk {
+			continue
+		}
+		if err := c.Targets[spec.Name].SetEngineFaults(engine.Faults{}); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	return c.WaitReady(ctx)
+}
--- a/pool/client_handler.go
+++ b/pool/client_handler.go
@@ -80,9 +80,9 @@
 		p.needReport = true
 		return
 	}
-	declared := c.target(target)
+	declared, cause := c.usable(target)
 	if declared == nil {
-		_ = c.options.Sender.Send(from, declineFrame(pool, id, target, admission.DeclineExpired))
+		_ = c.options.Sender.Send(from, declineFrame(pool, id, target, cause))
 		t.announced = false
 		return
 	}
@@ -209,16 +209,19 @@
 	}
 }
 
-// target returns the declaration of a target, or nil if there is none or it is
-// leaving.
-func (c *Client) target(name ident.Target) *settings.Target {
+// usable returns the declaration of a target, or why a grant for it is not used:
+// this host may know before the owner does that the target is leaving.
+func (c *Client) usable(name ident.Target) (*settings.Target, admission.DeclineCause) {
 	snapshot := c.options.Settings.Current()
 	if snapshot == nil {
-		return nil
+		return nil, admission.DeclineExpired
 	}
 	declared, ok := snapshot.Targets[name]
-	if !ok || declared.Leaving {
-		return nil
+	if !ok {
+		return nil, admission.DeclineExpired
+	}
+	if _, listed := leavingTargets(c.options.Hosts.Entries())[name]; listed || declared.Leaving {
+		return nil, admission.DeclineLeaving
 	}
-	return declared
+	return declared, ""
 }
--- a/pool/client_options.go
+++ b/pool/client_options.go
@@ -15,6 +15,8 @@
 type ClientOptions struct {
 	Members  membership.Source
 	Settings settings.Source
+	// Hosts is the newest known host list; it tells which targets are leaving.
+	Hosts    HostSource
 	Sender   peer.Sender
 	Recorder timeline.Recorder
 	Logger   *log.Logger
--- a/pool/event.go
+++ b/pool/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/timeline"
 )
 
 // event is one change that an owner's goroutine applies to its scheduler.
@@ -58,7 +59,10 @@
 
 func (e cancelEvent) apply(o *owner, now time.Time) { o.scheduler.Cancel(now, e.id) }
 
-func (e declineEvent) apply(o *owner, now time.Time) { o.scheduler.Decline(now, e.decline) }
+func (e declineEvent) apply(o *owner, now time.Time) {
+	o.recordReturn(e.decline)
+	o.scheduler.Decline(now, e.decline)
+}
 
 func (e progressEvent) apply(o *owner, now time.Time) {
 	for _, p := range e.items {
@@ -95,6 +99,7 @@
 	for i := range e.queued {
 		o.recordQueued(&e.queued[i])
 	}
+	o.record(timeline.Event{Kind: timeline.EntryReported, Peer: e.from})
 	o.scheduler.EntryReported(now, e.from, e.queued, e.inService)
 	if e.epoch == o.epoch {
 		o.recovery.heard(e.from)
--- a/pool/fake_system_test.go
+++ b/pool/fake_system_test.go
@@ -94,6 +94,7 @@
 	client := NewClient(ClientOptions{
 		Members:  fm,
 		Settings: fixedSettings{snapshot},
+		Hosts:    noHosts{},
 		Sender:   sender,
 		Recorder: timeline.Discard{},
 		Logger:   logger,
--- a/pool/owner_record.go
+++ b/pool/owner_record.go
@@ -35,6 +35,15 @@
 	})
 }
 
+func (o *owner) recordReturn(d admission.Decline) {
+	o.record(timeline.Event{
+		Kind:    timeline.GrantReturned,
+		Request: d.ID,
+		Target:  d.Target,
+		Detail:  string(d.Cause),
+	})
+}
+
 func (o *owner) recordEntryLost(host ident.Host) {
 	o.record(timeline.Event{Kind: timeline.EntryLost, Peer: host})
 }
--- a/test/leaving_target_test.go
+++ b/test/leaving_target_test.go
@@ -169,3 +169,23 @@
 	}
 	checkAllWhole(t, l)
 }
+
+// The owner cannot read the host list, but the entries can.
+func TestEntriesKnowOfALeavingTargetBeforeTheOwner(t *testing.T) {
+	cluster := startCluster(t, leavingSpec())
+	cut := ownerOf(cluster, "west", model)
+	if err := cluster.SetPlatformFaults(cut.Host(), faultproxy.Faults{Cut: true}); err != nil {
+		t.Fatal(err)
+	}
+	l := startLoad(t, cluster, 20, nil)
+	l.takeOut(cut.Host(), true)
+	l.waitFor(t, 60)
+	listAsLeaving(t, cluster)
+	limit := time.Now().Add(hostListLag + leavingLimit)
+	time.Sleep(time.Until(limit))
+	l.waitFor(t, 60)
+	if n := receivedAfter(t, cluster, limit); n > 0 {
+		t.Errorf("the leaving target took %d requests after the limit", n)
+	}
+	checkAllWhole(t, l)
+}
--- a/timeline/kind.go
+++ b/timeline/kind.go
@@ -9,6 +9,8 @@
 	Queued          Kind = "queued"           // a pool owner queued a request
 	Granted         Kind = "granted"          // a pool owner granted a target
 	GrantDeclined   Kind = "grant-declined"   // an entry gave a grant back unused
+	GrantReturned   Kind = "grant-returned"   // the owner got a grant back unused
+	EntryReported   Kind = "entry-reported"   // an entry told the owner all that it has there
 	Claimed         Kind = "claimed"          // an idempotency key was claimed
 	Dispatched      Kind = "dispatched"       // the first byte may have left
 	FirstToken      Kind = "first-token"      // the first token arrived
