--- a/test/settings_in_force_test.go
+++ b/test/settings_in_force_test.go
@@ -92,10 +92,12 @@
 	t.Helper()
 	began := time.Now()
 	for _, host := range reached {
-		until(t, fmt.Sprintf("version %d on %s", version, host.Host()), func() bool { return versionOn(host) >= version })
-	}
-	if took := time.Since(began); took > inForceLimit {
-		t.Errorf("version %d took %v", version, took)
+		for versionOn(host) < version {
+			if time.Since(began) > inForceLimit {
+				t.Fatalf("version %d is not in force on %s after %v", version, host.Host(), inForceLimit)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
 	}
 }
 
@@ -142,7 +144,7 @@
 		if err := disturbed.Start(); err != nil {
 			t.Fatal(err)
 		}
-		until(t, "the host is ready", func() bool { return versionOn(disturbed) == version })
+		checkInForce(t, version, disturbed)
 		setFaults(t, cluster, standinplatform.Faults{})
 	})
 	t.Run("after an outage", func(t *testing.T) {
