target: prove that a reused connection never carries a resend

A test server answers the first request of a connection and closes the connection after it has read the second one.

--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -41,11 +41,14 @@
 	ends     []admission.End
 }
 
-func (g *fakeGrant) Target() settings.Target              { return g.target }
-func (g *fakeGrant) Expires() time.Time                   { return g.expires }
-func (g *fakeGrant) Preempted() <-chan *outcome.Refusal   { return g.preempted }
-func (g *fakeGrant) Decline(cause admission.DeclineCause) { g.back(func() { g.declines = append(g.declines, cause) }) }
-func (g *fakeGrant) End(e admission.End)                  { g.back(func() { g.ends = append(g.ends, e) }) }
+func (g *fakeGrant) Target() settings.Target            { return g.target }
+func (g *fakeGrant) Expires() time.Time                 { return g.expires }
+func (g *fakeGrant) Preempted() <-chan *outcome.Refusal { return g.preempted }
+func (g *fakeGrant) Decline(cause admission.DeclineCause) {
+	g.back(func() { g.declines = append(g.declines, cause) })
+}
+
+func (g *fakeGrant) End(e admission.End) { g.back(func() { g.ends = append(g.ends, e) }) }
 
 func (g *fakeGrant) Progress(admission.Progress) {
 	select {
--- /dev/null
+++ b/target/trap_server_test.go
@@ -0,0 +1,91 @@
+package target
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+)
+
+// trapServer answers the first request of each connection and closes the
+// connection after it has read the second one, as a target does whose idle
+// timeout ends at the wrong moment.
+type trapServer struct {
+	listener net.Listener
+
+	mu   sync.Mutex
+	seen []string
+}
+
+func newTrapServer(t *testing.T) *trapServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &trapServer{listener: listener}
+	var serving sync.WaitGroup
+	serving.Go(func() { s.accept(&serving) })
+	t.Cleanup(func() {
+		_ = listener.Close()
+		serving.Wait()
+	})
+	return s
+}
+
+func (s *trapServer) address() string { return s.listener.Addr().String() }
+
+func (s *trapServer) accept(serving *sync.WaitGroup) {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		serving.Go(func() { s.serve(conn) })
+	}
+}
+
+func (s *trapServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for i := range 2 {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		s.record(request.URL.Path)
+		if i == 0 {
+			_, _ = io.WriteString(conn, trapAnswer(request.Method))
+		}
+	}
+}
+
+func (s *trapServer) record(path string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = append(s.seen, path)
+}
+
+// count returns how often a request with the path was read.
+func (s *trapServer) count(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, p := range s.seen {
+		if p == path {
+			n++
+		}
+	}
+	return n
+}
+
+func trapAnswer(method string) string {
+	head := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+	if method == http.MethodHead {
+		return head
+	}
+	return head + "ok"
+}
