target: test streams, heads and the latch

Streams: whole, cut at each place, resumed once and several times, with overlap, repeated and skipped frames, a run that is gone, a target that can't resume, frames of another dispatch or without an id, frames without end. Heads: other or no dispatch id, leaving, engine errors, short answers, redirects.

--- /dev/null
+++ b/target/client_test.go
@@ -0,0 +1,266 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+func TestHeadsAreChecked(t *testing.T) {
+	cases := []struct {
+		name   string
+		kind   settings.PoolKind
+		answer http.HandlerFunc
+		fails  FailureKind
+	}{
+		{
+			name:   "other id in the head",
+			kind:   settings.ServicePool,
+			answer: func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(HeaderDispatch, "d-2") },
+			fails:  FailedCrossed,
+		},
+		{
+			name:   "no id in the head",
+			kind:   settings.ServicePool,
+			answer: func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") },
+			fails:  FailedCrossed,
+		},
+		{
+			name: "leaving",
+			kind: settings.ServicePool,
+			answer: func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderDispatch, "d-1")
+				w.Header().Set(HeaderLeaving, "true")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			},
+			fails: FailedLeaving,
+		},
+		{
+			name: "leaving, said by another",
+			kind: settings.ServicePool,
+			answer: func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderLeaving, "true")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			},
+			fails: FailedCrossed,
+		},
+		{
+			name: "engine error",
+			kind: settings.EnginePool,
+			answer: func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderDispatch, "d-1")
+				w.WriteHeader(http.StatusInternalServerError)
+			},
+			fails: FailedStatus,
+		},
+		{
+			name: "engine answer with another id in the body",
+			kind: settings.EnginePool,
+			answer: func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderDispatch, "d-1")
+				_, _ = io.WriteString(w, `{"id":"chatcmpl-d-2"}`)
+			},
+			fails: FailedCrossed,
+		},
+		{
+			name: "short engine answer",
+			kind: settings.EnginePool,
+			answer: func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderDispatch, "d-1")
+				w.Header().Set("Content-Length", "100")
+				_, _ = io.WriteString(w, `{"id":"chatcmpl-d-1"}`)
+			},
+			fails: FailedDied,
+		},
+		{
+			name: "redirect is passed on, not followed",
+			kind: settings.ServicePool,
+			answer: func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(HeaderDispatch, "d-1")
+				http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(c.answer)
+			defer server.Close()
+			client := NewClient(Options{})
+			defer client.Close()
+			answer, err := client.Do(context.Background(), Call{
+				Target:   settings.Target{Address: server.Listener.Addr().String(), EchoesID: true},
+				Kind:     c.kind,
+				Dispatch: "d-1",
+				Method:   http.MethodPost,
+				Path:     "/x",
+				Latch:    new(Latch),
+			})
+			if err == nil {
+				_, err = readAll(answer)
+			}
+			checkKind(t, err, c.fails)
+		})
+	}
+}
+
+func checkKind(t *testing.T, err error, want FailureKind) {
+	t.Helper()
+	if want == "" {
+		if err != nil {
+			t.Errorf("error is %v", err)
+		}
+		return
+	}
+	var failure *Failure
+	if !errors.As(err, &failure) || failure.Kind != want {
+		t.Errorf("error is %v, not of kind %s", err, want)
+	}
+}
+
+func TestServiceAnswerWithoutAKnownEndIsRefused(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 4096))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf an ans")
+		_ = conn.Close()
+	}()
+	client := NewClient(Options{})
+	defer client.Close()
+	_, err = client.Do(context.Background(), Call{
+		Target: settings.Target{Address: listener.Addr().String()},
+		Kind:   settings.ServicePool,
+		Method: http.MethodGet,
+		Path:   "/",
+		Latch:  new(Latch),
+	})
+	checkKind(t, err, FailedFormat)
+}
+
+func TestWithheldHeaders(t *testing.T) {
+	caller := http.Header{
+		"Authorization":     {"Bearer secret"},
+		"Idempotency-Key":   {"k"},
+		"X-Idempotency-Key": {"k"},
+		"X-Cornelyard-Tier": {"gold"},
+		"Connection":        {"X-Hop"},
+		"X-Hop":             {"1"},
+		"Upgrade":           {"x"},
+		"X-Request-Id":      {"the caller's"},
+		"Accept":            {"*/*"},
+	}
+	got := outgoingHeader(caller, "d-1", settings.ServicePool)
+	if len(got) != 2 || got.Get("Accept") != "*/*" || got.Get(HeaderDispatch) != "d-1" {
+		t.Errorf("the target would see %v", got)
+	}
+}
+
+func TestExpiredRightSendsNothing(t *testing.T) {
+	server := newTrapServer(t)
+	client := NewClient(Options{})
+	defer client.Close()
+	call := Call{
+		Target:   settings.Target{Address: server.address()},
+		Kind:     settings.ServicePool,
+		Method:   http.MethodPost,
+		Path:     "/late",
+		Latch:    new(Latch),
+		NotAfter: time.Now().Add(-time.Millisecond),
+	}
+	_, err := client.Do(context.Background(), call)
+	checkKind(t, err, FailedExpired)
+	if call.Latch.IsSet() || server.count("/late") != 0 {
+		t.Error("a byte left after the right to begin had expired")
+	}
+}
+
+// TestCancelledCallTellsTheTruth cancels calls at all moments around their
+// dispatch and compares the latch with what the target saw.
+func TestCancelledCallTellsTheTruth(t *testing.T) {
+	const calls = 400
+	var mu sync.Mutex
+	ran := make(map[string]bool)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		ran[r.Header.Get(HeaderDispatch)] = true
+	}))
+	client := NewClient(Options{})
+	refused := make(map[string]bool)
+	for i := range calls {
+		id := strconv.Itoa(i)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			time.Sleep(time.Duration(i%40) * 10 * time.Microsecond)
+			cancel()
+		}()
+		answer, err := client.Do(ctx, Call{
+			Target:   settings.Target{Address: server.Listener.Addr().String()},
+			Kind:     settings.ServicePool,
+			Dispatch: ident.Dispatch(id),
+			Method:   http.MethodPost,
+			Path:     "/",
+			Body:     []byte("x"),
+			Latch:    new(Latch),
+		})
+		cancel()
+		var failure *Failure
+		if errors.As(err, &failure) && failure.Kind == FailedDial {
+			refused[id] = true
+		}
+		if err == nil {
+			answer.Close()
+		}
+	}
+	client.Close()
+	server.Close()
+	if len(refused) == 0 || len(ran) == 0 {
+		t.Logf("of %d calls %d were refused unsent and %d ran: the moments don't cover both", calls, len(refused), len(ran))
+	}
+	for id := range refused {
+		if ran[id] {
+			t.Errorf("call %s was called unsent, but it ran", id)
+		}
+	}
+}
+
+func TestLatchIsOneWay(t *testing.T) {
+	cases := []struct {
+		name  string
+		steps func(l *Latch) bool
+		set   bool
+	}{
+		{name: "set, then barred", steps: func(l *Latch) bool { return l.Set() && !l.Bar() }, set: true},
+		{name: "barred, then set", steps: func(l *Latch) bool { return l.Bar() && !l.Set() }},
+		{name: "set twice", steps: func(l *Latch) bool { first := l.Set(); return l.Set() == first }, set: true},
+		{name: "barred twice", steps: func(l *Latch) bool { first := l.Bar(); return l.Bar() == first }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			latch := new(Latch)
+			if !c.steps(latch) {
+				t.Error("a step has another result")
+			}
+			if latch.IsSet() != c.set {
+				t.Errorf("set is %v", latch.IsSet())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/target/script_engine_test.go
@@ -0,0 +1,114 @@
+package target
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// scriptEngine answers the first request with the first script, the first
+// resume with the second and so on. A connection whose script doesn't end the
+// stream is cut. In scripts, ID stands for the dispatch id.
+type scriptEngine struct {
+	server  *httptest.Server
+	scripts []string
+
+	mu       sync.Mutex
+	requests []string
+}
+
+func newScriptEngine(t *testing.T, scripts ...string) *scriptEngine {
+	t.Helper()
+	e := &scriptEngine{scripts: scripts}
+	e.server = httptest.NewServer(e)
+	t.Cleanup(e.server.Close)
+	return e
+}
+
+func (e *scriptEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	script := e.next(r)
+	id := r.Header.Get(HeaderDispatch)
+	if script == "" {
+		w.Header().Set(HeaderDispatch, id)
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set(HeaderDispatch, id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	_, _ = io.WriteString(w, strings.ReplaceAll(script, "ID", id))
+	if !strings.Contains(script, doneData) {
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// next returns the script of a request, or nothing.
+func (e *scriptEngine) next(r *http.Request) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requests = append(e.requests, r.Method+" "+r.RequestURI)
+	if len(e.requests) > len(e.scripts) {
+		return ""
+	}
+	return e.scripts[len(e.requests)-1]
+}
+
+func (e *scriptEngine) seen() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.requests...)
+}
+
+func (e *scriptEngine) call() Call {
+	return Call{
+		Target: settings.Target{
+			Name:     "engine-1",
+			Address:  e.server.Listener.Addr().String(),
+			EchoesID: true,
+			Resumes:  true,
+		},
+		Kind:     settings.EnginePool,
+		Request:  "r-1",
+		Dispatch: "d-1",
+		Method:   http.MethodPost,
+		Path:     "/v1/chat/completions",
+		Body:     []byte(`{}`),
+		Stream:   true,
+		Latch:    new(Latch),
+	}
+}
+
+// word is the frame of token n.
+func word(n int) string {
+	return fmt.Sprintf("id: %d\ndata: {\"id\":\"chatcmpl-ID\",\"choices\":[{\"delta\":{\"content\":\"w%d \"}}]}\n\n", n, n)
+}
+
+// role is the frame before the first token.
+func role() string {
+	return "id: 0\ndata: {\"id\":\"chatcmpl-ID\",\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n"
+}
+
+// finish is the frame after token n.
+func finish(n int) string {
+	return fmt.Sprintf("id: %d\ndata: {\"id\":\"chatcmpl-ID\",\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n", n)
+}
+
+// ending is finish and the terminal marker.
+func ending(n int) string {
+	return finish(n) + fmt.Sprintf("id: %d\ndata: [DONE]\n\n", n)
+}
+
+func words(from, to int) string {
+	var s strings.Builder
+	for n := from; n <= to; n++ {
+		s.WriteString(word(n))
+	}
+	return s.String()
+}
--- /dev/null
+++ b/target/stream_test.go
@@ -0,0 +1,122 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+// countingRecorder counts events by kind.
+type countingRecorder map[timeline.Kind]int
+
+func (c countingRecorder) Record(e timeline.Event) { c[e.Kind]++ }
+
+func TestStream(t *testing.T) {
+	whole := role() + words(1, 4) + ending(4)
+	cases := []struct {
+		name    string
+		scripts []string
+		change  func(*Call)
+		// fails is empty if the stream is passed on whole.
+		fails    FailureKind
+		resumes  int
+		rejected int
+	}{
+		{name: "whole", scripts: []string{whole}},
+		{name: "cut and resumed", scripts: []string{role() + words(1, 2), words(3, 4) + ending(4)}, resumes: 1},
+		{name: "cut in the middle of a frame", scripts: []string{role() + words(1, 2) + word(3)[:20], words(3, 4) + ending(4)}, resumes: 1},
+		{name: "cut before the first token", scripts: []string{role(), whole}, resumes: 1},
+		{name: "cut between the trailers", scripts: []string{role() + words(1, 4) + finish(4), ending(4)}, resumes: 1},
+		{name: "cut three times", scripts: []string{role() + word(1), word(2), words(3, 4), ending(4)}, resumes: 3},
+		{name: "resumed with overlap", scripts: []string{role() + words(1, 3), whole}, resumes: 1},
+		{name: "repeated frame", scripts: []string{role() + words(1, 3) + word(3) + word(2) + word(4) + ending(4)}},
+		{name: "skipped frame", scripts: []string{role() + word(1) + word(3) + ending(3)}, fails: FailedFormat},
+		{name: "last token skipped", scripts: []string{role() + words(1, 3) + ending(4)}, fails: FailedFormat},
+		{name: "resumed too late", scripts: []string{role() + word(1), word(3) + ending(3)}, fails: FailedFormat, resumes: 1},
+		{name: "run gone", scripts: []string{role() + word(1)}, fails: FailedDied},
+		{
+			name:    "cut, target can't resume",
+			scripts: []string{role() + word(1), words(2, 4) + ending(4)},
+			change:  func(c *Call) { c.Target.Resumes = false },
+			fails:   FailedDied,
+		},
+		{
+			name:     "frame of another dispatch",
+			scripts:  []string{role() + strings.ReplaceAll(word(1), "ID", "d-2") + ending(1)},
+			fails:    FailedCrossed,
+			rejected: 1,
+		},
+		{
+			name:     "frame without an id",
+			scripts:  []string{role() + "id: 1\ndata: {\"choices\":[]}\n\n" + ending(1)},
+			fails:    FailedCrossed,
+			rejected: 1,
+		},
+		{name: "frame that is not JSON", scripts: []string{"data: hello\n\ndata: [DONE]\n\n"}, fails: FailedFormat},
+		{name: "endless frame", scripts: []string{"data: " + strings.Repeat("x", 1<<16) + "\n\ndata: [DONE]\n\n"}, fails: FailedFormat},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			engine := newScriptEngine(t, c.scripts...)
+			recorder := make(countingRecorder)
+			client := NewClient(Options{Recorder: recorder, MaxFrameBytes: 1 << 15})
+			defer client.Close()
+			call := engine.call()
+			if c.change != nil {
+				c.change(&call)
+			}
+			answer, err := client.Do(context.Background(), call)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := readAll(answer)
+			checkStream(t, string(body), err, c.fails, strings.ReplaceAll(whole, "ID", "d-1"))
+			if n := recorder[timeline.Resumed]; n != c.resumes {
+				t.Errorf("resumed %d times: %v", n, engine.seen())
+			}
+			if n := recorder[timeline.AnswerRejected]; n != c.rejected {
+				t.Errorf("%d frames rejected", n)
+			}
+		})
+	}
+}
+
+func checkStream(t *testing.T, body string, err error, fails FailureKind, whole string) {
+	t.Helper()
+	if fails == "" {
+		if err != nil || body != whole {
+			t.Errorf("error %v, body %q", err, body)
+		}
+		return
+	}
+	var failure *Failure
+	if !errors.As(err, &failure) || failure.Kind != fails {
+		t.Errorf("error is %v", err)
+	}
+	if strings.Contains(body, doneData) {
+		t.Errorf("a stream that failed carries the terminal marker: %q", body)
+	}
+	if strings.Contains(body, "d-2") {
+		t.Errorf("a frame of another dispatch was passed on: %q", body)
+	}
+}
+
+func TestResumeAsksTheSameRun(t *testing.T) {
+	engine := newScriptEngine(t, role()+words(1, 2), words(3, 4)+ending(4))
+	client := NewClient(Options{})
+	defer client.Close()
+	answer, err := client.Do(context.Background(), engine.call())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := readAll(answer); err != nil {
+		t.Fatal(err)
+	}
+	seen := engine.seen()
+	if len(seen) != 2 || seen[1] != "GET /v1/streams/d-1?after=2" {
+		t.Errorf("the engine saw %v", seen)
+	}
+}
