--- /dev/null
+++ b/internal/strictjson/parser.go
@@ -0,0 +1,149 @@
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"unicode/utf8"
+)
+
+// maxDepth bounds the nesting of values.
+const maxDepth = 64
+
+// endOfInput is what encoding/json says of a text that ends too early.
+const endOfInput = "unexpected end of JSON input"
+
+// parser builds nodes from the tokens of a text that is known to be valid.
+type parser struct {
+	data    []byte
+	decoder *json.Decoder
+}
+
+func parse(data []byte) (*node, error) {
+	if err := validate(data); err != nil {
+		return nil, err
+	}
+	p := &parser{data: data, decoder: json.NewDecoder(bytes.NewReader(data))}
+	p.decoder.UseNumber()
+	return p.value(0)
+}
+
+// validate returns the first fault of the text. The tokens of encoding/json
+// alone would let some pass, such as a colon after the value.
+func validate(data []byte) error {
+	if i := invalidUTF8(data); i >= 0 {
+		return &syntaxError{offset: i, message: "the text is not valid UTF-8"}
+	}
+	var raw json.RawMessage
+	err := json.Unmarshal(data, &raw)
+	var syntax *json.SyntaxError
+	switch {
+	case err == nil:
+		return nil
+	case !errors.As(err, &syntax):
+		return &syntaxError{message: err.Error()}
+	case syntax.Error() == endOfInput:
+		return &syntaxError{offset: len(data), message: "the text ends too early"}
+	default:
+		return &syntaxError{offset: max(int(syntax.Offset)-1, 0), message: syntax.Error()}
+	}
+}
+
+func invalidUTF8(data []byte) int {
+	for i := 0; i < len(data); {
+		r, size := utf8.DecodeRune(data[i:])
+		if r == utf8.RuneError && size <= 1 {
+			return i
+		}
+		i += size
+	}
+	return -1
+}
+
+// next returns the offset at which the next token begins.
+func (p *parser) next() int {
+	i := int(p.decoder.InputOffset())
+	for i < len(p.data) && bytes.IndexByte([]byte(" \t\r\n,:"), p.data[i]) >= 0 {
+		i++
+	}
+	return i
+}
+
+// token returns the next token. Of a valid text it can't fail.
+func (p *parser) token() (json.Token, error) {
+	token, err := p.decoder.Token()
+	if err != nil {
+		return nil, &syntaxError{offset: p.next(), message: err.Error()}
+	}
+	return token, nil
+}
+
+func (p *parser) value(depth int) (*node, error) {
+	n := &node{offset: p.next()}
+	if depth > maxDepth {
+		return nil, &syntaxError{offset: n.offset, message: "values are nested too deeply"}
+	}
+	token, err := p.token()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.fill(n, token, depth); err != nil {
+		return nil, err
+	}
+	n.end = int(p.decoder.InputOffset())
+	return n, nil
+}
+
+func (p *parser) fill(n *node, token json.Token, depth int) error {
+	switch t := token.(type) {
+	case json.Delim:
+		if t == '{' {
+			n.kind = objectNode
+			return p.object(n, depth)
+		}
+		n.kind = arrayNode
+		return p.array(n, depth)
+	case string:
+		n.kind = stringNode
+	case json.Number:
+		n.kind = numberNode
+	case bool:
+		n.kind = boolNode
+	default:
+		n.kind = nullNode
+	}
+	return nil
+}
+
+func (p *parser) object(n *node, depth int) error {
+	for p.decoder.More() {
+		offset := p.next()
+		token, err := p.token()
+		if err != nil {
+			return err
+		}
+		name, ok := token.(string)
+		if !ok {
+			return &syntaxError{offset: offset, message: "a member's name is a string"}
+		}
+		value, err := p.value(depth + 1)
+		if err != nil {
+			return err
+		}
+		n.members = append(n.members, member{name: name, offset: offset, value: value})
+	}
+	_, err := p.token()
+	return err
+}
+
+func (p *parser) array(n *node, depth int) error {
+	for p.decoder.More() {
+		value, err := p.value(depth + 1)
+		if err != nil {
+			return err
+		}
+		n.elements = append(n.elements, value)
+	}
+	_, err := p.token()
+	return err
+}
