--- /dev/null
+++ b/claim/fake_platform_test.go
@@ -0,0 +1,168 @@
+package claim
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cornelyard/cornelyard/platform"
+)
+
+// fault is what a fakeTable does instead of a plain commit.
+type fault int
+
+const (
+	faultNone fault = iota
+	// faultDown refuses the commit.
+	faultDown
+	// faultLostConfirmation commits and says that it isn't clear.
+	faultLostConfirmation
+	// faultLostWrite doesn't commit and says that it isn't clear.
+	faultLostWrite
+)
+
+// fakeTable is a platform.Table and platform.Objects in memory.
+type fakeTable struct {
+	mu       sync.Mutex
+	revision uint64
+	rows     map[string]platform.Row
+	objects  map[string][]byte
+	commits  []platform.Transaction
+	// faults are taken one for each commit.
+	faults []fault
+	// readsDown refuses all reads, commitsDown all commits.
+	readsDown   bool
+	commitsDown bool
+	// hold, if not nil, holds commits until it is closed.
+	hold chan struct{}
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
+}
+
+func (f *fakeTable) change(edit func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	edit()
+}
+
+func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.readsDown {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	row, ok := f.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (f *fakeTable) Scan(context.Context, string, string, int) ([]platform.Row, error) {
+	return nil, platform.ErrUnavailable
+}
+
+func (f *fakeTable) Commit(ctx context.Context, t platform.Transaction) (uint64, error) {
+	if !f.pass(ctx) {
+		return 0, platform.ErrUnclear
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.commits = append(f.commits, t)
+	next := f.nextFault()
+	if f.commitsDown || next == faultDown {
+		return 0, platform.ErrUnavailable
+	}
+	if next == faultLostWrite {
+		return 0, platform.ErrUnclear
+	}
+	if conflict := f.check(t); conflict != nil {
+		return 0, conflict
+	}
+	f.apply(t)
+	if next == faultLostConfirmation {
+		return 0, platform.ErrUnclear
+	}
+	return f.revision, nil
+}
+
+func (f *fakeTable) pass(ctx context.Context) bool {
+	f.mu.Lock()
+	hold := f.hold
+	f.mu.Unlock()
+	if hold == nil {
+		return true
+	}
+	select {
+	case <-hold:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (f *fakeTable) nextFault() fault {
+	if len(f.faults) == 0 {
+		return faultNone
+	}
+	next := f.faults[0]
+	f.faults = f.faults[1:]
+	return next
+}
+
+func (f *fakeTable) check(t platform.Transaction) error {
+	var failed []platform.Row
+	for _, check := range t.Checks {
+		row, ok := f.rows[check.Key]
+		if !ok {
+			row = platform.Row{Key: check.Key}
+		}
+		if row.Revision != check.Revision {
+			failed = append(failed, row)
+		}
+	}
+	if len(failed) == 0 {
+		return nil
+	}
+	return &platform.ConflictError{Rows: failed}
+}
+
+func (f *fakeTable) apply(t platform.Transaction) {
+	f.revision++
+	for _, put := range t.Puts {
+		f.rows[put.Key] = platform.Row{Key: put.Key, Revision: f.revision, Value: put.Value}
+	}
+	for _, key := range t.Deletes {
+		delete(f.rows, key)
+	}
+}
+
+func (f *fakeTable) Put(_ context.Context, name string, data []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.commitsDown {
+		return platform.ErrUnavailable
+	}
+	f.objects[name] = data
+	return nil
+}
+
+// fakeObjects is the object side of a fakeTable.
+type fakeObjects struct{ table *fakeTable }
+
+func (o fakeObjects) Put(ctx context.Context, name string, data []byte) error {
+	return o.table.Put(ctx, name, data)
+}
+
+func (o fakeObjects) Get(_ context.Context, name string) ([]byte, error) {
+	o.table.mu.Lock()
+	defer o.table.mu.Unlock()
+	data, ok := o.table.objects[name]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return data, nil
+}
+
+func (o fakeObjects) Delete(context.Context, string) error { return nil }
