--- /dev/null
+++ b/peer/hostile_test.go
@@ -0,0 +1,53 @@
+package peer
+
+import (
+	"bufio"
+	"crypto/tls"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+)
+
+// Hostile is a host with a valid key that does as the test pleases.
+type Hostile struct {
+	Stream *yamux.Stream
+	Reader *bufio.Reader
+}
+
+// DialHostile opens a session under a name that sorts after all others.
+func DialHostile(t *testing.T, address string, key Key, name ident.Host) *Hostile {
+	t.Helper()
+	credentials, err := newCredentials([]Key{key})
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := tls.Dial("tcp", address, credentials.config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = mux.Close() })
+	stream, err := mux.OpenStream()
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &Hostile{Stream: stream, Reader: bufio.NewReader(stream)}
+	self := &peerpb.Member{Host: string(name), DataCentre: "dc1", Incarnation: uint64(time.Now().UnixNano())}
+	if err := writeMessage(stream, &peerpb.Hello{Self: self}); err != nil {
+		t.Fatal(err)
+	}
+	if err := readMessage(h.Reader, maxHelloBytes, &peerpb.Hello{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := readMessage(h.Reader, maxHelloBytes, &peerpb.Welcome{}); err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
@@ -21,6 +23,13 @@
 // patience bounds every wait of a test.
 const patience = 20 * time.Second
 
+const (
+	// hurried keeps the tests short.
+	hurried = 250 * time.Millisecond
+	// unhurried is an interval whose absence proves nothing in a test's time.
+	unhurried = patience
+)
+
 // happening is one call of the handler.
 type happening struct {
 	what string
@@ -32,6 +41,36 @@
 type journal struct {
 	mu  sync.Mutex
 	all []happening
+	// hold is the id of a frame whose handling lasts until held is closed.
+	hold string
+	held chan struct{}
+}
+
+// holdAt makes the handling of the numbered frame last until release is called.
+func (j *journal) holdAt(i int) (release func()) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.hold, j.held = fmt.Sprint(i), make(chan struct{})
+	return sync.OnceFunc(func() { close(j.held) })
+}
+
+// holding tells whether the frame is being handled.
+func (j *journal) holding() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.hold == ""
+}
+
+func (j *journal) waitIfHeld(id string) {
+	j.mu.Lock()
+	hit := j.held != nil && j.hold == id
+	if hit {
+		j.hold = ""
+	}
+	j.mu.Unlock()
+	if hit {
+		<-j.held
+	}
 }
 
 func (j *journal) add(h happening) {
@@ -42,6 +81,7 @@
 
 func (j *journal) HandleFrame(from ident.Host, f *peerpb.Frame) {
 	if c := f.GetCancel(); c != nil {
+		j.waitIfHeld(c.GetId())
 		j.add(happening{what: "frame", host: from, id: c.GetId()})
 	}
 }
@@ -80,6 +120,8 @@
 	key        byte
 	moreKeys   []byte
 	setUp      func(*peer.Mesh)
+	scope      tally.Scope
+	heartbeat  time.Duration
 }
 
 // startNode runs a host until the test ends or stop is called.
@@ -91,6 +133,9 @@
 	if o.dataCentre == "" {
 		o.dataCentre = "dc1"
 	}
+	if o.heartbeat == 0 {
+		o.heartbeat = hurried
+	}
 	keys := []peer.Key{{0: o.key}}
 	for _, k := range o.moreKeys {
 		keys = append(keys, peer.Key{0: k})
@@ -101,10 +146,10 @@
 			Host: o.host, DataCentre: o.dataCentre, PeerAddress: o.address,
 			Incarnation: membership.NewIncarnation(time.Now()),
 		},
-		Timing: config.Timing{Heartbeat: settings.Duration(100 * time.Millisecond)},
+		Timing: config.Timing{Heartbeat: settings.Duration(o.heartbeat)},
 	})
 	mesh, err := peer.NewMesh(peer.Options{
-		Listen: o.address, Keys: keys, Seeds: o.seeds, Members: n.tracker, Clock: timeline.NewClock(),
+		Listen: o.address, Keys: keys, Seeds: o.seeds, Members: n.tracker, Clock: timeline.NewClock(), Scope: o.scope,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -138,6 +183,9 @@
 		group.Wait()
 	})
 	t.Cleanup(n.stop)
+	if _, err := n.mesh.Address(ctx); err != nil {
+		t.Fatal(err)
+	}
 }
 
 func (n *node) sees(host ident.Host, state membership.State) bool {
--- /dev/null
+++ b/peer/relay_test.go
@@ -0,0 +1,69 @@
+package peer_test
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+)
+
+// tcpRelay passes connections on to an address until they are cut.
+type tcpRelay struct {
+	address string
+	mu      sync.Mutex
+	conns   []net.Conn
+}
+
+func startRelay(t *testing.T, to string) *tcpRelay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &tcpRelay{address: listener.Addr().String()}
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			r.keep(in, out)
+			group.Go(func() { copyUntilClosed(in, out) })
+			group.Go(func() { copyUntilClosed(out, in) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		r.cut()
+		group.Wait()
+	})
+	return r
+}
+
+func copyUntilClosed(to, from net.Conn) {
+	_, _ = io.Copy(to, from)
+	_ = to.Close()
+	_ = from.Close()
+}
+
+func (r *tcpRelay) keep(conns ...net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns = append(r.conns, conns...)
+}
+
+// cut closes all connections; new ones are passed on.
+func (r *tcpRelay) cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+	r.conns = nil
+}
