See a pause before the inputs that waited during it

Cause: after a freeze the tracker could take heartbeats from its inbox before its next tick noticed the pause, and publish a view that looked trusted.

Change: each input first checks for a pause. The test failed without the check. Beside it: sending looks at the view only without a session, a host list that becomes unreadable is logged once, a second process with the own name is a warning, and more dials may wait for hosts that are cut off.

Conclusion: no view from before a pause is published after it.

--- a/membership/host_list.go
+++ b/membership/host_list.go
@@ -9,8 +9,13 @@
 func (t *Tracker) readHostList(ctx context.Context) error {
 	ticker := time.NewTicker(t.options.HostListInterval)
 	defer ticker.Stop()
+	readable := true
 	for {
-		t.readHostListOnce(ctx)
+		err := t.readHostListOnce(ctx)
+		if ctx.Err() == nil && readable != (err == nil) {
+			readable = err == nil
+			t.options.Logger.Warn().Bool("readable", readable).Err(err).Msg("The host list's state changed.")
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -19,13 +24,13 @@
 	}
 }
 
-func (t *Tracker) readHostListOnce(ctx context.Context) {
+func (t *Tracker) readHostListOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, hostListTimeout)
 	defer cancel()
 	hosts, err := t.options.HostList.Hosts(ctx)
 	if err != nil {
-		t.options.Logger.Debug().Err(err).Msg("Host list not read.")
-		return
+		return err
 	}
 	t.post(hostListInput{hosts: hosts})
+	return nil
 }
--- a/membership/state.go
+++ b/membership/state.go
@@ -178,7 +178,7 @@
 
 // tick lets time pass.
 func (s *state) tick(now time.Time) {
-	if !s.lastTick.IsZero() && now.Sub(s.lastTick) > s.timing.suspectAfter {
+	if s.overdue(now) {
 		s.wake(now)
 	}
 	s.lastTick = now
@@ -192,6 +192,12 @@
 	s.regainTrust(now)
 }
 
+// overdue tells whether so much time has passed since the last tick that this
+// process can't have been running.
+func (s *state) overdue(now time.Time) bool {
+	return !s.lastTick.IsZero() && now.Sub(s.lastTick) > s.timing.suspectAfter
+}
+
 // wake notes that this process was not running since the last tick, so that
 // the silence of the others proves nothing.
 func (s *state) wake(now time.Time) {
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -155,7 +155,7 @@
 		case <-ctx.Done():
 			return nil
 		case in := <-t.inbox:
-			in.apply(t, time.Now())
+			t.take(in, time.Now())
 		case <-t.urgent:
 			t.noteSelf(time.Now())
 			t.beat(time.Now(), everyone)
@@ -166,6 +166,15 @@
 	}
 }
 
+// take applies an input. After a pause of this process, inputs from before it
+// must not pass for signs of life.
+func (t *Tracker) take(in input, now time.Time) {
+	if t.state.overdue(now) {
+		t.tick(now)
+	}
+	in.apply(t, now)
+}
+
 func (t *Tracker) tick(now time.Time) {
 	t.noteSelf(now)
 	t.state.tick(now)
--- a/membership/tracker_test.go
+++ b/membership/tracker_test.go
@@ -190,3 +190,16 @@
 		return m.State == Alive
 	})
 }
+
+func TestPauseIsSeenBeforeWaitingInputs(t *testing.T) {
+	tracker, _ := startTracker(t, hurried, nil)
+	start := time.Now()
+	tracker.tick(start)
+	woke := start.Add(time.Minute)
+	b := member("b", "dc1", 1)
+	tracker.take(helloInput{hello: &peerpb.Hello{Self: b.ToProto()}}, woke)
+	tracker.publish()
+	if !tracker.View().Paused {
+		t.Error("an input was taken on a view from before the pause")
+	}
+}
--- a/peer/accept.go
+++ b/peer/accept.go
@@ -57,7 +57,11 @@
 		return
 	}
 	m.counters.handshakeFailed(side)
-	m.options.Logger.Debug().Str("side", side).Str("address", address).Err(err).Msg("Connection became no session.")
+	entry := m.options.Logger.Debug()
+	if errors.Is(err, errNameTaken) {
+		entry = m.options.Logger.Warn()
+	}
+	entry.Str("side", side).Str("address", address).Err(err).Msg("Connection became no session.")
 }
 
 // pause waits for d and returns false if ctx ends first.
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -17,6 +17,7 @@
 
 	errDuplicate = Error.New("another session is kept")
 	errSelf      = Error.New("the connection leads to this host itself")
+	errNameTaken = Error.New("another process has this host's name")
 	errDead      = Error.New("the member is dead")
 	errStopped   = Error.New("the mesh is stopped")
 )
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -87,13 +87,20 @@
 	if err := readMessage(g.reader, maxHelloBytes, g.hello); err != nil {
 		return Error.Wrap(err)
 	}
-	switch g.host() {
-	case "":
+	return m.checkGreeting(g.hello.GetSelf())
+}
+
+func (m *Mesh) checkGreeting(other *peerpb.Member) error {
+	if other.GetHost() == "" {
 		return Error.New("a greeting without a name")
-	case m.self:
+	}
+	if ident.Host(other.GetHost()) != m.self {
+		return nil
+	}
+	if other.GetIncarnation() == m.options.Members.View().Self.Incarnation {
 		return errSelf
 	}
-	return nil
+	return errNameTaken
 }
 
 // settle lets the host with the smaller name decide whether the connection is
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -36,8 +36,9 @@
 	maxHandshakes = 64
 	// maxCalls bounds the unary calls served at once for one host.
 	maxCalls = 32
-	// maxDials bounds the outgoing handshakes in progress.
-	maxDials = 16
+	// maxDials bounds the outgoing handshakes in progress. It exceeds the dials
+	// to data centres that are cut off, so that those can't hold up others.
+	maxDials = 64
 
 	// planInterval is how often missing sessions are looked for.
 	planInterval = 100 * time.Millisecond
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -115,7 +115,7 @@
 	if to == m.self {
 		return m.sendLocal(f)
 	}
-	l, mayDial := m.reach(to)
+	l, mayDial := m.way(to)
 	if l == nil {
 		return ErrNoSession
 	}
@@ -154,6 +154,18 @@
 	return l
 }
 
+// way returns the link to a host for sending. The view is needed only if there
+// is no session.
+func (m *Mesh) way(host ident.Host) (l *link, mayDial bool) {
+	m.mu.Lock()
+	l = m.links[host]
+	m.mu.Unlock()
+	if l != nil && l.session() != nil {
+		return l, true
+	}
+	return m.reach(host)
+}
+
 // reach returns the link to a host and whether it can be dialled. The link is
 // nil if the host is unknown and has no session.
 func (m *Mesh) reach(host ident.Host) (l *link, mayDial bool) {
