--- /dev/null
+++ b/internal/chatclient/client.go
@@ -0,0 +1,91 @@
+package chatclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cornelyard/cornelyard/internal/standin/engine"
+)
+
+// Client calls one host, or an engine directly.
+type Client struct {
+	BaseURL string
+	Token   string
+	// HTTP sends the calls; nil means http.DefaultClient.
+	HTTP *http.Client
+}
+
+// Expected returns the whole answer of n tokens that an engine gives to a call
+// with the prompt.
+func Expected(prompt string, n int) string {
+	return engine.Answer(engine.ChatPrompt(userMessage(prompt)), n)
+}
+
+func userMessage(prompt string) []engine.Message {
+	return []engine.Message{{Role: "user", Content: engine.Content(prompt)}}
+}
+
+// Complete makes the call and reads the answer. The error tells that no answer
+// came or that the connection broke; what came before is returned with it.
+func (c *Client) Complete(ctx context.Context, call Call) (Answer, error) {
+	request, err := c.newChatRequest(ctx, call)
+	if err != nil {
+		return Answer{}, err
+	}
+	begin := time.Now()
+	response, err := c.http().Do(request)
+	if err != nil {
+		return Answer{Total: time.Since(begin)}, Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer := Answer{Head: newHead(response)}
+	reader := answerReader{answer: &answer, begin: begin, onToken: call.OnToken}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		err = reader.readStream(response.Body)
+	} else {
+		err = reader.readWhole(response.Body)
+	}
+	answer.Total = time.Since(begin)
+	return answer, Error.Wrap(err)
+}
+
+func (c *Client) http() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return http.DefaultClient
+}
+
+func (c *Client) newChatRequest(ctx context.Context, call Call) (*http.Request, error) {
+	body, err := json.Marshal(engine.Request{
+		Model: call.Model, Messages: userMessage(call.Prompt), MaxTokens: call.MaxTokens, Stream: call.Stream,
+	})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return c.newRequest(ctx, http.MethodPost, "/v1/chat/completions", body, terms{
+		tier: call.Tier, deadline: call.Deadline, key: call.Key, nonIdempotent: call.NonIdempotent,
+	})
+}
+
+// newRequest builds a request whose body cannot be rewound, so that net/http
+// does not send it twice.
+func (c *Client) newRequest(ctx context.Context, method, path string, body []byte, t terms) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.BaseURL+path, nil)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if len(body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		request.ContentLength = int64(len(body))
+		request.Header.Set("Content-Type", "application/json")
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Token)
+	t.set(request.Header)
+	return request, nil
+}
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -21,23 +21,15 @@
 		return
 	}
 	plain := t.plainHeartbeat()
-	var hints []*peerpb.PoolHint
-	if to == everyone && t.poolHints != nil {
-		hints = t.poolHints()
-	}
 	for _, host := range t.sender.Connected() {
-		local := t.isLocal(host)
-		if !local && to == ownDataCentre {
+		if to == ownDataCentre && !t.isLocal(host) {
 			continue
 		}
 		heartbeat := plain
 		changes := t.changesFor(host, now)
-		if len(changes) > 0 || !local && len(hints) > 0 {
+		if len(changes) > 0 {
 			heartbeat = t.plainHeartbeat()
 			heartbeat.Members = changes
-			if !local {
-				heartbeat.Pools = hints
-			}
 		}
 		t.sendHeartbeat(host, heartbeat)
 	}
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -43,7 +43,6 @@
 	changed chan struct{}
 
 	sender            Sender
-	poolHints         func() []*peerpb.PoolHint
 	onSettingsVersion func(version uint64)
 
 	// The rest belongs to the goroutine of Run.
@@ -76,10 +75,6 @@
 // SetSender sets what heartbeats are sent through. It is called before Run.
 func (t *Tracker) SetSender(s Sender) { t.sender = s }
 
-// SetPoolHints sets the function that gives the hints about the own pools. It
-// is called before Run; the function is called from the tracker's goroutine.
-func (t *Tracker) SetPoolHints(hints func() []*peerpb.PoolHint) { t.poolHints = hints }
-
 // OnSettingsVersion sets the function that is told of a settings version newer
 // than the own one. It is called before Run; the function must not block.
 func (t *Tracker) OnSettingsVersion(f func(version uint64)) { t.onSettingsVersion = f }
