Send heartbeats at the same moments; measure slopes

Change: heartbeats follow the wall clock, so that a host wakes up once for those of all others; the planner sleeps until a dial is due; the tracker ticks twice an interval.

--- a/bench/main.go
+++ b/bench/main.go
@@ -15,6 +15,7 @@
 	"github.com/cornelyard/cornelyard/bench/command"
 	"github.com/cornelyard/cornelyard/bench/overhead"
 	"github.com/cornelyard/cornelyard/bench/report"
+	"github.com/cornelyard/cornelyard/bench/slopes"
 )
 
 func main() {
@@ -22,6 +23,7 @@
 	output := app.Flag("output", "Form of the report.").Default(string(report.Text)).Enum(report.Formats...)
 	commands := []command.Command{
 		overhead.Register(app),
+		slopes.Register(app),
 	}
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	for _, c := range commands {
--- /dev/null
+++ b/bench/slopes/idle.go
@@ -0,0 +1,91 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/testbed"
+)
+
+// hostsSeries lets hosts of one data centre do nothing but keep the mesh.
+func hostsSeries() series {
+	return series{
+		name: "hosts", varied: "hosts in one data centre",
+		values: func(o options) []float64 {
+			return slices.DeleteFunc([]float64{2, 5, 10, 20, 40}, func(x float64) bool { return int(x) > o.maxHosts })
+		},
+		point: func(ctx context.Context, o options, x float64) ([]Figure, error) {
+			return idle(ctx, o, baseSpec(int(x)))
+		},
+	}
+}
+
+// dataCentresSeries spreads the same number of hosts over data centres.
+func dataCentresSeries() series {
+	const hosts = 36
+	return series{
+		name: "data-centres", varied: fmt.Sprintf("data centres that %d hosts are spread over", hosts),
+		values: fixed(1, 3, 9),
+		point: func(ctx context.Context, o options, x float64) ([]Figure, error) {
+			spec := baseSpec(min(hosts, o.maxHosts))
+			for i := range spec.Hosts {
+				spec.Hosts[i].DataCentre = ident.DataCentre(fmt.Sprintf("dc%d", i%int(x)+1))
+			}
+			return idle(ctx, o, spec)
+		},
+	}
+}
+
+// teamsSeries changes the number of declared teams.
+func teamsSeries() series {
+	return series{
+		name: "teams", varied: "declared teams",
+		values: fixed(10, 500, 1500, 4400),
+		point: func(ctx context.Context, o options, x float64) ([]Figure, error) {
+			return idle(ctx, o, teamsSpec(int(x)))
+		},
+	}
+}
+
+func teamsSpec(teams int) testbed.Spec {
+	spec := baseSpec(2)
+	for i := 1; i < teams; i++ {
+		name := fmt.Sprintf("team-%04d", i)
+		spec.Teams = append(spec.Teams, testbed.TeamSpec{
+			Name: ident.Team(name), Token: name, AdminToken: name + "-admin", DefaultTier: tier,
+		})
+	}
+	return spec
+}
+
+// idle measures hosts without callers.
+func idle(ctx context.Context, o options, spec testbed.Spec) ([]Figure, error) {
+	return withCluster(ctx, o, spec, func(c *testbed.Cluster) ([]Figure, error) {
+		return observeIdle(ctx, o, c)
+	})
+}
+
+func observeIdle(ctx context.Context, o options, c *testbed.Cluster) ([]Figure, error) {
+	before, err := c.Platform.Counts()
+	if err != nil {
+		return nil, err
+	}
+	uses, err := observe(ctx, o.window, c.Hosts...)
+	if err != nil {
+		return nil, err
+	}
+	after, err := c.Platform.Counts()
+	if err != nil {
+		return nil, err
+	}
+	m := mean(uses)
+	perHost := func(n uint64) float64 { return float64(n) / o.window.Seconds() / float64(len(c.Hosts)) }
+	return append(
+		m.figures("host"),
+		Figure{Name: "sessions", Unit: "1", Value: m.last["cornelyard_peer_sessions"]},
+		Figure{Name: "platform reads", Unit: "1/s", Value: perHost(after.Reads - before.Reads)},
+		Figure{Name: "platform writes", Unit: "1/s", Value: perHost(after.Writes - before.Writes)},
+	), nil
+}
--- /dev/null
+++ b/bench/slopes/window.go
@@ -0,0 +1,109 @@
+package slopes
+
+import (
+	"context"
+	"time"
+
+	"github.com/cornelyard/cornelyard/internal/standin"
+	"github.com/cornelyard/cornelyard/internal/testbed"
+)
+
+const (
+	// packetOverhead is the bytes that Ethernet's payload has before TCP's:
+	// IPv4 and TCP with timestamps.
+	packetOverhead = 52
+	megabyte       = 1 << 20
+)
+
+// use is what one process used in a window.
+type use struct {
+	// processor is milliseconds of processor time a second.
+	processor float64
+	memory    float64
+	resident  float64
+	// rates are the growth of the counters a second, and last their last values.
+	rates map[string]float64
+	last  map[string]float64
+}
+
+// observe waits for the window to pass and returns what each host used in it.
+func observe(ctx context.Context, window time.Duration, hosts ...*testbed.Host) ([]use, error) {
+	before, err := takeSamples(hosts)
+	if err != nil {
+		return nil, err
+	}
+	if err := standin.Sleep(ctx, window); err != nil {
+		return nil, err
+	}
+	after, err := takeSamples(hosts)
+	if err != nil {
+		return nil, err
+	}
+	uses := make([]use, len(hosts))
+	for i := range hosts {
+		uses[i] = between(before[i], after[i])
+	}
+	return uses, nil
+}
+
+func takeSamples(hosts []*testbed.Host) ([]sample, error) {
+	samples := make([]sample, len(hosts))
+	for i, h := range hosts {
+		s, err := takeSample(h)
+		if err != nil {
+			return nil, err
+		}
+		samples[i] = s
+	}
+	return samples, nil
+}
+
+func between(before, after sample) use {
+	seconds := after.at.Sub(before.at).Seconds()
+	u := use{
+		processor: float64((after.processor - before.processor).Microseconds()) / 1000 / seconds,
+		memory:    after.memory,
+		resident:  after.resident,
+		rates:     make(map[string]float64),
+		last:      after.counters,
+	}
+	for name, value := range after.counters {
+		u.rates[name] = (value - before.counters[name]) / seconds
+	}
+	return u
+}
+
+// mean returns the mean of the uses.
+func mean(uses []use) use {
+	m := use{rates: make(map[string]float64), last: make(map[string]float64)}
+	n := float64(len(uses))
+	for _, u := range uses {
+		m.processor += u.processor / n
+		m.memory += u.memory / n
+		m.resident += u.resident / n
+		for name, rate := range u.rates {
+			m.rates[name] += rate / n
+		}
+		for name, value := range u.last {
+			m.last[name] += value / n
+		}
+	}
+	return m
+}
+
+// wireBytes is the bytes a second on the network for what was sent to peers:
+// one packet for each write, with its headers.
+func (u use) wireBytes() float64 {
+	return u.rates["cornelyard_peer_wire_bytes_sent"] + packetOverhead*u.rates["cornelyard_peer_wire_writes"]
+}
+
+// figures names the parts of the use; the role tells whose it is.
+func (u use) figures(role string) []Figure {
+	return []Figure{
+		{Name: role + " processor", Unit: "ms/s", Value: u.processor},
+		{Name: role + " memory", Unit: "MB", Value: u.memory / megabyte},
+		{Name: role + " resident", Unit: "MB", Value: u.resident / megabyte},
+		{Name: role + " peer bytes sent", Unit: "B/s", Value: u.wireBytes()},
+		{Name: role + " peer frames sent", Unit: "1/s", Value: u.rates["cornelyard_peer_frames_sent"]},
+	}
+}
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -20,7 +20,7 @@
 	// the next heartbeat makes up for a lost one.
 	inboxSize = 1024
 	// ticksPerHeartbeat is how often silence is checked in a heartbeat interval.
-	ticksPerHeartbeat = 5
+	ticksPerHeartbeat = 2
 	// handshakeAllowance is how old the member list of a Hello may be when its
 	// session opens.
 	handshakeAllowance = 5 * time.Second
@@ -46,10 +46,9 @@
 	onSettingsVersion func(version uint64)
 
 	// The rest belongs to the goroutine of Run.
-	state    *state
-	told     map[ident.Host]time.Time
-	beats    uint64
-	lastBeat time.Time
+	state     *state
+	told      map[ident.Host]time.Time
+	metronome metronome
 }
 
 // NewTracker returns a tracker that knows only the own host.
@@ -66,6 +65,7 @@
 	}
 	t.version.Store(o.Self.SettingsVersion)
 	t.leaving.Store(o.Self.Leaving)
+	t.metronome = metronome{interval: t.timing.heartbeat}
 	t.state = newState(o.Self, t.timing)
 	t.view = t.state.view(1)
 	t.state.takeDirty()
@@ -143,8 +143,8 @@
 }
 
 func (t *Tracker) loop(ctx context.Context) error {
-	ticker := time.NewTicker(t.timing.heartbeat / ticksPerHeartbeat)
-	defer ticker.Stop()
+	timer := time.NewTimer(t.metronome.next(time.Now()))
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -154,8 +154,9 @@
 		case <-t.urgent:
 			t.noteSelf(time.Now())
 			t.beat(time.Now(), everyone)
-		case <-ticker.C:
+		case <-timer.C:
 			t.tick(time.Now())
+			timer.Reset(t.metronome.next(time.Now()))
 		}
 		t.publish()
 	}
@@ -173,16 +174,12 @@
 func (t *Tracker) tick(now time.Time) {
 	t.noteSelf(now)
 	t.state.tick(now)
-	if now.Sub(t.lastBeat) < t.timing.heartbeat {
-		return
-	}
-	t.lastBeat = now
-	t.beats++
-	if t.beats%remoteFactor == 0 {
+	switch t.metronome.stroke(now, now) {
+	case beatEveryone:
 		t.beat(now, everyone)
-		return
+	case beatOwnDataCentre:
+		t.beat(now, ownDataCentre)
 	}
-	t.beat(now, ownDataCentre)
 }
 
 func (t *Tracker) noteSelf(now time.Time) {
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -62,6 +62,10 @@
 	PeerFramesReceived = "peer_frames_received"
 	// PeerBytesSent counts the bytes of frames.
 	PeerBytesSent = "peer_bytes_sent"
+	// PeerWireBytesSent counts the bytes given to the network, with all of TLS,
+	// and PeerWireWrites the writes.
+	PeerWireBytesSent = "peer_wire_bytes_sent"
+	PeerWireWrites    = "peer_wire_writes"
 	// PeerBacklogs counts sessions closed for a full queue.
 	PeerBacklogs = "peer_backlogs"
 	// PeerHandshakesFailed counts connections that never became a session, by
--- /dev/null
+++ b/peer/counted_conn.go
@@ -0,0 +1,26 @@
+package peer
+
+import (
+	"net"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// countedConn counts what leaves on the wire, the records of TLS included.
+type countedConn struct {
+	net.Conn
+	bytes  tally.Counter
+	writes tally.Counter
+}
+
+func (c *counters) counted(raw net.Conn) net.Conn {
+	return &countedConn{Conn: raw, bytes: c.wireBytes, writes: c.wireWrites}
+}
+
+// Write implements io.Writer.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Inc(int64(n))
+	c.writes.Inc(1)
+	return n, err
+}
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -13,6 +13,8 @@
 	framesSent     tally.Counter
 	framesReceived tally.Counter
 	bytesSent      tally.Counter
+	wireBytes      tally.Counter
+	wireWrites     tally.Counter
 	backlogs       tally.Counter
 }
 
@@ -23,6 +25,8 @@
 		framesSent:     scope.Counter(metrics.PeerFramesSent),
 		framesReceived: scope.Counter(metrics.PeerFramesReceived),
 		bytesSent:      scope.Counter(metrics.PeerBytesSent),
+		wireBytes:      scope.Counter(metrics.PeerWireBytesSent),
+		wireWrites:     scope.Counter(metrics.PeerWireWrites),
 		backlogs:       scope.Counter(metrics.PeerBacklogs),
 	}
 }
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -25,62 +25,68 @@
 	for _, address := range m.options.Seeds {
 		d.seeds = append(d.seeds, newSeed(address))
 	}
-	ticker := time.NewTicker(planInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		d.step(ctx, time.Now())
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		case <-m.hurry:
 		case <-m.options.Members.Changed():
 		}
+		timer.Reset(max(d.step(ctx, time.Now()), minPlanInterval))
 	}
 }
 
-// step begins the dials that are due.
-func (d *dialler) step(ctx context.Context, now time.Time) {
+// step begins the dials that are due and returns how long it is until the next
+// one.
+func (d *dialler) step(ctx context.Context, now time.Time) time.Duration {
 	view := d.mesh.options.Members.View()
 	if view.Version != d.version {
 		d.version = view.Version
 		d.planned = plan(view)
 	}
+	wait := idlePlanInterval
 	for _, member := range d.planned {
-		d.dialMember(ctx, member, now)
+		wait = min(wait, d.dialMember(ctx, member, now))
 	}
-	d.tendLinks(ctx, view, now)
-	d.dialSeeds(ctx, view, now)
+	wait = min(wait, d.tendLinks(ctx, view, now))
+	return min(wait, d.dialSeeds(ctx, view, now))
 }
 
 // tendLinks dials the hosts that frames or calls wait for, and closes the
 // sessions to dead members.
-func (d *dialler) tendLinks(ctx context.Context, view *membership.View, now time.Time) {
+func (d *dialler) tendLinks(ctx context.Context, view *membership.View, now time.Time) time.Duration {
+	wait := idlePlanInterval
 	for _, l := range d.mesh.allLinks() {
 		member, known := view.Member(l.host)
 		if !known {
 			continue
 		}
 		if member.State == membership.Dead {
-			l.closeIfSilent(now)
+			wait = min(wait, l.closeIfSilent(now))
 		}
 		if l.wanted() {
-			d.dialMember(ctx, member, now)
+			wait = min(wait, d.dialMember(ctx, member, now))
 		}
 	}
+	return wait
 }
 
-func (d *dialler) dialMember(ctx context.Context, member membership.Member, now time.Time) {
+func (d *dialler) dialMember(ctx context.Context, member membership.Member, now time.Time) time.Duration {
 	m := d.mesh
 	l := m.link(member.Host)
 	eager := m.self < member.Host || l.wanted()
-	if !l.beginDial(now, eager) {
-		return
+	begun, wait := l.beginDial(now, eager)
+	if begun {
+		m.connections.Go(func() { m.dialLink(ctx, l, member.PeerAddress) })
 	}
-	m.connections.Go(func() { m.dialLink(ctx, l, member.PeerAddress) })
+	return wait
 }
 
 func (m *Mesh) dialLink(ctx context.Context, l *link, address string) {
+	defer m.wake()
 	s, err := m.dial(ctx, address)
 	if err == nil && s.host == l.host {
 		s.run(ctx)
--- a/peer/dial_state.go
+++ b/peer/dial_state.go
@@ -23,20 +23,23 @@
 	return dialState{backoff: b}
 }
 
-// begin tells whether a dial begins now. If eager is false, the other side gets
-// time to dial first.
-func (d *dialState) begin(now time.Time, eager bool) bool {
+// begin tells whether a dial begins now, and if not, how long to wait before
+// asking again. If eager is false, the other side gets time to dial first.
+func (d *dialState) begin(now time.Time, eager bool) (begun bool, wait time.Duration) {
 	if d.missed.IsZero() {
 		d.missed = now
 	}
-	if d.dialling || now.Before(d.next) {
-		return false
+	if d.dialling {
+		return false, idlePlanInterval
 	}
-	if !eager && now.Sub(d.missed) < graceOfYounger {
-		return false
+	if rest := d.next.Sub(now); rest > 0 {
+		return false, rest
+	}
+	if grace := graceOfYounger - now.Sub(d.missed); !eager && grace > 0 {
+		return false, grace
 	}
 	d.dialling = true
-	return true
+	return true, idlePlanInterval
 }
 
 // settle notes that the session is open.
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -33,7 +33,7 @@
 // greetDialled does the dialling side's handshake up to the greetings.
 func (m *Mesh) greetDialled(ctx context.Context, raw net.Conn) (*greeted, error) {
 	_ = raw.SetDeadline(time.Now().Add(handshakeTimeout))
-	conn := tls.Client(raw, m.tls)
+	conn := tls.Client(m.counters.counted(raw), m.tls)
 	if err := conn.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
 		return nil, Error.Wrap(err)
@@ -54,7 +54,7 @@
 // greetAccepted does the accepting side's handshake up to the greetings.
 func (m *Mesh) greetAccepted(ctx context.Context, raw net.Conn) (*greeted, error) {
 	_ = raw.SetDeadline(time.Now().Add(handshakeTimeout))
-	conn := tls.Server(raw, m.tls)
+	conn := tls.Server(m.counters.counted(raw), m.tls)
 	if err := conn.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
 		return nil, Error.Wrap(err)
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -40,8 +40,10 @@
 	// to data centres that are cut off, so that those can't hold up others.
 	maxDials = 64
 
-	// planInterval is how often missing sessions are looked for.
-	planInterval = 100 * time.Millisecond
+	// minPlanInterval and idlePlanInterval bound the time between two searches
+	// for missing sessions. The end of a session or of a dial begins one at once.
+	minPlanInterval  = 10 * time.Millisecond
+	idlePlanInterval = time.Second
 	// graceOfYounger is how long the host with the larger name waits for the
 	// other one to dial.
 	graceOfYounger = 200 * time.Millisecond
--- a/peer/link.go
+++ b/peer/link.go
@@ -110,12 +110,18 @@
 }
 
 // closeIfSilent closes the session to a member that was declared dead, so that
-// both sides exchange their state anew when it returns.
-func (l *link) closeIfSilent(now time.Time) {
+// both sides exchange their state anew when it returns. It returns how long to
+// wait before asking again.
+func (l *link) closeIfSilent(now time.Time) (wait time.Duration) {
 	s := l.session()
-	if s != nil && s.silence(now) > deadSessionSilence {
-		s.close(errDead)
+	if s == nil {
+		return idlePlanInterval
 	}
+	if rest := deadSessionSilence - s.silence(now); rest > 0 {
+		return rest
+	}
+	s.close(errDead)
+	return idlePlanInterval
 }
 
 // remove forgets s after its end.
@@ -151,14 +157,15 @@
 	return l.waiting > 0 || !l.pending.empty()
 }
 
-// beginDial tells whether a dial may begin now. eager is false for the host
-// that should leave the first move to the other side.
-func (l *link) beginDial(now time.Time, eager bool) bool {
+// beginDial tells whether a dial begins now, and if not, how long to wait before
+// asking again. eager is false for the host that should leave the first move to
+// the other side.
+func (l *link) beginDial(now time.Time, eager bool) (begun bool, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.open() != nil {
 		l.dials.settle()
-		return false
+		return false, idlePlanInterval
 	}
 	return l.dials.begin(now, eager)
 }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -121,7 +121,6 @@
 	}
 	s, err := l.push(f, m.options.Clock, mayDial)
 	if s != nil && errors.Is(err, ErrBacklog) {
-		m.counters.backlogs.Inc(1)
 		s.close(ErrBacklog)
 	}
 	if s == nil && err == nil {
--- a/peer/seed.go
+++ b/peer/seed.go
@@ -20,7 +20,7 @@
 	return &seed{address: address, dials: newDialState()}
 }
 
-func (s *seed) begin(now time.Time) bool {
+func (s *seed) begin(now time.Time) (begun bool, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.dials.begin(now, true)
@@ -34,16 +34,23 @@
 	s.dials.failed(now)
 }
 
-func (d *dialler) dialSeeds(ctx context.Context, view *membership.View, now time.Time) {
+func (d *dialler) dialSeeds(ctx context.Context, view *membership.View, now time.Time) time.Duration {
+	next := idlePlanInterval
 	for _, s := range d.seeds {
-		if _, known := hostAt(view, s.address); known || !s.begin(now) {
+		if _, known := hostAt(view, s.address); known {
 			continue
 		}
-		d.mesh.connections.Go(func() { d.mesh.dialSeed(ctx, s) })
+		begun, wait := s.begin(now)
+		next = min(next, wait)
+		if begun {
+			d.mesh.connections.Go(func() { d.mesh.dialSeed(ctx, s) })
+		}
 	}
+	return next
 }
 
 func (m *Mesh) dialSeed(ctx context.Context, s *seed) {
+	defer m.wake()
 	opened, err := m.dial(ctx, s.address)
 	if err != nil {
 		s.ended(time.Now())
--- a/peer/session.go
+++ b/peer/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,6 +75,9 @@
 func (s *session) close(cause error) {
 	s.closeOnce.Do(func() {
 		s.cause = cause
+		if errors.Is(cause, ErrBacklog) {
+			s.mesh.counters.backlogs.Inc(1)
+		}
 		close(s.closed)
 		s.greeted.close()
 	})
