--- a/bench/main.go
+++ b/bench/main.go
@@ -16,6 +16,7 @@
 	"github.com/cornelyard/cornelyard/bench/faults"
 	"github.com/cornelyard/cornelyard/bench/overhead"
 	"github.com/cornelyard/cornelyard/bench/report"
+	"github.com/cornelyard/cornelyard/bench/slopes"
 )
 
 func main() {
@@ -24,6 +25,7 @@
 	commands := []command.Command{
 		overhead.Register(app),
 		faults.Register(app),
+		slopes.Register(app),
 	}
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	for _, c := range commands {
