--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -33,7 +33,7 @@
 // greetDialled does the dialling side's handshake up to the greetings.
 func (m *Mesh) greetDialled(ctx context.Context, raw net.Conn) (*greeted, error) {
 	_ = raw.SetDeadline(time.Now().Add(handshakeTimeout))
-	conn := tls.Client(raw, m.tls)
+	conn := tls.Client(m.counters.counted(raw), m.tls)
 	if err := conn.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
 		return nil, Error.Wrap(err)
@@ -54,7 +54,7 @@
 // greetAccepted does the accepting side's handshake up to the greetings.
 func (m *Mesh) greetAccepted(ctx context.Context, raw net.Conn) (*greeted, error) {
 	_ = raw.SetDeadline(time.Now().Add(handshakeTimeout))
-	conn := tls.Server(raw, m.tls)
+	conn := tls.Server(m.counters.counted(raw), m.tls)
 	if err := conn.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
 		return nil, Error.Wrap(err)
@@ -87,13 +87,20 @@
 	if err := readMessage(g.reader, maxHelloBytes, g.hello); err != nil {
 		return Error.Wrap(err)
 	}
-	switch g.host() {
-	case "":
+	return m.checkGreeting(g.hello.GetSelf())
+}
+
+func (m *Mesh) checkGreeting(other *peerpb.Member) error {
+	if other.GetHost() == "" {
 		return Error.New("a greeting without a name")
-	case m.self:
+	}
+	if ident.Host(other.GetHost()) != m.self {
+		return nil
+	}
+	if other.GetIncarnation() == m.options.Members.View().Self.Incarnation {
 		return errSelf
 	}
-	return nil
+	return errNameTaken
 }
 
 // settle lets the host with the smaller name decide whether the connection is
