--- a/test/openai_test.go
+++ b/test/openai_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 
 	"github.com/openai/openai-go/v3"
@@ -121,3 +122,72 @@
 		})
 	}
 }
+
+// TestOpenAIClientReadsAShedRequestAsARateLimit fills the one slot and the one
+// place in the queue.
+func TestOpenAIClientReadsAShedRequestAsARateLimit(t *testing.T) {
+	spec := openAISpec()
+	spec.Pools[0].MaxQueue = 1
+	spec.Targets = []testbed.TargetSpec{testbed.Engine("west-e1", model, "west", 1)}
+	cluster := startCluster(t, spec)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	slow, stopSlow := context.WithCancel(ctx)
+	owner := ownerOf(cluster, "west", model)
+	var calls sync.WaitGroup
+	for range 2 {
+		calls.Go(func() {
+			_, _ = cluster.Hosts[0].Caller(token).Complete(slow, chatclient.Call{Model: model, Prompt: "fill", MaxTokens: 10_000, Stream: true})
+		})
+	}
+	until(t, "a running and a queued request", func() bool {
+		return running(t, cluster, "west-e1") == 1 && queuedAt(ctx, t, cluster, owner) == 1
+	})
+	for _, host := range cluster.Hosts {
+		client := openAIClient(host, token)
+		_, err := client.Chat.Completions.New(ctx, chatParams(model, "shed me", 5))
+		var refusal *openai.Error
+		if !errors.As(err, &refusal) {
+			t.Fatalf("got %v", err)
+		}
+		if refusal.StatusCode != 429 || refusal.Code != "shed" || refusal.Type != "rate_limit_error" {
+			t.Errorf("got status %d, code %q, type %q", refusal.StatusCode, refusal.Code, refusal.Type)
+		}
+		if refusal.Response.Header.Get("Retry-After") == "" {
+			t.Error("the refusal does not say when to come back")
+		}
+	}
+	stopSlow()
+	calls.Wait()
+}
+
+// TestOpenAIClientReadsACutStreamAsAnError kills the engine in the middle of a
+// stream.
+func TestOpenAIClientReadsACutStreamAsAnError(t *testing.T) {
+	cluster := startCluster(t, openAISpec())
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	for _, host := range cluster.Hosts {
+		engine := cluster.Targets["west-e1"]
+		client := openAIClient(host, token)
+		stream := client.Chat.Completions.NewStreaming(ctx, chatParams(model, "cut me", 10_000))
+		if !stream.Next() {
+			t.Fatalf("no first chunk: %v", stream.Err())
+		}
+		if err := engine.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		for stream.Next() {
+		}
+		if stream.Err() == nil {
+			t.Errorf("the stream through %s ended as if it were whole", host.Host())
+		}
+		_ = stream.Close()
+		if err := engine.Start(); err != nil {
+			t.Fatal(err)
+		}
+		if err := engine.WaitListening(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
