--- /dev/null
+++ b/test/filing_test.go
@@ -0,0 +1,76 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/testbed"
+	"github.com/cornelyard/cornelyard/outcome"
+)
+
+// filed is what a caller got for a non-idempotent call.
+type filed struct {
+	status   int
+	outcome  outcome.Outcome
+	reason   outcome.Reason
+	replayed bool
+	body     string
+	err      error
+}
+
+// file sends a non-idempotent call with the key; the service counts the keys
+// that it finds in bodies.
+func file(ctx context.Context, host *testbed.Host, key, note string) filed {
+	body, err := json.Marshal(struct {
+		Key  string `json:"idempotencyKey"`
+		Note string `json:"note,omitempty"`
+	}{key, note})
+	if err != nil {
+		return filed{err: err}
+	}
+	url := host.CallerURL() + "/services/" + string(desk) + "/file"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(string(body)))
+	if err != nil {
+		return filed{err: err}
+	}
+	request.GetBody = nil
+	request.Header.Set("Authorization", "Bearer "+token)
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Idempotency-Key", key)
+	request.Header.Set("X-Cornelyard-Non-Idempotent", "true")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return filed{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	return filed{
+		status:   response.StatusCode,
+		outcome:  outcome.Outcome(response.Header.Get("X-Cornelyard-Outcome")),
+		reason:   outcome.Reason(response.Header.Get("X-Cornelyard-Reason")),
+		replayed: response.Header.Get("X-Cornelyard-Replayed") == "true",
+		body:     string(answer),
+		err:      err,
+	}
+}
+
+// filings counts the calls that the services received, by key.
+func filings(t *testing.T, cluster *testbed.Cluster, services ...ident.Target) map[string]int {
+	t.Helper()
+	counts := make(map[string]int)
+	for _, name := range services {
+		record, err := cluster.Targets[name].ServiceRecord()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for key, count := range record.ReceivedKeys() {
+			counts[key] += count
+		}
+	}
+	return counts
+}
