--- /dev/null
+++ b/test/at_most_one_dispatch_test.go
@@ -0,0 +1,175 @@
+package test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/standin/engine"
+	"github.com/cornelyard/cornelyard/internal/standin/faultproxy"
+	standinplatform "github.com/cornelyard/cornelyard/internal/standin/platform"
+	"github.com/cornelyard/cornelyard/internal/standin/service"
+	"github.com/cornelyard/cornelyard/internal/testbed"
+)
+
+var dispatchEngines = []ident.Target{"west-e1", "west-e2"}
+
+func dispatchSpec() testbed.Spec {
+	spec := baseSpec()
+	spec.Proxied = true
+	spec.Hosts = hosts("west", 3)
+	spec.Targets = []testbed.TargetSpec{
+		testbed.Engine("west-e1", model, "west", 6, "--decode-gap=5ms"),
+		testbed.Engine("west-e2", model, "west", 6, "--decode-gap=5ms"),
+		testbed.Service("west-s1", desk, "west", 8),
+	}
+	return spec
+}
+
+// setEngines replaces the faults of both engines.
+func setEngines(t *testing.T, cluster *testbed.Cluster, f engine.Faults) {
+	t.Helper()
+	for _, name := range dispatchEngines {
+		if err := cluster.Targets[name].SetEngineFaults(f); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// callService makes an idempotent call without a body, as the transport of the
+// standard library would resend it.
+func callService(t *testing.T, host *testbed.Host) {
+	t.Helper()
+	ctx := boundContext(t)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, host.CallerURL()+"/services/"+string(desk)+"/check", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	request.Header.Set("Idempotency-Key", "a key on a call that may be repeated")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+}
+
+// checkServiceRunOnce checks that the service received no id twice.
+func checkServiceRunOnce(t *testing.T, cluster *testbed.Cluster) {
+	t.Helper()
+	record, err := cluster.Targets["west-s1"].ServiceRecord()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(record.Calls) == 0 {
+		t.Error("the service received nothing, so the check says nothing")
+	}
+	for id, count := range record.Received() {
+		if count > 1 {
+			t.Errorf("dispatch %s was received %d times", id, count)
+		}
+	}
+}
+
+func TestClosedReusedConnectionsResendNothing(t *testing.T) {
+	cluster := startCluster(t, dispatchSpec())
+	l := startLoad(t, cluster, 20, nil)
+	l.waitFor(t, 60)
+	setEngines(t, cluster, engine.Faults{RequestFaults: engine.RequestFaults{CloseReused: true}})
+	err := cluster.Targets["west-s1"].SetServiceFaults(service.Faults{CallFaults: service.CallFaults{CloseReused: true}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range 60 {
+		callService(t, cluster.Hosts[n%len(cluster.Hosts)])
+	}
+	l.waitFor(t, 100)
+	setEngines(t, cluster, engine.Faults{})
+	l.waitFor(t, 30)
+	l.finish()
+	checkRunOnce(t, cluster, dispatchEngines...)
+	checkServiceRunOnce(t, cluster)
+}
+
+func TestResetAndRefusedTargetsRunNothingTwice(t *testing.T) {
+	cluster := startCluster(t, dispatchSpec())
+	l := startLoad(t, cluster, 20, nil)
+	l.waitFor(t, 30)
+	for range 5 {
+		for _, name := range dispatchEngines {
+			if err := cluster.ResetTarget("", name); err != nil {
+				t.Fatal(err)
+			}
+		}
+		l.waitFor(t, 30)
+	}
+	if err := cluster.SetTargetFaults("", "west-e1", faultproxy.Faults{Refuse: true}); err != nil {
+		t.Fatal(err)
+	}
+	l.waitFor(t, 60)
+	if err := cluster.SetTargetFaults("", "west-e1", faultproxy.Faults{}); err != nil {
+		t.Fatal(err)
+	}
+	l.waitFor(t, 60)
+	l.finish()
+	checkRunOnce(t, cluster, dispatchEngines...)
+	served := 0
+	for _, r := range l.results {
+		if r.whole() {
+			served++
+		}
+	}
+	t.Logf("%d of %d calls answered whole", served, len(l.results))
+}
+
+// Entries and owners die and freeze, the pool has two owners for a while, and
+// the platform is slow.
+func TestLostAndDoubledOwnersRunNothingTwice(t *testing.T) {
+	cluster := startCluster(t, dispatchSpec())
+	l := startLoad(t, cluster, 24, nil)
+	l.waitFor(t, 60)
+	if err := cluster.Platform.SetFaults(standinplatform.Faults{DelayMs: 500}); err != nil {
+		t.Fatal(err)
+	}
+	owner := ownerOf(cluster, "west", model)
+	var others []*testbed.Host
+	for _, h := range cluster.Hosts {
+		if h != owner {
+			others = append(others, h)
+		}
+	}
+	for _, h := range others {
+		if err := cluster.SetPeerFaults(owner.Host(), h.Host(), faultproxy.Faults{Cut: true}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(3 * timing.DeadAfter.Std())
+	l.waitFor(t, 100)
+	for _, h := range others {
+		if err := cluster.SetPeerFaults(owner.Host(), h.Host(), faultproxy.Faults{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.waitFor(t, 100)
+	if err := owner.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	l.takeOut(owner.Host(), true)
+	time.Sleep(3 * timing.DeadAfter.Std())
+	l.waitFor(t, 60)
+	if err := owner.Thaw(); err != nil {
+		t.Fatal(err)
+	}
+	l.takeOut(owner.Host(), false)
+	l.waitFor(t, 100)
+	if err := others[0].Kill(); err != nil {
+		t.Fatal(err)
+	}
+	l.takeOut(others[0].Host(), true)
+	l.waitFor(t, 100)
+	l.finish()
+	checkRunOnce(t, cluster, dispatchEngines...)
+}
