--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,246 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cornelyard/cornelyard/claim"
+	"github.com/cornelyard/cornelyard/config"
+	"github.com/cornelyard/cornelyard/entry"
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/loadreport"
+	"github.com/cornelyard/cornelyard/logging"
+	"github.com/cornelyard/cornelyard/membership"
+	"github.com/cornelyard/cornelyard/metrics"
+	"github.com/cornelyard/cornelyard/operator"
+	"github.com/cornelyard/cornelyard/peer"
+	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/platform/hostwatch"
+	"github.com/cornelyard/cornelyard/platform/restclient"
+	"github.com/cornelyard/cornelyard/pool"
+	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/timeline"
+	"github.com/cornelyard/cornelyard/usage"
+)
+
+const (
+	// platformTimeout bounds one call to the platform.
+	platformTimeout = 2 * time.Second
+	// hostListInterval is the time between two reads of the host list.
+	hostListInterval = time.Second
+	// settingsInterval is the time between two reads of the settings version.
+	settingsInterval = time.Second
+	// settingsJitter spreads the hosts' reads over the interval.
+	settingsJitter = 0.2
+)
+
+// Daemon is one host with all its parts.
+type Daemon struct {
+	config      config.Host
+	started     time.Time
+	incarnation uint64
+	logs        *logging.Root
+	logger      *log.Logger
+	metrics     metrics.Metrics
+	clock       *timeline.Clock
+	ring        *timeline.Ring
+	usage       *usage.Ledger
+
+	table    platform.Table
+	objects  platform.Objects
+	hosts    *hostwatch.Watcher
+	settings *settings.Watcher
+	store    *settings.Store
+	tracker  *membership.Tracker
+	mesh     *peer.Mesh
+	client   *pool.Client
+	manager  *pool.Manager
+	targets  *target.Client
+	claims   *claim.Claims
+	entry    *entry.Entry
+	operator *operator.Operator
+}
+
+// New puts a host together. It opens no connection and no listener.
+func New(o Options) (*Daemon, error) {
+	c := o.Config.WithDefaults()
+	started := time.Now()
+	d := &Daemon{
+		config:      c,
+		started:     started,
+		incarnation: membership.NewIncarnation(started),
+		logs:        logging.New(logging.Options{Level: c.LogLevel, Output: o.LogOutput}),
+		metrics:     metrics.New(),
+		clock:       timeline.NewClock(),
+	}
+	d.logger = d.logs.For("daemon")
+	d.ring = timeline.NewRing(timeline.RingOptions{
+		Host:   c.Host,
+		Clock:  d.clock,
+		Events: c.Limits.TimelineEvents,
+	})
+	d.usage = usage.NewLedger(usage.Options{Host: c.Host, Incarnation: d.incarnation})
+	d.buildPlatform()
+	d.buildMembers()
+	if err := d.buildMesh(); err != nil {
+		return nil, err
+	}
+	d.buildPools()
+	d.buildEntry()
+	d.buildOperator()
+	d.connect()
+	return d, nil
+}
+
+func (d *Daemon) buildPlatform() {
+	client := restclient.New(restclient.Options{BaseURL: d.config.Platform, Timeout: platformTimeout})
+	d.table = client
+	d.objects = client.Objects()
+	d.hosts = hostwatch.New(hostwatch.Options{
+		List:     client,
+		Interval: hostListInterval,
+		Logger:   d.logs.For("hosts"),
+	})
+	d.settings = settings.NewWatcher(settings.WatcherOptions{
+		Table:    d.table,
+		Interval: settingsInterval,
+		Jitter:   settingsJitter,
+		Fetch:    d.fetchSettings,
+		Recorder: d.ring,
+		Logger:   d.logs.For("settings"),
+	})
+	d.store = settings.NewStore(settings.StoreOptions{Table: d.table, Watcher: d.settings})
+}
+
+func (d *Daemon) buildMembers() {
+	d.tracker = membership.NewTracker(membership.Options{
+		Self: membership.Member{
+			Host:            d.config.Host,
+			DataCentre:      d.config.DataCentre,
+			PeerAddress:     d.config.AdvertisedPeerAddress,
+			OperatorAddress: d.config.OperatorAddress,
+			Incarnation:     d.incarnation,
+			State:           membership.Alive,
+		},
+		HostList:         d.hosts,
+		HostListInterval: hostListInterval,
+		Timing:           d.config.Timing,
+		Recorder:         d.ring,
+		Logger:           d.logs.For("membership"),
+		Scope:            d.metrics.Scope,
+	})
+}
+
+func (d *Daemon) buildMesh() error {
+	keys, err := peer.ParseKeys(d.config.PeerKeys)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	d.mesh, err = peer.NewMesh(peer.Options{
+		Listen:  d.config.PeerAddress,
+		Keys:    keys,
+		Seeds:   d.config.Seeds,
+		Members: d.tracker,
+		Clock:   d.clock,
+		Logger:  d.logs.For("peer"),
+		Scope:   d.metrics.Scope,
+	})
+	return Error.Wrap(err)
+}
+
+func (d *Daemon) buildPools() {
+	d.client = pool.NewClient(pool.ClientOptions{
+		Members:  d.tracker,
+		Settings: d.settings,
+		Hosts:    d.hosts,
+		Sender:   d.mesh,
+		Recorder: d.ring,
+		Logger:   d.logs.For("pool"),
+		Now:      time.Now,
+	})
+	d.manager = pool.NewManager(pool.ManagerOptions{
+		Host:       d.config.Host,
+		DataCentre: d.config.DataCentre,
+		Members:    d.tracker,
+		Settings:   d.settings,
+		Hosts:      d.hosts,
+		Sender:     d.mesh,
+		Loads:      loadreport.NewReader(time.Now),
+		Recorder:   d.ring,
+		Usage:      d.usage,
+		Logger:     d.logs.For("pool"),
+		GrantLease: d.config.Timing.GrantLease.Std(),
+		Now:        time.Now,
+	})
+}
+
+func (d *Daemon) buildEntry() {
+	d.targets = target.NewClient(target.Options{
+		Recorder: d.ring,
+		Logger:   d.logs.For("target"),
+	})
+	d.claims = claim.New(claim.Options{
+		Table:       d.table,
+		Objects:     d.objects,
+		Host:        d.config.Host,
+		Incarnation: d.incarnation,
+		Alive:       d.mayRun,
+		Logger:      d.logs.For("claim"),
+	})
+	d.entry = entry.New(entry.Options{
+		Address:     d.config.CallerAddress,
+		Host:        d.config.Host,
+		Incarnation: d.incarnation,
+		Settings:    d.settings,
+		Admitter:    d.client,
+		Targets:     d.targets,
+		Claims:      d.claims,
+		Recorder:    d.ring,
+		Limits:      d.config.Limits,
+		Timing:      d.config.Timing,
+		Scope:       d.metrics.Scope,
+		Logger:      d.logs.For("entry"),
+		Ready:       d.ready,
+	})
+}
+
+func (d *Daemon) buildOperator() {
+	d.operator = operator.New(operator.Options{
+		Address:             d.config.OperatorAddress,
+		OperatorTokenHashes: d.config.OperatorTokenHashes,
+		Settings:            d.settings,
+		Store:               d.store,
+		Members:             d.tracker,
+		Caller:              d.mesh,
+		Pools:               d.manager,
+		Timeline:            d.ring,
+		Usage:               d.usage,
+		Ready:               d.ready,
+		Metrics:             d.metrics.Handler,
+		Logger:              d.logs.For("operator"),
+	})
+}
+
+// connect ties the parts that need each other.
+func (d *Daemon) connect() {
+	d.tracker.SetSender(d.mesh)
+	d.tracker.OnSettingsVersion(d.settings.Nudge)
+	d.mesh.AddHandler(d.tracker)
+	d.mesh.AddHandler(d.client)
+	d.mesh.AddHandler(d.manager)
+	d.mesh.RegisterMethod(methodSettings, d.exportSettings)
+	for _, method := range d.operator.Methods() {
+		d.mesh.RegisterMethod(method.Name, method.Serve)
+	}
+}
+
+// mayRun reports whether that process of a host may still be running.
+func (d *Daemon) mayRun(host ident.Host, incarnation uint64) bool {
+	member, known := d.tracker.View().Member(host)
+	if !known {
+		return false
+	}
+	return member.State != membership.Dead && member.Incarnation == incarnation
+}
