--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -105,6 +105,12 @@
 	return grant, nil
 }
 
+func (a *fakeAdmitter) setTargets(targets ...settings.Target) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.targets = targets
+}
+
 func (a *fakeAdmitter) asked() []admission.Request {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- /dev/null
+++ b/entry/stop_test.go
@@ -0,0 +1,352 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/config"
+	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/target"
+)
+
+// openStream starts a stream and reads its first event.
+func (b *bed) openStream() (*http.Response, *bufio.Reader) {
+	b.t.Helper()
+	response, err := http.DefaultClient.Do(b.request("POST", "/v1/chat/completions", streamBody))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { _ = response.Body.Close() })
+	reader := bufio.NewReader(response.Body)
+	if line, err := reader.ReadString('\n'); err != nil || !strings.HasPrefix(line, "id: 1") {
+		b.t.Fatalf("first line %q, error %v", line, err)
+	}
+	return response, reader
+}
+
+// checkCutStream reads the rest of a stream that must end with an error event.
+func checkCutStream(t *testing.T, response *http.Response, rest io.Reader, reason outcome.Reason) {
+	t.Helper()
+	body, err := io.ReadAll(rest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	events := strings.Split(strings.TrimSpace(string(body)), "\n\n")
+	last := strings.TrimPrefix(events[len(events)-1], "data: ")
+	e := errorOf(t, last)
+	if e.Code != reason || e.Outcome != outcome.Interrupted || strings.Contains(string(body), "[DONE]") {
+		t.Errorf("the stream ends with %s", last)
+	}
+	if got := response.Trailer.Get(headerOutcome); got != string(outcome.Interrupted) {
+		t.Errorf("outcome in the trailer is %q", got)
+	}
+}
+
+func (b *bed) checkEnd(reason outcome.Reason) {
+	b.t.Helper()
+	eventually(b.t, "the grant is given back", func() bool {
+		_, ends := b.admitter.grant(0).givenBack()
+		return len(ends) == 1
+	})
+	_, ends := b.admitter.grant(0).givenBack()
+	if ends[0].Outcome != outcome.Interrupted || ends[0].Reason != reason || ends[0].Tokens != 1 {
+		b.t.Errorf("end is %+v", ends[0])
+	}
+}
+
+func TestPreemptionMidStream(t *testing.T) {
+	b := newBed(t, nil, engineAt(streamingEngine(t, 3, make(chan struct{}))))
+	response, rest := b.openStream()
+	b.admitter.grant(0).preempted <- &outcome.Refusal{
+		Outcome: outcome.Interrupted, Reason: outcome.Preempted, Message: "a higher tier needs the slot", RetryAfter: time.Second,
+	}
+	checkCutStream(t, response, rest, outcome.Preempted)
+	b.checkEnd(outcome.Preempted)
+}
+
+func TestDeadlineMidStream(t *testing.T) {
+	b := newBed(t, nil, engineAt(streamingEngine(t, 3, make(chan struct{}))))
+	r := b.request("POST", "/v1/chat/completions", streamBody, headerDeadline, "400")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	checkCutStream(t, response, response.Body, outcome.DeadlineExceeded)
+	b.checkEnd(outcome.DeadlineExceeded)
+}
+
+func TestDeadlineInTheQueue(t *testing.T) {
+	b := newBed(t, nil)
+	b.admitter.block = true
+	response, body := do(t, b.request("POST", "/v1/chat/completions", chatBody, headerDeadline, "50"))
+	e := errorOf(t, body)
+	if response.StatusCode != http.StatusGatewayTimeout || e.Outcome != outcome.NotRun || e.Code != outcome.DeadlineExceeded {
+		t.Errorf("status %d, error %+v", response.StatusCode, e)
+	}
+}
+
+func TestCallerGone(t *testing.T) {
+	b := newBed(t, nil, engineAt(streamingEngine(t, 3, make(chan struct{}))))
+	response, _ := b.openStream()
+	_ = response.Body.Close()
+	b.checkEnd(outcome.CallerGone)
+	eventually(t, "the place is free", func() bool { return b.entry.occupancy.held() == 0 })
+}
+
+// TestSlowCaller lets one caller stop reading; another's stream of the same
+// length ends meanwhile, and the slow one is whole when it reads on.
+func TestSlowCaller(t *testing.T) {
+	// The stream is longer than what the kernel buffers on its way.
+	const tokens, padding = 1500, 16 << 10
+	engine := paddedEngine(t, tokens, padding)
+	b := newBed(t, func(o *Options) { o.Limits.StreamBufferBytes = 8 << 10 }, engineAt(engine))
+	_, slow := b.openStream()
+	fast, err := http.DefaultClient.Do(b.request("POST", "/v1/chat/completions", streamBody))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = fast.Body.Close() }()
+	checkWholeStream(t, fast.Body)
+	if _, ends := b.admitter.grant(0).givenBack(); len(ends) != 0 {
+		t.Fatal("the slow caller's stream ended; the test needs a longer one")
+	}
+	checkWholeStream(t, slow)
+}
+
+// paddedEngine streams large frames.
+func paddedEngine(t *testing.T, n, padding int) *httptest.Server {
+	t.Helper()
+	filler := strings.Repeat("x", padding)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(target.HeaderDispatch)
+		w.Header().Set(target.HeaderDispatch, id)
+		w.Header().Set("Content-Type", contentTypeStream)
+		for i := 1; i <= n; i++ {
+			frame := strings.Replace(tokenFrame(id, i), "t"+strconv.Itoa(i), filler, 1)
+			if _, err := io.WriteString(w, frame); err != nil {
+				return
+			}
+		}
+		_, _ = io.WriteString(w, finishFrames(id, n))
+	}))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func checkWholeStream(t *testing.T, r io.Reader) {
+	t.Helper()
+	last := ""
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		if line := lines.Text(); line != "" {
+			last = line
+		}
+	}
+	if last != "data: [DONE]" {
+		t.Errorf("the stream ends with %q", last)
+	}
+}
+
+func TestCrossedAnswer(t *testing.T) {
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(target.HeaderDispatch)
+		w.Header().Set(target.HeaderDispatch, id)
+		w.Header().Set("Content-Type", contentTypeStream)
+		_, _ = io.WriteString(w, tokenFrame(id, 1)+strings.ReplaceAll(tokenFrame("of-another", 2), "t2", "SECRET")+finishFrames(id, 2))
+	}))
+	t.Cleanup(engine.Close)
+	b := newBed(t, nil, engineAt(engine))
+	response, rest := b.openStream()
+	body, err := io.ReadAll(rest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(string(body), "SECRET") || strings.Contains(string(body), "[DONE]") {
+		t.Errorf("the caller got %s", body)
+	}
+	if !strings.Contains(string(body), string(outcome.TargetFailed)) || response.Trailer.Get(headerReason) != string(outcome.TargetFailed) {
+		t.Errorf("the caller isn't told: %s", body)
+	}
+}
+
+// TestToldOutcomeMatchesTheTarget compares what the caller is told with what
+// the target has seen.
+func TestToldOutcomeMatchesTheTarget(t *testing.T) {
+	cases := []struct {
+		name string
+		// behave plays the target on one connection, after the request was read.
+		behave   string
+		listen   bool
+		lease    time.Duration
+		attempts int
+		result   outcome.Outcome
+		reason   outcome.Reason
+		died     bool
+	}{
+		{name: "dial refused", lease: time.Minute, attempts: maxAttempts, result: outcome.NotRun, reason: outcome.NoTarget},
+		{name: "grant expired", listen: true, lease: -time.Second, attempts: maxAttempts, result: outcome.NotRun, reason: outcome.NoTarget},
+		{name: "closed after the request", listen: true, lease: time.Minute, attempts: 1, result: outcome.Unknown, reason: outcome.TargetFailed, died: true},
+		{name: "closed in the head", listen: true, behave: "HTTP/1.1 200", lease: time.Minute, attempts: 1, result: outcome.Unknown, reason: outcome.TargetFailed, died: true},
+		{name: "short body", listen: true, behave: "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nshort", lease: time.Minute, attempts: 1, result: outcome.Interrupted, reason: outcome.TargetFailed, died: true},
+		{name: "leaving", listen: true, behave: "HTTP/1.1 503 X\r\nX-Target-Leaving: true\r\nContent-Length: 0\r\n\r\n", lease: time.Minute, attempts: maxAttempts, result: outcome.NotRun, reason: outcome.NoTarget},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			at := closedTarget(t)
+			if c.listen {
+				at = scriptedTarget(t, c.behave)
+			}
+			b := newBed(t, nil, at)
+			b.admitter.lease = c.lease
+			_, body := do(t, b.request("POST", "/services/filing/list", "x"))
+			e := errorOf(t, body)
+			if e.Outcome != c.result || e.Code != c.reason {
+				t.Errorf("the caller is told %s, %s", e.Outcome, e.Code)
+			}
+			if n := len(b.admitter.asked()); n != c.attempts {
+				t.Errorf("%d grants were used up", n)
+			}
+			declines, ends := b.admitter.grant(0).givenBack()
+			if len(declines)+len(ends) != 1 {
+				t.Fatalf("the grant was given back as %v, %v", declines, ends)
+			}
+			if len(ends) == 1 && (ends[0].Outcome != c.result || ends[0].TargetDied != c.died) {
+				t.Errorf("the owner was told %+v", ends[0])
+			}
+		})
+	}
+}
+
+// scriptedTarget reads a request, writes the script and closes the connection.
+func scriptedTarget(t *testing.T, script string) settings.Target {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(conn, script)
+			}()
+		}
+	}()
+	return settings.Target{Name: "filing-1", Address: listener.Addr().String()}
+}
+
+func closedTarget(t *testing.T) settings.Target {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	return settings.Target{Name: "closed", Address: listener.Addr().String()}
+}
+
+// drainBed serves on a listener of its own, so that Serve can be stopped.
+func drainBed(t *testing.T, timing config.Timing, engine *httptest.Server) (b *bed, stop func(), stopped <-chan error) {
+	t.Helper()
+	b = newBed(t, func(o *Options) { o.Timing = timing }, engineAt(engine))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.server.URL = fmt.Sprintf("http://%s", listener.Addr())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	ended := make(chan error, 1)
+	go func() { ended <- b.entry.Serve(ctx, listener) }()
+	return b, cancel, ended
+}
+
+func TestDrainEndsStreamsWhole(t *testing.T) {
+	gate := make(chan struct{})
+	b, stop, stopped := drainBed(t, config.Timing{}, streamingEngine(t, 3, gate))
+	_, rest := b.openStream()
+	stop()
+	eventually(t, "new connections are refused", func() bool {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(b.server.URL, "http://"))
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+	select {
+	case err := <-stopped:
+		t.Fatalf("the entry stopped with a stream open: %v", err)
+	default:
+	}
+	close(gate)
+	checkWholeStream(t, rest)
+	if err := <-stopped; err != nil {
+		t.Errorf("drain: %v", err)
+	}
+}
+
+func TestDrainLimitTellsWhatItCuts(t *testing.T) {
+	timing := config.Timing{DrainLimit: settings.Duration(50 * time.Millisecond)}
+	b, stop, stopped := drainBed(t, timing, streamingEngine(t, 3, make(chan struct{})))
+	response, rest := b.openStream()
+	stop()
+	checkCutStream(t, response, rest, outcome.Draining)
+	if err := <-stopped; err == nil {
+		t.Error("the drain that cut a stream reports no error")
+	}
+}
+
+func TestReadinessDuringDrain(t *testing.T) {
+	timing := config.Timing{ReadinessDelay: settings.Duration(waitLimit)}
+	b, stop, _ := drainBed(t, timing, streamingEngine(t, 1, nil))
+	if response, _ := do(t, b.request("GET", "/readyz", "")); response.StatusCode != http.StatusOK {
+		t.Errorf("status %d before the drain", response.StatusCode)
+	}
+	stop()
+	eventually(t, "the host isn't ready", func() bool {
+		response, _ := do(t, b.request("GET", "/readyz", ""))
+		return response.StatusCode == http.StatusServiceUnavailable
+	})
+	response, body := do(t, b.request("POST", "/v1/chat/completions", streamBody))
+	if response.StatusCode != http.StatusOK || !response.Close {
+		t.Errorf("status %d, connection kept: %v, body %s", response.StatusCode, !response.Close, body)
+	}
+}
+
+func TestRefusalOfTheOwnerIsPassedOn(t *testing.T) {
+	b := newBed(t, nil)
+	b.admitter.refusal = outcome.Refuse(outcome.Shed, "no capacity", 1500*time.Millisecond)
+	response, body := do(t, b.request("POST", "/v1/chat/completions", chatBody))
+	e := errorOf(t, body)
+	if response.StatusCode != http.StatusTooManyRequests || e.Code != outcome.Shed || e.Outcome != outcome.NotRun || e.RetryAfterMs != 1500 {
+		t.Errorf("status %d, error %+v", response.StatusCode, e)
+	}
+	if got := response.Header.Get(headerRetryAfter); got != "2" {
+		t.Errorf("Retry-After is %q", got)
+	}
+	if len(b.admitter.asked()) != 1 || b.admitter.asked()[0].Avoid != nil {
+		t.Errorf("asked %+v", b.admitter.asked())
+	}
+}
--- a/target/answer.go
+++ b/target/answer.go
@@ -8,7 +8,8 @@
 	Header http.Header
 	// Stream says that the answer is a stream of server-sent events.
 	Stream bool
-	// Length is the number of bytes of the body, or -1 if it is not known.
+	// Length is the number of bytes of the body, or -1 if it is not known. A
+	// stream's is never known, since it may be cut and resumed.
 	Length int64
 
 	source chunkSource
--- a/target/client.go
+++ b/target/client.go
@@ -91,6 +91,9 @@
 func (c *Client) dispatch(ctx context.Context, call Call) (*Answer, error) {
 	g := &gate{latch: call.Latch, notAfter: call.NotAfter, begun: call.Begun}
 	response, err := c.send(ctx, call, g)
+	if err == nil && isLeaving(response) {
+		g.retire()
+	}
 	if err == nil {
 		return c.read(ctx, call, response)
 	}
@@ -200,9 +203,12 @@
 		return nil, err
 	}
 	answer.source = source
-	_, answer.Stream = source.(*stream)
-	if whole, ok := source.(*whole); ok {
-		answer.Length = int64(len(whole.chunk.Bytes))
+	switch source := source.(type) {
+	case *stream:
+		answer.Stream = true
+		answer.Length = -1
+	case *whole:
+		answer.Length = int64(len(source.chunk.Bytes))
 	}
 	return answer, nil
 }
--- a/target/errors.go
+++ b/target/errors.go
@@ -8,6 +8,7 @@
 
 	errExpired  = Error.New("the right to begin the dispatch has expired")
 	errBarred   = Error.New("the dispatch was given up before it began")
+	errRetired  = Error.New("the target announced the end of the connection")
 	errUnarmed  = Error.New("the connection is not handed to a dispatch")
 	errTooLarge = Error.New("the answer exceeds the limit")
 )
--- a/target/gate.go
+++ b/target/gate.go
@@ -14,6 +14,15 @@
 	// begun is called once, after the latch is set; nil does nothing.
 	begun   func()
 	expired atomic.Bool
+	// conn is the connection that was handed to the dispatch.
+	conn atomic.Pointer[gatedConn]
+}
+
+// retire keeps later dispatches off the connection.
+func (g *gate) retire() {
+	if conn := g.conn.Load(); conn != nil {
+		conn.retire()
+	}
 }
 
 // pass returns nil if bytes of the dispatch may be written.
--- a/target/gated_conn.go
+++ b/target/gated_conn.go
@@ -10,6 +10,14 @@
 type gatedConn struct {
 	net.Conn
 	gate atomic.Pointer[gate]
+	// retired says that the target announced the connection's end.
+	retired atomic.Bool
+}
+
+// retire closes the connection and keeps later dispatches off it.
+func (c *gatedConn) retire() {
+	c.retired.Store(true)
+	_ = c.Close()
 }
 
 // arm hands the connection to a dispatch. It closes the connection if the
@@ -20,6 +28,7 @@
 		return
 	}
 	c.gate.Store(g)
+	g.conn.Store(c)
 }
 
 // Write implements net.Conn.
@@ -28,6 +37,9 @@
 	if g == nil {
 		return 0, errUnarmed
 	}
+	if c.retired.Load() {
+		return 0, errRetired
+	}
 	if err := g.pass(); err != nil {
 		return 0, err
 	}
--- a/target/gated_conn_test.go
+++ b/target/gated_conn_test.go
@@ -15,12 +15,14 @@
 	cases := []struct {
 		name    string
 		gate    *gate
+		retired bool
 		err     error
 		written bool
 		// latched is the latch's state afterwards.
 		latched bool
 	}{
 		{name: "not handed to a dispatch", err: errUnarmed},
+		{name: "retired", gate: &gate{latch: new(Latch)}, retired: true, err: errRetired},
 		{name: "open", gate: &gate{latch: new(Latch)}, written: true, latched: true},
 		{name: "in time", gate: &gate{latch: new(Latch), notAfter: time.Now().Add(time.Hour)}, written: true, latched: true},
 		{name: "expired", gate: &gate{latch: new(Latch), notAfter: time.Now().Add(-time.Hour)}, err: errExpired},
@@ -34,6 +36,9 @@
 			if c.gate != nil {
 				conn.arm(c.gate)
 			}
+			if c.retired {
+				conn.retire()
+			}
 			_, err := conn.Write([]byte("x"))
 			if c.err == net.ErrClosed {
 				if !inner.closed || inner.written {
