--- a/bench/slopes/cluster.go
+++ b/bench/slopes/cluster.go
@@ -42,6 +42,7 @@
 
 // withCluster runs f on a cluster after the settling time.
 func withCluster(ctx context.Context, o options, spec testbed.Spec, f func(*testbed.Cluster) ([]Figure, error)) ([]Figure, error) {
+	spec.Timing.Heartbeat = settings.Duration(o.heartbeat)
 	cluster, err := testbed.Start(ctx, spec)
 	defer cluster.Stop()
 	if err != nil {
--- a/bench/slopes/command.go
+++ b/bench/slopes/command.go
@@ -26,6 +26,7 @@
 	clause.Flag("settle", "Time before each measured window.").Default("6s").DurationVar(&c.options.settle)
 	clause.Flag("window", "Length of each measured window.").Default("10s").DurationVar(&c.options.window)
 	clause.Flag("max-hosts", "Most daemons that run at once.").Default("40").IntVar(&c.options.maxHosts)
+	clause.Flag("heartbeat", "Interval of the daemons' heartbeats; their default if zero.").DurationVar(&c.options.heartbeat)
 	return c
 }
 
@@ -35,7 +36,11 @@
 // Run implements command.Command.
 func (c *slopesCommand) Run(ctx context.Context) (report.Report, error) {
 	defer testbed.Remove()
-	result := &Report{WindowSeconds: c.options.window.Seconds(), Processors: runtime.NumCPU()}
+	result := &Report{
+		WindowSeconds:    c.options.window.Seconds(),
+		HeartbeatSeconds: c.options.heartbeat.Seconds(),
+		Processors:       runtime.NumCPU(),
+	}
 	for _, s := range selectSeries(c.options.series) {
 		fmt.Fprintf(os.Stderr, "slopes: %s\n", s.name)
 		measured, err := s.measure(ctx, c.options)
--- a/bench/slopes/options.go
+++ b/bench/slopes/options.go
@@ -12,4 +12,6 @@
 	window time.Duration
 	// maxHosts bounds the daemons that run at once.
 	maxHosts int
+	// heartbeat is the daemons' interval; zero means their default.
+	heartbeat time.Duration
 }
--- a/bench/slopes/report.go
+++ b/bench/slopes/report.go
@@ -8,9 +8,11 @@
 
 // Report is the result of the measurement.
 type Report struct {
-	WindowSeconds float64  `json:"windowSeconds"`
-	Processors    int      `json:"processors"`
-	Series        []Series `json:"series"`
+	WindowSeconds float64 `json:"windowSeconds"`
+	// HeartbeatSeconds is zero for the daemons' default.
+	HeartbeatSeconds float64  `json:"heartbeatSeconds,omitempty"`
+	Processors       int      `json:"processors"`
+	Series           []Series `json:"series"`
 }
 
 // Series is one quantity that was changed and what came of it.
