Measure the policies with real daemons and engines

go run ./bench policy starts a deployment of Lankadhara's or Dakar's shape for each policy and makes the same calls against each: goodput, refusals by kind, finish, first token and token gap by tier, wasted prefill from the engines' own records, and the targets of the measurement.

--- a/bench/main.go
+++ b/bench/main.go
@@ -15,6 +15,7 @@
 	"github.com/cornelyard/cornelyard/bench/command"
 	"github.com/cornelyard/cornelyard/bench/faults"
 	"github.com/cornelyard/cornelyard/bench/overhead"
+	"github.com/cornelyard/cornelyard/bench/policy"
 	"github.com/cornelyard/cornelyard/bench/report"
 	"github.com/cornelyard/cornelyard/bench/slopes"
 )
@@ -25,6 +26,7 @@
 	commands := []command.Command{
 		overhead.Register(app),
 		faults.Register(app),
+		policy.Register(app),
 		slopes.Register(app),
 	}
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
--- /dev/null
+++ b/bench/policy/measurement.go
@@ -0,0 +1,145 @@
+package policy
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/standin/engine"
+	"github.com/cornelyard/cornelyard/internal/testbed"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+const (
+	warmUpLoad = 0.7
+	slowFactor = 10
+	maxIdle    = 256
+)
+
+// measurement runs all policies one after another.
+type measurement struct {
+	options options
+	shape   shape
+	report  *Report
+}
+
+// variant is one cluster: a policy, and perhaps an engine that is slowed in the
+// middle of the phase or absent.
+type variant struct {
+	policy settings.Policy
+	name   string
+	loads  []float64
+	slowed ident.Target
+	absent ident.Target
+}
+
+func (m *measurement) run(ctx context.Context) error {
+	for _, v := range m.variants() {
+		if err := m.runVariant(ctx, v); err != nil {
+			return err
+		}
+	}
+	m.report.Targets = targets(m.report.Results)
+	return ctx.Err()
+}
+
+func (m *measurement) variants() []variant {
+	var all []variant
+	for _, policy := range m.options.policies {
+		all = append(all, variant{policy: settings.Policy(policy), loads: m.options.loads})
+	}
+	if m.options.slowLoad > 0 {
+		victim := m.fastest()
+		loads := []float64{m.options.slowLoad}
+		all = append(all,
+			variant{policy: settings.PolicyPredictive, name: "slowed", loads: loads, slowed: victim},
+			variant{policy: settings.PolicyPredictive, name: "absent", loads: loads, absent: victim})
+	}
+	return all
+}
+
+// fastest returns the fastest engine of the first data centre.
+func (m *measurement) fastest() ident.Target {
+	engines := m.shape.engines()
+	best := engines[0]
+	for _, e := range engines {
+		if e.dataCentre == best.dataCentre && e.speed > best.speed {
+			best = e
+		}
+	}
+	return best.name
+}
+
+func (m *measurement) runVariant(ctx context.Context, v variant) error {
+	cluster, err := testbed.Start(ctx, m.shape.spec(v.policy, v.absent))
+	defer cluster.Stop()
+	if err != nil {
+		fmt.Fprint(os.Stderr, cluster.Logs())
+		return err
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdle, DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	warmUp := newWorkload(m.options.seed, m.shape, warmUpLoad).jobs(m.options.warmUp)
+	newPhase(cluster, client).run(ctx, warmUp, m.options.warmUp)
+	for _, load := range v.loads {
+		result, err := m.runPhase(ctx, cluster, client, v, load)
+		if err != nil {
+			return err
+		}
+		m.report.Results = append(m.report.Results, result)
+		fmt.Fprintf(os.Stderr, "%s %s at %.1f: %d of %d good, wasted %.3f\n",
+			v.policy, v.name, load, result.Total.Good, result.Total.Offered, result.WastedPart)
+	}
+	return nil
+}
+
+func (m *measurement) runPhase(ctx context.Context, cluster *testbed.Cluster, client *http.Client, v variant, load float64) (Result, error) {
+	before, err := readPrefill(cluster)
+	if err != nil {
+		return Result{}, err
+	}
+	p := newPhase(cluster, client)
+	if v.slowed != "" {
+		p.midway = func() {
+			_ = cluster.Targets[v.slowed].SetEngineFaults(engine.Faults{SlowFactor: slowFactor})
+		}
+	}
+	p.run(ctx, newWorkload(m.options.seed, m.shape, load).jobs(m.options.duration), m.options.duration)
+	time.Sleep(settleTime)
+	after, err := readPrefill(cluster)
+	if err != nil {
+		return Result{}, err
+	}
+	result := p.result()
+	result.Policy, result.Case, result.Load = v.policy, v.name, load
+	result.PrefillTokens = after.computed - before.computed
+	result.WastedPrefillTokens = after.wasted - before.wasted
+	result.WastedPart = float64(result.WastedPrefillTokens) / float64(max(1, result.PrefillTokens))
+	return result, nil
+}
+
+// settleTime lets the engines notice cut connections, which they hold for the
+// resume window.
+const settleTime = engine.DefaultResumeWindow + 500*time.Millisecond
+
+// prefill sums up what the engines computed.
+type prefill struct {
+	computed int64
+	wasted   int64
+}
+
+func readPrefill(cluster *testbed.Cluster) (prefill, error) {
+	var sum prefill
+	for _, target := range cluster.Targets {
+		record, err := target.EngineRecord()
+		if err != nil {
+			return sum, err
+		}
+		sum.computed += record.PrefillTokens
+		sum.wasted += record.WastedPrefillTokens
+	}
+	return sum, nil
+}
--- /dev/null
+++ b/bench/policy/options.go
@@ -0,0 +1,16 @@
+package policy
+
+import "time"
+
+// options of the measurement.
+type options struct {
+	seed     uint64
+	shape    string
+	duration time.Duration
+	warmUp   time.Duration
+	loads    []float64
+	policies []string
+	// slowLoad is the load of the runs with a slowed and with an absent engine;
+	// zero leaves them out.
+	slowLoad float64
+}
--- /dev/null
+++ b/bench/policy/report.go
@@ -0,0 +1,137 @@
+package policy
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// Counts are numbers of calls by what became of them.
+type Counts struct {
+	Offered int `json:"offered"`
+	// Good counts whole answers within the deadline.
+	Good int `json:"good"`
+	// Late counts calls that ran past their deadline, Expired those that were
+	// refused because it was too near.
+	Late       int `json:"late"`
+	Expired    int `json:"expired"`
+	Shed       int `json:"shed"`
+	Infeasible int `json:"infeasible"`
+	Preempted  int `json:"preempted"`
+	// Failed counts all others.
+	Failed int `json:"failed"`
+}
+
+// Times are quantiles of times in milliseconds.
+type Times struct {
+	// Finish is of whole answers only.
+	FinishP50Ms     float64 `json:"finishP50Ms"`
+	FinishP99Ms     float64 `json:"finishP99Ms"`
+	FirstTokenP50Ms float64 `json:"firstTokenP50Ms"`
+	FirstTokenP99Ms float64 `json:"firstTokenP99Ms"`
+	GapP50Ms        float64 `json:"gapP50Ms"`
+	GapP99Ms        float64 `json:"gapP99Ms"`
+}
+
+// TierResult is the result of one tier, or of all if Tier is empty.
+type TierResult struct {
+	Tier ident.Tier `json:"tier,omitempty"`
+	Counts
+	Times
+}
+
+// Result is the result of one policy under one load.
+type Result struct {
+	Policy settings.Policy `json:"policy"`
+	// Case tells runs of one policy and load apart: empty, slowed or absent.
+	Case  string       `json:"case,omitempty"`
+	Load  float64      `json:"load"`
+	Total TierResult   `json:"total"`
+	Tiers []TierResult `json:"tiers"`
+	// PrefillTokens are the prompt tokens that the engines computed, and
+	// WastedPrefillTokens those of cancelled runs.
+	PrefillTokens       int64   `json:"prefillTokens"`
+	WastedPrefillTokens int64   `json:"wastedPrefillTokens"`
+	WastedPart          float64 `json:"wastedPart"`
+}
+
+// Target compares the predictive policy with a limit.
+type Target struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	// Limit is the least or, if AtMost, the most allowed value.
+	Limit  float64 `json:"limit"`
+	AtMost bool    `json:"atMost"`
+	Met    bool    `json:"met"`
+}
+
+// Report is the result of the measurement.
+type Report struct {
+	Shape           string   `json:"shape"`
+	Seed            uint64   `json:"seed"`
+	DurationSeconds float64  `json:"durationSeconds"`
+	Results         []Result `json:"results"`
+	Targets         []Target `json:"targets"`
+}
+
+// WriteText implements report.Report.
+func (r *Report) WriteText(w io.Writer) error {
+	fmt.Fprintf(w, "shape %s, seed %d, %.0f s a phase\n", r.Shape, r.Seed, r.DurationSeconds)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "load\tpolicy\ttier\toffered\tgood\tpart\tlate\texpired\tshed\tinfeasible\tpreempted\tfailed\t"+
+		"finish 50\tfinish 99\tfirst 50\tfirst 99\tgap 50\tgap 99\twasted\t")
+	for _, result := range r.Results {
+		result.writeRows(table)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, target := range r.Targets {
+		fmt.Fprintln(w, target)
+	}
+	return nil
+}
+
+func (r Result) writeRows(w io.Writer) {
+	name := string(r.Policy)
+	if r.Case != "" {
+		name += " " + r.Case
+	}
+	for _, tier := range r.Tiers {
+		tier.writeRow(w, r.Load, name, "")
+	}
+	r.Total.writeRow(w, r.Load, name, fmt.Sprintf("%.3f", r.WastedPart))
+}
+
+func (t TierResult) writeRow(w io.Writer, load float64, policy, wasted string) {
+	tier := string(t.Tier)
+	if tier == "" {
+		tier = "all"
+	}
+	fmt.Fprintf(w, "%.1f\t%s\t%s\t%d\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%s\t\n",
+		load, policy, tier, t.Offered, t.Good, part(t.Good, t.Offered), t.Late, t.Expired, t.Shed, t.Infeasible,
+		t.Preempted, t.Failed, t.FinishP50Ms, t.FinishP99Ms, t.FirstTokenP50Ms, t.FirstTokenP99Ms,
+		t.GapP50Ms, t.GapP99Ms, wasted)
+}
+
+// String renders the target for a person.
+func (t Target) String() string {
+	relation, verdict := "at least", "missed"
+	if t.AtMost {
+		relation = "at most"
+	}
+	if t.Met {
+		verdict = "met"
+	}
+	return fmt.Sprintf("%s: %.3f, %s %.3f: %s", t.Name, t.Value, relation, t.Limit, verdict)
+}
+
+func part(count, of int) float64 {
+	if of == 0 {
+		return 0
+	}
+	return float64(count) / float64(of)
+}
--- /dev/null
+++ b/bench/policy/shape.go
@@ -0,0 +1,118 @@
+package policy
+
+import (
+	"fmt"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/testbed"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// shape is a deployment scaled to one machine.
+type shape struct {
+	dataCentres int
+	hosts       int
+	pools       []poolShape
+}
+
+// poolShape is one pool of a deployment.
+type poolShape struct {
+	name ident.Pool
+	// engines is the number of engines in each data centre.
+	engines int
+}
+
+// shapes are the deployments by name.
+var shapes = map[string]shape{
+	"lankadhara": {dataCentres: 4, hosts: 7, pools: []poolShape{{"drafting", 3}, {"returns", 1}}},
+	"dakar":      {dataCentres: 3, hosts: 6, pools: []poolShape{{"rota", 6}, {"application", 1}}},
+}
+
+const (
+	slots = 8
+	// maxQueue is far above what any policy needs within the deadlines.
+	maxQueue = 5000
+	// baseGapMs and basePrefill belong to an engine of speed 1.
+	baseGapMs   = 20.0
+	basePrefill = 2500.0 // tokens a second
+	gapGrowth   = 0.1
+)
+
+// speeds are the speeds of the kinds of engines.
+var speeds = []float64{1, 2, 4}
+
+// engineSpec is one engine of a shape.
+type engineSpec struct {
+	name       ident.Target
+	pool       ident.Pool
+	dataCentre ident.DataCentre
+	speed      float64
+}
+
+// engines lists the engines; a pool with one engine in each data centre has
+// different speeds in different data centres.
+func (s shape) engines() []engineSpec {
+	var all []engineSpec
+	for dc := range s.dataCentres {
+		for _, pool := range s.pools {
+			for i := range pool.engines {
+				index := i
+				if pool.engines == 1 {
+					index = dc + 1
+				}
+				all = append(all, engineSpec{
+					name:       ident.Target(fmt.Sprintf("%s-%d-%d", pool.name, dc+1, i+1)),
+					pool:       pool.name,
+					dataCentre: dataCentre(dc),
+					speed:      speeds[index%len(speeds)],
+				})
+			}
+		}
+	}
+	return all
+}
+
+func dataCentre(index int) ident.DataCentre {
+	return ident.DataCentre(fmt.Sprintf("dc%d", index+1))
+}
+
+// rate returns the requests a second that the engine carries with all slots in
+// use.
+func (e engineSpec) rate(meanPrompt, meanTokens float64) float64 {
+	step := baseGapMs / 1000 / e.speed * (1 + gapGrowth*(slots-1))
+	return 1 / (meanTokens*step/slots + meanPrompt/(basePrefill*e.speed))
+}
+
+// spec describes the cluster under one policy, without the absent engine.
+func (s shape) spec(policy settings.Policy, absent ident.Target) testbed.Spec {
+	spec := testbed.Spec{Tiers: tiers}
+	for _, pool := range s.pools {
+		spec.Pools = append(spec.Pools, settings.Pool{
+			Name: pool.name, Kind: settings.EnginePool, Model: string(pool.name), Policy: policy, MaxQueue: maxQueue,
+		})
+	}
+	for _, team := range teams {
+		spec.Teams = append(spec.Teams, testbed.TeamSpec{
+			Name: team.name, Token: string(team.name), DefaultTier: tiers[0].Name,
+		})
+	}
+	for _, engine := range s.engines() {
+		if engine.name != absent {
+			spec.Targets = append(spec.Targets, engine.target())
+		}
+	}
+	for i := range s.hosts {
+		spec.Hosts = append(spec.Hosts, testbed.HostSpec{
+			Name:       ident.Host(fmt.Sprintf("host-%d", i+1)),
+			DataCentre: dataCentre(i % s.dataCentres),
+		})
+	}
+	return spec
+}
+
+func (e engineSpec) target() testbed.TargetSpec {
+	return testbed.Engine(e.name, e.pool, e.dataCentre, slots,
+		"--decode-gap", fmt.Sprintf("%gms", baseGapMs/e.speed),
+		"--prefill-rate", fmt.Sprint(basePrefill*e.speed),
+		"--gap-growth", fmt.Sprint(gapGrowth))
+}
--- /dev/null
+++ b/bench/policy/workload.go
@@ -0,0 +1,135 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/standin/engine"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// tiers are the tiers of the workload; each gets an equal part of the load.
+var tiers = []settings.Tier{
+	{Name: "filing", Rank: 0, DefaultDeadline: settings.Duration(5 * time.Second)},
+	{Name: "desk", Rank: 1, DefaultDeadline: settings.Duration(6 * time.Second)},
+	{Name: "draft", Rank: 2, DefaultDeadline: settings.Duration(8 * time.Second)},
+	{Name: "batch", Rank: 3, DefaultDeadline: settings.Duration(10 * time.Second)},
+}
+
+// team is one customer and its part of the load.
+type team struct {
+	name ident.Team
+	part float64
+}
+
+var teams = []team{{"large-1", 0.4}, {"large-2", 0.3}, {"small-1", 0.1}, {"small-2", 0.1}, {"small-3", 0.1}}
+
+const (
+	minPrompt = 20 // tokens
+	minTokens = 3  // tokens
+	decades   = 2
+	// sessions share the first sharedTokens of their prompts.
+	sessions     = 24
+	sharedTokens = 512
+	// A burst of burstRate times the mean rate lasts burstSpan of each period.
+	burstPeriod = 5 * time.Second
+	burstSpan   = time.Second
+	burstRate   = 2.0
+	quietRate   = 0.75
+)
+
+// job is one call of the workload.
+type job struct {
+	due    time.Duration
+	pool   ident.Pool
+	team   ident.Team
+	tier   settings.Tier
+	host   int
+	prompt string
+	tokens int
+	limit  int
+}
+
+// workload makes the same jobs for the same seed, load and shape.
+type workload struct {
+	random *rand.Rand
+	shape  shape
+	load   float64
+}
+
+func newWorkload(seed uint64, s shape, load float64) *workload {
+	return &workload{random: rand.New(rand.NewPCG(seed, math.Float64bits(load))), shape: s, load: load}
+}
+
+// meanLength is the mean of a length that is uniform in its logarithm.
+func meanLength(least float64) float64 {
+	most := least * math.Pow(10, decades)
+	return (most - least) / math.Log(most/least)
+}
+
+// jobs returns the calls of one phase, in order.
+func (w *workload) jobs(duration time.Duration) []job {
+	var all []job
+	for _, pool := range w.shape.pools {
+		all = append(all, w.poolJobs(pool.name, duration)...)
+	}
+	return all
+}
+
+func (w *workload) poolJobs(pool ident.Pool, duration time.Duration) []job {
+	rate := 0.0
+	for _, e := range w.shape.engines() {
+		if e.pool == pool {
+			rate += w.load * e.rate(meanLength(minPrompt), meanLength(minTokens))
+		}
+	}
+	var all []job
+	for due := time.Duration(0); due < duration; {
+		factor := quietRate
+		if due%burstPeriod < burstSpan {
+			factor = burstRate
+		}
+		due += time.Duration(w.random.ExpFloat64() / (rate * factor) * float64(time.Second))
+		all = append(all, w.job(pool, due, len(all)))
+	}
+	return all
+}
+
+func (w *workload) job(pool ident.Pool, due time.Duration, n int) job {
+	j := job{
+		due:    due,
+		pool:   pool,
+		team:   w.team(),
+		tier:   tiers[w.random.IntN(len(tiers))],
+		host:   w.random.IntN(w.shape.hosts),
+		tokens: w.length(minTokens),
+	}
+	j.limit = j.tokens * (1 + w.random.IntN(2))
+	j.prompt = w.prompt(w.length(minPrompt), fmt.Sprintf("%s-%g-%d", pool, w.load, n), j.tokens)
+	return j
+}
+
+func (w *workload) team() ident.Team {
+	x := w.random.Float64()
+	for _, t := range teams {
+		if x -= t.part; x < 0 {
+			return t.name
+		}
+	}
+	return teams[0].name
+}
+
+func (w *workload) length(least float64) int {
+	return int(least * math.Pow(10, decades*w.random.Float64()))
+}
+
+// prompt starts with the text of a session and ends with the call's own.
+func (w *workload) prompt(tokens int, name string, answer int) string {
+	shared := strings.Repeat(fmt.Sprintf("s%02d ", w.random.IntN(sessions)), min(tokens, sharedTokens))
+	own := strings.Repeat(name+" ", max(0, tokens-sharedTokens)*engine.BytesPerToken/(len(name)+1))
+	return shared + own + name + engine.LengthMarker(answer)
+}
