--- a/bench/main.go
+++ b/bench/main.go
@@ -15,11 +15,8 @@
 	"github.com/cornelyard/cornelyard/bench/command"
 	"github.com/cornelyard/cornelyard/bench/faults"
 	"github.com/cornelyard/cornelyard/bench/overhead"
-<<<<<<< HEAD
-	"github.com/cornelyard/cornelyard/bench/recovery"
-=======
 	"github.com/cornelyard/cornelyard/bench/policy"
->>>>>>> decisions
+	"github.com/cornelyard/cornelyard/bench/recovery"
 	"github.com/cornelyard/cornelyard/bench/report"
 	"github.com/cornelyard/cornelyard/bench/slopes"
 )
@@ -30,11 +27,8 @@
 	commands := []command.Command{
 		overhead.Register(app),
 		faults.Register(app),
-<<<<<<< HEAD
 		recovery.Register(app),
-=======
 		policy.Register(app),
->>>>>>> decisions
 		slopes.Register(app),
 	}
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
