Split files by type and close gaps found in review

One type a file in settings, operator and cli. A change that waits its turn too long is told unavailable, not an inner failure. A listener's answers have a write timeout. get shows the document whose path is given also if another path begins with it. The frozen host of the proof is now dead to the others before the change, since a freeze of a few milliseconds proved nothing.

--- a/cli/apply.go
+++ b/cli/apply.go
@@ -36,16 +36,6 @@
 	waitTimeout time.Duration
 }
 
-// applied is the JSON output.
-type applied struct {
-	Version uint64           `json:"version"`
-	Changed bool             `json:"changed"`
-	DryRun  bool             `json:"dryRun,omitempty"`
-	Changes []documentChange `json:"changes"`
-	Kept    []string         `json:"kept,omitempty"`
-	Force   *force           `json:"force,omitempty"`
-}
-
 // Register implements Command.
 func (c *applyCommand) Register(app *kingpin.Application) *kingpin.CmdClause {
 	command := app.Command("apply", "Make a directory of declarations the newest version.").HelpLong(applyExamples)
--- a/cli/diff.go
+++ b/cli/diff.go
@@ -19,14 +19,6 @@
 	exitCode bool
 }
 
-// differences is the JSON output.
-type differences struct {
-	Version uint64          `json:"version"`
-	Edits   []settings.Edit `json:"edits"`
-	// Kept are the documents that are in force and not in the directory.
-	Kept []string `json:"kept,omitempty"`
-}
-
 // Register implements Command.
 func (c *diffCommand) Register(app *kingpin.Application) *kingpin.CmdClause {
 	command := app.Command("diff", "Show how a directory differs from the newest declarations.").HelpLong(diffExamples)
@@ -35,12 +27,6 @@
 	return command
 }
 
-func (c *scope) register(command *kingpin.CmdClause) {
-	command.Arg("directory", "Root of the declarations.").Required().StringVar(&c.directory)
-	command.Flag("team", "Only the subtree of this team.").PlaceHolder("TEAM").StringVar(&c.team)
-	command.Flag("prune", "Remove documents that are in force and not in the directory.").BoolVar(&c.prune)
-}
-
 // Run implements Command.
 func (c *diffCommand) Run(ctx context.Context, s *Session) error {
 	system, err := s.newClient()
--- /dev/null
+++ b/cli/document_action.go
@@ -0,0 +1,35 @@
+package cli
+
+import "github.com/cornelyard/cornelyard/settings"
+
+// documentAction names what happens to a document.
+type documentAction string
+
+const (
+	actionAdd    documentAction = "add"
+	actionChange documentAction = "change"
+	actionRemove documentAction = "remove"
+)
+
+// sign is the mark of the action in text output.
+func (a documentAction) sign() string {
+	switch a {
+	case actionAdd:
+		return "+"
+	case actionRemove:
+		return "-"
+	default:
+		return "~"
+	}
+}
+
+func actionOf(edit settings.Edit) documentAction {
+	switch {
+	case edit.Removes():
+		return actionRemove
+	case edit.Before == "":
+		return actionAdd
+	default:
+		return actionChange
+	}
+}
--- a/cli/document_change.go
+++ b/cli/document_change.go
@@ -12,38 +12,6 @@
 	Action documentAction `json:"action"`
 }
 
-// documentAction names what happens to a document.
-type documentAction string
-
-const (
-	actionAdd    documentAction = "add"
-	actionChange documentAction = "change"
-	actionRemove documentAction = "remove"
-)
-
-// sign is the mark of the action in text output.
-func (a documentAction) sign() string {
-	switch a {
-	case actionAdd:
-		return "+"
-	case actionRemove:
-		return "-"
-	default:
-		return "~"
-	}
-}
-
-func actionOf(edit settings.Edit) documentAction {
-	switch {
-	case edit.Removes():
-		return actionRemove
-	case edit.Before == "":
-		return actionAdd
-	default:
-		return actionChange
-	}
-}
-
 func documentChanges(edits []settings.Edit) []documentChange {
 	changes := make([]documentChange, 0, len(edits))
 	for _, edit := range edits {
--- a/cli/get.go
+++ b/cli/get.go
@@ -65,9 +65,11 @@
 	if s.JSON() {
 		return s.WriteJSON(found)
 	}
-	if len(found.Documents) == 1 && found.Documents[0].Path == c.path {
-		s.Printf("%s", found.Documents[0].Body)
-		return nil
+	for _, d := range found.Documents {
+		if d.Path == c.path {
+			s.Printf("%s", d.Body)
+			return nil
+		}
 	}
 	s.Printf("version %d\n", found.Version)
 	for _, d := range found.Documents {
--- a/cli/schema.go
+++ b/cli/schema.go
@@ -11,7 +11,6 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/invopop/jsonschema"
 
-	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -29,30 +28,6 @@
 	to   string
 }
 
-// schemaKind is a type of document with its name.
-type schemaKind struct {
-	name  string
-	value any
-}
-
-func schemaKinds() []schemaKind {
-	return []schemaKind{
-		{name: "tier", value: settings.Tier{}},
-		{name: "pool", value: settings.Pool{}},
-		{name: "target", value: settings.Target{}},
-		{name: "team", value: settings.Team{}},
-		{name: "host", value: config.Host{}},
-	}
-}
-
-func kindNames() []string {
-	var names []string
-	for _, kind := range schemaKinds() {
-		names = append(names, kind.name)
-	}
-	return names
-}
-
 // Register implements Command.
 func (c *schemaCommand) Register(app *kingpin.Application) *kingpin.CmdClause {
 	command := app.Command("schema", "Write the JSON schema of a kind of document, or of all into a directory. Needs no host.").HelpLong(schemaExamples)
--- /dev/null
+++ b/cli/scope.go
@@ -0,0 +1,67 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/operator/api"
+	"github.com/cornelyard/cornelyard/operator/client"
+	"github.com/cornelyard/cornelyard/settings"
+)
+
+// scope selects what is compared.
+type scope struct {
+	directory string
+	team      string
+	prune     bool
+}
+
+// prefix begins the paths that are compared.
+func (c scope) prefix() string {
+	if c.team == "" {
+		return ""
+	}
+	return settings.TeamPrefix(ident.Team(c.team))
+}
+
+// compare reads the directory and the newest declarations.
+func (c scope) compare(ctx context.Context, system *client.Client) (*comparison, error) {
+	local, err := readTree(c.directory)
+	if err != nil {
+		return nil, err
+	}
+	local.only(c.prefix())
+	if err := local.findings.Err(); err != nil {
+		return nil, err
+	}
+	if len(local.documents) == 0 {
+		return nil, &usageError{message: "there are no documents in " + local.file(c.prefix())}
+	}
+	current, err := system.Documents(ctx, 0, c.prefix())
+	if err != nil {
+		return nil, err
+	}
+	return c.difference(local, current), nil
+}
+
+func (c *scope) register(command *kingpin.CmdClause) {
+	command.Arg("directory", "Root of the declarations.").Required().StringVar(&c.directory)
+	command.Flag("team", "Only the subtree of this team.").PlaceHolder("TEAM").StringVar(&c.team)
+	command.Flag("prune", "Remove documents that are in force and not in the directory.").BoolVar(&c.prune)
+}
+
+func (c scope) difference(local *tree, current api.Documents) *comparison {
+	known, _ := settings.ParseTree(current.Documents)
+	result := &comparison{tree: local, version: current.Version}
+	all := known.Diff(local.documents, func(string) bool { return true })
+	for _, edit := range all {
+		if edit.Removes() && !c.prune {
+			result.kept = append(result.kept, edit.Path)
+			continue
+		}
+		result.edits = append(result.edits, edit)
+	}
+	return result
+}
--- /dev/null
+++ b/cli/timeline_reader.go
@@ -0,0 +1,62 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/operator/api"
+	"github.com/cornelyard/cornelyard/operator/client"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+// timelineReader prints page after page.
+type timelineReader struct {
+	session *Session
+	system  *client.Client
+	query   api.TimelineQuery
+	// dropped and missing hold what was told already.
+	dropped map[ident.Host]uint64
+	missing map[ident.Host]bool
+}
+
+// readAll prints what there is now.
+func (r *timelineReader) readAll(ctx context.Context) error {
+	for {
+		page, err := r.system.Timeline(ctx, r.query)
+		if err != nil {
+			return err
+		}
+		r.query.Cursors = page.Cursors
+		if err := r.print(page); err != nil || !page.More {
+			return err
+		}
+	}
+}
+
+func (r *timelineReader) print(page api.Timeline) error {
+	write := timeline.WriteText
+	if r.session.JSON() {
+		write = timeline.WriteJSONLines
+	}
+	if err := write(r.session.Stdout, page.Events); err != nil {
+		return Error.Wrap(err)
+	}
+	r.note(page)
+	return nil
+}
+
+// note tells, once for each host, what is missing.
+func (r *timelineReader) note(page api.Timeline) {
+	for _, d := range page.Drops {
+		if r.dropped[d.Host] != d.Dropped {
+			r.session.Notef("dropped by %s: %d events\n", d.Host, d.Dropped)
+		}
+		r.dropped[d.Host] = d.Dropped
+	}
+	for _, host := range page.Unreachable {
+		if !r.missing[host.Host] {
+			r.session.Notef("not reached: %s: %s\n", host.Host, host.Reason)
+		}
+		r.missing[host.Host] = true
+	}
+}
--- a/cli/validate.go
+++ b/cli/validate.go
@@ -22,13 +22,6 @@
 	hosts     []string
 }
 
-// validation is the JSON output.
-type validation struct {
-	Documents int          `json:"documents"`
-	Hosts     int          `json:"hosts"`
-	Findings  finding.List `json:"findings"`
-}
-
 // Register implements Command.
 func (c *validateCommand) Register(app *kingpin.Application) *kingpin.CmdClause {
 	command := app.Command("validate", "Check declarations, or settings files of hosts, and list every fault. Needs no host.").HelpLong(validateExamples)
@@ -79,20 +72,3 @@
 	result.Findings = append(result.Findings, findings...)
 	return nil
 }
-
-func (v validation) print(s *Session) error {
-	if !s.JSON() {
-		if err := v.Findings.Err(); err != nil {
-			return err
-		}
-		s.Printf("%d documents and %d settings files are valid\n", v.Documents, v.Hosts)
-		return nil
-	}
-	if err := s.WriteJSON(v); err != nil {
-		return err
-	}
-	if len(v.Findings) > 0 {
-		return &exitError{status: ExitFindings}
-	}
-	return nil
-}
--- /dev/null
+++ b/cli/validation.go
@@ -0,0 +1,27 @@
+package cli
+
+import "github.com/cornelyard/cornelyard/finding"
+
+// validation is the JSON output.
+type validation struct {
+	Documents int          `json:"documents"`
+	Hosts     int          `json:"hosts"`
+	Findings  finding.List `json:"findings"`
+}
+
+func (v validation) print(s *Session) error {
+	if !s.JSON() {
+		if err := v.Findings.Err(); err != nil {
+			return err
+		}
+		s.Printf("%d documents and %d settings files are valid\n", v.Documents, v.Hosts)
+		return nil
+	}
+	if err := s.WriteJSON(v); err != nil {
+		return err
+	}
+	if len(v.Findings) > 0 {
+		return &exitError{status: ExitFindings}
+	}
+	return nil
+}
--- a/operator/error_handler.go
+++ b/operator/error_handler.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strings"
@@ -53,7 +54,7 @@
 		return &api.Error{Code: api.NotFound, Message: base.Error()}
 	case errors.As(err, &unclear):
 		return &api.Error{Code: api.Unclear, Message: unclear.Error()}
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, context.DeadlineExceeded):
 		return &api.Error{Code: api.Unavailable, Message: err.Error()}
 	case errors.As(err, &http):
 		return describeHTTP(http)
--- a/operator/gather.go
+++ b/operator/gather.go
@@ -1,32 +1,15 @@
 package operator
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"slices"
-	"sync"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/membership"
-	"github.com/cornelyard/cornelyard/operator/api"
 )
 
-// answer is what one host replied.
-type answer[Reply any] struct {
-	host  ident.Host
-	reply Reply
-}
-
-// gathered is what all hosts replied, sorted by host.
-type gathered[Reply any] struct {
-	mu          sync.Mutex
-	answers     []answer[Reply]
-	unreachable []api.Unreachable
-}
-
 // gather asks this host and all others, and names those that don't answer.
 func gather[Request, Reply any](
 	ctx context.Context, o *Operator, method string,
@@ -76,20 +59,3 @@
 	}
 	return reply, Error.Wrap(json.Unmarshal(data, &reply))
 }
-
-func (g *gathered[Reply]) add(host ident.Host, reply Reply) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.answers = append(g.answers, answer[Reply]{host: host, reply: reply})
-}
-
-func (g *gathered[Reply]) miss(host ident.Host, err error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.unreachable = append(g.unreachable, api.Unreachable{Host: host, Reason: err.Error()})
-}
-
-func (g *gathered[Reply]) sort() {
-	slices.SortFunc(g.answers, func(a, b answer[Reply]) int { return cmp.Compare(a.host, b.host) })
-	slices.SortFunc(g.unreachable, func(a, b api.Unreachable) int { return cmp.Compare(a.Host, b.Host) })
-}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -53,6 +53,7 @@
 		Handler:           o.Handler(),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 	}
 	o.options.Logger.Info().Str("address", listener.Addr().String()).Msg("The listener is open.")
--- a/operator/options.go
+++ b/operator/options.go
@@ -24,6 +24,7 @@
 
 	headerTimeout = 10 * time.Second
 	readTimeout   = 60 * time.Second
+	writeTimeout  = 60 * time.Second
 	idleTimeout   = 2 * time.Minute
 	// stopTimeout bounds the requests in progress when the listener stops.
 	stopTimeout = 5 * time.Second
--- a/operator/status.go
+++ b/operator/status.go
@@ -14,9 +14,6 @@
 	"github.com/cornelyard/cornelyard/settings"
 )
 
-// statusQuery asks a host for its status.
-type statusQuery struct{}
-
 func (o *Operator) status(c echo.Context, _ settings.Principal) error {
 	all := gather(c.Request().Context(), o, methodStatus, func(ident.Host) statusQuery { return statusQuery{} }, o.localStatus)
 	status := api.Status{Unreachable: all.unreachable}
--- /dev/null
+++ b/operator/status_query.go
@@ -0,0 +1,4 @@
+package operator
+
+// statusQuery asks a host for its status.
+type statusQuery struct{}
--- a/operator/timeline.go
+++ b/operator/timeline.go
@@ -8,26 +8,11 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/operator/api"
 	"github.com/cornelyard/cornelyard/settings"
-	"github.com/cornelyard/cornelyard/timeline"
 )
 
 // maxEvents bounds the events of one host in one answer.
 const maxEvents = 5000
 
-// timelineQuery asks a host for its events.
-type timelineQuery struct {
-	Since   timeline.Timestamp `json:"since"`
-	Request ident.Request      `json:"request"`
-	Limit   int                `json:"limit"`
-}
-
-// timelineReply is a host's events; Full says that the limit cut them short.
-type timelineReply struct {
-	Events  []timeline.Event `json:"events"`
-	Dropped uint64           `json:"dropped"`
-	Full    bool             `json:"full"`
-}
-
 func (o *Operator) timeline(c echo.Context, who settings.Principal) error {
 	var query api.TimelineQuery
 	if err := readBody(c, &query); err != nil {
@@ -54,66 +39,3 @@
 		Full:    len(events) == limit,
 	}
 }
-
-// mergeTimelines puts the events of all hosts in one order. Where a host's
-// events were cut short, those of the others are held back to the same time.
-func mergeTimelines(query api.TimelineQuery, all *gathered[timelineReply]) api.Timeline {
-	horizon, cut := horizonOf(all)
-	merged := api.Timeline{More: cut, Unreachable: all.unreachable}
-	var rings [][]timeline.Event
-	for _, a := range all.answers {
-		events := a.reply.Events
-		if cut {
-			events = until(events, horizon)
-		}
-		rings = append(rings, events)
-		merged.Cursors = append(merged.Cursors, cursorAfter(query, a.host, events))
-		if a.reply.Dropped > 0 {
-			merged.Drops = append(merged.Drops, api.Drops{Host: a.host, Dropped: a.reply.Dropped})
-		}
-	}
-	merged.Cursors = append(merged.Cursors, cursorsOfMissing(query, all.unreachable)...)
-	merged.Events = timeline.Merge(rings...)
-	return merged
-}
-
-// horizonOf returns the earliest end of the answers that were cut short.
-func horizonOf(all *gathered[timelineReply]) (horizon timeline.Timestamp, cut bool) {
-	for _, a := range all.answers {
-		if !a.reply.Full {
-			continue
-		}
-		last := a.reply.Events[len(a.reply.Events)-1].Time
-		if !cut || last.Before(horizon) {
-			horizon = last
-		}
-		cut = true
-	}
-	return horizon, cut
-}
-
-func until(events []timeline.Event, horizon timeline.Timestamp) []timeline.Event {
-	for i, e := range events {
-		if horizon.Before(e.Time) {
-			return events[:i]
-		}
-	}
-	return events
-}
-
-func cursorAfter(query api.TimelineQuery, host ident.Host, events []timeline.Event) api.Cursor {
-	cursor := api.Cursor{Host: host, Since: query.SinceOn(host)}
-	if len(events) > 0 {
-		cursor.Since = events[len(events)-1].Time
-	}
-	return cursor
-}
-
-// cursorsOfMissing keeps the place of hosts that may come back.
-func cursorsOfMissing(query api.TimelineQuery, missing []api.Unreachable) []api.Cursor {
-	var cursors []api.Cursor
-	for _, host := range missing {
-		cursors = append(cursors, api.Cursor{Host: host.Host, Since: query.SinceOn(host.Host)})
-	}
-	return cursors
-}
--- /dev/null
+++ b/operator/timeline_query.go
@@ -0,0 +1,13 @@
+package operator
+
+import (
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+// timelineQuery asks a host for its events.
+type timelineQuery struct {
+	Since   timeline.Timestamp `json:"since"`
+	Request ident.Request      `json:"request"`
+	Limit   int                `json:"limit"`
+}
--- a/operator/usage.go
+++ b/operator/usage.go
@@ -11,18 +11,6 @@
 	"github.com/cornelyard/cornelyard/usage"
 )
 
-// usageQuery asks a host for its reports.
-type usageQuery struct {
-	// OwnOnly leaves out what the host keeps of others.
-	OwnOnly bool `json:"ownOnly,omitempty"`
-}
-
-// usageReply holds a host's own report and the last ones that it knows of
-// others.
-type usageReply struct {
-	Reports []usage.Report `json:"reports"`
-}
-
 func (o *Operator) usage(c echo.Context, who settings.Principal) error {
 	all := gather(c.Request().Context(), o, methodUsage, func(ident.Host) usageQuery { return usageQuery{} }, o.localUsage)
 	sums := usage.NewLedger(usage.Options{})
--- a/settings/attempt.go
+++ b/settings/attempt.go
@@ -23,14 +23,6 @@
 	downSince time.Time
 }
 
-// plan is what a change does to one version.
-type plan struct {
-	from     *state
-	revision uint64
-	edits    []Edit
-	next     *Tree
-}
-
 // run commits the change, again while others come first or the platform fails.
 func (a *attempt) run(ctx context.Context) (Result, error) {
 	var last error
--- a/settings/export.go
+++ b/settings/export.go
@@ -8,12 +8,6 @@
 	Documents []exportDocument `json:"documents"`
 }
 
-// exportDocument is one document with the version that last changed it.
-type exportDocument struct {
-	Document
-	Version uint64 `json:"version"`
-}
-
 func encodeState(s *state) ([]byte, error) {
 	e := export{Version: s.version, Documents: make([]exportDocument, 0, s.tree.Len())}
 	for _, path := range s.tree.paths() {
--- /dev/null
+++ b/settings/head_row.go
@@ -0,0 +1,6 @@
+package settings
+
+// headRow is the row that every change replaces.
+type headRow struct {
+	Version uint64 `json:"version"`
+}
--- a/settings/loader.go
+++ b/settings/loader.go
@@ -21,13 +21,6 @@
 	table platform.Table
 }
 
-// head is the newest version and the revision of its row, which is zero before
-// the first change.
-type head struct {
-	version  uint64
-	revision uint64
-}
-
 func (l loader) head(ctx context.Context) (head, error) {
 	row, err := l.table.Get(ctx, headKey)
 	if errors.Is(err, platform.ErrNotFound) {
--- a/settings/record.go
+++ b/settings/record.go
@@ -26,3 +26,12 @@
 	}
 	return false
 }
+
+// undo returns the edits that take the change back.
+func (r Record) undo() []Edit {
+	edits := make([]Edit, 0, len(r.Edits))
+	for _, edit := range r.Edits {
+		edits = append(edits, Edit{Path: edit.Path, Before: edit.After, After: edit.Before})
+	}
+	return edits
+}
--- a/settings/rows.go
+++ b/settings/rows.go
@@ -6,22 +6,6 @@
 	"github.com/cornelyard/cornelyard/platform"
 )
 
-// headRow is the row that every change replaces.
-type headRow struct {
-	Version uint64 `json:"version"`
-}
-
-// documentRow is the row of one document.
-type documentRow struct {
-	Body    string `json:"body"`
-	Version uint64 `json:"version"`
-}
-
-// landedRow says which version a change became.
-type landedRow struct {
-	Version uint64 `json:"version"`
-}
-
 func putRow(key string, value any) (platform.Put, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
--- a/settings/store.go
+++ b/settings/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
@@ -129,23 +128,6 @@
 	return newest.tree.before(records), version, nil
 }
 
-// before returns the tree as it was before the records, which lead to t.
-func (t *Tree) before(records []Record) *Tree {
-	for _, r := range slices.Backward(records) {
-		t = t.with(r.undo(), 0)
-	}
-	return t
-}
-
-// undo returns the edits that take the change back.
-func (r Record) undo() []Edit {
-	edits := make([]Edit, 0, len(r.Edits))
-	for _, edit := range r.Edits {
-		edits = append(edits, Edit{Path: edit.Path, Before: edit.After, After: edit.Before})
-	}
-	return edits
-}
-
 // newBackOff returns the pauses between the attempts of one change.
 func newBackOff() backoff.BackOff {
 	b := backoff.NewExponentialBackOff()
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -104,6 +104,14 @@
 	return edits
 }
 
+// before returns the tree as it was before the records, which lead to t.
+func (t *Tree) before(records []Record) *Tree {
+	for _, r := range slices.Backward(records) {
+		t = t.with(r.undo(), 0)
+	}
+	return t
+}
+
 // snapshot indexes the declarations that can be in force.
 func (t *Tree) snapshot(version uint64) *Snapshot {
 	s := newSnapshot(version, len(t.entries))
--- a/settings/tree_test.go
+++ b/settings/tree_test.go
@@ -135,6 +135,20 @@
 	}
 }
 
+// TestFaultsThatAreInForceHoldNobodyUp changes a tree that an earlier release
+// accepted with a fault.
+func TestFaultsThatAreInForceHoldNobodyUp(t *testing.T) {
+	base := newTree(documents(changed(map[string]string{"tiers/bronze.json": `{"rank": -1, "defaultDeadline": "2m"}`})), 1)
+	other := base.with([]Edit{{Path: "tiers/gold.json", After: `{"rank": 0, "defaultDeadline": "9s"}`}}, 2)
+	if err := newFindings(base, other).Err(); err != nil {
+		t.Errorf("a change of another document: %v", err)
+	}
+	same := base.with([]Edit{{Path: "tiers/bronze.json", After: `{"rank":  -1, "defaultDeadline": "2m"}`}}, 2)
+	if newFindings(base, same) == nil {
+		t.Error("a change that brings the fault again is accepted")
+	}
+}
+
 func TestTreesShareWhatDidNotChange(t *testing.T) {
 	base, _ := ParseTree(documents(goodTree()))
 	before := base.snapshot(1)
--- a/settings/watcher_test.go
+++ b/settings/watcher_test.go
@@ -132,6 +132,25 @@
 	waitFor(t, "version 2", func() bool { return behind.Version() == 2 })
 }
 
+// TestADocumentOfANewerReleaseIsUsedAsFarAsItIsKnown takes a version with a
+// field that this release does not know, and one with no sense at all.
+func TestADocumentOfANewerReleaseIsUsedAsFarAsItIsKnown(t *testing.T) {
+	s := newSite(t)
+	w := s.watcher(nil)
+	newer := `{"version": 7, "documents": [
+		{"path": "tiers/gold.json", "body": "{\"rank\": 0, \"defaultDeadline\": \"9s\", \"colour\": \"red\"}"},
+		{"path": "tiers/none.json", "body": "{"},
+		{"path": "regions/one.json", "body": "{}"}
+	]}`
+	if err := w.Import([]byte(newer)); err != nil {
+		t.Fatal(err)
+	}
+	tiers := w.Current().Tiers
+	if len(tiers) != 1 || tiers["gold"] == nil || tiers["gold"].DefaultDeadline.Std() != 9*time.Second {
+		t.Errorf("tiers %+v", tiers)
+	}
+}
+
 func TestNoHostGoesBack(t *testing.T) {
 	s := newSite(t)
 	w := s.watcher(nil)
--- a/test/settings_in_force_test.go
+++ b/test/settings_in_force_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,6 +88,15 @@
 	return 0
 }
 
+// isMissing reports whether the host cannot be reached by the first one.
+func isMissing(c *client.Client, host ident.Host) bool {
+	status, err := c.Status(context.Background())
+	if err != nil {
+		return false
+	}
+	return slices.ContainsFunc(status.Unreachable, func(u api.Unreachable) bool { return u.Host == host })
+}
+
 // checkInForce checks that the version comes into force on the hosts in time.
 func checkInForce(t *testing.T, version uint64, reached ...*testbed.Host) {
 	t.Helper()
@@ -128,6 +138,7 @@
 		if err := disturbed.Freeze(); err != nil {
 			t.Fatal(err)
 		}
+		until(t, "the frozen host is dead to the others", func() bool { return isMissing(operator, disturbed.Host()) })
 		version := apply(t, operator, tierChange("d-1", 14))
 		version = max(version, apply(t, operator, tierChange("d-2", 15)))
 		if err := disturbed.Thaw(); err != nil {
