--- a/admission/predictive.go
+++ b/admission/predictive.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/routing"
 )
 
@@ -37,8 +36,7 @@
 		return
 	}
 	if now.Add(pace.Idle).After(q.deadline) {
-		p.scheduler.refuse(q, outcome.Infeasible,
-			"the deadline is too short for this request", 0)
+		p.scheduler.sendInfeasible(now, q)
 		return
 	}
 	q.giveUp = q.deadline.Add(-pace.Loaded)
@@ -89,17 +87,23 @@
 }
 
 // plan chooses the answer length that a request is planned with: the middle of
-// the estimate, or its low end if even an idle pool would not do more in time.
+// the estimate, or its low end if the pool, as it is loaded, would not do more in
+// time.
 func (p *predictive) plan(now time.Time, q *queued) (routing.Pace, bool) {
 	p.router.Prepare(&q.work)
 	s := p.scheduler
-	pace, ok := p.router.Fastest(now, &q.work, s.routes, q.length.Mid, q.length.Mid)
-	if !ok || q.meets(now, pace.Idle) {
+	pace, ok := p.router.Fastest(now, &q.work, s.routes, q.length.Mid, q.length.Low)
+	if !ok || q.meets(now, pace.Loaded) {
 		return pace, ok
 	}
+	p.hope(q)
+	return p.router.Fastest(now, &q.work, s.routes, q.length.Low, q.length.Low)
+}
+
+// hope plans a request with the low end of the estimate, without reserve.
+func (p *predictive) hope(q *queued) {
 	q.tight = true
 	q.work.Length.Mid = q.length.Low
-	return p.router.Fastest(now, &q.work, s.routes, q.length.Low, q.length.Low)
 }
 
 // below says whether a tier lower than that of index i is queued or served.
--- a/admission/predictive_shed.go
+++ b/admission/predictive_shed.go
@@ -14,6 +14,11 @@
 		if p.stillInTime(now, q) {
 			continue
 		}
+		if !q.tight && p.below(p.index(q)) {
+			// While lower tiers are served, a small chance is taken as well.
+			p.hope(q)
+			continue
+		}
 		p.shed = now
 		actions = append(actions, s.giveAway(now, q, p.lateText(now, q)))
 	}
