Tell data centres that forward requests more often how full a pool is

Cause: the home owner counts each forwarded request against the free slots of the last hint, and hints came every 500 ms, so a burst used up a hint and the rest was shed beside idle engines. Ruled out: counting ends at the home owner, which it does not see. Change: a data centre that forwarded a request in the last 2 s gets a hint every 50 ms, others every 500 ms.

--- a/dev/announce.go
+++ b/dev/announce.go
@@ -26,6 +26,8 @@
 	s.printf("Try:\n\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' "+
 		"-d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":20,\"messages\":[{\"role\":\"user\",\"content\":\"Check code 4711.\"}]}'\n",
 		first.CallerAddress, CallerToken, model)
+	s.printf("\nIn another terminal:\n\n  CORNELYARD_OPERATOR=%s CORNELYARD_TOKEN=%s go run ./cmd/cornelyard status\n",
+		first.OperatorAddress, OperatorToken)
 	<-ctx.Done()
 	return nil
 }
--- a/pool/event.go
+++ b/pool/event.go
@@ -53,6 +53,9 @@
 func (e configEvent) apply(o *owner, now time.Time) { o.scheduler.Configure(now, e.config) }
 
 func (e enqueueEvent) apply(o *owner, now time.Time) {
+	if e.request.Forwarded {
+		o.noteForwarder(now, e.request.Entry)
+	}
 	o.scheduler.Enqueue(now, e.request)
 	o.recordQueued(&e.request)
 }
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -25,6 +25,10 @@
 	pauseLimit = 2 * time.Second
 	// shareInterval is the time between two hints to other data centres.
 	shareInterval = 500 * time.Millisecond
+	// busyShareInterval is that time for a data centre that forwards requests.
+	busyShareInterval = 50 * time.Millisecond
+	// forwarderMemory is how long a data centre counts as forwarding.
+	forwarderMemory = 2 * time.Second
 )
 
 // owner schedules one pool of this data centre. One goroutine, run, has its
@@ -48,7 +52,14 @@
 	ready     bool
 	epoch     uint64
 	decided   time.Time
-	shared    time.Time
+	// shared and surveyed are the times of the last look at hints and of the
+	// last snapshot.
+	shared   time.Time
+	surveyed time.Time
+	// hinted is when each data centre was last told a hint, forwarders when it
+	// last forwarded a request here.
+	hinted     map[ident.DataCentre]time.Time
+	forwarders map[ident.DataCentre]time.Time
 
 	mu sync.Mutex
 	// unsynced names entries whose frames were dropped for want of room.
@@ -62,6 +73,9 @@
 		key:      k,
 		inbox:    make(chan event, inboxSize),
 		unsynced: make(map[ident.Host]struct{}),
+
+		hinted:     make(map[ident.DataCentre]time.Time),
+		forwarders: make(map[ident.DataCentre]time.Time),
 	}
 	own.reporting.Store(&[]settings.Target{})
 	return own
--- a/pool/owner_share.go
+++ b/pool/owner_share.go
@@ -9,26 +9,49 @@
 )
 
 // share tells the owners of the same pool in other data centres how full this
-// part is, and which requests are suspected of crashing targets.
+// part is, and which requests are suspected of crashing targets. A data centre
+// that forwards requests here is told more often, since it counts each of them
+// against the last hint.
 func (o *owner) share(now time.Time) {
-	if now.Sub(o.shared) < shareInterval {
+	if now.Sub(o.shared) < busyShareInterval {
 		return
 	}
 	o.shared = now
+	view := o.options.Members.View()
+	o.shareHints(now, view)
+	if now.Sub(o.surveyed) < shareInterval {
+		return
+	}
+	o.surveyed = now
 	snapshot := o.scheduler.Snapshot()
 	o.status.Store(&snapshot)
-	view := o.options.Members.View()
-	hint := o.encodeHint(now)
+	o.shareStrikes(now, view)
+}
+
+func (o *owner) shareHints(now time.Time, view *membership.View) {
+	frame := &peerpb.Frame{Body: &peerpb.Frame_PoolHint{PoolHint: o.encodeHint(now)}}
 	for _, dc := range dataCentres(view) {
-		if dc == o.key.dataCentre {
-			continue
-		}
 		remote := view.Owner(dc, o.key.pool)
-		if remote != "" {
-			o.send(remote, &peerpb.Frame{Body: &peerpb.Frame_PoolHint{PoolHint: hint}})
+		if dc == o.key.dataCentre || remote == "" || now.Sub(o.hinted[dc]) < o.hintInterval(now, dc) {
+			continue
 		}
+		o.hinted[dc] = now
+		o.send(remote, frame)
+	}
+}
+
+func (o *owner) hintInterval(now time.Time, dc ident.DataCentre) time.Duration {
+	if now.Sub(o.forwarders[dc]) < forwarderMemory {
+		return busyShareInterval
+	}
+	return shareInterval
+}
+
+// noteForwarder remembers that the data centre of an entry forwards requests.
+func (o *owner) noteForwarder(now time.Time, entry ident.Host) {
+	if member, ok := o.options.Members.View().Member(entry); ok {
+		o.forwarders[member.DataCentre] = now
 	}
-	o.shareStrikes(now, view)
 }
 
 func (o *owner) encodeHint(now time.Time) *peerpb.PoolHint {
--- a/test/load_test.go
+++ b/test/load_test.go
@@ -107,6 +107,19 @@
 	return len(l.results)
 }
 
+// wholes returns how many calls were answered whole.
+func (l *load) wholes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for _, r := range l.results {
+		if r.whole() {
+			count++
+		}
+	}
+	return count
+}
+
 // waitFor waits until n more calls have ended.
 func (l *load) waitFor(t *testing.T, n int) {
 	t.Helper()
--- /dev/null
+++ b/test/overflow_test.go
@@ -0,0 +1,83 @@
+package test
+
+import (
+	"testing"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/chatclient"
+	"github.com/cornelyard/cornelyard/internal/testbed"
+	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+// overflowSpec has a small data centre, and two that have room.
+func overflowSpec() testbed.Spec {
+	spec := baseSpec()
+	spec.Hosts = append(append(hosts("west", 2), hosts("east", 1)...), hosts("south", 1)...)
+	spec.Pools = []settings.Pool{{Name: model, Kind: settings.EnginePool, Model: model, MaxQueue: 4}}
+	spec.Targets = []testbed.TargetSpec{
+		testbed.Engine("west-e1", model, "west", 2, "--decode-gap=10ms"),
+		testbed.Engine("east-e1", model, "east", 12, "--decode-gap=5ms"),
+		testbed.Engine("south-e1", model, "south", 12, "--decode-gap=5ms"),
+	}
+	return spec
+}
+
+func TestOverflowGoesToOtherDataCentresAndIsNotPassedOn(t *testing.T) {
+	cluster := startCluster(t, overflowSpec())
+	l := startLoad(t, cluster, 16, func(_ int, c *chatclient.Call) { c.MaxTokens = 30 })
+	for _, h := range cluster.Hosts {
+		l.takeOut(h.Host(), h.Settings.DataCentre != "west")
+	}
+	until(t, "200 calls answered whole", func() bool { return l.wholes() >= 200 })
+	l.finish()
+	events := readEvents(t, cluster)
+	forwards := make(map[ident.Request]map[string]int)
+	for _, e := range events {
+		if e.Kind != timeline.Forwarded {
+			continue
+		}
+		if forwards[e.Request] == nil {
+			forwards[e.Request] = make(map[string]int)
+		}
+		forwards[e.Request][e.Detail]++
+		if forwards[e.Request][e.Detail] > 1 || e.Detail == "to west" {
+			t.Errorf("request %s went %s again", e.Request, e.Detail)
+		}
+	}
+	if len(forwards) == 0 {
+		t.Error("nothing was forwarded, so the check says nothing")
+	}
+	t.Logf("%d of %d calls answered whole, %d forwarded, %d shed after the first was",
+		l.wholes(), len(l.results), len(forwards), shedsAfterForward(events))
+	if received(t, cluster, "east-e1")+received(t, cluster, "south-e1") < len(forwards)/2 {
+		t.Error("most of the forwarded requests did not run elsewhere")
+	}
+	checkRunOnce(t, cluster, "west-e1", "east-e1", "south-e1")
+}
+
+func received(t *testing.T, cluster *testbed.Cluster, name ident.Target) int {
+	t.Helper()
+	record, err := cluster.Targets[name].EngineRecord()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(record.Runs)
+}
+
+// shedsAfterForward counts the requests that were shed after the first one was
+// forwarded.
+func shedsAfterForward(events []timeline.Event) int {
+	forwarded := false
+	sheds := 0
+	for _, e := range events {
+		switch {
+		case e.Kind == timeline.Forwarded:
+			forwarded = true
+		case forwarded && e.Kind == timeline.Refused && e.Detail == string(outcome.Shed):
+			sheds++
+		}
+	}
+	return sheds
+}
