Test preemption, forwarding, strikes, retries and the learned rates

The first version of the tests failed where it expected a request of the same tier to wait: it is shed at once, since nothing lower can make room; the expectation was corrected.

--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -506,3 +506,8 @@
 	m.run(jobs, load.duration+10*time.Minute)
 	return m
 }
+
+// wastedPart returns the part of the computed prompt tokens that was wasted.
+func (t modelTotals) wastedPart() float64 {
+	return float64(t.wasted) / float64(max(1, t.computed))
+}
--- /dev/null
+++ b/admission/preempt_test.go
@@ -0,0 +1,200 @@
+package admission
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/outcome"
+)
+
+// trainedScheduler has one target whose rates are known: 10 ms between tokens.
+func trainedScheduler(config Config) *Scheduler {
+	s := newTestScheduler(config)
+	const rounds = 80
+	for round := range rounds {
+		then := epoch.Add(time.Duration(round-rounds) * time.Second / 4)
+		for _, target := range s.targets {
+			target.Estimator.ObservePrefill(then, 100, 20*time.Millisecond)
+			target.Estimator.ObserveGap(then, 1, 100, 10*time.Millisecond)
+			s.estimator.ObservePrefill(then, 100, 20*time.Millisecond)
+			s.estimator.ObserveGap(then, 1, 100, 10*time.Millisecond)
+		}
+		s.lengths.Observe("shops", 100, 0)
+	}
+	return s
+}
+
+func TestPreemption(t *testing.T) {
+	running := func(id, tier string) Request { return testRequest(id, "shops", tier) }
+	nonIdempotent := running("a", "batch")
+	nonIdempotent.NonIdempotent = true
+	urgent := running("urgent", "filing")
+	urgent.Deadline = at(1400 * time.Millisecond)
+	patient := running("patient", "filing")
+	equal := urgent
+	equal.Tier = "batch"
+	tests := []struct {
+		name    string
+		running []Request
+		arrives Request
+		// streamed is the progress of the first request in service.
+		streamed int
+		want     []string
+	}{
+		{
+			name:    "in time for the deadline",
+			running: []Request{running("a", "batch")}, arrives: urgent, want: []string{"preempt a"},
+		},
+		{
+			name:    "not while waiting suffices",
+			running: []Request{running("a", "batch")}, arrives: patient, want: nil,
+		},
+		{
+			name:    "never for the same tier",
+			running: []Request{running("a", "batch")}, arrives: equal, want: []string{"refuse urgent shed"},
+		},
+		{
+			name:    "the lowest tier first",
+			running: []Request{running("a", "draft"), running("b", "batch")}, arrives: urgent, want: []string{"preempt b"},
+		},
+		{
+			name:    "the least sunk first",
+			running: []Request{running("a", "batch"), running("b", "batch")}, arrives: urgent, streamed: 5, want: []string{"preempt b"},
+		},
+		{
+			name:    "non-idempotent ones last",
+			running: []Request{nonIdempotent, running("b", "batch")}, arrives: urgent, want: []string{"preempt b"},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := trainedScheduler(testConfig(1, len(test.running)))
+			for _, r := range test.running {
+				s.Enqueue(epoch, r)
+			}
+			s.Decide(epoch)
+			if test.streamed > 0 {
+				s.Progress(epoch, Progress{ID: test.running[0].ID, Tokens: test.streamed, Prefill: 20 * time.Millisecond})
+			}
+			s.Enqueue(epoch, test.arrives)
+			if got := describe(s.Decide(epoch)); !slices.Equal(got, test.want) {
+				t.Fatalf("got %v, want %v", got, test.want)
+			}
+			if len(test.want) == 0 || !strings.HasPrefix(test.want[0], "preempt ") {
+				return
+			}
+			victim := strings.TrimPrefix(test.want[0], "preempt ")
+			s.End(epoch, End{ID: running(victim, "").ID, Outcome: outcome.Interrupted, Reason: outcome.Preempted})
+			s.Enqueue(epoch, urgentRival())
+			if got := describe(s.Decide(epoch)); !slices.Contains(got, "grant urgent") {
+				t.Errorf("got %v, want the slot kept for the request that it was freed for", got)
+			}
+		})
+	}
+}
+
+// urgentRival is first in the order of service.
+func urgentRival() Request {
+	r := testRequest("rival", "clerks", "filing")
+	r.Deadline = at(1300 * time.Millisecond)
+	return r
+}
+
+func TestForwardBeforeShed(t *testing.T) {
+	late := testRequest("late", "shops", "filing")
+	late.Deadline = at(1300 * time.Millisecond)
+	forwarded := late
+	forwarded.Forwarded = true
+	free := PeerPool{DataCentre: "colombo-2", FreeSlots: 1, LowestRank: -1, At: epoch}
+	full := PeerPool{DataCentre: "colombo-2", LowestRank: 0, At: epoch, Wait: time.Minute}
+	yields := PeerPool{DataCentre: "colombo-2", LowestRank: 3, At: epoch}
+	old := free
+	old.At = epoch.Add(-time.Minute)
+	far := free
+	far.Distance = time.Second
+	tests := []struct {
+		name    string
+		hint    PeerPool
+		request Request
+		want    string
+	}{
+		{name: "to a free slot", hint: free, request: late, want: "forward late"},
+		{name: "to a lower tier that yields", hint: yields, request: late, want: "forward late"},
+		{name: "not to a full pool", hint: full, request: late, want: "refuse late shed"},
+		{name: "not on an old hint", hint: old, request: late, want: "refuse late shed"},
+		{name: "not too far", hint: far, request: late, want: "refuse late shed"},
+		{name: "not a second time", hint: free, request: forwarded, want: "refuse late shed"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := trainedScheduler(testConfig(1, 1))
+			s.Enqueue(epoch, testRequest("running", "shops", "filing"))
+			s.Decide(epoch)
+			s.Peer(epoch, test.hint)
+			s.Enqueue(epoch, test.request)
+			now, got := epoch, []string(nil)
+			for len(got) == 0 && now.Before(at(2*time.Second)) {
+				now = now.Add(10 * time.Millisecond)
+				if test.hint.At.Equal(epoch) {
+					hint := test.hint
+					hint.At = now
+					s.Peer(now, hint)
+				}
+				got = describe(s.Decide(now))
+			}
+			if !slices.Equal(got, []string{test.want}) {
+				t.Errorf("got %v, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+func TestInfeasibleIsNotShed(t *testing.T) {
+	s := trainedScheduler(testConfig(1, 1))
+	r := testRequest("short", "shops", "filing")
+	r.Deadline = at(200 * time.Millisecond)
+	s.Enqueue(epoch, r)
+	if got := describe(s.Decide(epoch)); !slices.Equal(got, []string{"refuse short infeasible"}) {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	s := newTestScheduler(testConfig(2, 100))
+	refused := 0
+	for i := range 2 * retryBurst {
+		r := testRequest(string(rune('a'+i)), "shops", "desk")
+		r.Avoid = append(r.Avoid, "engine-000")
+		s.Enqueue(epoch, r)
+	}
+	for _, action := range s.Decide(epoch) {
+		if refusal, ok := action.(*Refuse); ok && refusal.Reason == outcome.NoTarget {
+			refused++
+		}
+	}
+	if refused != retryBurst {
+		t.Errorf("%d of %d repeated requests are refused, want %d", refused, 2*retryBurst, retryBurst)
+	}
+}
+
+func TestUnreachableTargetIsProbed(t *testing.T) {
+	s := newTestScheduler(testConfig(1, 2))
+	s.Enqueue(epoch, testRequest("a", "shops", "desk"))
+	s.Decide(epoch)
+	s.Decline(epoch, Decline{ID: "a", Target: "engine-000", Cause: DeclineDial})
+	s.Enqueue(epoch, testRequest("b", "shops", "desk"))
+	s.Enqueue(epoch, testRequest("c", "shops", "desk"))
+	if got := describe(s.Decide(epoch)); got != nil {
+		t.Fatalf("got %v during the backoff", got)
+	}
+	later := at(s.NextWake(epoch))
+	if got := describe(s.Decide(later)); !slices.Equal(got, []string{"grant b"}) {
+		t.Fatalf("got %v, want one probe", got)
+	}
+	s.Progress(later, Progress{ID: "b", Tokens: 1, Prefill: time.Millisecond})
+	if got := describe(s.Decide(later)); !slices.Equal(got, []string{"grant c"}) {
+		t.Errorf("got %v after the probe answered", got)
+	}
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,168 @@
+package routing
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2030, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+func newTarget(slots int, promise time.Duration) *Target {
+	return &Target{
+		Name:      "engine",
+		Estimator: NewEstimator(),
+		Limit:     NewSlotLimit(slots, promise),
+		Health:    NewHealth(rand.New(rand.NewPCG(1, 1))),
+	}
+}
+
+func TestEstimatorLearnsBothRates(t *testing.T) {
+	e := NewEstimator()
+	random := rand.New(rand.NewPCG(1, 1))
+	now := start
+	for range 400 {
+		now = now.Add(250 * time.Millisecond)
+		batch, tokens := 1+random.IntN(8), 100+random.IntN(4000)
+		e.ObserveGap(now, batch, 20, time.Duration(10+2*batch)*time.Millisecond)
+		e.ObservePrefill(now, tokens, 5*time.Millisecond+time.Duration(tokens)*200*time.Microsecond)
+	}
+	if got := e.Gap(now, 4); got < 16*time.Millisecond || got > 20*time.Millisecond {
+		t.Errorf("gap is %v, want about 18ms", got)
+	}
+	if got := e.PrefillRate(now); math.Abs(got-5000) > 500 {
+		t.Errorf("prefill rate is %.0f, want about 5000 tokens a second", got)
+	}
+}
+
+func TestSlowdownRisesFasterThanItFalls(t *testing.T) {
+	var s Slowdown
+	rises, falls := 0, 0
+	now := start
+	for ; s.At(now) < 8; rises++ {
+		now = now.Add(time.Millisecond)
+		s.Observe(now, 10)
+	}
+	for ; s.At(now) > 2; falls++ {
+		now = now.Add(time.Millisecond)
+		s.Observe(now, 1)
+	}
+	if rises >= falls {
+		t.Errorf("rises in %d observations, falls in %d", rises, falls)
+	}
+	s.Observe(now, 10)
+	if later := now.Add(time.Minute); s.At(later) > 1.1 {
+		t.Errorf("slowdown is %.2f a minute after the last observation", s.At(later))
+	}
+}
+
+func TestSlotsFollowTheTokenGap(t *testing.T) {
+	const promise = 40 * time.Millisecond
+	l := NewSlotLimit(16, promise)
+	now := start
+	gaps := 0
+	for ; l.Slots() > 2 && gaps < 100; gaps++ {
+		now = now.Add(promise)
+		l.Observe(now, 10*promise, l.Slots())
+	}
+	if gaps > 10 {
+		t.Errorf("an engine slowed tenfold keeps %d slots after %d token gaps", l.Slots(), gaps)
+	}
+	for range 100 {
+		now = now.Add(time.Second)
+		l.Observe(now, promise/4, l.Slots())
+	}
+	if l.Slots() != 16 {
+		t.Errorf("a fast engine has %d slots back, want 16", l.Slots())
+	}
+	unlimited := NewSlotLimit(16, 0)
+	unlimited.Observe(now, time.Minute, 16)
+	if unlimited.Slots() != 16 {
+		t.Error("slots are cut without a promise")
+	}
+}
+
+func TestPrefixAffinityGivesWayUnderLoad(t *testing.T) {
+	prefixes := NewPrefixIndex(64)
+	router := NewRouter(RouterOptions{Prefixes: prefixes, Filters: []Filter{Staying{}}, Score: PredictedFinish{Prefixes: prefixes}})
+	warm, cold := newTarget(8, 0), newTarget(8, 0)
+	targets := []*Target{cold, warm}
+	prefix := make([]uint64, 100)
+	for i := range prefix {
+		prefix[i] = uint64(i + 1)
+	}
+	prefixes.Add(warm, prefix)
+	work := &Work{PromptTokens: 6400, Length: Length{Mid: 10}, Prefix: prefix}
+	if got := router.Rank(start, work, targets).Free; got != warm {
+		t.Error("the target that keeps the prefix is not chosen")
+	}
+	if cached := prefixes.Cached(work.PromptTokens, warm); cached < 5000 {
+		t.Errorf("%d of 6400 tokens are found", cached)
+	}
+	warm.PendingPrefill = 20_000
+	if got := router.Rank(start, work, targets).Free; got != cold {
+		t.Error("a loaded target is chosen for its prefix")
+	}
+	prefixes.Forget(warm)
+	prefixes.Match(prefix)
+	if cached := prefixes.Cached(work.PromptTokens, warm); cached != 0 {
+		t.Errorf("%d tokens are found after the target died", cached)
+	}
+}
+
+func TestFasterTargetIsWorthWaitingFor(t *testing.T) {
+	prefixes := NewPrefixIndex(64)
+	router := NewRouter(RouterOptions{Prefixes: prefixes, Score: PredictedFinish{Prefixes: prefixes}})
+	fast, slow := newTarget(1, 0), newTarget(1, 0)
+	now := start
+	for range 100 {
+		now = now.Add(250 * time.Millisecond)
+		fast.Estimator.ObserveGap(now, 1, 50, 5*time.Millisecond)
+		slow.Estimator.ObserveGap(now, 1, 50, 40*time.Millisecond)
+	}
+	fast.Enter(now)
+	fast.NextFree = now.Add(500 * time.Millisecond)
+	targets := []*Target{fast, slow}
+	if choice := router.Rank(now, &Work{Length: Length{Mid: 500}}, targets); !choice.WorthWaiting() {
+		t.Error("a long request does not wait for the fast target")
+	}
+	if choice := router.Rank(now, &Work{Length: Length{Mid: 5}}, targets); choice.WorthWaiting() {
+		t.Error("a short request waits for the fast target")
+	}
+}
+
+func TestLengthsFollowTheBetterMethod(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	byLimit, byLength := NewLengths(), NewLengths()
+	for range 200 {
+		limit := 10 + random.IntN(1000)
+		byLimit.Observe("shops", limit/2, limit)
+		byLength.Observe("shops", 50, limit)
+	}
+	if got := byLimit.Estimate("shops", 800, 0).Mid; got < 320 || got > 480 {
+		t.Errorf("estimate is %d, want about half of the limit", got)
+	}
+	if got := byLength.Estimate("shops", 800, 0).Mid; got < 40 || got > 60 {
+		t.Errorf("estimate is %d, want about 50", got)
+	}
+	if got := byLength.Estimate("shops", 800, 300).Mid; got <= 300 {
+		t.Errorf("estimate is %d with 300 tokens streamed", got)
+	}
+}
+
+func TestLoadHintCountsOnlyForeignRequests(t *testing.T) {
+	var h LoadHint
+	h.NoteInService(start, 4)
+	h.Report(start, 4)
+	if got := h.Foreign(start); got != 0 {
+		t.Errorf("%d of the own requests count as foreign", got)
+	}
+	h.Report(start, 7)
+	if got := h.Foreign(start); got != 3 {
+		t.Errorf("%d foreign requests, want 3", got)
+	}
+	if got := h.Foreign(start.Add(time.Minute)); got != 0 {
+		t.Errorf("an old report counts %d", got)
+	}
+}
