Test the order of victims against the tie-break

Cause: two cases expected the victim that the tie-break takes anyway: they passed with the rule for non-idempotent requests and the one for the least sunk removed. The better victim is now the one that the tie-break leaves; both cases fail in a scratch copy without their rule. Other rules removed one by one in scratch copies, each with its test failing: isolation of suspects, exoneration, retry budget, dial backoff, reserved slot, preemption.

--- a/admission/preempt_test.go
+++ b/admission/preempt_test.go
@@ -28,7 +28,7 @@
 
 func TestPreemption(t *testing.T) {
 	running := func(id, tier string) Request { return testRequest(id, "shops", tier) }
-	nonIdempotent := running("a", "batch")
+	nonIdempotent := running("b", "batch")
 	nonIdempotent.NonIdempotent = true
 	urgent := running("urgent", "filing")
 	urgent.Deadline = at(1400 * time.Millisecond)
@@ -39,7 +39,7 @@
 		name    string
 		running []Request
 		arrives Request
-		// streamed is the progress of the first request in service.
+		// streamed is the progress of the last request in service.
 		streamed int
 		want     []string
 	}{
@@ -61,11 +61,11 @@
 		},
 		{
 			name:    "the least sunk first",
-			running: []Request{running("a", "batch"), running("b", "batch")}, arrives: urgent, streamed: 5, want: []string{"preempt b"},
+			running: []Request{running("a", "batch"), running("b", "batch")}, arrives: urgent, streamed: 5, want: []string{"preempt a"},
 		},
 		{
 			name:    "non-idempotent ones last",
-			running: []Request{nonIdempotent, running("b", "batch")}, arrives: urgent, want: []string{"preempt b"},
+			running: []Request{running("a", "batch"), nonIdempotent}, arrives: urgent, want: []string{"preempt a"},
 		},
 	}
 	for _, test := range tests {
@@ -76,7 +76,7 @@
 			}
 			s.Decide(epoch)
 			if test.streamed > 0 {
-				s.Progress(epoch, Progress{ID: test.running[0].ID, Tokens: test.streamed, Prefill: 20 * time.Millisecond})
+				s.Progress(epoch, Progress{ID: test.running[len(test.running)-1].ID, Tokens: test.streamed, Prefill: 20 * time.Millisecond})
 			}
 			s.Enqueue(epoch, test.arrives)
 			if got := describe(s.Decide(epoch)); !slices.Equal(got, test.want) {
