Give calls of the policy measurement deadlines that grow with their length

Cause: with fixed deadlines of 8 to 12 s a phase of 20 s ends before the queue of a baseline reaches the deadlines, so overload was not sustained; and a long call could not be served on a slow engine at all.

Pools with one engine a data centre have the fastest kind.

--- a/bench/policy/command.go
+++ b/bench/policy/command.go
@@ -22,6 +22,8 @@
 	c := &policyCommand{name: clause.FullCommand()}
 	clause.Flag("seed", "Seed of the arrivals.").Default("1").Uint64Var(&c.options.seed)
 	clause.Flag("shape", "Deployment.").Default("lankadhara").EnumVar(&c.options.shape, "lankadhara", "dakar")
+	clause.Flag("deadlines", "Deadlines that grow with the call's length, or the tiers' own.").Default(scaledDeadlines).
+		EnumVar(&c.options.deadlines, scaledDeadlines, fixedDeadlines)
 	clause.Flag("duration", "Length of one phase.").Default("20s").DurationVar(&c.options.duration)
 	clause.Flag("warm-up", "Length of the phase before the measured ones.").Default("5s").DurationVar(&c.options.warmUp)
 	clause.Flag("load", "Offered load in parts of the capacity.").Default("0.7", "1.0", "2.0").Float64ListVar(&c.options.loads)
@@ -48,6 +50,7 @@
 		report: &Report{
 			Shape:           c.options.shape,
 			Seed:            c.options.seed,
+			Deadlines:       c.options.deadlines,
 			DurationSeconds: c.options.duration.Seconds(),
 		},
 	}
--- a/bench/policy/measurement.go
+++ b/bench/policy/measurement.go
@@ -82,7 +82,7 @@
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdle, DisableCompression: true}}
 	defer client.CloseIdleConnections()
-	warmUp := newWorkload(m.options.seed, m.shape, warmUpLoad).jobs(m.options.warmUp)
+	warmUp := newWorkload(m.options.seed, m.shape, warmUpLoad, m.options.deadlines).jobs(m.options.warmUp)
 	newPhase(cluster, client).run(ctx, warmUp, m.options.warmUp)
 	for _, load := range v.loads {
 		result, err := m.runPhase(ctx, cluster, client, v, load)
@@ -107,7 +107,7 @@
 			_ = cluster.Targets[v.slowed].SetEngineFaults(engine.Faults{SlowFactor: slowFactor})
 		}
 	}
-	p.run(ctx, newWorkload(m.options.seed, m.shape, load).jobs(m.options.duration), m.options.duration)
+	p.run(ctx, newWorkload(m.options.seed, m.shape, load, m.options.deadlines).jobs(m.options.duration), m.options.duration)
 	time.Sleep(settleTime)
 	after, err := readPrefill(cluster)
 	if err != nil {
--- a/bench/policy/options.go
+++ b/bench/policy/options.go
@@ -4,12 +4,14 @@
 
 // options of the measurement.
 type options struct {
-	seed     uint64
-	shape    string
-	duration time.Duration
-	warmUp   time.Duration
-	loads    []float64
-	policies []string
+	seed  uint64
+	shape string
+	// deadlines is scaledDeadlines or fixedDeadlines.
+	deadlines string
+	duration  time.Duration
+	warmUp    time.Duration
+	loads     []float64
+	policies  []string
 	// slowLoad is the load of the runs with a slowed and with an absent engine;
 	// zero leaves them out.
 	slowLoad float64
--- a/bench/policy/phase.go
+++ b/bench/policy/phase.go
@@ -60,18 +60,17 @@
 }
 
 func (p *phase) call(ctx context.Context, j job) {
-	deadline := j.tier.DefaultDeadline.Std()
-	ctx, cancel := context.WithTimeout(ctx, deadline+answerSlack)
+	ctx, cancel := context.WithTimeout(ctx, j.deadline+answerSlack)
 	defer cancel()
 	host := p.cluster.Hosts[j.host]
 	caller := &chatclient.Client{BaseURL: host.CallerURL(), Token: string(j.team), HTTP: p.client}
 	answer, err := caller.Complete(ctx, chatclient.Call{
-		Model: string(j.pool), Prompt: j.prompt, MaxTokens: j.limit, Stream: true, Tier: j.tier.Name, Deadline: deadline,
+		Model: string(j.pool), Prompt: j.prompt, MaxTokens: j.limit, Stream: true, Tier: j.tier, Deadline: j.deadline,
 	})
 	if err != nil {
 		answer.Whole = false
 	}
-	p.tallies[j.tier.Name].add(answer, deadline)
+	p.tallies[j.tier].add(answer, j.deadline)
 }
 
 // result sums the tallies up.
--- a/bench/policy/report.go
+++ b/bench/policy/report.go
@@ -72,6 +72,7 @@
 type Report struct {
 	Shape           string   `json:"shape"`
 	Seed            uint64   `json:"seed"`
+	Deadlines       string   `json:"deadlines"`
 	DurationSeconds float64  `json:"durationSeconds"`
 	Results         []Result `json:"results"`
 	Targets         []Target `json:"targets"`
@@ -79,7 +80,7 @@
 
 // WriteText implements report.Report.
 func (r *Report) WriteText(w io.Writer) error {
-	fmt.Fprintf(w, "shape %s, seed %d, %.0f s a phase\n", r.Shape, r.Seed, r.DurationSeconds)
+	fmt.Fprintf(w, "shape %s, seed %d, %s deadlines, %.0f s a phase; times in ms\n", r.Shape, r.Seed, r.Deadlines, r.DurationSeconds)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "load\tpolicy\ttier\toffered\tgood\tpart\tlate\texpired\tshed\tinfeasible\tpreempted\tfailed\t"+
 		"finish 50\tfinish 99\tfirst 50\tfirst 99\tgap 50\tgap 99\twasted\t")
--- a/bench/policy/shape.go
+++ b/bench/policy/shape.go
@@ -49,8 +49,8 @@
 	speed      float64
 }
 
-// engines lists the engines; a pool with one engine in each data centre has
-// another speed in every other data centre.
+// engines lists the engines; a pool with one engine in each data centre has the
+// fastest kind.
 func (s shape) engines() []engineSpec {
 	var all []engineSpec
 	for dc := range s.dataCentres {
@@ -58,7 +58,7 @@
 			for i := range pool.engines {
 				index := i
 				if pool.engines == 1 {
-					index = 1 + dc%2
+					index = len(speeds) - 1
 				}
 				all = append(all, engineSpec{
 					name:       ident.Target(fmt.Sprintf("%s-%d-%d", pool.name, dc+1, i+1)),
--- a/bench/policy/workload.go
+++ b/bench/policy/workload.go
@@ -14,12 +14,22 @@
 
 // tiers are the tiers of the workload; each gets an equal part of the load.
 var tiers = []settings.Tier{
-	{Name: "filing", Rank: 0, DefaultDeadline: settings.Duration(8 * time.Second)},
-	{Name: "desk", Rank: 1, DefaultDeadline: settings.Duration(9 * time.Second)},
-	{Name: "draft", Rank: 2, DefaultDeadline: settings.Duration(10 * time.Second)},
-	{Name: "batch", Rank: 3, DefaultDeadline: settings.Duration(12 * time.Second)},
+	{Name: "filing", Rank: 0, DefaultDeadline: settings.Duration(5 * time.Second)},
+	{Name: "desk", Rank: 1, DefaultDeadline: settings.Duration(6 * time.Second)},
+	{Name: "draft", Rank: 2, DefaultDeadline: settings.Duration(7 * time.Second)},
+	{Name: "batch", Rank: 3, DefaultDeadline: settings.Duration(8 * time.Second)},
 }
 
+const (
+	// scaledDeadlines grow with the call's length; fixedDeadlines are the tiers'.
+	scaledDeadlines = "scaled"
+	fixedDeadlines  = "fixed"
+	// A scaled deadline is leastDeadline and deadlineFactor times the time on an
+	// idle engine of the middle speed.
+	leastDeadline  = 2 * time.Second
+	deadlineFactor = 3
+)
+
 // team is one customer and its part of the load.
 type team struct {
 	name ident.Team
@@ -44,14 +54,16 @@
 
 // job is one call of the workload.
 type job struct {
-	due    time.Duration
-	pool   ident.Pool
-	team   ident.Team
-	tier   settings.Tier
-	host   int
-	prompt string
-	tokens int
-	limit  int
+	due  time.Duration
+	pool ident.Pool
+	team ident.Team
+	tier ident.Tier
+	// deadline is what the caller gives.
+	deadline time.Duration
+	host     int
+	prompt   string
+	// limit is the caller's limit on the answer's tokens.
+	limit int
 }
 
 // workload makes the same jobs for the same seed, load and shape.
@@ -59,10 +71,17 @@
 	random *rand.Rand
 	shape  shape
 	load   float64
+	// deadlines is scaledDeadlines or fixedDeadlines.
+	deadlines string
 }
 
-func newWorkload(seed uint64, s shape, load float64) *workload {
-	return &workload{random: rand.New(rand.NewPCG(seed, math.Float64bits(load))), shape: s, load: load}
+func newWorkload(seed uint64, s shape, load float64, deadlines string) *workload {
+	return &workload{
+		random:    rand.New(rand.NewPCG(seed, math.Float64bits(load))),
+		shape:     s,
+		load:      load,
+		deadlines: deadlines,
+	}
 }
 
 // meanLength is the mean of a length that is uniform in its logarithm.
@@ -100,17 +119,27 @@
 }
 
 func (w *workload) job(pool ident.Pool, due time.Duration, n int) job {
-	j := job{
-		due:    due,
-		pool:   pool,
-		team:   w.team(),
-		tier:   tiers[w.random.IntN(len(tiers))],
-		host:   w.random.IntN(w.shape.hosts),
-		tokens: w.length(minTokens),
+	tier := tiers[w.random.IntN(len(tiers))]
+	tokens, promptTokens := w.length(minTokens), w.length(minPrompt)
+	return job{
+		due:      due,
+		pool:     pool,
+		team:     w.team(),
+		tier:     tier.Name,
+		deadline: w.deadline(tier, promptTokens, tokens),
+		host:     w.random.IntN(w.shape.hosts),
+		prompt:   w.prompt(promptTokens, fmt.Sprintf("%s-%g-%d", pool, w.load, n), tokens),
+		limit:    tokens * (1 + w.random.IntN(2)),
+	}
+}
+
+func (w *workload) deadline(tier settings.Tier, promptTokens, tokens int) time.Duration {
+	if w.deadlines == fixedDeadlines {
+		return tier.DefaultDeadline.Std()
 	}
-	j.limit = j.tokens * (1 + w.random.IntN(2))
-	j.prompt = w.prompt(w.length(minPrompt), fmt.Sprintf("%s-%g-%d", pool, w.load, n), j.tokens)
-	return j
+	speed := speeds[len(speeds)/2]
+	idle := float64(tokens)*baseGapMs/1000/speed + float64(promptTokens)/(basePrefill*speed)
+	return leastDeadline + time.Duration(deadlineFactor*idle*float64(time.Second))
 }
 
 func (w *workload) team() ident.Team {
