Look at all requests only when a strike is news

Cause: owners repeat their strikes with each round of hints, and each one had the scheduler go through its whole queue. Strikes that another owner told of, and that had expired, still counted towards the next.

Change: only a new strike does, and it refuses what it quarantines in the queue at once.

--- a/admission/reports.go
+++ b/admission/reports.go
@@ -14,8 +14,10 @@
 
 // Strike takes in a strike record of another owner.
 func (s *Scheduler) Strike(now time.Time, d Digest, count int, expiry time.Time) {
-	s.strikes.told(d, count, expiry)
-	s.updateSuspects(now)
+	if s.strikes.told(now, d, count, expiry) {
+		s.updateSuspects(now)
+		s.refuseQuarantined(now)
+	}
 }
 
 // Strikes returns the strikes given here, for the other owners.
--- a/admission/strike_book.go
+++ b/admission/strike_book.go
@@ -54,16 +54,21 @@
 	delete(b.digests, digest)
 }
 
-// told takes in what another owner counted.
-func (b *strikeBook) told(digest Digest, count int, expiry time.Time) {
-	if digest == 0 || count <= 0 {
-		return
+// told takes in what another owner counted, and says whether that is news.
+func (b *strikeBook) told(now time.Time, digest Digest, count int, expiry time.Time) bool {
+	if digest == 0 || count <= 0 || !now.Before(expiry) {
+		return false
 	}
 	s := b.suspicion(digest)
+	news := !now.Before(s.toldExpiry) || count > s.told
+	if !now.Before(s.toldExpiry) {
+		s.told = 0
+	}
 	s.told = max(s.told, count)
 	if expiry.After(s.toldExpiry) {
 		s.toldExpiry = expiry
 	}
+	return news
 }
 
 // suspect says whether the digest has a strike.
