Follow a platform that is slower than the short limit

Cause: the read of the head version was cut after 1 s even if no peer was ahead, so that a version which no living host had was never seen while the platform took longer, and a host that started then never got any. The short limit now holds only while a peer may help; else the read may take 2 s.

--- a/settings/watcher.go
+++ b/settings/watcher.go
@@ -128,9 +128,13 @@
 	if w.Current() != nil {
 		return nil
 	}
+	return w.lastStatus().missing()
+}
+
+func (w *Watcher) lastStatus() syncStatus {
 	w.statusMu.Lock()
 	defer w.statusMu.Unlock()
-	return w.status.missing()
+	return w.status
 }
 
 // sync brings the newest version that can be reached into force.
@@ -178,7 +182,7 @@
 }
 
 func (w *Watcher) headIsKnown(ctx context.Context, known *state) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.options.HeadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, w.headTimeout(known))
 	defer cancel()
 	newest, err := w.loader.head(ctx)
 	if err != nil {
@@ -187,6 +191,16 @@
 	return newest.version <= known.version, nil
 }
 
+// headTimeout is short if a peer may give what the platform does not: one is
+// ahead, or none was asked yet.
+func (w *Watcher) headTimeout(known *state) time.Duration {
+	ahead := w.heard.Load() > known.version
+	if ahead || (known.version == 0 && !w.lastStatus().tried) {
+		return w.options.HeadTimeout
+	}
+	return max(slowHeadTimeout, w.options.HeadTimeout)
+}
+
 func (w *Watcher) syncPeers(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
--- a/settings/watcher_options.go
+++ b/settings/watcher_options.go
@@ -17,6 +17,8 @@
 	// defaultHeadTimeout bounds the read that shows whether the platform
 	// answers.
 	defaultHeadTimeout = time.Second
+	// slowHeadTimeout bounds that read while no peer can help.
+	slowHeadTimeout = 2 * time.Second
 	// loadTimeout bounds all reads of one new version.
 	loadTimeout = 10 * time.Second
 )
@@ -34,7 +36,8 @@
 	// Jitter is the part of the interval, from 0 to 1, by which it is varied.
 	Jitter float64
 	// HeadTimeout is how long the platform may take to tell the head version
-	// before the peers are asked. It defaults to 1 second.
+	// before the peers are asked, if they have a newer one. It defaults to 1
+	// second.
 	HeadTimeout time.Duration
 	// Fetch asks the other hosts; nil means that there are none.
 	Fetch Fetch
--- a/settings/watcher_test.go
+++ b/settings/watcher_test.go
@@ -151,6 +151,23 @@
 	}
 }
 
+// TestASlowPlatformIsFollowed changes the settings past all hosts, so that no
+// peer has them.
+func TestASlowPlatformIsFollowed(t *testing.T) {
+	s := newSite(t)
+	w := settings.NewWatcher(settings.WatcherOptions{Table: s.table(), Interval: interval, HeadTimeout: 20 * time.Millisecond})
+	store := settings.NewStore(settings.StoreOptions{Table: s.table(), Watcher: w})
+	s.apply(store, firstChange())
+	s.platform.SetFaults(standin.Faults{DelayMs: 100})
+	s.run(w)
+	s.apply(s.store(), change("tiers/gold.json", tierBody("9s")))
+	waitFor(t, "version 2", func() bool { return w.Version() == 2 })
+
+	young := settings.NewWatcher(settings.WatcherOptions{Table: s.table(), Interval: interval, HeadTimeout: 20 * time.Millisecond})
+	s.run(young)
+	waitFor(t, "version 2 on a host that starts", func() bool { return young.Version() == 2 })
+}
+
 func TestNoHostGoesBack(t *testing.T) {
 	s := newSite(t)
 	w := s.watcher(nil)
--- a/test/settings_in_force_test.go
+++ b/test/settings_in_force_test.go
@@ -125,6 +125,16 @@
 		setFaults(t, cluster, standinplatform.Faults{LostConfirmations: 1})
 		checkInForce(t, apply(t, operator, tierChange("b-1", 12)), cluster.Hosts...)
 	})
+	t.Run("platform slow", func(t *testing.T) {
+		setFaults(t, cluster, standinplatform.Faults{DelayMs: 1500})
+		checkInForce(t, apply(t, operator, tierChange("slow-1", 18)), cluster.Hosts...)
+		setFaults(t, cluster, standinplatform.Faults{})
+	})
+	t.Run("confirmation lost on a slow platform", func(t *testing.T) {
+		setFaults(t, cluster, standinplatform.Faults{LostConfirmations: 1, DelayMs: 300})
+		checkInForce(t, apply(t, operator, tierChange("slow-2", 19)), cluster.Hosts...)
+		setFaults(t, cluster, standinplatform.Faults{})
+	})
 	t.Run("host cut off from the platform", func(t *testing.T) {
 		if err := cluster.SetPlatformFaults(disturbed.Host(), cut); err != nil {
 			t.Fatal(err)
