Walk the operators' page with the real sample system

The first steps ran against listeners over a network in memory; now that hosts serve the operators' interface, they run against cornelyard dev.

--- a/cli/follow_test.go
+++ b/cli/follow_test.go
@@ -29,12 +29,15 @@
 	return o.buffer.Write(data)
 }
 
-func (o *output) count(part string) int {
+// String returns what was written so far.
+func (o *output) String() string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return strings.Count(o.buffer.String(), part)
+	return o.buffer.String()
 }
 
+func (o *output) count(part string) int { return strings.Count(o.String(), part) }
+
 // TestTimelineFollows shows the events of several hosts as they come, each
 // once, until an interrupt.
 func TestTimelineFollows(t *testing.T) {
--- a/cli/walk_test.go
+++ b/cli/walk_test.go
@@ -3,16 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/cornelyard/cornelyard/internal/operatortest"
-	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/dev"
 )
 
 var fencedBlock = regexp.MustCompile("(?ms)^```(sh|json file=(\\S+))\n(.*?)^```$")
@@ -34,24 +35,39 @@
 	return commands.String() + files.String()
 }
 
-// sampleChange declares what the page's first steps begin with.
-func sampleChange() settings.Change {
-	return settings.Change{
-		Author:    "sample",
-		Reason:    "sample declarations",
-		Principal: settings.OperatorPrincipal(),
-		Puts: []settings.Document{
-			{Path: "tiers/interactive.json", Body: `{"rank": 1, "defaultDeadline": "30s"}`},
-			{Path: "tiers/batch.json", Body: `{"rank": 2, "defaultDeadline": "5m"}`},
-			{Path: "pools/drafting.json", Body: `{"kind": "engine", "model": "draft-1", "maxQueue": 10}`},
-			{Path: "teams/bureau/team.json", Body: `{"callerTokenHashes": [], "defaultTier": "interactive"}`},
-		},
+// startSample runs the sample system until the test ends, and returns the
+// operator address of its first host.
+func startSample(t *testing.T) string {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	out := &output{}
+	ended := make(chan error, 1)
+	go func() { ended <- dev.Run(ctx, out, io.Discard) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Errorf("the sample system ended with %v", err)
+		}
+	})
+	deadline := time.Now().Add(patience)
+	for time.Now().Before(deadline) {
+		if m := regexp.MustCompile(`operators http://(\S+)`).FindStringSubmatch(out.String()); m != nil {
+			return m[1]
+		}
+		time.Sleep(10 * time.Millisecond)
 	}
+	t.Fatalf("the sample system does not say its addresses:\n%s", out.String())
+	return ""
 }
 
-// TestOperatorsPageCanBeWalked carries out the first steps of the page.
+// TestOperatorsPageCanBeWalked carries out the first steps of the page with the
+// sample system that it names.
 func TestOperatorsPageCanBeWalked(t *testing.T) {
-	script := walkScript(between(readPage(t, operatorsPage), "## First steps", "## Declarations"))
+	page := between(readPage(t, operatorsPage), "## First steps", "## Declarations")
+	if !strings.Contains(page, dev.OperatorToken) {
+		t.Errorf("the page does not name the sample's token, %s", dev.OperatorToken)
+	}
+	script := walkScript(page)
 	const leastCommands = 10
 	if strings.Count(script, "exec cornelyard") < leastCommands {
 		t.Fatalf("the page has too few commands:\n%s", script)
@@ -61,12 +77,10 @@
 	if err := os.WriteFile(filepath.Join(directory, "walk.txtar"), []byte(script), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	address := startSample(t)
 	testscript.Run(t, testscript.Params{Dir: directory, Setup: func(env *testscript.Env) error {
-		s := operatortest.Start(hosts)
-		env.Defer(s.Close)
-		env.Setenv("CORNELYARD_OPERATOR", s.Addresses()[0])
-		env.Setenv("CORNELYARD_TOKEN", operatortest.OperatorToken)
-		_, err := s.Hosts[0].Store.Apply(context.Background(), sampleChange())
-		return err
+		env.Setenv("CORNELYARD_OPERATOR", address)
+		env.Setenv("CORNELYARD_TOKEN", dev.OperatorToken)
+		return nil
 	}})
 }
