--- a/entry/accept.go
+++ b/entry/accept.go
@@ -97,7 +97,7 @@
 		return nil, r
 	}
 	x.setCall(c)
-	kept, r := e.findKept(in, c)
+	kept, r := e.findKept(in, x)
 	if r != nil || kept != nil {
 		return kept, r
 	}
--- a/entry/claiming.go
+++ b/entry/claiming.go
@@ -12,7 +12,8 @@
 
 // findKept looks up what became of an earlier call with the same key, so that a
 // resend costs no grant. It returns nil, nil if the key is free.
-func (e *Entry) findKept(in *incoming, c *call) (*claim.Answer, *refusal) {
+func (e *Entry) findKept(in *incoming, x *execution) (*claim.Answer, *refusal) {
+	c := x.call
 	if !c.nonIdempotent {
 		return nil, nil
 	}
@@ -21,6 +22,7 @@
 	}
 	ctx, cancel := context.WithDeadline(in.echo.Request().Context(), c.identity.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.ctx, cancel)()
 	finding := e.options.Claims.Find(ctx, c.claimRequest())
 	return finding.Kept, refused(finding.Refusal)
 }
@@ -59,11 +61,11 @@
 		x.kept = new(keeper)
 		x.record(timeline.Event{Kind: timeline.Claimed})
 		return verdict{}, true
-	case x.ctx.Err() != nil:
-		return failed(x.stoppedBeforeRun()), false
 	case finding.Kept != nil:
 		x.replayKept(finding.Kept)
 		return done(), false
+	case x.ctx.Err() != nil && finding.Refusal.Outcome == outcome.NotRun:
+		return failed(x.stoppedBeforeRun()), false
 	default:
 		return failed(refused(finding.Refusal)), false
 	}
--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -6,9 +6,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/claim"
 	standin "github.com/cornelyard/cornelyard/internal/standin/platform"
 	"github.com/cornelyard/cornelyard/outcome"
@@ -41,8 +44,12 @@
 	*httptest.Server
 	calls atomic.Int32
 	gate  chan struct{}
+	once  sync.Once
 }
 
+// open lets all calls end.
+func (s *filingService) open() { s.once.Do(func() { close(s.gate) }) }
+
 func newFilingService(t *testing.T) *filingService {
 	t.Helper()
 	s := &filingService{gate: make(chan struct{})}
@@ -54,6 +61,7 @@
 		_, _ = fmt.Fprintf(w, "filed %d", n)
 	}))
 	t.Cleanup(s.Close)
+	t.Cleanup(s.open)
 	return s
 }
 
@@ -67,7 +75,7 @@
 
 func TestResendGetsTheKeptAnswer(t *testing.T) {
 	service := newFilingService(t)
-	close(service.gate)
+	service.open()
 	b := newBed(t, withClaims(t, standin.New(standin.Options{})), service.target())
 	for i := range 3 {
 		response, body := do(t, b.filing("return"))
@@ -107,7 +115,7 @@
 		_, body := do(t, b.filing("return"))
 		resent <- body
 	}()
-	close(service.gate)
+	service.open()
 	if body := <-resent; body != "filed 1" {
 		t.Errorf("the resend got %q", body)
 	}
@@ -124,7 +132,7 @@
 	if response.StatusCode != http.StatusGatewayTimeout || e.Outcome != outcome.Unknown || response.Header.Get(headerRetryAfter) == "" {
 		t.Errorf("status %d, error %+v", response.StatusCode, e)
 	}
-	close(service.gate)
+	service.open()
 	if _, body := do(t, b.filing("return")); body != "filed 1" {
 		t.Errorf("the resend got %q", body)
 	}
@@ -135,7 +143,7 @@
 
 func TestPlatformOutage(t *testing.T) {
 	service := newFilingService(t)
-	close(service.gate)
+	service.open()
 	stand := standin.New(standin.Options{})
 	stand.SetFaults(standin.Faults{Outage: true})
 	b := newBed(t, withClaims(t, stand), service.target())
@@ -155,7 +163,7 @@
 // TestRefusedCallFreesItsKey lets the target be unreachable after the claim.
 func TestRefusedCallFreesItsKey(t *testing.T) {
 	service := newFilingService(t)
-	close(service.gate)
+	service.open()
 	b := newBed(t, withClaims(t, standin.New(standin.Options{})), closedTarget(t))
 	response, body := do(t, b.filing("return"))
 	if e := errorOf(t, body); response.StatusCode != http.StatusServiceUnavailable || e.Outcome != outcome.NotRun {
@@ -167,3 +175,25 @@
 		return response.StatusCode == http.StatusCreated
 	})
 }
+
+// TestGrantExpiresDuringTheClaim makes the claim outlast the grant's lease, as a
+// claimer that is frozen in between sees it.
+func TestGrantExpiresDuringTheClaim(t *testing.T) {
+	service := newFilingService(t)
+	service.open()
+	stand := standin.New(standin.Options{})
+	stand.SetFaults(standin.Faults{DelayMs: 300})
+	b := newBed(t, withClaims(t, stand), service.target())
+	b.admitter.lease = 100 * time.Millisecond
+	response, body := do(t, b.filing("return"))
+	if response.StatusCode != http.StatusCreated || body != "filed 1" {
+		t.Errorf("status %d, body %s", response.StatusCode, body)
+	}
+	declines, ends := b.admitter.grant(0).givenBack()
+	if len(declines) != 1 || declines[0] != admission.DeclineExpired || len(ends) != 0 {
+		t.Errorf("the expired grant was given back as %v, %v", declines, ends)
+	}
+	if n := b.events.count(timeline.Claimed); n != 1 {
+		t.Errorf("%d claims", n)
+	}
+}
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -22,7 +22,8 @@
 // openStream starts a stream and reads its first event.
 func (b *bed) openStream() (*http.Response, *bufio.Reader) {
 	b.t.Helper()
-	response, err := http.DefaultClient.Do(b.request("POST", "/v1/chat/completions", streamBody))
+	patience := strconv.FormatInt(waitLimit.Milliseconds(), 10)
+	response, err := http.DefaultClient.Do(b.request("POST", "/v1/chat/completions", streamBody, headerDeadline, patience))
 	if err != nil {
 		b.t.Fatal(err)
 	}
