--- a/pool/event.go
+++ b/pool/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/timeline"
 )
 
 // event is one change that an owner's goroutine applies to its scheduler.
@@ -52,13 +53,19 @@
 func (e configEvent) apply(o *owner, now time.Time) { o.scheduler.Configure(now, e.config) }
 
 func (e enqueueEvent) apply(o *owner, now time.Time) {
+	if e.request.Forwarded {
+		o.noteForwarder(now, e.request.Entry)
+	}
 	o.scheduler.Enqueue(now, e.request)
 	o.recordQueued(&e.request)
 }
 
 func (e cancelEvent) apply(o *owner, now time.Time) { o.scheduler.Cancel(now, e.id) }
 
-func (e declineEvent) apply(o *owner, now time.Time) { o.scheduler.Decline(now, e.decline) }
+func (e declineEvent) apply(o *owner, now time.Time) {
+	o.recordReturn(e.decline)
+	o.scheduler.Decline(now, e.decline)
+}
 
 func (e progressEvent) apply(o *owner, now time.Time) {
 	for _, p := range e.items {
@@ -95,6 +102,7 @@
 	for i := range e.queued {
 		o.recordQueued(&e.queued[i])
 	}
+	o.record(timeline.Event{Kind: timeline.EntryReported, Peer: e.from})
 	o.scheduler.EntryReported(now, e.from, e.queued, e.inService)
 	if e.epoch == o.epoch {
 		o.recovery.heard(e.from)
