--- a/peer/dial.go
+++ b/peer/dial.go
@@ -55,13 +55,14 @@
 	return min(wait, d.dialSeeds(ctx, view, now))
 }
 
-// tendLinks dials the hosts that frames or calls wait for, and closes the
-// sessions to dead members.
+// tendLinks dials the hosts that frames or calls wait for, closes the sessions
+// to dead members and forgets the links to forgotten ones.
 func (d *dialler) tendLinks(ctx context.Context, view *membership.View, now time.Time) time.Duration {
 	wait := idlePlanInterval
 	for _, l := range d.mesh.allLinks() {
 		member, known := view.Member(l.host)
 		if !known {
+			d.mesh.forget(l)
 			continue
 		}
 		if member.State == membership.Dead {
--- a/peer/link.go
+++ b/peer/link.go
@@ -27,6 +27,8 @@
 	dials   dialState
 	// changed is closed when a session opens or a dial fails.
 	changed chan struct{}
+	// retired says that the mesh has forgotten the link.
+	retired bool
 }
 
 func newLink(host ident.Host) *link {
@@ -66,6 +68,9 @@
 func (l *link) admit(s *session, number uint64, now time.Time) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.retired {
+		return errDuplicate
+	}
 	if open := l.open(); open != nil {
 		if s.incarnation < open.incarnation {
 			return errDuplicate
@@ -84,6 +89,9 @@
 func (l *link) follow(s *session) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.retired {
+		return errDuplicate
+	}
 	if open := l.open(); open != nil {
 		late := s.incarnation == open.incarnation && s.number < open.number
 		if late || s.incarnation < open.incarnation {
@@ -133,6 +141,31 @@
 	}
 }
 
+// retire tells whether the link is of no use any more. From then on it opens no
+// session; a host that comes back under the name gets another link.
+func (l *link) retire() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current != nil || l.waiting > 0 || !l.pending.empty() || l.dials.dialling || !l.handled() {
+		return false
+	}
+	l.retired = true
+	return true
+}
+
+// handled tells whether the handlers are done with the latest session.
+func (l *link) handled() bool {
+	if l.tail == nil {
+		return true
+	}
+	select {
+	case <-l.tail:
+		return true
+	default:
+		return false
+	}
+}
+
 // push queues a frame on the session. Without one, it waits for the session to
 // open if mayDial says that the host can be dialled.
 func (l *link) push(f *peerpb.Frame, clock *timeline.Clock, mayDial bool) (opened *session, err error) {
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -100,3 +100,39 @@
 		t.Error("the new session doesn't wait for the end of the old one")
 	}
 }
+
+func TestRetire(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name    string
+		prepare func(*link)
+		retired bool
+	}{
+		{"never used", func(*link) {}, true},
+		{"a session is open", func(l *link) { l.install(openSession(t, 1, now)) }, false},
+		{"a call waits", func(l *link) { l.wait() }, false},
+		{"a dial is in progress", func(l *link) { l.beginDial(now, true) }, false},
+		{"the handlers are not done", func(l *link) {
+			s := openSession(t, 1, now)
+			l.install(s)
+			l.remove(s)
+		}, false},
+		{"the handlers are done", func(l *link) {
+			s := openSession(t, 1, now)
+			l.install(s)
+			l.remove(s)
+			close(s.finished)
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newLink("b")
+			c.prepare(l)
+			if got := l.retire(); got != c.retired {
+				t.Fatalf("retired: %v, want %v", got, c.retired)
+			}
+			if err := l.admit(openSession(t, 2, now), 1, now); c.retired != errors.Is(err, errDuplicate) {
+				t.Errorf("a new session: %v", err)
+			}
+		})
+	}
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -178,6 +178,15 @@
 	return m.links[host], false
 }
 
+// forget drops a link that is of no use any more.
+func (m *Mesh) forget(l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links[l.host] == l && l.retire() {
+		delete(m.links, l.host)
+	}
+}
+
 func (m *Mesh) allLinks() []*link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
