Keep the session of two that began together, however slow their handshakes

Cause: in a start of 36 hosts on a busy machine, sessions of 1.1 to 1.5 s of age were replaced: both sides had dialled at once, and the second handshake took more than a second.

Change: what counts is when the connection began, not when its handshake ended. The new case of the test failed with the old rule. The measurement starts a cluster again if another program has taken one of its addresses; before, it waited without end.

--- a/bench/slopes/cluster.go
+++ b/bench/slopes/cluster.go
@@ -23,6 +23,9 @@
 	// tierDeadline lets every request of a measurement wait as long as it likes.
 	tierDeadline = 24 * time.Hour
 	maxQueue     = 10_000
+
+	startTries = 3
+	startLimit = 30 * time.Second
 )
 
 // baseSpec describes a cluster of hosts in one data centre without targets.
@@ -43,18 +46,35 @@
 // withCluster runs f on a cluster after the settling time.
 func withCluster(ctx context.Context, o options, spec testbed.Spec, f func(*testbed.Cluster) ([]Figure, error)) ([]Figure, error) {
 	spec.Timing.Heartbeat = settings.Duration(o.heartbeat)
-	cluster, err := testbed.Start(ctx, spec)
-	defer cluster.Stop()
+	cluster, err := start(ctx, spec)
 	if err != nil {
-		fmt.Fprint(os.Stderr, cluster.Logs())
 		return nil, err
 	}
+	defer cluster.Stop()
 	if err := standin.Sleep(ctx, o.settle); err != nil {
 		return nil, err
 	}
 	return f(cluster)
 }
 
+// start starts a cluster. Another program of this machine may take one of its
+// many addresses first; it is then started again.
+func start(ctx context.Context, spec testbed.Spec) (*testbed.Cluster, error) {
+	var failure error
+	for range startTries {
+		limited, cancel := context.WithTimeout(ctx, startLimit)
+		cluster, err := testbed.Start(limited, spec)
+		cancel()
+		if err == nil {
+			return cluster, nil
+		}
+		failure = err
+		fmt.Fprint(os.Stderr, cluster.Logs())
+		cluster.Stop()
+	}
+	return nil, failure
+}
+
 // roles returns the host that owns the pool and another one, which takes the
 // calls.
 func roles(c *testbed.Cluster) (entry, owner *testbed.Host) {
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -119,12 +119,13 @@
 	case <-ctx.Done():
 		return nil, errStopped
 	}
+	began := time.Now()
 	d := net.Dialer{Timeout: dialTimeout}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	g, err := m.greetDialled(ctx, raw)
+	g, err := m.greetDialled(ctx, raw, began)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -16,6 +16,8 @@
 
 // greeted is a connection after the exchange of greetings.
 type greeted struct {
+	// began is when the connection was dialled or accepted.
+	began  time.Time
 	conn   net.Conn
 	mux    *yamux.Session
 	stream *yamux.Stream
@@ -31,7 +33,7 @@
 }
 
 // greetDialled does the dialling side's handshake up to the greetings.
-func (m *Mesh) greetDialled(ctx context.Context, raw net.Conn) (*greeted, error) {
+func (m *Mesh) greetDialled(ctx context.Context, raw net.Conn, began time.Time) (*greeted, error) {
 	_ = raw.SetDeadline(time.Now().Add(handshakeTimeout))
 	conn := tls.Client(m.counters.counted(raw), m.tls)
 	if err := conn.HandshakeContext(ctx); err != nil {
@@ -43,7 +45,7 @@
 		_ = raw.Close()
 		return nil, Error.Wrap(err)
 	}
-	g := &greeted{conn: raw, mux: mux}
+	g := &greeted{began: began, conn: raw, mux: mux}
 	if err := m.exchange(g, mux.OpenStream); err != nil {
 		g.close()
 		return nil, err
@@ -53,6 +55,7 @@
 
 // greetAccepted does the accepting side's handshake up to the greetings.
 func (m *Mesh) greetAccepted(ctx context.Context, raw net.Conn) (*greeted, error) {
+	began := time.Now()
 	_ = raw.SetDeadline(time.Now().Add(handshakeTimeout))
 	conn := tls.Server(m.counters.counted(raw), m.tls)
 	if err := conn.HandshakeContext(ctx); err != nil {
@@ -64,7 +67,7 @@
 		_ = raw.Close()
 		return nil, Error.Wrap(err)
 	}
-	g := &greeted{conn: raw, mux: mux}
+	g := &greeted{began: began, conn: raw, mux: mux}
 	if err := m.exchange(g, mux.AcceptStream); err != nil {
 		g.close()
 		return nil, err
@@ -124,7 +127,7 @@
 
 // admit decides for both sides, and says so if the connection is kept.
 func (m *Mesh) admit(s *session) error {
-	if err := m.link(s.host).admit(s, m.sessions.Add(1), time.Now()); err != nil {
+	if err := m.link(s.host).admit(s, m.sessions.Add(1)); err != nil {
 		return err
 	}
 	if err := writeMessage(s.stream, &peerpb.Welcome{Session: s.number}); err != nil {
--- a/peer/link.go
+++ b/peer/link.go
@@ -62,10 +62,10 @@
 }
 
 // admit decides whether s is kept, as the host with the smaller name does. A
-// session that has just opened between the same two processes stays, because
-// both sides dialled at once; an older one gives way, because the other side
-// dials only when it has lost it.
-func (l *link) admit(s *session, number uint64, now time.Time) error {
+// session between the same two processes that opened after the connection of s
+// began, or shortly before, stays, because both sides dialled at once. An older
+// one gives way, because the other side dials only when it has lost it.
+func (l *link) admit(s *session, number uint64) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.retired {
@@ -75,7 +75,7 @@
 		if s.incarnation < open.incarnation {
 			return errDuplicate
 		}
-		if s.incarnation == open.incarnation && now.Sub(open.opened) < settledAfter {
+		if s.incarnation == open.incarnation && s.began.Sub(open.opened) < settledAfter {
 			return errDuplicate
 		}
 	}
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	s := &session{
-		greeted:     &greeted{conn: conn, mux: mux, hello: &peerpb.Hello{}},
+		greeted:     &greeted{began: opened, conn: conn, mux: mux, hello: &peerpb.Hello{}},
 		incarnation: incarnation,
 		opened:      opened,
 		outbox:      newOutbox(maxBacklogBytes),
@@ -31,6 +31,12 @@
 	return s
 }
 
+// slow gives the session a connection that began earlier.
+func slow(s *session, began time.Time) *session {
+	s.began = began
+	return s
+}
+
 func TestAdmit(t *testing.T) {
 	now := time.Unix(1000, 0)
 	young, old := now.Add(-settledAfter/2), now.Add(-2*settledAfter)
@@ -42,6 +48,7 @@
 	}{
 		{"no session yet", nil, openSession(t, 1, now), true},
 		{"both dialled at once", openSession(t, 1, young), openSession(t, 1, now), false},
+		{"the handshake took long after both dialled at once", openSession(t, 1, old), slow(openSession(t, 1, now), old), false},
 		{"the other side lost the session", openSession(t, 1, old), openSession(t, 1, now), true},
 		{"the other host restarted", openSession(t, 1, young), openSession(t, 2, now), true},
 		{"a connection of the process before", openSession(t, 2, old), openSession(t, 1, now), false},
@@ -51,7 +58,7 @@
 			if c.open != nil {
 				l.install(c.open)
 			}
-			err := l.admit(c.new, 7, now)
+			err := l.admit(c.new, 7)
 			checkDecision(t, l, c.open, c.new, err, c.kept)
 		})
 	}
@@ -130,7 +137,7 @@
 			if got := l.retire(); got != c.retired {
 				t.Fatalf("retired: %v, want %v", got, c.retired)
 			}
-			if err := l.admit(openSession(t, 2, now), 1, now); c.retired != errors.Is(err, errDuplicate) {
+			if err := l.admit(openSession(t, 2, now), 1); c.retired != errors.Is(err, errDuplicate) {
 				t.Errorf("a new session: %v", err)
 			}
 		})
