Shed nothing because all targets are being probed at one moment

Cause: while every target of a pool was in its backoff the pool counted as without capacity, the predicted wait was the longest one, and requests with a minute left were shed at once, the highest tier too. Ruled out: a shorter backoff, which only makes the moment rarer. Change: a pool without slots is predicted from the next probe on.

--- /dev/null
+++ b/admission/failing_targets_test.go
@@ -0,0 +1,59 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/outcome"
+)
+
+// teach serves requests one after another, so that the predictions are trusted.
+func teach(t *testing.T, s *Scheduler, now time.Time) time.Time {
+	t.Helper()
+	for n := range 50 {
+		id := ident.Request(fmt.Sprintf("lesson-%d", n))
+		r := testRequest(string(id), "bureau", "desk")
+		r.Arrived, r.Deadline = now, now.Add(time.Minute)
+		s.Enqueue(now, r)
+		if got := describe(s.Decide(now)); len(got) != 1 {
+			t.Fatalf("lesson %d: %v", n, got)
+		}
+		now = now.Add(50 * time.Millisecond)
+		s.Progress(now, Progress{ID: id, Tokens: 1, SinceDispatch: 50 * time.Millisecond, Prefill: 50 * time.Millisecond})
+		now = now.Add(time.Second)
+		s.Progress(now, Progress{ID: id, Tokens: 100, SinceDispatch: 1050 * time.Millisecond, Gap: 10 * time.Millisecond})
+		s.End(now, End{
+			ID: id, Outcome: outcome.Completed, PromptTokens: 100, Tokens: 100,
+			Prefill: 50 * time.Millisecond, Total: 1050 * time.Millisecond,
+		})
+		s.Decide(now)
+	}
+	return now
+}
+
+func TestNothingIsShedWhileAllTargetsAreProbed(t *testing.T) {
+	s := newTestScheduler(testConfig(1, 4))
+	now := teach(t, s, epoch)
+	if !s.estimator.Mature() {
+		t.Fatal("the predictions are not trusted, so the check says nothing")
+	}
+	dying := testRequest("dying", "bureau", "desk")
+	dying.Deadline = now.Add(time.Minute)
+	s.Enqueue(now, dying)
+	s.Decide(now)
+	s.End(now, End{ID: "dying", Outcome: outcome.Interrupted, Reason: outcome.TargetFailed, TargetDied: true})
+	for n := range 8 {
+		r := testRequest(fmt.Sprintf("waiting-%d", n), "bureau", "filing")
+		r.Arrived, r.Deadline = now, now.Add(30*time.Second)
+		s.Enqueue(now, r)
+	}
+	if got := describe(s.Decide(now)); len(got) != 0 {
+		t.Fatalf("while the target is probed: %v", got)
+	}
+	now = now.Add(time.Second)
+	if got := describe(s.Decide(now)); len(got) == 0 || got[0] != "grant waiting-0" {
+		t.Errorf("after the wait: %v", got)
+	}
+}
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -31,6 +31,10 @@
 // of the higher tiers leave.
 func (s *Scheduler) waitBehind(now time.Time, rank int, deadline time.Time) time.Duration {
 	capacity := s.capacity(now)
+	until := time.Duration(0)
+	if capacity == 0 {
+		capacity, until = s.capacityAfterProbe(now)
+	}
 	if capacity == 0 {
 		return maxRetryAfter
 	}
@@ -46,7 +50,24 @@
 		taken += tier.demand.rate(now)
 	}
 	left := max(capacity-taken, leastShare*capacity)
-	return duration(ahead / left)
+	return until + duration(ahead/left)
+}
+
+// capacityAfterProbe counts the slots that the pool has when its failing targets
+// are back, and the time until the first of them is probed. A pool whose targets
+// all fail at one moment mostly has them back soon; what does not come back is
+// refused when its deadline is near.
+func (s *Scheduler) capacityAfterProbe(now time.Time) (float64, time.Duration) {
+	slots := 0
+	until := maxRetryAfter
+	for _, target := range s.routes {
+		if target.Leaving || !target.Health.Failing() {
+			continue
+		}
+		slots += target.Limit.Slots()
+		until = min(until, max(0, target.Health.Retry().Sub(now)))
+	}
+	return float64(slots), until
 }
 
 // retryAfter tells a refused caller of the tier when to come back.
