Keep what targets received over their restarts

A stand-in's record goes with its process, so a dispatch that was repeated after an engine was killed went unseen.

--- a/internal/standin/cmd/standin/engine.go
+++ b/internal/standin/cmd/standin/engine.go
@@ -18,6 +18,7 @@
 
 type engineCommand struct {
 	options engine.Options
+	journal string
 }
 
 func registerEngine(app *kingpin.Application, commands map[string]command) {
@@ -32,9 +33,15 @@
 	clause.Flag("crash-marker", "Text in a prompt that crashes the engine.").Default(engine.DefaultCrashMarker).StringVar(&o.CrashMarker)
 	clause.Flag("resume-window", "How long a stream goes on without a reader.").Default(engine.DefaultResumeWindow.String()).DurationVar(&o.ResumeWindow)
 	clause.Flag("load-lag", "Age of the load reports.").Default(engine.DefaultLoadLag.String()).DurationVar(&o.LoadLag)
+	clause.Flag("journal", journalHelp).StringVar(&c.journal)
 	commands[clause.FullCommand()] = c
 }
 
 func (c *engineCommand) serve(ctx context.Context, service, control net.Listener) error {
+	journal, err := openJournal(c.journal)
+	if err != nil {
+		return err
+	}
+	c.options.Journal = journal
 	return engine.New(c.options).Serve(ctx, service, control)
 }
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/internal/standin"
+)
 
 // Defaults of Options.
 const (
@@ -38,6 +42,8 @@
 	ResumeWindow time.Duration
 	// LoadLag is the age of the load reports.
 	LoadLag time.Duration
+	// Journal, if set, gets the id of each request that is taken for execution.
+	Journal *standin.Journal
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/standin/service/options.go
+++ b/internal/standin/service/options.go
@@ -1,6 +1,10 @@
 package service
 
-import "time"
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/internal/standin"
+)
 
 // Options configures a Service.
 type Options struct {
@@ -9,4 +13,6 @@
 	// Crash is called when a fault crashes the service. It must end the process
 	// or close everything that the service serves.
 	Crash func()
+	// Journal, if set, gets the id of each call that is taken for execution.
+	Journal *standin.Journal
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -79,6 +79,7 @@
 		Path:     r.URL.Path,
 		Key:      keyOf(body),
 	}
+	s.options.Journal.Received(call.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delay := s.options.Delay + time.Duration(s.faults.DelayMs)*time.Millisecond
--- a/internal/testbed/standins.go
+++ b/internal/testbed/standins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"path/filepath"
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
@@ -68,8 +69,10 @@
 func (c *Cluster) startTargets(ctx context.Context) error {
 	for _, spec := range c.Spec.Targets {
 		name := string(spec.Name)
-		standin, err := c.startStandin(ctx, name, string(c.poolKind(spec.Pool)), spec.Flags...)
-		target := &Target{Standin: standin, Declared: spec.Target}
+		journal := filepath.Join(c.dir, name+".journal")
+		flags := append([]string{"--journal", journal}, spec.Flags...)
+		standin, err := c.startStandin(ctx, name, string(c.poolKind(spec.Pool)), flags...)
+		target := &Target{Standin: standin, Declared: spec.Target, journal: journal}
 		c.Targets[spec.Name] = target
 		if err != nil {
 			return err
--- a/internal/testbed/target.go
+++ b/internal/testbed/target.go
@@ -1,6 +1,7 @@
 package testbed
 
 import (
+	"github.com/cornelyard/cornelyard/internal/standin"
 	"github.com/cornelyard/cornelyard/internal/standin/engine"
 	"github.com/cornelyard/cornelyard/internal/standin/service"
 	"github.com/cornelyard/cornelyard/settings"
@@ -11,6 +12,15 @@
 	Standin
 	// Declared is how the target was declared at the start.
 	Declared settings.Target
+
+	journal string
+}
+
+// Received counts the requests that the target took for execution, by id, over
+// all its starts.
+func (t *Target) Received() (map[string]int, error) {
+	counts, err := standin.ReadJournal(t.journal)
+	return counts, Error.Wrap(err)
 }
 
 // SetEngineFaults replaces the faults of an engine.
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -101,19 +101,23 @@
 	}
 }
 
-// checkRunOnce checks that no engine, and no two engines, received an id twice.
+// checkRunOnce checks that no engine, and no two engines, received an id twice,
+// killed ones included, and that some id was received.
 func checkRunOnce(t *testing.T, cluster *testbed.Cluster, engines ...ident.Target) {
 	t.Helper()
 	received := make(map[string]int)
 	for _, name := range engines {
-		record, err := cluster.Targets[name].EngineRecord()
+		counts, err := cluster.Targets[name].Received()
 		if err != nil {
 			t.Fatal(err)
 		}
-		for id, count := range record.Received() {
+		for id, count := range counts {
 			received[id] += count
 		}
 	}
+	if len(received) == 0 {
+		t.Error("no engine received anything")
+	}
 	for id, count := range received {
 		if count > 1 {
 			t.Errorf("dispatch %s was received %d times", id, count)
