Hand queued requests over when a pool's policy changes

Cause: a request bound to a target by an early-binding policy stayed in that target's queue when the policy changed, and was granted a second time. Requests for which no target was allowed were never looked at again, and one target that could not be reached ended the search for the others.

Change: the old policy lets go of every request before the new one gets it; unbound requests are kept and tried again.

--- a/admission/configure.go
+++ b/admission/configure.go
@@ -24,10 +24,15 @@
 
 // changeDiscipline hands all queued requests to the new policy.
 func (s *Scheduler) changeDiscipline(now time.Time) {
-	s.discipline = newDiscipline(s, s.pool.Policy)
-	for _, q := range s.queuedInSequence() {
-		q.positions[heapArrival] = -1
+	all := s.queuedInSequence()
+	for _, q := range all {
+		s.discipline.dequeued(q)
 		q.bound = nil
+		q.giveUp = q.deadline
+		s.giveUp.fix(q)
+	}
+	s.discipline = newDiscipline(s, s.pool.Policy)
+	for _, q := range all {
 		s.discipline.enqueued(now, q)
 	}
 }
--- a/admission/early_binding.go
+++ b/admission/early_binding.go
@@ -11,18 +11,26 @@
 type earlyBinding struct {
 	scheduler *Scheduler
 	router    *routing.Router
+	// unbound holds the requests that no target was allowed for.
+	unbound *requestHeap
 }
 
 func newEarlyBinding(s *Scheduler, score routing.Score) *earlyBinding {
-	return &earlyBinding{scheduler: s, router: s.newRouter(score)}
+	return &earlyBinding{
+		scheduler: s,
+		router:    s.newRouter(score),
+		unbound:   newRequestHeap(heapArrival, (*queued).arrivedBefore),
+	}
 }
 
 func (b *earlyBinding) enqueued(now time.Time, q *queued) { b.bind(now, q) }
 
 func (b *earlyBinding) dequeued(q *queued) {
-	if q.bound != nil {
-		q.bound.bound.remove(q)
+	if q.bound == nil {
+		b.unbound.remove(q)
+		return
 	}
+	q.bound.bound.remove(q)
 }
 
 func (b *earlyBinding) wake(time.Time) time.Time { return time.Time{} }
@@ -48,25 +56,33 @@
 	s := b.scheduler
 	best := b.router.Best(now, &q.work, s.routes)
 	if best == nil {
+		q.bound = nil
+		b.unbound.add(q)
 		return
 	}
 	q.bound = s.byTarget[best.Name]
 	q.bound.bound.add(q)
 }
 
-// rebind moves requests away from targets that are leaving or cannot be reached.
+// rebind moves requests away from targets that are leaving or cannot be reached,
+// and looks for a target for those that have none.
 func (b *earlyBinding) rebind(now time.Time) {
 	for _, target := range b.scheduler.targets {
-		if target.Slots(now) > 0 {
-			continue
+		if target.Slots(now) == 0 {
+			b.rebindAll(now, target.bound)
 		}
-		for q := target.bound.first(); q != nil; q = target.bound.first() {
-			target.bound.remove(q)
-			q.bound = nil
-			b.bind(now, q)
-			if q.bound == target || q.bound == nil {
-				return
-			}
+	}
+	b.rebindAll(now, b.unbound)
+}
+
+// rebindAll binds each request of a heap anew, once.
+func (b *earlyBinding) rebindAll(now time.Time, from *requestHeap) {
+	for range from.Len() {
+		q := from.first()
+		from.remove(q)
+		b.bind(now, q)
+		if from.first() == q {
+			return
 		}
 	}
 }
--- a/admission/helpers_test.go
+++ b/admission/helpers_test.go
@@ -1,13 +1,27 @@
 package admission
 
 import (
+	"flag"
 	"fmt"
+	"os"
+	"testing"
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
+// TestMain fixes the seed of the property tests, unless the command line gives
+// one, so that each run has the same verdict.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 // epoch is the start of all tests' time.
 var epoch = time.Date(2030, time.January, 1, 0, 0, 0, 0, time.UTC)
 
--- a/admission/property_test.go
+++ b/admission/property_test.go
@@ -300,6 +300,9 @@
 	w.config.Targets = slices.Clone(w.config.Targets)
 	target := &w.config.Targets[rapid.IntRange(0, len(w.config.Targets)-1).Draw(t, "target")]
 	target.Leaving = rapid.IntRange(0, 3).Draw(t, "leaving") == 0
+	if rapid.IntRange(0, 5).Draw(t, "change policy") == 0 {
+		w.config.Pool.Policy = rapid.SampledFrom(modelPolicies).Draw(t, "policy")
+	}
 	w.scheduler.Configure(w.now, w.config)
 	w.decide(t)
 }
