Run the process tests against daemons built with the race detector

The race step tested the process tests' own goroutines only, since they built the daemons without it. They are now built as the tests are, and a report in any process's output fails the test.

--- a/internal/faultrun/check.go
+++ b/internal/faultrun/check.go
@@ -34,6 +34,9 @@
 		r.checkSettings(events),
 		r.checkAnswered(),
 	}
+	if strings.Contains(r.cluster.Logs(), "DATA RACE") {
+		return nil, Error.New("a process reported a data race:\n%s", r.cluster.Logs())
+	}
 	result := r.summary(verdicts)
 	if len(result.Broken()) > 0 {
 		result.Logs = r.cluster.Logs()
--- a/internal/testbed/binaries.go
+++ b/internal/testbed/binaries.go
@@ -34,8 +34,10 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	command := exec.Command("go", "build", "-o", dir+string(filepath.Separator),
+	args := append([]string{"build"}, raceFlags...)
+	args = append(args, "-o", dir+string(filepath.Separator),
 		modulePath+"/cmd/cornelyardd", modulePath+"/internal/standin/cmd/standin")
+	command := exec.Command("go", args...)
 	var output bytes.Buffer
 	command.Stderr = &output
 	if err := command.Run(); err != nil {
--- /dev/null
+++ b/internal/testbed/race_off.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package testbed
+
+// raceFlags builds the programs as the tests are, without the race detector.
+var raceFlags []string
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,8 +67,12 @@
 	defer cancel()
 	cluster, err := testbed.Start(ctx, spec)
 	t.Cleanup(func() {
+		logs := cluster.Logs()
+		if strings.Contains(logs, "DATA RACE") {
+			t.Error("a process reported a data race")
+		}
 		if t.Failed() {
-			t.Log(cluster.Logs())
+			t.Log(logs)
 		}
 		cluster.Stop()
 	})
