--- a/cli/scope.go
+++ b/cli/scope.go
@@ -55,8 +55,7 @@
 func (c scope) difference(local *tree, current api.Documents) *comparison {
 	known, _ := settings.ParseTree(current.Documents)
 	result := &comparison{tree: local, version: current.Version}
-	all := known.Diff(local.documents, func(string) bool { return true })
-	for _, edit := range all {
+	for _, edit := range known.Diff(local.documents) {
 		if edit.Removes() && !c.prune {
 			result.kept = append(result.kept, edit.Path)
 			continue
--- a/settings/race_test.go
+++ b/settings/race_test.go
@@ -211,7 +211,7 @@
 	for i, w := range r.watchers {
 		waitFor(r.t, "the last version on every host", func() bool { return w.Version() == head })
 		tree, _ := w.Tree()
-		if edits := tree.Diff(want.Documents(), func(string) bool { return true }); len(edits) > 0 {
+		if edits := tree.Diff(want.Documents()); len(edits) > 0 {
 			r.t.Errorf("host %d differs in %d documents", i, len(edits))
 		}
 		last := uint64(0)
@@ -270,7 +270,7 @@
 	if err != nil {
 		return err
 	}
-	if edits := tree.Diff(want.Documents(), func(string) bool { return true }); len(edits) > 0 {
+	if edits := tree.Diff(want.Documents()); len(edits) > 0 {
 		return fmt.Errorf("version %d differs: %+v", version, edits)
 	}
 	return nil
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -75,16 +75,15 @@
 	t.entries[d.Path] = e
 }
 
-// Diff returns the edits that lead from t to the documents. Documents of t that
-// are missing there are removed if prune says so for their path.
-func (t *Tree) Diff(documents []Document, prune func(path string) bool) []Edit {
+// Diff returns the edits that lead from t to the documents, sorted by path.
+func (t *Tree) Diff(documents []Document) []Edit {
 	edits := t.puts(documents)
 	wanted := make(map[string]bool, len(documents))
 	for _, d := range documents {
 		wanted[d.Path] = true
 	}
 	for path, e := range t.entries {
-		if !wanted[path] && prune(path) {
+		if !wanted[path] {
 			edits = append(edits, Edit{Path: path, Before: e.Body})
 		}
 	}
