entry: report the wait for the first token, and no prefill of whole answers

The scheduler learns prefill and decode rates from the entries' reports. A whole answer's tokens come all at once, and the entry reported the time of the whole answer as its prefill, with a gap of nothing: one whole answer of 300 ms taught a prefill of 301 ms. And a stream's wait for its first token was not reported at all, so a target that hangs in prefill was not seen. Now whole answers are not reported while they run and end with no prefill, and streams report their wait.

TestWholeAnswerTellsNoPrefill and TestProgressOfAStream failed with the old progress and pass now.

claim: a claim that ended while Run stopped raced on the counter of unfinished settlements, found by -race in the entry's tests; TestClaimsEndWhileTheyStop showed the race before. After the stop no settlement begins; it is logged.

go test -race -count=2 ./entry ./claim passes.

--- a/claim/claims.go
+++ b/claim/claims.go
@@ -22,6 +22,10 @@
 	local     *localClaims
 	outage    outage
 
+	// mu guards stopped.
+	mu sync.Mutex
+	// stopped says that no settlement may begin.
+	stopped bool
 	// settling counts unfinished settlements, slots bounds them.
 	settling sync.WaitGroup
 	slots    chan struct{}
@@ -61,6 +65,7 @@
 }
 
 func (c *Claims) finishSettling() error {
+	c.refuseSettlements()
 	settled := make(chan struct{})
 	go func() {
 		c.settling.Wait()
@@ -80,6 +85,23 @@
 	}
 }
 
+func (c *Claims) refuseSettlements() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+}
+
+// beginSettling returns false if the claims are stopped.
+func (c *Claims) beginSettling() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return false
+	}
+	c.settling.Add(1)
+	return true
+}
+
 // Find looks the request's key up. It waits for the end of the same request if
 // that runs on this host, at most until ctx ends.
 func (c *Claims) Find(ctx context.Context, r Request) Finding {
--- a/claim/claims_test.go
+++ b/claim/claims_test.go
@@ -346,3 +346,20 @@
 		return settled(claims, request("k", "body"))() && table.rowCount() == 0
 	})
 }
+
+// TestClaimsEndWhileTheyStop ends claims at the moment Run ends; under -race this
+// shows whether the two are in step.
+func TestClaimsEndWhileTheyStop(t *testing.T) {
+	for range 50 {
+		claims := New(Options{Table: newFakeTable(), Objects: fakeObjects{newFakeTable()}, Host: "host-1"})
+		ctx, cancel := context.WithCancel(context.Background())
+		stopped := make(chan error, 1)
+		go func() { stopped <- claims.Run(ctx) }()
+		held := mustClaim(t, claims, request("k", "body"))
+		go cancel()
+		held.Lose()
+		if err := <-stopped; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/claim/settlement.go
+++ b/claim/settlement.go
@@ -35,7 +35,10 @@
 
 // settle runs the settlement in the background.
 func (c *Claims) settle(s *settlement) {
-	c.settling.Add(1)
+	if !c.beginSettling() {
+		s.logUnfinished()
+		return
+	}
 	c.slots <- struct{}{}
 	go func() {
 		defer c.settling.Done()
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -93,7 +93,7 @@
 
 func (d *dispatch) run() verdict {
 	d.begun = time.Now()
-	d.progress = startProgress(d.x.call.id, d.grant, d.recordFirstToken)
+	d.progress = startProgress(d.x.call, d.grant, d.recordFirstToken)
 	err := d.exchange()
 	tokens, prefill := d.progress.finish()
 	if err == nil {
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -34,9 +35,9 @@
 	target    settings.Target
 	expires   time.Time
 	preempted chan *outcome.Refusal
-	firstWord chan struct{}
 
 	mu       sync.Mutex
+	reports  []admission.Progress
 	declines []admission.DeclineCause
 	ends     []admission.End
 }
@@ -50,11 +51,14 @@
 
 func (g *fakeGrant) End(e admission.End) { g.back(func() { g.ends = append(g.ends, e) }) }
 
-func (g *fakeGrant) Progress(admission.Progress) {
-	select {
-	case g.firstWord <- struct{}{}:
-	default:
-	}
+func (g *fakeGrant) Progress(p admission.Progress) {
+	g.back(func() { g.reports = append(g.reports, p) })
+}
+
+func (g *fakeGrant) reported() []admission.Progress {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.reports)
 }
 
 func (g *fakeGrant) back(change func()) {
@@ -99,7 +103,6 @@
 		target:    next,
 		expires:   time.Now().Add(a.lease),
 		preempted: make(chan *outcome.Refusal, 1),
-		firstWord: make(chan struct{}, 1),
 	}
 	a.grants = append(a.grants, grant)
 	return grant, nil
@@ -174,7 +177,10 @@
 	}
 	b.entry = New(options)
 	b.server = httptest.NewServer(b.entry.Handler())
-	t.Cleanup(b.server.Close)
+	t.Cleanup(func() {
+		b.server.Close()
+		b.entry.executions.Wait()
+	})
 	return b
 }
 
--- a/entry/progress.go
+++ b/entry/progress.go
@@ -12,11 +12,13 @@
 // progressInterval is the time between two reports on one request.
 const progressInterval = 100 * time.Millisecond
 
-// progress counts the tokens of a running request and reports them to the
-// owner in batches.
+// progress counts the tokens of a running request. For a stream it reports them
+// to the owner in batches; the tokens of a whole answer come all at once and
+// tell nothing about prefill and gaps.
 type progress struct {
 	id      ident.Request
 	grant   pool.Grant
+	stream  bool
 	started time.Time
 	onFirst func()
 
@@ -32,11 +34,14 @@
 	done chan struct{}
 }
 
-func startProgress(id ident.Request, grant pool.Grant, onFirst func()) *progress {
+func startProgress(c *call, grant pool.Grant, onFirst func()) *progress {
+	now := time.Now()
 	p := &progress{
-		id:      id,
+		id:      c.id,
 		grant:   grant,
-		started: time.Now(),
+		stream:  c.stream,
+		started: now,
+		last:    now,
 		onFirst: onFirst,
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
@@ -60,7 +65,7 @@
 func (p *progress) count(tokens int, now time.Time) (first bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	first = p.tokens == 0
+	first = p.stream && p.tokens == 0
 	p.tokens += tokens
 	p.last = now
 	if first {
@@ -82,6 +87,9 @@
 
 func (p *progress) run() {
 	defer close(p.done)
+	if !p.stream {
+		return
+	}
 	ticker := time.NewTicker(progressInterval)
 	defer ticker.Stop()
 	for {
@@ -94,22 +102,20 @@
 	}
 }
 
-// report sends nothing before the first token.
 func (p *progress) report(now time.Time) {
+	p.grant.Progress(p.message(now))
+}
+
+func (p *progress) message(now time.Time) admission.Progress {
 	p.mu.Lock()
-	if p.tokens == 0 {
-		p.mu.Unlock()
-		return
-	}
-	message := admission.Progress{
+	defer p.mu.Unlock()
+	return admission.Progress{
 		ID:            p.id,
 		Tokens:        p.tokens,
 		SinceDispatch: now.Sub(p.started),
 		Prefill:       p.prefill,
 		Gap:           p.gap(now),
 	}
-	p.mu.Unlock()
-	p.grant.Progress(message)
 }
 
 // gap returns the mean time between the tokens since the last report, or the
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/outcome"
@@ -46,11 +47,7 @@
 			_, _ = io.WriteString(w, tokenFrame(id, i))
 			w.(http.Flusher).Flush()
 			if i == 1 && gate != nil {
-				select {
-				case <-gate:
-				case <-r.Context().Done():
-					return
-				}
+				await(r, gate)
 			}
 		}
 		_, _ = io.WriteString(w, finishFrames(id, n))
@@ -163,3 +160,74 @@
 		t.Errorf("the service saw %q", body)
 	}
 }
+
+// TestProgressOfAStream holds an engine before its first token and after it.
+func TestProgressOfAStream(t *testing.T) {
+	first, second := make(chan struct{}), make(chan struct{})
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(target.HeaderDispatch)
+		w.Header().Set(target.HeaderDispatch, id)
+		w.Header().Set("Content-Type", contentTypeStream)
+		_, _ = io.Copy(io.Discard, r.Body)
+		await(r, first)
+		_, _ = io.WriteString(w, tokenFrame(id, 1))
+		w.(http.Flusher).Flush()
+		await(r, second)
+		_, _ = io.WriteString(w, tokenFrame(id, 2)+finishFrames(id, 2))
+	}))
+	t.Cleanup(engine.Close)
+	b := newBed(t, nil, engineAt(engine))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		do(t, b.request("POST", "/v1/chat/completions", streamBody, headerDeadline, "30000"))
+	}()
+	last := func() (p admission.Progress) {
+		if grant := b.admitter.grant(0); grant != nil {
+			if reports := grant.reported(); len(reports) > 0 {
+				p = reports[len(reports)-1]
+			}
+		}
+		return p
+	}
+	eventually(t, "the wait for the first token is reported", func() bool {
+		p := last()
+		return p.Tokens == 0 && p.Prefill == 0 && p.SinceDispatch > 0
+	})
+	close(first)
+	eventually(t, "the wait for the second token is reported", func() bool {
+		p := last()
+		return p.Tokens == 1 && p.Prefill > 0 && p.Gap > 0
+	})
+	close(second)
+	<-ended
+}
+
+// await waits for the gate, or for the entry to hang up.
+func await(r *http.Request, gate <-chan struct{}) {
+	select {
+	case <-gate:
+	case <-r.Context().Done():
+	}
+}
+
+// TestWholeAnswerTellsNoPrefill makes sure that the time of a whole answer isn't
+// taken for that of its prefill.
+func TestWholeAnswerTellsNoPrefill(t *testing.T) {
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(target.HeaderDispatch)
+		time.Sleep(3 * progressInterval)
+		w.Header().Set(target.HeaderDispatch, id)
+		_, _ = fmt.Fprintf(w, `{"id":"chatcmpl-%s","usage":{"prompt_tokens":9,"completion_tokens":4}}`, id)
+	}))
+	t.Cleanup(engine.Close)
+	b := newBed(t, nil, engineAt(engine))
+	do(t, b.request("POST", "/v1/chat/completions", chatBody))
+	_, ends := b.admitter.grant(0).givenBack()
+	if len(ends) != 1 || ends[0].Prefill != 0 || ends[0].Tokens != 4 || ends[0].Total == 0 {
+		t.Errorf("ends are %+v", ends)
+	}
+	if reports := b.admitter.grant(0).reported(); len(reports) != 0 {
+		t.Errorf("reported %+v", reports)
+	}
+}
