--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -123,7 +123,7 @@
 	if fitsWhole(answer) {
 		return d.relayWhole(answer)
 	}
-	d.begin(answer, false)
+	d.begin(answer, answer.Whole)
 	return d.relay(answer, d.pass)
 }
 
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -231,3 +231,56 @@
 		t.Errorf("reported %+v", reports)
 	}
 }
+
+func TestLongWholeAnswerTellsItsOutcome(t *testing.T) {
+	filler := strings.Repeat("x", 2*wholeBytes)
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(target.HeaderDispatch)
+		w.Header().Set(target.HeaderDispatch, id)
+		_, _ = fmt.Fprintf(w, `{"id":"chatcmpl-%s","text":"%s"}`, id, filler)
+	}))
+	t.Cleanup(engine.Close)
+	b := newBed(t, nil, engineAt(engine))
+	response, body := do(t, b.request("POST", "/v1/chat/completions", chatBody))
+	if got := response.Header.Get(headerOutcome); got != string(outcome.Completed) || len(body) < len(filler) {
+		t.Errorf("outcome %q, %d bytes", got, len(body))
+	}
+}
+
+func TestServiceAnswersWithoutABody(t *testing.T) {
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/empty":
+			w.WriteHeader(http.StatusNoContent)
+		case "/same":
+			w.WriteHeader(http.StatusNotModified)
+		default:
+			_, _ = io.WriteString(w, "twelve bytes")
+		}
+	}))
+	t.Cleanup(service.Close)
+	cases := []struct {
+		method, path string
+		status       int
+		length       int64
+	}{
+		{method: "GET", path: "/empty", status: http.StatusNoContent},
+		{method: "DELETE", path: "/empty", status: http.StatusNoContent},
+		{method: "GET", path: "/same", status: http.StatusNotModified},
+		{method: "HEAD", path: "/x", status: http.StatusOK, length: 12},
+		{method: "OPTIONS", path: "/x", status: http.StatusOK, length: 12},
+		{method: "PATCH", path: "/x", status: http.StatusOK, length: 12},
+	}
+	b := newBed(t, nil, settings.Target{Name: "filing-1", Address: service.Listener.Addr().String()})
+	for _, c := range cases {
+		t.Run(c.method+c.path, func(t *testing.T) {
+			response, body := do(t, b.request(c.method, "/services/filing"+c.path, ""))
+			if response.StatusCode != c.status || response.ContentLength != c.length {
+				t.Errorf("status %d, length %d, body %q", response.StatusCode, response.ContentLength, body)
+			}
+			if got := response.Header.Get(headerOutcome); got != string(outcome.Completed) {
+				t.Errorf("outcome %q", got)
+			}
+		})
+	}
+}
--- a/target/answer.go
+++ b/target/answer.go
@@ -11,6 +11,8 @@
 	// Length is the number of bytes of the body, or -1 if it is not known. A
 	// stream's is never known, since it may be cut and resumed.
 	Length int64
+	// Whole says that the body was read to its end and checked before.
+	Whole bool
 
 	source chunkSource
 }
--- a/target/client.go
+++ b/target/client.go
@@ -208,6 +208,7 @@
 		answer.Stream = true
 		answer.Length = -1
 	case *whole:
+		answer.Whole = true
 		answer.Length = int64(len(source.chunk.Bytes))
 	}
 	return answer, nil
