--- a/bench/main.go
+++ b/bench/main.go
@@ -15,6 +15,8 @@
 	"github.com/cornelyard/cornelyard/bench/command"
 	"github.com/cornelyard/cornelyard/bench/faults"
 	"github.com/cornelyard/cornelyard/bench/overhead"
+	"github.com/cornelyard/cornelyard/bench/policy"
+	"github.com/cornelyard/cornelyard/bench/recovery"
 	"github.com/cornelyard/cornelyard/bench/report"
 	"github.com/cornelyard/cornelyard/bench/slopes"
 )
@@ -25,6 +27,8 @@
 	commands := []command.Command{
 		overhead.Register(app),
 		faults.Register(app),
+		recovery.Register(app),
+		policy.Register(app),
 		slopes.Register(app),
 	}
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
