--- a/config/defaults.go
+++ b/config/defaults.go
@@ -18,8 +18,8 @@
 
 // Defaults of the intervals.
 const (
-	defaultHeartbeat      = settings.Duration(250 * time.Millisecond)
-	defaultSuspectAfter   = settings.Duration(time.Second)
+	defaultHeartbeat      = settings.Duration(500 * time.Millisecond)
+	defaultSuspectAfter   = settings.Duration(1250 * time.Millisecond)
 	defaultDeadAfter      = settings.Duration(2 * time.Second)
 	defaultGrantLease     = settings.Duration(2 * time.Second)
 	defaultReadinessDelay = settings.Duration(5 * time.Second)
