Log the host list's state only when it is known

A starting host warned of an unreadable host list before the first reading was due. It now says when the list becomes readable and when it stops being so.

--- a/membership/host_list.go
+++ b/membership/host_list.go
@@ -9,12 +9,15 @@
 func (t *Tracker) readHostList(ctx context.Context) error {
 	ticker := time.NewTicker(t.options.HostListInterval)
 	defer ticker.Stop()
-	readable := true
+	readable := false
 	for {
 		err := t.readHostListOnce(ctx)
-		if ctx.Err() == nil && readable != (err == nil) {
-			readable = err == nil
-			t.options.Logger.Warn().Bool("readable", readable).Err(err).Msg("The host list's state changed.")
+		if ctx.Err() != nil {
+			return nil
+		}
+		if now := err == nil; now != readable {
+			readable = now
+			t.noteHostList(err)
 		}
 		select {
 		case <-ctx.Done():
@@ -24,6 +27,14 @@
 	}
 }
 
+func (t *Tracker) noteHostList(err error) {
+	if err != nil {
+		t.options.Logger.Warn().Err(err).Msg("The host list is not readable.")
+		return
+	}
+	t.options.Logger.Info().Msg("The host list is readable.")
+}
+
 func (t *Tracker) readHostListOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, hostListTimeout)
 	defer cancel()
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -47,8 +47,8 @@
 	return protodelim.UnmarshalOptions{MaxSize: limit}.UnmarshalFrom(r, m)
 }
 
-// readFrame reads one frame. A frame without a body is malformed; one with a
-// body of a later version reads as having none and is skipped by the caller.
+// readFrame reads one frame. A body that only a later version knows reads as
+// none.
 func readFrame(r *bufio.Reader) (*peerpb.Frame, error) {
 	f := &peerpb.Frame{}
 	if err := readMessage(r, maxFrameBytes, f); err != nil {
