Prove that a data centre that was cut off catches up with the settings

The two hosts of one data centre are cut off from the platform and from all others, and joined again; the one that is looked at has an older version before.

--- a/test/settings_in_force_test.go
+++ b/test/settings_in_force_test.go
@@ -11,6 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/standin/faultproxy"
 	standinplatform "github.com/cornelyard/cornelyard/internal/standin/platform"
 	"github.com/cornelyard/cornelyard/internal/testbed"
 	"github.com/cornelyard/cornelyard/operator/api"
@@ -88,6 +89,27 @@
 	return 0
 }
 
+// isolate replaces the faults between a data centre and all else.
+func isolate(t *testing.T, cluster *testbed.Cluster, dc ident.DataCentre, f faultproxy.Faults) {
+	t.Helper()
+	for _, host := range cluster.Hosts {
+		var err error
+		if host.Settings.DataCentre == dc {
+			err = cluster.SetPlatformFaults(host.Host(), f)
+		} else {
+			err = cluster.SetDataCentreFaults(dc, host.Settings.DataCentre, f)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// outside returns the hosts of all other data centres.
+func outside(cluster *testbed.Cluster, dc ident.DataCentre) []*testbed.Host {
+	return slices.DeleteFunc(slices.Clone(cluster.Hosts), func(h *testbed.Host) bool { return h.Settings.DataCentre == dc })
+}
+
 // isMissing reports whether the host cannot be reached by the first one.
 func isMissing(c *client.Client, host ident.Host) bool {
 	status, err := c.Status(context.Background())
@@ -144,6 +166,16 @@
 			t.Fatal(err)
 		}
 	})
+	t.Run("data centre cut off from all and joined again", func(t *testing.T) {
+		isolate(t, cluster, "east", cut)
+		version := apply(t, operator, tierChange("i-1", 21))
+		checkInForce(t, version, outside(cluster, "east")...)
+		if got := versionOn(disturbed); disturbed.Settings.DataCentre != "east" || got >= version {
+			t.Errorf("%s has version %d although it is cut off", disturbed.Host(), got)
+		}
+		isolate(t, cluster, "east", mended)
+		checkInForce(t, version, cluster.Hosts...)
+	})
 	t.Run("host frozen and woken", func(t *testing.T) {
 		if err := disturbed.Freeze(); err != nil {
 			t.Fatal(err)
