--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -93,7 +93,7 @@
 
 func (d *dispatch) run() verdict {
 	d.begun = time.Now()
-	d.progress = startProgress(d.x.call.id, d.grant, d.recordFirstToken)
+	d.progress = startProgress(d.x.call, d.grant, d.recordFirstToken)
 	err := d.exchange()
 	tokens, prefill := d.progress.finish()
 	if err == nil {
@@ -123,7 +123,7 @@
 	if fitsWhole(answer) {
 		return d.relayWhole(answer)
 	}
-	d.begin(answer, false)
+	d.begin(answer, answer.Whole)
 	return d.relay(answer, d.pass)
 }
 
