Name only metrics that hosts serve

The alerts of the operators' page named metrics that exist in metrics/names.go and that nothing updates: the test compared the page with the list of names only. It now makes a call to the sample system and looks at what a host serves. Seen failing with the page and the daemon as they were: six names missing (requests_refused, settings_age_seconds, settings_version, wasted_prefill_tokens, prefill_tokens, timeline_drops). Changes one line outside the settings, operator and command line parts: daemon.go passes the metrics scope to the settings watcher.

--- a/cli/documentation_test.go
+++ b/cli/documentation_test.go
@@ -4,13 +4,17 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"os"
 	"regexp"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cornelyard/cornelyard/cli"
+	"github.com/cornelyard/cornelyard/dev"
+	"github.com/cornelyard/cornelyard/operator/api"
 	"github.com/cornelyard/cornelyard/outcome"
 )
 
@@ -73,18 +77,58 @@
 	}
 }
 
-// TestOperatorsPageNamesRealMetrics checks that the metrics to alert on exist.
+// TestOperatorsPageNamesRealMetrics checks that the metrics to alert on are
+// served by a host that has served a call.
 func TestOperatorsPageNamesRealMetrics(t *testing.T) {
-	names := readPage(t, "../metrics/names.go")
-	found := regexp.MustCompile("`cornelyard_([a-z_]+)`").FindAllStringSubmatch(readPage(t, operatorsPage), -1)
-	if len(found) == 0 {
+	names := regexp.MustCompile("`(cornelyard_[a-z_]+)`").FindAllStringSubmatch(readPage(t, operatorsPage), -1)
+	if len(names) == 0 {
 		t.Fatal("the page names no metric")
 	}
-	for _, m := range found {
-		if !strings.Contains(names, `"`+m[1]+`"`) {
-			t.Errorf("there is no metric %s", m[1])
+	sample := startSample(t)
+	callSample(t, sample.callers)
+	missing := ""
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		served := fetch(t, http.MethodGet, "http://"+sample.operators+api.PathMetrics, "")
+		missing = ""
+		for _, m := range names {
+			if !strings.Contains(served, "\n"+m[1]+"{") && !strings.Contains(served, "\n"+m[1]+" ") {
+				missing += " " + m[1]
+			}
 		}
+		if missing == "" {
+			return
+		}
+	}
+	t.Errorf("a host does not serve%s", missing)
+}
+
+func callSample(t *testing.T, address string) {
+	t.Helper()
+	const body = `{"model": "draft-1", "max_tokens": 3, "messages": [{"role": "user", "content": "one call"}]}`
+	if answer := fetch(t, http.MethodPost, "http://"+address+"/v1/chat/completions", body); !strings.Contains(answer, "choices") {
+		t.Fatalf("the sample system answered %s", answer)
+	}
+}
+
+// fetch makes one request with the sample's caller token.
+func fetch(t *testing.T, method, target, body string) string {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), method, target, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+dev.CallerToken)
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
 	}
+	return string(data)
 }
 
 func between(text, from, to string) string {
--- a/cli/walk_test.go
+++ b/cli/walk_test.go
@@ -35,9 +35,15 @@
 	return commands.String() + files.String()
 }
 
-// startSample runs the sample system until the test ends, and returns the
-// operator address of its first host.
-func startSample(t *testing.T) string {
+// sample is where the first host of the sample system listens.
+type sample struct {
+	callers   string
+	operators string
+}
+
+// startSample runs the sample system until the test ends. It waits until all
+// hosts are ready.
+func startSample(t *testing.T) sample {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	out := &output{}
@@ -51,13 +57,13 @@
 	})
 	deadline := time.Now().Add(patience)
 	for time.Now().Before(deadline) {
-		if m := regexp.MustCompile(`operators http://(\S+)`).FindStringSubmatch(out.String()); m != nil {
-			return m[1]
+		if m := regexp.MustCompile(`callers http://(\S+)  operators http://(\S+)`).FindStringSubmatch(out.String()); m != nil {
+			return sample{callers: m[1], operators: m[2]}
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	t.Fatalf("the sample system does not say its addresses:\n%s", out.String())
-	return ""
+	return sample{}
 }
 
 // TestOperatorsPageCanBeWalked carries out the first steps of the page with the
@@ -77,7 +83,7 @@
 	if err := os.WriteFile(filepath.Join(directory, "walk.txtar"), []byte(script), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	address := startSample(t)
+	address := startSample(t).operators
 	testscript.Run(t, testscript.Params{Dir: directory, Setup: func(env *testscript.Env) error {
 		env.Setenv("CORNELYARD_OPERATOR", address)
 		env.Setenv("CORNELYARD_TOKEN", dev.OperatorToken)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -110,6 +110,7 @@
 		Fetch:    d.fetchSettings,
 		Recorder: d.ring,
 		Logger:   d.logs.For("settings"),
+		Scope:    d.metrics.Scope,
 	})
 	d.store = settings.NewStore(settings.StoreOptions{Table: d.table, Watcher: d.settings})
 }
