Correct expected times in service by how they turned out

Change: the expected time in service is scaled by the ratio of actual to expected times of the requests that were served.

--- a/admission/enqueue.go
+++ b/admission/enqueue.go
@@ -44,7 +44,8 @@
 	q.length = s.lengths.Estimate(r.Team, r.MaxTokens, 0)
 	q.work.Length = q.length
 	q.work.Suspect = s.strikes.suspect(now, r.Digest)
-	q.cost = s.expectedSeconds(now, r.PromptTokens, q.length.Mean)
+	q.rawCost = s.expectedSeconds(now, r.PromptTokens, q.length.Mean)
+	q.cost = q.rawCost * s.calibration.factor()
 	s.meanPrompt += promptSmoothing * (float64(r.PromptTokens) - s.meanPrompt)
 }
 
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -18,6 +18,7 @@
 		sequence: q.sequence,
 		granted:  now,
 		length:   q.length,
+		rawCost:  q.rawCost,
 		computed: q.request.PromptTokens - cached,
 	}
 	r.prefillWork = r.computed + target.PendingPrefill
--- a/admission/queued.go
+++ b/admission/queued.go
@@ -17,6 +17,8 @@
 	length routing.Length
 	// cost is the expected time in service, in seconds of one slot.
 	cost float64
+	// rawCost is cost before the calibration.
+	rawCost float64
 	// bucket is the request's place in its tier's backlog.
 	bucket int
 	// tight says that an idle pool would hardly meet the deadline either.
--- a/admission/running.go
+++ b/admission/running.go
@@ -16,6 +16,8 @@
 	sequence uint64
 	granted  time.Time
 	length   routing.Length
+	// rawCost is the expected time in service before the calibration, in seconds.
+	rawCost float64
 	// expectedEnd is predicted from the tokens streamed so far.
 	expectedEnd time.Time
 	// tokens is what it streamed so far.
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -30,7 +30,8 @@
 	// decided is when Decide was last called.
 	decided time.Time
 	// meanPrompt is a decaying mean of the prompts' tokens.
-	meanPrompt float64
+	meanPrompt  float64
+	calibration calibration
 	// freeing counts the preempted requests in service.
 	freeing int
 	// reserved lists requests whose victim has ended.
--- a/admission/service.go
+++ b/admission/service.go
@@ -208,6 +208,9 @@
 	}
 	r.target.Health.Recover()
 	s.strikes.clear(r.request.Digest)
+	if r.rawCost > 0 {
+		s.calibration.observe(r.rawCost, now.Sub(r.granted).Seconds())
+	}
 	switch {
 	case e.Tokens == 0:
 		r.target.Estimator.ObservePrefill(now, r.prefillWork, e.Total)
