Keep the newest settings when an owner rebuilds its state

Cause: a change of settings reached the scheduler but not the owner's own copy, so an owner that had been paused went back to the settings it started with, and the load of targets declared later was never read. Found in review; the new test saw both before the change and neither after it.

--- a/pool/event.go
+++ b/pool/event.go
@@ -50,7 +50,7 @@
 	}
 )
 
-func (e configEvent) apply(o *owner, now time.Time) { o.scheduler.Configure(now, e.config) }
+func (e configEvent) apply(o *owner, now time.Time) { o.configure(now, e.config) }
 
 func (e enqueueEvent) apply(o *owner, now time.Time) {
 	if e.request.Forwarded {
