--- a/pool/client.go
+++ b/pool/client.go
@@ -188,7 +188,6 @@
 func (c *Client) progress(g *heldGrant, p admission.Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	g.dispatched = true
 	g.tokens = p.Tokens
 	state, ok := c.pools[g.ticket.key]
 	if !ok || state.tickets[g.ticket.request.ID] != g.ticket {
--- a/pool/held_grant.go
+++ b/pool/held_grant.go
@@ -10,14 +10,13 @@
 
 // heldGrant implements Grant.
 type heldGrant struct {
-	client     *Client
-	ticket     *ticket
-	target     settings.Target
-	granted    time.Time
-	expires    time.Time
-	preempted  chan *outcome.Refusal
-	tokens     int
-	dispatched bool
+	client    *Client
+	ticket    *ticket
+	target    settings.Target
+	granted   time.Time
+	expires   time.Time
+	preempted chan *outcome.Refusal
+	tokens    int
 }
 
 var _ Grant = (*heldGrant)(nil)
--- a/test/leaving_target_test.go
+++ b/test/leaving_target_test.go
@@ -96,6 +96,14 @@
 	return count
 }
 
+// checkNoneAfter checks that the leaving target took nothing after the limit.
+func checkNoneAfter(t *testing.T, cluster *testbed.Cluster, limit time.Time) {
+	t.Helper()
+	if n := receivedAfter(t, cluster, limit); n > 0 {
+		t.Errorf("the leaving target took %d requests after the limit", n)
+	}
+}
+
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -116,9 +124,7 @@
 			limit := time.Now().Add(hostListLag + leavingLimit)
 			time.Sleep(time.Until(limit))
 			l.waitFor(t, 60)
-			if n := receivedAfter(t, cluster, limit); n > 0 {
-				t.Errorf("the leaving target took %d requests after the limit", n)
-			}
+			checkNoneAfter(t, cluster, limit)
 			checkAllWhole(t, l)
 			checkRunOnce(t, cluster, leavingName, "west-e2")
 		})
@@ -145,9 +151,7 @@
 	}
 	l.takeOut(frozen.Host(), false)
 	l.waitFor(t, 100)
-	if n := receivedAfter(t, cluster, limit); n > 0 {
-		t.Errorf("the leaving target took %d requests after the limit", n)
-	}
+	checkNoneAfter(t, cluster, limit)
 	l.finish()
 	checkRunOnce(t, cluster, leavingName, "west-e2")
 }
@@ -164,9 +168,7 @@
 	limit := time.Now().Add(hostListLag + leavingLimit)
 	time.Sleep(time.Until(limit))
 	l.waitFor(t, 60)
-	if n := receivedAfter(t, cluster, limit); n > 0 {
-		t.Errorf("the leaving target took %d requests after the limit", n)
-	}
+	checkNoneAfter(t, cluster, limit)
 	checkAllWhole(t, l)
 }
 
@@ -184,8 +186,6 @@
 	limit := time.Now().Add(hostListLag + leavingLimit)
 	time.Sleep(time.Until(limit))
 	l.waitFor(t, 60)
-	if n := receivedAfter(t, cluster, limit); n > 0 {
-		t.Errorf("the leaving target took %d requests after the limit", n)
-	}
+	checkNoneAfter(t, cluster, limit)
 	checkAllWhole(t, l)
 }
