--- a/pool/owner_record.go
+++ b/pool/owner_record.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"strings"
+
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/timeline"
@@ -31,7 +33,7 @@
 	o.record(timeline.Event{
 		Kind:    timeline.Ended,
 		Request: e.ID,
-		Detail:  string(e.Outcome) + " " + string(e.Reason),
+		Detail:  strings.TrimSpace(string(e.Outcome) + " " + string(e.Reason)),
 	})
 }
 
