--- a/pool/client.go
+++ b/pool/client.go
@@ -16,6 +16,8 @@
 const (
 	// clientTick is the interval of flushes and of retries towards owners.
 	clientTick = 50 * time.Millisecond
+	// clientIdleTick is that interval while this entry has no request.
+	clientIdleTick = 2 * time.Second
 	// forwardPatience is how long another data centre may stay unreachable
 	// before the next one is tried.
 	forwardPatience = 500 * time.Millisecond
@@ -33,6 +35,9 @@
 type Client struct {
 	options ClientOptions
 
+	// busy wakes Run when there is a pool to look after.
+	busy chan struct{}
+
 	mu    sync.Mutex
 	pools map[key]*clientPool
 }
@@ -41,22 +46,23 @@
 
 // NewClient returns a client; Run must be running for it to make progress.
 func NewClient(o ClientOptions) *Client {
-	return &Client{options: o, pools: make(map[key]*clientPool)}
+	return &Client{options: o, busy: make(chan struct{}, 1), pools: make(map[key]*clientPool)}
 }
 
 // Run follows changes of ownership and flushes reports until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
-	ticker := time.NewTicker(clientTick)
-	defer ticker.Stop()
 	for {
 		changed := c.options.Members.Changed()
-		c.reconcile()
+		timer := time.NewTimer(c.reconcile())
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		case <-changed:
+		case <-c.busy:
 		}
+		timer.Stop()
 	}
 }
 
@@ -119,10 +125,19 @@
 	if !ok {
 		p = newClientPool(k)
 		c.pools[k] = p
+		c.wakeUp()
 	}
 	return p
 }
 
+// wakeUp makes Run look at the pools now.
+func (c *Client) wakeUp() {
+	select {
+	case c.busy <- struct{}{}:
+	default:
+	}
+}
+
 // forget drops a ticket. The mutex is held.
 func (c *Client) forget(t *ticket) {
 	p, ok := c.pools[t.key]
--- a/pool/client_reconcile.go
+++ b/pool/client_reconcile.go
@@ -28,8 +28,9 @@
 	return ownerOf(view, p.key)
 }
 
-// reconcile tells each pool's present owner what it has to know.
-func (c *Client) reconcile() {
+// reconcile tells each pool's present owner what it has to know, and returns when
+// to do so again.
+func (c *Client) reconcile() time.Duration {
 	view := c.options.Members.View()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -40,6 +41,10 @@
 		}
 		c.reconcilePool(view, p)
 	}
+	if len(c.pools) == 0 {
+		return clientIdleTick
+	}
+	return clientTick
 }
 
 func (c *Client) reconcilePool(view *membership.View, p *clientPool) {
