--- a/admission/predictive_place.go
+++ b/admission/predictive_place.go
@@ -13,6 +13,10 @@
 // are worth.
 const wasteWeight = 8
 
+// maxHold is the longest predicted wait for a better target that a free slot is
+// left for.
+const maxHold = 500 * time.Millisecond
+
 // pressedFor is how long the pool counts as pressed after a shed.
 const pressedFor = 5 * time.Second
 
@@ -88,7 +92,10 @@
 	if !p.likely(now, q, choice.Free) {
 		return !likelyBusy
 	}
-	return p.pressed(now) || !choice.WorthWaiting() || !likelyBusy
+	if p.pressed(now) || !choice.WorthWaiting() || !likelyBusy {
+		return true
+	}
+	return choice.Busy.Wait(now) > maxHold
 }
 
 // likely says whether even a long answer would finish in time on the target,
