--- a/entry/progress.go
+++ b/entry/progress.go
@@ -9,14 +9,23 @@
 	"github.com/cornelyard/cornelyard/pool"
 )
 
-// progressInterval is the time between two reports on one request.
-const progressInterval = 100 * time.Millisecond
+const (
+	// progressCheck is the time between two looks whether a report is due.
+	progressCheck = 100 * time.Millisecond
+	// progressInterval is the longest time between two reports on one request.
+	progressInterval = time.Second
+	// paceChange is the factor by which the time between tokens changes until
+	// it is reported before its time.
+	paceChange = 1.5
+)
 
-// progress counts the tokens of a running request and reports them to the
-// owner in batches.
+// progress counts the tokens of a running request. For a stream it reports them
+// to the owner in batches; the tokens of a whole answer come all at once and
+// tell nothing about prefill and gaps.
 type progress struct {
 	id      ident.Request
 	grant   pool.Grant
+	stream  bool
 	started time.Time
 	onFirst func()
 
@@ -27,16 +36,23 @@
 	// mark is when the last reported token arrived.
 	mark time.Time
 	last time.Time
+	// sent is when the last report was made, and sentGap the gap it told.
+	sent    time.Time
+	sentGap time.Duration
 
 	stop chan struct{}
 	done chan struct{}
 }
 
-func startProgress(id ident.Request, grant pool.Grant, onFirst func()) *progress {
+func startProgress(c *call, grant pool.Grant, onFirst func()) *progress {
+	now := time.Now()
 	p := &progress{
-		id:      id,
+		id:      c.id,
 		grant:   grant,
-		started: time.Now(),
+		stream:  c.stream,
+		started: now,
+		last:    now,
+		sent:    now,
 		onFirst: onFirst,
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
@@ -60,7 +76,7 @@
 func (p *progress) count(tokens int, now time.Time) (first bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	first = p.tokens == 0
+	first = p.stream && p.tokens == 0
 	p.tokens += tokens
 	p.last = now
 	if first {
@@ -82,44 +98,73 @@
 
 func (p *progress) run() {
 	defer close(p.done)
-	ticker := time.NewTicker(progressInterval)
+	if !p.stream {
+		return
+	}
+	ticker := time.NewTicker(progressCheck)
 	defer ticker.Stop()
 	for {
 		select {
 		case now := <-ticker.C:
-			p.report(now)
+			if p.due(now) {
+				p.report(now)
+			}
 		case <-p.stop:
 			return
 		}
 	}
 }
 
-// report sends nothing before the first token.
+// due says whether the owner has to hear of the request: now and then, and at
+// once if the target's pace changed.
+func (p *progress) due(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.sent) >= progressInterval {
+		return true
+	}
+	if p.tokens == 0 || p.sentGap == 0 {
+		return p.tokens > p.reported
+	}
+	if waited := now.Sub(p.last); waited > paceChanged(p.sentGap) {
+		return true
+	}
+	gap := p.currentGap(now)
+	return gap > paceChanged(p.sentGap) || paceChanged(gap) < p.sentGap
+}
+
+func paceChanged(gap time.Duration) time.Duration {
+	return time.Duration(float64(gap) * paceChange)
+}
+
 func (p *progress) report(now time.Time) {
+	p.grant.Progress(p.message(now))
+}
+
+func (p *progress) message(now time.Time) admission.Progress {
 	p.mu.Lock()
-	if p.tokens == 0 {
-		p.mu.Unlock()
-		return
+	defer p.mu.Unlock()
+	gap := p.currentGap(now)
+	if fresh := p.tokens - p.reported; fresh > 0 && p.last.After(p.mark) {
+		p.sentGap = gap
 	}
-	message := admission.Progress{
+	p.sent = now
+	p.reported, p.mark = p.tokens, p.last
+	return admission.Progress{
 		ID:            p.id,
 		Tokens:        p.tokens,
 		SinceDispatch: now.Sub(p.started),
 		Prefill:       p.prefill,
-		Gap:           p.gap(now),
+		Gap:           gap,
 	}
-	p.mu.Unlock()
-	p.grant.Progress(message)
 }
 
-// gap returns the mean time between the tokens since the last report, or the
-// time waited if there were none.
-func (p *progress) gap(now time.Time) time.Duration {
+// currentGap returns the mean time between the tokens since the last report, or
+// the time waited if there were none. The mutex is held.
+func (p *progress) currentGap(now time.Time) time.Duration {
 	fresh := p.tokens - p.reported
 	if fresh == 0 {
 		return now.Sub(p.last)
 	}
-	gap := p.last.Sub(p.mark) / time.Duration(fresh)
-	p.reported, p.mark = p.tokens, p.last
-	return gap
+	return p.last.Sub(p.mark) / time.Duration(fresh)
 }
