--- a/claim/claiming.go
+++ b/claim/claiming.go
@@ -78,6 +78,7 @@
 		Incarnation: a.claims.options.Incarnation,
 		Request:     a.request.Request,
 		Digest:      a.request.Digest,
+		At:          time.Now().UTC(),
 	}
 }
 
--- a/claim/record.go
+++ b/claim/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
 )
@@ -26,6 +27,8 @@
 	Incarnation uint64        `json:"incarnation"`
 	Request     ident.Request `json:"request"`
 	Digest      Digest        `json:"digest"`
+	// At is when the key was claimed, in the claimer's clock.
+	At time.Time `json:"at,omitzero"`
 	// Answer names the kept answer's object; it is empty if none was kept.
 	Answer string `json:"answer,omitempty"`
 }
--- /dev/null
+++ b/claim/sweeper.go
@@ -0,0 +1,129 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cornelyard/cornelyard/platform"
+)
+
+const (
+	// sweepPage is the number of rows that are looked at in one step.
+	sweepPage = 200
+	// sweepPause is the time between two steps of a round. With sweepPage it
+	// bounds what a round takes of the platform.
+	sweepPause = time.Second
+	// sweepRest is the time between two rounds.
+	sweepRest = 10 * time.Minute
+	// sweepTimeout bounds one step.
+	sweepTimeout = 10 * time.Second
+)
+
+// Sweeper removes claims that are older than the retention. Several sweepers do
+// no harm to each other: a row is removed only as it was read.
+type Sweeper struct {
+	options SweeperOptions
+	// after is the last key of the present round.
+	after string
+}
+
+// NewSweeper returns a sweeper; Run makes it work.
+func NewSweeper(o SweeperOptions) *Sweeper { return &Sweeper{options: o} }
+
+// Run sweeps until ctx ends.
+func (s *Sweeper) Run(ctx context.Context) error {
+	for {
+		timer := time.NewTimer(s.next(ctx))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+}
+
+// next makes one step and returns the time until the next one. A step that fails
+// is made again after the rest.
+func (s *Sweeper) next(ctx context.Context) time.Duration {
+	if !s.options.Chosen() {
+		s.after = ""
+		return sweepRest
+	}
+	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
+	defer cancel()
+	more, err := s.step(ctx)
+	if err != nil {
+		s.options.Logger.Warn().Err(err).Msg("Old claims can't be removed.")
+		return sweepRest
+	}
+	if !more {
+		return sweepRest
+	}
+	return sweepPause
+}
+
+// step looks at one page and removes what is old. It reports whether the round
+// goes on.
+func (s *Sweeper) step(ctx context.Context) (more bool, err error) {
+	rows, err := s.options.Table.Scan(ctx, rowPrefix, s.after, sweepPage)
+	if err != nil {
+		return false, Error.Wrap(err)
+	}
+	var old []platform.Row
+	for _, row := range rows {
+		if s.isOld(row) {
+			old = append(old, row)
+		}
+	}
+	if err := s.remove(ctx, old); err != nil {
+		return false, err
+	}
+	if len(rows) < sweepPage {
+		s.after = ""
+		return false, nil
+	}
+	s.after = rows[len(rows)-1].Key
+	return true, nil
+}
+
+// isOld says whether a row's claim is older than the retention. A row that can't
+// be read, or holds no time, stays.
+func (s *Sweeper) isOld(row platform.Row) bool {
+	r, err := decodeRecord(row.Value)
+	if err != nil || r.At.IsZero() {
+		return false
+	}
+	return s.options.Now().Sub(r.At) > s.options.Retention
+}
+
+// remove deletes the answers first, so that none is left without its row, and
+// then the rows in one transaction.
+func (s *Sweeper) remove(ctx context.Context, old []platform.Row) error {
+	if len(old) == 0 {
+		return nil
+	}
+	var t platform.Transaction
+	for _, row := range old {
+		if err := s.removeAnswer(ctx, row); err != nil {
+			return err
+		}
+		t.Checks = append(t.Checks, platform.Check{Key: row.Key, Revision: row.Revision})
+		t.Deletes = append(t.Deletes, row.Key)
+	}
+	_, err := s.options.Table.Commit(ctx, t)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	return Error.Wrap(err)
+}
+
+func (s *Sweeper) removeAnswer(ctx context.Context, row platform.Row) error {
+	r, err := decodeRecord(row.Value)
+	if err != nil || r.Answer == "" {
+		return nil
+	}
+	return Error.Wrap(s.options.Objects.Delete(ctx, r.Answer))
+}
--- /dev/null
+++ b/claim/sweeper_options.go
@@ -0,0 +1,23 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cornelyard/cornelyard/platform"
+)
+
+// SweeperOptions configures a Sweeper. All fields are required.
+type SweeperOptions struct {
+	Table   platform.Table
+	Objects platform.Objects
+	// Retention is the age at which a claim and its kept answer are removed. The
+	// key may then be used anew.
+	Retention time.Duration
+	// Chosen reports whether this host sweeps for all.
+	Chosen func() bool
+	Logger *log.Logger
+	// Now reads the clock.
+	Now func() time.Time
+}
--- a/config/checker.go
+++ b/config/checker.go
@@ -178,6 +178,7 @@
 	c.duration("timing.grantLease", t.GrantLease)
 	c.duration("timing.readinessDelay", t.ReadinessDelay)
 	c.duration("timing.drainLimit", t.DrainLimit)
+	c.duration("timing.claimRetention", t.ClaimRetention)
 	c.order(t)
 }
 
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -22,6 +22,7 @@
 	defaultSuspectAfter   = settings.Duration(1250 * time.Millisecond)
 	defaultDeadAfter      = settings.Duration(2 * time.Second)
 	defaultGrantLease     = settings.Duration(2 * time.Second)
+	defaultClaimRetention = settings.Duration(7 * 24 * time.Hour)
 	defaultReadinessDelay = settings.Duration(5 * time.Second)
 )
 
@@ -55,5 +56,6 @@
 		GrantLease:     cmp.Or(t.GrantLease, defaultGrantLease),
 		ReadinessDelay: cmp.Or(t.ReadinessDelay, defaultReadinessDelay),
 		DrainLimit:     t.DrainLimit,
+		ClaimRetention: cmp.Or(t.ClaimRetention, defaultClaimRetention),
 	}
 }
--- a/config/timing.go
+++ b/config/timing.go
@@ -16,4 +16,6 @@
 	ReadinessDelay settings.Duration `json:"readinessDelay,omitempty"`
 	// DrainLimit bounds a planned stop; zero waits for every stream.
 	DrainLimit settings.Duration `json:"drainLimit,omitempty"`
+	// ClaimRetention is how long idempotency keys and kept answers are kept.
+	ClaimRetention settings.Duration `json:"claimRetention,omitempty"`
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,6 +59,7 @@
 	manager  *pool.Manager
 	targets  *target.Client
 	claims   *claim.Claims
+	sweeper  *claim.Sweeper
 	entry    *entry.Entry
 	operator *operator.Operator
 }
@@ -190,6 +191,14 @@
 		Alive:       d.mayRun,
 		Logger:      d.logs.For("claim"),
 	})
+	d.sweeper = claim.NewSweeper(claim.SweeperOptions{
+		Table:     d.table,
+		Objects:   d.objects,
+		Retention: d.config.Timing.ClaimRetention.Std(),
+		Chosen:    d.sweeps,
+		Logger:    d.logs.For("claim"),
+		Now:       time.Now,
+	})
 	d.entry = entry.New(entry.Options{
 		Address:     d.config.CallerAddress,
 		Host:        d.config.Host,
@@ -245,3 +254,15 @@
 	}
 	return member.State != membership.Dead && member.Incarnation == incarnation
 }
+
+// sweeps reports whether this host removes old claims for all: it is the first
+// by name of those that are alive.
+func (d *Daemon) sweeps() bool {
+	view := d.tracker.View()
+	for _, m := range view.Members {
+		if m.State == membership.Alive && !m.Leaving {
+			return m.Host == view.Self.Host
+		}
+	}
+	return false
+}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -21,6 +21,7 @@
 	d.addActor(&group, d.client.Run)
 	d.addActor(&group, d.manager.Run)
 	d.addActor(&group, d.claims.Run)
+	d.addActor(&group, d.sweeper.Run)
 	d.addActor(&group, d.operator.Run)
 	d.addActor(&group, d.operator.KeepUsage)
 	d.addEntry(ctx, &group)
