Serve the metrics of queues, slots, grants, goodput and wasted prefill

The names stood in the metrics package, but nothing counted them, and the entry had names of its own. Owners now show queue, slots, grants and preemptions, goodput and waste come from the usage ledger, and names without use are gone. Histograms carry their unit in the name.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -172,6 +172,7 @@
 		Loads:      loadreport.NewReader(time.Now),
 		Recorder:   d.ring,
 		Usage:      d.usage,
+		Scope:      d.metrics.Scope,
 		Logger:     d.logs.For("pool"),
 		GrantLease: d.config.Timing.GrantLease.Std(),
 		Now:        time.Now,
--- /dev/null
+++ b/daemon/usage_metrics.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/metrics"
+	"github.com/cornelyard/cornelyard/timeline"
+	"github.com/cornelyard/cornelyard/usage"
+)
+
+// usageMetricsInterval is the time between two readings of the ledger.
+const usageMetricsInterval = 2 * time.Second
+
+// usageMetrics turns the ledger's sums by tier and pool, and the time line's
+// counts, into metrics.
+type usageMetrics struct {
+	scope    tally.Scope
+	ledger   *usage.Ledger
+	ring     *timeline.Ring
+	counted  map[usageGroup]usage.Counters
+	recorded uint64
+	dropped  uint64
+}
+
+// usageGroup is what the metrics are grouped by.
+type usageGroup struct {
+	tier ident.Tier
+	pool ident.Pool
+}
+
+func newUsageMetrics(scope tally.Scope, ledger *usage.Ledger, ring *timeline.Ring) *usageMetrics {
+	return &usageMetrics{
+		scope: scope, ledger: ledger, ring: ring, counted: make(map[usageGroup]usage.Counters),
+	}
+}
+
+// run updates the metrics until ctx ends.
+func (m *usageMetrics) run(ctx context.Context) error {
+	ticker := time.NewTicker(usageMetricsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			m.update(now)
+		}
+	}
+}
+
+func (m *usageMetrics) update(now time.Time) {
+	sums := make(map[usageGroup]usage.Counters)
+	for _, row := range m.ledger.Report(now).Rows {
+		group := usageGroup{tier: row.Tier, pool: row.Pool}
+		sum := sums[group]
+		sum.Add(row.Counters)
+		sums[group] = sum
+	}
+	for group, sum := range sums {
+		m.count(group, sum, m.counted[group])
+	}
+	m.counted = sums
+	recorded, dropped := m.ring.Recorded(), m.ring.Dropped()
+	m.scope.Counter(metrics.TimelineEvents).Inc(int64(recorded - m.recorded))
+	m.scope.Counter(metrics.TimelineDrops).Inc(int64(dropped - m.dropped))
+	m.recorded, m.dropped = recorded, dropped
+}
+
+func (m *usageMetrics) count(group usageGroup, sum, before usage.Counters) {
+	scope := m.scope.Tagged(map[string]string{
+		metrics.TagTier: string(group.tier),
+		metrics.TagPool: string(group.pool),
+	})
+	scope.Counter(metrics.RequestsCompleted).Inc(int64(sum.Good - before.Good))
+	scope.Counter(metrics.RequestsLate).Inc(int64(sum.Served - sum.Good - before.Served + before.Good))
+	scope.Counter(metrics.RequestsShed).Inc(int64(sum.Shed - before.Shed))
+	scope.Counter(metrics.PrefillTokens).Inc(int64(sum.PromptTokens - before.PromptTokens))
+	scope.Counter(metrics.WastedPrefillTokens).Inc(int64(sum.WastedPrefill - before.WastedPrefill))
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	names "github.com/cornelyard/cornelyard/metrics"
 	"github.com/cornelyard/cornelyard/outcome"
 )
 
@@ -14,29 +15,29 @@
 }
 
 func newMetrics(scope tally.Scope) *metrics {
-	return &metrics{scope: scope.SubScope("entry")}
+	return &metrics{scope: scope}
 }
 
 func (m *metrics) finished(c *call, result outcome.Outcome, reason outcome.Reason) {
 	scope := m.scope.Tagged(map[string]string{
-		"tier":    string(c.identity.tier),
-		"pool":    string(c.pool),
-		"outcome": string(result),
-		"reason":  string(reason),
+		names.TagTier:    string(c.identity.tier),
+		names.TagPool:    string(c.pool),
+		names.TagOutcome: string(result),
+		names.TagReason:  string(reason),
 	})
-	scope.Counter("requests_finished").Inc(1)
-	scope.Timer("request_time").Record(time.Since(c.arrived))
+	scope.Counter(names.EntryRequestsFinished).Inc(1)
+	names.Latency(scope, names.EntryRequestTime).RecordDuration(time.Since(c.arrived))
 }
 
 func (m *metrics) firstToken(c *call, wait time.Duration) {
-	tags := map[string]string{"tier": string(c.identity.tier), "pool": string(c.pool)}
-	m.scope.Tagged(tags).Timer("first_token_time").Record(wait)
+	tags := map[string]string{names.TagTier: string(c.identity.tier), names.TagPool: string(c.pool)}
+	names.Latency(m.scope.Tagged(tags), names.EntryFirstTokenTime).RecordDuration(wait)
 }
 
 func (m *metrics) refused(reason outcome.Reason) {
-	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("requests_refused").Inc(1)
+	m.scope.Tagged(map[string]string{names.TagReason: string(reason)}).Counter(names.EntryRequestsRefused).Inc(1)
 }
 
 func (m *metrics) held(requests int) {
-	m.scope.Gauge("requests_held").Update(float64(requests))
+	m.scope.Gauge(names.EntryRequestsHeld).Update(float64(requests))
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -2,36 +2,39 @@
 
 // Names of metrics. All are prefixed with "cornelyard_".
 const (
-	// RequestsCompleted counts whole answers in time, by tier: the goodput.
+	// EntryRequestsFinished counts the requests that reached their outcome at this
+	// entry, by tier, pool, outcome and reason; EntryRequestTime is how long they
+	// took.
+	EntryRequestsFinished = "entry_requests_finished"
+	EntryRequestTime      = "entry_request_seconds"
+	// EntryFirstTokenTime is the time from acceptance to the first token, by tier
+	// and pool.
+	EntryFirstTokenTime = "entry_first_token_seconds"
+	// EntryRequestsRefused counts the requests that were refused before their tier
+	// was known, by reason.
+	EntryRequestsRefused = "entry_requests_refused"
+	// EntryRequestsHeld is how many requests this entry holds.
+	EntryRequestsHeld = "entry_requests_held"
+
+	// RequestsCompleted counts whole answers in time, by tier and pool: the
+	// goodput. RequestsLate counts those after their deadline.
 	RequestsCompleted = "requests_completed"
-	// RequestsLate counts whole answers after their deadline, by tier.
-	RequestsLate = "requests_late"
-	// RequestsRefused counts requests that did not run, by tier and reason.
-	RequestsRefused = "requests_refused"
-	// RequestsInterrupted counts requests stopped after their dispatch, by tier
-	// and reason.
-	RequestsInterrupted = "requests_interrupted"
-	// RequestsActive is how many requests this entry holds.
-	RequestsActive = "requests_active"
-	// FirstToken is the time from acceptance to the first token.
-	FirstToken = "first_token_seconds"
-	// TokenGap is the time between tokens.
-	TokenGap = "token_gap_seconds"
-	// TokensStreamed counts tokens sent to callers.
-	TokensStreamed = "tokens_streamed"
-	// PrefillTokens counts prompt tokens computed, by pool.
-	PrefillTokens = "prefill_tokens"
-	// WastedPrefillTokens counts prompt tokens computed for answers that were
-	// not completed, by pool.
+	RequestsLate      = "requests_late"
+	// RequestsShed counts the requests refused for want of capacity, by tier and
+	// pool.
+	RequestsShed = "requests_shed"
+	// PrefillTokens counts the prompt tokens of requests that started, by tier and
+	// pool, WastedPrefillTokens those computed for answers that were not completed.
+	PrefillTokens       = "prefill_tokens"
 	WastedPrefillTokens = "wasted_prefill_tokens"
 
 	// QueueLength is how many requests an owned pool has queued, by tier.
 	QueueLength = "queue_length"
-	// QueueAge is the time from enqueue to grant.
+	// QueueAge is the time from arrival to grant, by pool and tier.
 	QueueAge = "queue_age_seconds"
-	// Slots is the usable slots of an owned pool, by target.
-	Slots = "slots"
-	// SlotsTaken is the slots in use, by target.
+	// Slots is the usable slots of an owned pool, and SlotsTaken those in use, by
+	// target.
+	Slots      = "slots"
 	SlotsTaken = "slots_taken"
 	// Grants counts grants, by pool.
 	Grants = "grants"
@@ -42,14 +45,6 @@
 	// PoolsOwned is how many pools this host owns.
 	PoolsOwned = "pools_owned"
 
-	// Claims counts claims of idempotency keys, by result.
-	Claims = "claims"
-	// PlatformCalls counts calls to the platform's services, by operation and
-	// result.
-	PlatformCalls = "platform_calls"
-	// PlatformLatency is the duration of calls to the platform, by operation.
-	PlatformLatency = "platform_seconds"
-
 	// SettingsVersion is the version in force on this host.
 	SettingsVersion = "settings_version"
 	// SettingsAge is how long ago the platform was last read.
--- a/metrics/tags.go
+++ b/metrics/tags.go
@@ -2,12 +2,10 @@
 
 // Tag keys.
 const (
-	TagTier      = "tier"
-	TagTeam      = "team"
-	TagPool      = "pool"
-	TagTarget    = "target"
-	TagReason    = "reason"
-	TagResult    = "result"
-	TagOperation = "operation"
-	TagState     = "state"
+	TagTier    = "tier"
+	TagPool    = "pool"
+	TagTarget  = "target"
+	TagReason  = "reason"
+	TagOutcome = "outcome"
+	TagState   = "state"
 )
--- a/pool/event.go
+++ b/pool/event.go
@@ -64,6 +64,7 @@
 
 func (e declineEvent) apply(o *owner, now time.Time) {
 	o.recordReturn(e.decline)
+	o.metrics.declined(e.decline.Cause)
 	o.scheduler.Decline(now, e.decline)
 }
 
--- a/pool/fake_system_test.go
+++ b/pool/fake_system_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/ident"
@@ -111,6 +112,7 @@
 		Recorder:   timeline.Discard{},
 		Usage:      usage.NewLedger(usage.Options{Host: name}),
 		Logger:     logger,
+		Scope:      tally.NoopScope,
 		GrantLease: time.Second,
 		Now:        time.Now,
 	})
--- a/pool/manager.go
+++ b/pool/manager.go
@@ -8,6 +8,7 @@
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/membership"
+	"github.com/cornelyard/cornelyard/metrics"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -88,6 +89,7 @@
 			m.stopOwner(name, o)
 		}
 	}
+	m.options.Scope.Gauge(metrics.PoolsOwned).Update(float64(len(m.owners)))
 }
 
 func (m *Manager) reconcilePool(
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -44,6 +44,8 @@
 	// status is the newest picture for operators.
 	status atomic.Pointer[admission.Snapshot]
 
+	metrics *ownerMetrics
+
 	// Fields below belong to run.
 	scheduler *admission.Scheduler
 	config    admission.Config
@@ -69,6 +71,7 @@
 	own := &owner{
 		options:  o,
 		fallback: fallback,
+		metrics:  newOwnerMetrics(o.Scope, k.pool),
 		key:      k,
 		inbox:    make(chan event, inboxSize),
 		unsynced: make(map[ident.Host]struct{}),
@@ -118,6 +121,7 @@
 	o.rebuild(o.options.Now())
 	polling, stop := context.WithCancel(ctx)
 	defer stop()
+	defer o.metrics.clear()
 	go o.pollLoads(polling)
 	for {
 		timer := time.NewTimer(o.wake())
--- a/pool/owner_actions.go
+++ b/pool/owner_actions.go
@@ -32,6 +32,7 @@
 		LeaseMs: o.options.GrantLease.Milliseconds(),
 	}}})
 	if sent {
+		o.metrics.granted(now, a.Request)
 		return
 	}
 	o.scheduler.Decline(now, admission.Decline{
@@ -57,6 +58,7 @@
 }
 
 func (o *owner) preempt(a *admission.Preempt) {
+	o.metrics.preempted(a.Request)
 	o.recordRequest(timeline.PreemptOrdered, a.Request, a.Target, "")
 	o.send(a.Request.Entry, &peerpb.Frame{Body: &peerpb.Frame_Preempt{Preempt: &peerpb.Preempt{
 		Pool:         string(o.key.pool),
--- a/pool/owner_options.go
+++ b/pool/owner_options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/membership"
@@ -28,6 +29,7 @@
 	Recorder timeline.Recorder
 	// Usage takes the account of all requests of the owned pools.
 	Usage  *usage.Ledger
+	Scope  tally.Scope
 	Logger *log.Logger
 	// GrantLease is how long a grant may wait for its dispatch.
 	GrantLease time.Duration
--- a/pool/owner_share.go
+++ b/pool/owner_share.go
@@ -25,6 +25,7 @@
 	o.surveyed = now
 	snapshot := o.scheduler.Snapshot()
 	o.status.Store(&snapshot)
+	o.metrics.show(&snapshot)
 	o.shareStrikes(now, view)
 }
 
--- a/pool/owner_test.go
+++ b/pool/owner_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/settings"
@@ -22,6 +23,7 @@
 		Members:    newFakeMembers("a", threeHosts()),
 		Sender:     fakeSender{network: newFakeNetwork(), host: "a"},
 		Recorder:   timeline.Discard{},
+		Scope:      tally.NoopScope,
 		Logger:     &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		Now:        func() time.Time { return now },
 	}, key{dataCentre: testCentre, pool: testPool}, false)
