--- a/pool/event.go
+++ b/pool/event.go
@@ -24,7 +24,10 @@
 
 	progressEvent struct{ items []admission.Progress }
 
-	endEvent struct{ end admission.End }
+	endEvent struct {
+		target ident.Target
+		end    admission.End
+	}
 
 	loadEvent struct{ report admission.LoadReport }
 
@@ -50,7 +53,10 @@
 	}
 )
 
-func (e configEvent) apply(o *owner, now time.Time) { o.configure(now, e.config) }
+func (e configEvent) apply(o *owner, now time.Time) {
+	o.recordLeaving(e.config)
+	o.configure(now, e.config)
+}
 
 func (e enqueueEvent) apply(o *owner, now time.Time) {
 	if e.request.Forwarded {
@@ -75,7 +81,7 @@
 }
 
 func (e endEvent) apply(o *owner, now time.Time) {
-	o.recordEnd(e.end)
+	o.recordEnd(e.target, e.end)
 	o.scheduler.End(now, e.end)
 }
 
--- a/pool/manager_handler.go
+++ b/pool/manager_handler.go
@@ -27,7 +27,10 @@
 	case *peerpb.Frame_Progress:
 		m.offer(from, body.Progress.GetPool(), decodeProgressBatch(body.Progress))
 	case *peerpb.Frame_End:
-		m.offer(from, body.End.GetPool(), endEvent{end: decodeEnd(body.End)})
+		m.offer(from, body.End.GetPool(), endEvent{
+			target: ident.Target(body.End.GetTarget()),
+			end:    decodeEnd(body.End),
+		})
 	case *peerpb.Frame_PoolHint:
 		m.handleHint(now, body.PoolHint)
 	case *peerpb.Frame_Strikes:
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -61,6 +61,8 @@
 	// last forwarded a request here.
 	hinted     map[ident.DataCentre]time.Time
 	forwarders map[ident.DataCentre]time.Time
+	// struck is the strikes that were recorded last.
+	struck map[admission.Digest]int
 
 	mu sync.Mutex
 	// unsynced names entries whose frames were dropped for want of room.
--- a/pool/owner_record.go
+++ b/pool/owner_record.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/cornelyard/cornelyard/admission"
@@ -29,10 +30,17 @@
 	o.recordRequest(timeline.Queued, r, "", "")
 }
 
-func (o *owner) recordEnd(e admission.End) {
+func (o *owner) recordEnd(target ident.Target, e admission.End) {
+	if e.TargetDied {
+		o.record(timeline.Event{Kind: timeline.TargetFailed, Request: e.ID, Target: target})
+	}
+	if e.TargetLeaving {
+		o.record(timeline.Event{Kind: timeline.TargetLeaving, Target: target, Detail: "refuses new work"})
+	}
 	o.record(timeline.Event{
 		Kind:    timeline.Ended,
 		Request: e.ID,
+		Target:  target,
 		Detail:  strings.TrimSpace(string(e.Outcome) + " " + string(e.Reason)),
 	})
 }
@@ -46,6 +54,37 @@
 	})
 }
 
+// recordLeaving tells which targets are marked as leaving now and were not
+// before.
+func (o *owner) recordLeaving(next admission.Config) {
+	before := make(map[ident.Target]bool)
+	for _, target := range o.config.Targets {
+		before[target.Name] = target.Leaving
+	}
+	for _, target := range next.Targets {
+		if target.Leaving && !before[target.Name] {
+			o.record(timeline.Event{Kind: timeline.TargetLeaving, Target: target.Name, Detail: "listed or declared"})
+		}
+	}
+}
+
+// recordStrikes tells which digests have more strikes than at the last look.
+func (o *owner) recordStrikes(records []admission.StrikeRecord) {
+	counts := make(map[admission.Digest]int, len(records))
+	for _, r := range records {
+		counts[r.Digest] = r.Count
+		if r.Count <= o.struck[r.Digest] {
+			continue
+		}
+		detail := fmt.Sprintf("digest %016x, %d in all", uint64(r.Digest), r.Count)
+		o.record(timeline.Event{Kind: timeline.StrikeGiven, Detail: detail})
+		if r.Count >= admission.QuarantineStrikes {
+			o.record(timeline.Event{Kind: timeline.Quarantine, Detail: detail})
+		}
+	}
+	o.struck = counts
+}
+
 func (o *owner) recordEntryLost(host ident.Host) {
 	o.record(timeline.Event{Kind: timeline.EntryLost, Peer: host})
 }
--- a/pool/owner_share.go
+++ b/pool/owner_share.go
@@ -70,6 +70,7 @@
 // pool next, and the pool's owners elsewhere.
 func (o *owner) shareStrikes(now time.Time, view *membership.View) {
 	records := o.scheduler.Strikes(now)
+	o.recordStrikes(records)
 	if len(records) == 0 {
 		return
 	}
