--- /dev/null
+++ b/pool/cancel_event.go
@@ -0,0 +1,12 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+// cancelEvent withdraws a queued request.
+type cancelEvent struct{ id ident.Request }
+
+func (e cancelEvent) apply(o *owner, now time.Time) { o.scheduler.Cancel(now, e.id) }
--- /dev/null
+++ b/pool/load_event.go
@@ -0,0 +1,12 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/admission"
+)
+
+// loadEvent is what a target told about its load.
+type loadEvent struct{ report admission.LoadReport }
+
+func (e loadEvent) apply(o *owner, now time.Time) { o.scheduler.Load(now, e.report) }
--- /dev/null
+++ b/pool/progress_event.go
@@ -0,0 +1,16 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/admission"
+)
+
+// progressEvent is an entry's reports on requests in service.
+type progressEvent struct{ items []admission.Progress }
+
+func (e progressEvent) apply(o *owner, now time.Time) {
+	for _, p := range e.items {
+		o.scheduler.Progress(now, p)
+	}
+}
--- /dev/null
+++ b/pool/report_event.go
@@ -0,0 +1,28 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/timeline"
+)
+
+// reportEvent is all that an entry has in the pool.
+type reportEvent struct {
+	from      ident.Host
+	epoch     uint64
+	queued    []admission.Request
+	inService []admission.InService
+}
+
+func (e reportEvent) apply(o *owner, now time.Time) {
+	for i := range e.queued {
+		o.recordQueued(&e.queued[i])
+	}
+	o.record(timeline.Event{Kind: timeline.EntryReported, Peer: e.from})
+	o.scheduler.EntryReported(now, e.from, e.queued, e.inService)
+	if e.epoch == o.epoch {
+		o.recovery.heard(e.from)
+	}
+}
--- /dev/null
+++ b/pool/strike_event.go
@@ -0,0 +1,16 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/admission"
+)
+
+// strikeEvent is the strikes that another owner knows.
+type strikeEvent struct{ strikes []admission.StrikeRecord }
+
+func (e strikeEvent) apply(o *owner, now time.Time) {
+	for _, s := range e.strikes {
+		o.scheduler.Strike(now, s.Digest, s.Count, s.Expiry)
+	}
+}
