--- a/entry/claiming.go
+++ b/entry/claiming.go
@@ -24,6 +24,7 @@
 	defer cancel()
 	defer context.AfterFunc(x.ctx, cancel)()
 	finding := e.options.Claims.Find(ctx, c.claimRequest())
+	e.metrics.claim(finding)
 	return finding.Kept, refused(finding.Refusal)
 }
 
@@ -55,6 +56,7 @@
 // call. The verdict counts if it returns false.
 func (x *execution) claimKey() (verdict, bool) {
 	finding := x.entry.options.Claims.Claim(x.ctx, x.call.claimRequest())
+	x.entry.metrics.claim(finding)
 	switch {
 	case finding.Claim != nil:
 		x.claim = finding.Claim
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/cornelyard/cornelyard/claim"
 	names "github.com/cornelyard/cornelyard/metrics"
 	"github.com/cornelyard/cornelyard/outcome"
 )
@@ -15,7 +16,10 @@
 }
 
 func newMetrics(scope tally.Scope) *metrics {
-	return &metrics{scope: scope}
+	m := &metrics{scope: scope}
+	// The counter is served from the start, so that its absence means something.
+	m.claims(names.ClaimMade)
+	return m
 }
 
 func (m *metrics) finished(c *call, result outcome.Outcome, reason outcome.Reason) {
@@ -38,6 +42,25 @@
 	m.scope.Tagged(map[string]string{names.TagReason: string(reason)}).Counter(names.EntryRequestsRefused).Inc(1)
 }
 
+// claim counts what was found of an idempotency key; a free key is counted when
+// it is claimed.
+func (m *metrics) claim(f claim.Finding) {
+	result := names.ClaimMade
+	switch {
+	case f.Free():
+		return
+	case f.Kept != nil:
+		result = names.ClaimReplayed
+	case f.Refusal != nil:
+		result = string(f.Refusal.Reason)
+	}
+	m.claims(result).Inc(1)
+}
+
+func (m *metrics) claims(result string) tally.Counter {
+	return m.scope.Tagged(map[string]string{names.TagResult: result}).Counter(names.EntryClaims)
+}
+
 func (m *metrics) held(requests int) {
 	m.scope.Gauge(names.EntryRequestsHeld).Update(float64(requests))
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -13,6 +13,9 @@
 	// EntryRequestsRefused counts the requests that were refused before their tier
 	// was known, by reason.
 	EntryRequestsRefused = "entry_requests_refused"
+	// EntryClaims counts what became of idempotency keys, by result: ClaimMade,
+	// ClaimReplayed or the reason of a refusal.
+	EntryClaims = "entry_claims"
 	// EntryRequestsHeld is how many requests this entry holds.
 	EntryRequestsHeld = "entry_requests_held"
 
--- a/metrics/tags.go
+++ b/metrics/tags.go
@@ -7,5 +7,12 @@
 	TagTarget  = "target"
 	TagReason  = "reason"
 	TagOutcome = "outcome"
+	TagResult  = "result"
 	TagState   = "state"
 )
+
+// Results of claims.
+const (
+	ClaimMade     = "claimed"
+	ClaimReplayed = "replayed"
+)
