--- a/test/planned_stop_test.go
+++ b/test/planned_stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/cornelyard/cornelyard/internal/chatclient"
 	"github.com/cornelyard/cornelyard/internal/testbed"
@@ -36,6 +37,7 @@
 	}
 }
 
+// startAgain starts a host that has ended and waits until it takes callers.
 func startAgain(t *testing.T, l *load, host *testbed.Host) {
 	t.Helper()
 	if err := host.Start(); err != nil {
@@ -123,7 +125,7 @@
 
 func TestDrainLimitCutsAndTells(t *testing.T) {
 	spec := stopSpec()
-	spec.Timing.DrainLimit = settings.Duration(300 * 1e6)
+	spec.Timing.DrainLimit = settings.Duration(300 * time.Millisecond)
 	cluster := startCluster(t, spec)
 	begun := make(chan struct{}, 1)
 	call := chatclient.Call{
--- a/test/replacement_test.go
+++ b/test/replacement_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -23,20 +22,6 @@
 	return spec
 }
 
-// restartKilled starts a killed host again and waits until it takes callers.
-func restartKilled(t *testing.T, l *load, host *testbed.Host) {
-	t.Helper()
-	if err := host.Start(); err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), bound)
-	defer cancel()
-	if err := host.WaitReady(ctx); err != nil {
-		t.Fatal(err)
-	}
-	l.takeOut(host.Host(), false)
-}
-
 // Hosts are lost without notice and replaced, one after another. Only calls
 // through a lost host may be cut.
 func TestHostsAreReplacedOneAfterAnother(t *testing.T) {
@@ -49,7 +34,7 @@
 		}
 		l.takeOut(host.Host(), true)
 		l.waitFor(t, 40)
-		restartKilled(t, l, host)
+		startAgain(t, l, host)
 		l.waitFor(t, 40)
 	}
 	l.finish()
@@ -77,7 +62,7 @@
 	l.waitFor(t, 60)
 	for _, host := range cluster.Hosts {
 		if host.Settings.DataCentre == "west" {
-			restartKilled(t, l, host)
+			startAgain(t, l, host)
 		}
 	}
 	l.waitFor(t, 100)
