--- a/bench/slopes/changes.go
+++ b/bench/slopes/changes.go
@@ -44,23 +44,15 @@
 }
 
 func observeRoles(ctx context.Context, o options, c *testbed.Cluster) ([]Figure, error) {
-	before, err := c.Platform.Counts()
+	w, err := observeWithPlatform(ctx, o, c)
 	if err != nil {
 		return nil, err
 	}
-	uses, err := observe(ctx, o.window, c.Hosts...)
-	if err != nil {
-		return nil, err
-	}
-	after, err := c.Platform.Counts()
-	if err != nil {
-		return nil, err
-	}
-	figures := append(uses[0].figures("applying host"), uses[1].figures("following host")...)
+	figures := append(w.uses[0].figures("applying host"), w.uses[1].figures("following host")...)
 	return append(
 		figures,
-		Figure{Name: "platform reads", Unit: "1/s", Value: float64(after.Reads-before.Reads) / o.window.Seconds()},
-		Figure{Name: "platform writes", Unit: "1/s", Value: float64(after.Writes-before.Writes) / o.window.Seconds()},
+		Figure{Name: "platform reads", Unit: "1/s", Value: w.reads},
+		Figure{Name: "platform writes", Unit: "1/s", Value: w.writes},
 	), nil
 }
 
--- a/bench/slopes/idle.go
+++ b/bench/slopes/idle.go
@@ -68,24 +68,16 @@
 }
 
 func observeIdle(ctx context.Context, o options, c *testbed.Cluster) ([]Figure, error) {
-	before, err := c.Platform.Counts()
+	w, err := observeWithPlatform(ctx, o, c)
 	if err != nil {
 		return nil, err
 	}
-	uses, err := observe(ctx, o.window, c.Hosts...)
-	if err != nil {
-		return nil, err
-	}
-	after, err := c.Platform.Counts()
-	if err != nil {
-		return nil, err
-	}
-	m := mean(uses)
-	perHost := func(n uint64) float64 { return float64(n) / o.window.Seconds() / float64(len(c.Hosts)) }
+	m := mean(w.uses)
+	hosts := float64(len(c.Hosts))
 	return append(
 		m.figures("host"),
 		Figure{Name: "sessions", Unit: "1", Value: m.last["cornelyard_peer_sessions"]},
-		Figure{Name: "platform reads", Unit: "1/s", Value: perHost(after.Reads - before.Reads)},
-		Figure{Name: "platform writes", Unit: "1/s", Value: perHost(after.Writes - before.Writes)},
+		Figure{Name: "platform reads", Unit: "1/s", Value: w.reads / hosts},
+		Figure{Name: "platform writes", Unit: "1/s", Value: w.writes / hosts},
 	), nil
 }
