--- a/claim/claiming.go
+++ b/claim/claiming.go
@@ -7,7 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 const (
@@ -102,7 +102,7 @@
 		return a.compare(ctx, *result.conflict), true
 	case result.err == nil:
 		return a.won(result.revision), true
-	case errors.Is(result.err, platform.ErrUnavailable) && !a.uncertain:
+	case errors.Is(result.err, storage.ErrUnavailable) && !a.uncertain:
 		a.claims.outage.seen(time.Now())
 		return Finding{Refusal: refuseUnavailable()}, true
 	default:
@@ -122,7 +122,7 @@
 }
 
 // compare tells the own row from another's by the token.
-func (a *claiming) compare(ctx context.Context, row platform.Row) Finding {
+func (a *claiming) compare(ctx context.Context, row storage.Row) Finding {
 	held, err := decodeRecord(row.Value)
 	if err == nil && held.Token == a.local.token {
 		return a.won(row.Revision)
--- a/claim/claims.go
+++ b/claim/claims.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // maxSettling bounds the settlements that wait for the platform.
@@ -133,7 +133,7 @@
 		return Finding{Refusal: refuseUnavailable()}
 	}
 	row, err := c.get(ctx, r.rowKey())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return Finding{}
 	}
 	if err != nil {
@@ -142,12 +142,12 @@
 	return c.judge(ctx, r, row.Value)
 }
 
-func (c *Claims) get(ctx context.Context, key string) (platform.Row, error) {
+func (c *Claims) get(ctx context.Context, key string) (storage.Row, error) {
 	bounded, cancel := context.WithTimeout(ctx, c.options.LookupTimeout)
 	defer cancel()
 	row, err := c.options.Table.Get(bounded, key)
 	switch {
-	case err == nil || errors.Is(err, platform.ErrNotFound):
+	case err == nil || errors.Is(err, storage.ErrNotFound):
 		c.outage.over()
 	case ctx.Err() == nil:
 		c.outage.seen(time.Now())
--- a/claim/claims_test.go
+++ b/claim/claims_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 const waitLimit = 20 * time.Second
@@ -318,7 +318,7 @@
 
 func TestConflictLeavesNeighboursAlone(t *testing.T) {
 	table := newFakeTable()
-	table.rows["b"] = platform.Row{Key: "b", Revision: 5, Value: []byte("x")}
+	table.rows["b"] = storage.Row{Key: "b", Revision: 5, Value: []byte("x")}
 	committer := newCommitter(table, time.Second)
 	batch := []*write{newWrite("a", 0, []byte("1")), newWrite("b", 0, []byte("2")), newWrite("c", 0, []byte("3"))}
 	committer.commit(context.Background(), batch)
--- a/claim/committer.go
+++ b/claim/committer.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 const (
@@ -18,14 +18,14 @@
 // committer puts the writes of this host into shared transactions, one
 // transaction at a time: what comes in during one makes up the next.
 type committer struct {
-	table   platform.Table
+	table   storage.Table
 	timeout time.Duration
 	queue   chan *write
 	// postponed is a write whose key was in the batch already.
 	postponed *write
 }
 
-func newCommitter(table platform.Table, timeout time.Duration) *committer {
+func newCommitter(table storage.Table, timeout time.Duration) *committer {
 	return &committer{table: table, timeout: timeout, queue: make(chan *write, queueLength)}
 }
 
@@ -96,7 +96,7 @@
 			answerAll(batch, writeResult{revision: revision})
 			return
 		}
-		var conflict *platform.ConflictError
+		var conflict *storage.ConflictError
 		if !errors.As(err, &conflict) {
 			answerAll(batch, writeResult{err: err})
 			return
@@ -116,15 +116,15 @@
 	return c.table.Commit(ctx, transaction(batch))
 }
 
-func transaction(batch []*write) platform.Transaction {
-	var t platform.Transaction
+func transaction(batch []*write) storage.Transaction {
+	var t storage.Transaction
 	for _, w := range batch {
-		t.Checks = append(t.Checks, platform.Check{Key: w.key, Revision: w.revision})
+		t.Checks = append(t.Checks, storage.Check{Key: w.key, Revision: w.revision})
 		if w.value == nil {
 			t.Deletes = append(t.Deletes, w.key)
 			continue
 		}
-		t.Puts = append(t.Puts, platform.Put{Key: w.key, Value: w.value})
+		t.Puts = append(t.Puts, storage.Put{Key: w.key, Value: w.value})
 	}
 	return t
 }
@@ -137,8 +137,8 @@
 
 // answerConflicts answers the writes whose rows are listed and returns the
 // others.
-func answerConflicts(batch []*write, rows []platform.Row) []*write {
-	current := make(map[string]platform.Row, len(rows))
+func answerConflicts(batch []*write, rows []storage.Row) []*write {
+	current := make(map[string]storage.Row, len(rows))
 	for _, row := range rows {
 		current[row.Key] = row
 	}
--- a/claim/fake_platform_test.go
+++ b/claim/fake_platform_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // fault is what a fakeTable does instead of a plain commit.
@@ -20,13 +20,13 @@
 	faultLostWrite
 )
 
-// fakeTable is a platform.Table and platform.Objects in memory.
+// fakeTable is a storage.Table and storage.Objects in memory.
 type fakeTable struct {
 	mu       sync.Mutex
 	revision uint64
-	rows     map[string]platform.Row
+	rows     map[string]storage.Row
 	objects  map[string][]byte
-	commits  []platform.Transaction
+	commits  []storage.Transaction
 	// faults are taken one for each commit.
 	faults []fault
 	// readsDown refuses all reads, commitsDown all commits.
@@ -37,7 +37,7 @@
 }
 
 func newFakeTable() *fakeTable {
-	return &fakeTable{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
+	return &fakeTable{rows: make(map[string]storage.Row), objects: make(map[string][]byte)}
 }
 
 func (f *fakeTable) change(edit func()) {
@@ -46,43 +46,43 @@
 	edit()
 }
 
-func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, key string) (storage.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.readsDown {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	row, ok := f.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return storage.Row{}, storage.ErrNotFound
 	}
 	return row, nil
 }
 
-func (f *fakeTable) Scan(context.Context, string, string, int) ([]platform.Row, error) {
-	return nil, platform.ErrUnavailable
+func (f *fakeTable) Scan(context.Context, string, string, int) ([]storage.Row, error) {
+	return nil, storage.ErrUnavailable
 }
 
-func (f *fakeTable) Commit(ctx context.Context, t platform.Transaction) (uint64, error) {
+func (f *fakeTable) Commit(ctx context.Context, t storage.Transaction) (uint64, error) {
 	if !f.pass(ctx) {
-		return 0, platform.ErrUnclear
+		return 0, storage.ErrUnclear
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.commits = append(f.commits, t)
 	next := f.nextFault()
 	if f.commitsDown || next == faultDown {
-		return 0, platform.ErrUnavailable
+		return 0, storage.ErrUnavailable
 	}
 	if next == faultLostWrite {
-		return 0, platform.ErrUnclear
+		return 0, storage.ErrUnclear
 	}
 	if conflict := f.check(t); conflict != nil {
 		return 0, conflict
 	}
 	f.apply(t)
 	if next == faultLostConfirmation {
-		return 0, platform.ErrUnclear
+		return 0, storage.ErrUnclear
 	}
 	return f.revision, nil
 }
@@ -111,12 +111,12 @@
 	return next
 }
 
-func (f *fakeTable) check(t platform.Transaction) error {
-	var failed []platform.Row
+func (f *fakeTable) check(t storage.Transaction) error {
+	var failed []storage.Row
 	for _, check := range t.Checks {
 		row, ok := f.rows[check.Key]
 		if !ok {
-			row = platform.Row{Key: check.Key}
+			row = storage.Row{Key: check.Key}
 		}
 		if row.Revision != check.Revision {
 			failed = append(failed, row)
@@ -125,13 +125,13 @@
 	if len(failed) == 0 {
 		return nil
 	}
-	return &platform.ConflictError{Rows: failed}
+	return &storage.ConflictError{Rows: failed}
 }
 
-func (f *fakeTable) apply(t platform.Transaction) {
+func (f *fakeTable) apply(t storage.Transaction) {
 	f.revision++
 	for _, put := range t.Puts {
-		f.rows[put.Key] = platform.Row{Key: put.Key, Revision: f.revision, Value: put.Value}
+		f.rows[put.Key] = storage.Row{Key: put.Key, Revision: f.revision, Value: put.Value}
 	}
 	for _, key := range t.Deletes {
 		delete(f.rows, key)
@@ -142,7 +142,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.commitsDown {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	f.objects[name] = data
 	return nil
@@ -160,7 +160,7 @@
 	defer o.table.mu.Unlock()
 	data, ok := o.table.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, storage.ErrNotFound
 	}
 	return data, nil
 }
--- a/claim/judge.go
+++ b/claim/judge.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // judge tells what another claim on the request's key means for it.
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.options.LookupTimeout)
 	defer cancel()
 	data, err := c.options.Objects.Get(ctx, held.Answer)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return Finding{Refusal: refuseNotKept()}
 	}
 	if err != nil {
--- a/claim/options.go
+++ b/claim/options.go
@@ -6,7 +6,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/cornelyard/cornelyard/ident"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 const (
@@ -18,8 +18,8 @@
 
 // Options configures Claims. Zero durations mean the defaults.
 type Options struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   storage.Table
+	Objects storage.Objects
 	Host    ident.Host
 	// Incarnation tells this process from earlier ones of the host.
 	Incarnation uint64
--- a/claim/settlement.go
+++ b/claim/settlement.go
@@ -8,7 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 const (
@@ -142,7 +142,7 @@
 // refresh reads the row's revision.
 func (s *settlement) refresh(ctx context.Context) bool {
 	row, err := s.claim.claims.get(ctx, s.claim.local.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		s.absent++
 		return s.absent >= absentReads
 	}
@@ -153,7 +153,7 @@
 }
 
 // compare returns true if nothing is left to do. Only an own row is touched.
-func (s *settlement) compare(row platform.Row) bool {
+func (s *settlement) compare(row storage.Row) bool {
 	if row.Revision == 0 {
 		return true
 	}
--- a/claim/sweeper.go
+++ b/claim/sweeper.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 const (
@@ -71,7 +71,7 @@
 	if err != nil {
 		return false, Error.Wrap(err)
 	}
-	var old []platform.Row
+	var old []storage.Row
 	for _, row := range rows {
 		if s.isOld(row) {
 			old = append(old, row)
@@ -90,7 +90,7 @@
 
 // isOld says whether a row's claim is older than the retention. A row that can't
 // be read, or holds no time, stays.
-func (s *Sweeper) isOld(row platform.Row) bool {
+func (s *Sweeper) isOld(row storage.Row) bool {
 	r, err := decodeRecord(row.Value)
 	if err != nil || r.At.IsZero() {
 		return false
@@ -100,27 +100,27 @@
 
 // remove deletes the answers first, so that none is left without its row, and
 // then the rows in one transaction.
-func (s *Sweeper) remove(ctx context.Context, old []platform.Row) error {
+func (s *Sweeper) remove(ctx context.Context, old []storage.Row) error {
 	if len(old) == 0 {
 		return nil
 	}
-	var t platform.Transaction
+	var t storage.Transaction
 	for _, row := range old {
 		if err := s.removeAnswer(ctx, row); err != nil {
 			return err
 		}
-		t.Checks = append(t.Checks, platform.Check{Key: row.Key, Revision: row.Revision})
+		t.Checks = append(t.Checks, storage.Check{Key: row.Key, Revision: row.Revision})
 		t.Deletes = append(t.Deletes, row.Key)
 	}
 	_, err := s.options.Table.Commit(ctx, t)
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if errors.As(err, &conflict) {
 		return nil
 	}
 	return Error.Wrap(err)
 }
 
-func (s *Sweeper) removeAnswer(ctx context.Context, row platform.Row) error {
+func (s *Sweeper) removeAnswer(ctx context.Context, row storage.Row) error {
 	r, err := decodeRecord(row.Value)
 	if err != nil || r.Answer == "" {
 		return nil
--- a/claim/sweeper_options.go
+++ b/claim/sweeper_options.go
@@ -5,13 +5,13 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // SweeperOptions configures a Sweeper. All fields are required.
 type SweeperOptions struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   storage.Table
+	Objects storage.Objects
 	// Retention is the age at which a claim and its kept answer are removed. The
 	// key may then be used anew.
 	Retention time.Duration
--- a/claim/sweeper_test.go
+++ b/claim/sweeper_test.go
@@ -11,22 +11,22 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // sortedTable is a fakeTable that scans.
 type sortedTable struct{ *fakeTable }
 
-func (s sortedTable) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (s sortedTable) Scan(_ context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var rows []platform.Row
+	var rows []storage.Row
 	for key, row := range s.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b storage.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows[:min(limit, len(rows))], nil
 }
 
@@ -59,9 +59,9 @@
 			t.Fatal(err)
 		}
 		key := fmt.Sprintf("%steam/%04d", rowPrefix, n)
-		table.rows[key] = platform.Row{Key: key, Revision: 1, Value: value}
+		table.rows[key] = storage.Row{Key: key, Revision: 1, Value: value}
 	}
-	table.rows["settings/head"] = platform.Row{Key: "settings/head", Revision: 1}
+	table.rows["settings/head"] = storage.Row{Key: "settings/head", Revision: 1}
 	chosen := false
 	s := NewSweeper(SweeperOptions{
 		Table: sortedTable{table}, Objects: objects, Retention: time.Hour,
@@ -95,7 +95,7 @@
 		t.Fatal(err)
 	}
 	key := rowPrefix + "team/one"
-	table.rows[key] = platform.Row{Key: key, Revision: 1, Value: value}
+	table.rows[key] = storage.Row{Key: key, Revision: 1, Value: value}
 	s := NewSweeper(SweeperOptions{
 		Table: changingTable{sortedTable{table}}, Objects: fakeObjects{table}, Retention: time.Hour,
 		Chosen: func() bool { return true },
@@ -111,7 +111,7 @@
 // changingTable changes each row right after it was scanned.
 type changingTable struct{ sortedTable }
 
-func (c changingTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (c changingTable) Scan(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	rows, err := c.sortedTable.Scan(ctx, prefix, after, limit)
 	c.change(func() {
 		for _, row := range rows {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,9 +15,9 @@
 	"github.com/cornelyard/cornelyard/metrics"
 	"github.com/cornelyard/cornelyard/operator"
 	"github.com/cornelyard/cornelyard/peer"
-	"github.com/cornelyard/cornelyard/platform"
-	"github.com/cornelyard/cornelyard/platform/hostwatch"
-	"github.com/cornelyard/cornelyard/platform/restclient"
+	"github.com/cornelyard/cornelyard/storage"
+	"github.com/cornelyard/cornelyard/storage/hostwatch"
+	"github.com/cornelyard/cornelyard/storage/restclient"
 	"github.com/cornelyard/cornelyard/pool"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/target"
@@ -48,8 +48,8 @@
 	ring        *timeline.Ring
 	usage       *usage.Ledger
 
-	table    platform.Table
-	objects  platform.Objects
+	table    storage.Table
+	objects  storage.Objects
 	hosts    *hostwatch.Watcher
 	settings *settings.Watcher
 	store    *settings.Store
--- a/daemon/joined.go
+++ b/daemon/joined.go
@@ -6,7 +6,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/membership"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // joinLimit bounds how long a starting host waits for the other members. A host
@@ -44,9 +44,9 @@
 	return false
 }
 
-func listsPeer(entries []platform.HostEntry, self ident.Host) bool {
+func listsPeer(entries []storage.HostEntry, self ident.Host) bool {
 	for _, e := range entries {
-		if e.Role == platform.RoleEntry && e.Name != string(self) {
+		if e.Role == storage.RoleEntry && e.Name != string(self) {
 			return true
 		}
 	}
--- a/dev/system.go
+++ b/dev/system.go
@@ -14,7 +14,7 @@
 	"github.com/cornelyard/cornelyard/daemon"
 	"github.com/cornelyard/cornelyard/ident"
 	standinplatform "github.com/cornelyard/cornelyard/internal/standin/platform"
-	"github.com/cornelyard/cornelyard/platform/restclient"
+	"github.com/cornelyard/cornelyard/storage/restclient"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
--- a/internal/faultrun/injector.go
+++ b/internal/faultrun/injector.go
@@ -11,7 +11,7 @@
 	"github.com/cornelyard/cornelyard/internal/standin/faultproxy"
 	standinplatform "github.com/cornelyard/cornelyard/internal/standin/platform"
 	"github.com/cornelyard/cornelyard/internal/testbed"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 const (
@@ -284,7 +284,7 @@
 	entries := i.cluster.HostEntries()
 	for n := range entries {
 		if i.gone[ident.Target(entries[n].Name)] {
-			entries[n].State = platform.HostLeaving
+			entries[n].State = storage.HostLeaving
 		}
 	}
 	return i.cluster.Platform.SetHosts(entries)
--- a/internal/standin/platform/control.go
+++ b/internal/standin/platform/control.go
@@ -6,7 +6,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/cornelyard/cornelyard/internal/standin"
-	"github.com/cornelyard/cornelyard/platform/restapi"
+	"github.com/cornelyard/cornelyard/storage/restapi"
 )
 
 // ControlHandler serves the control listener.
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -9,8 +9,8 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/cornelyard/cornelyard/internal/standin"
-	"github.com/cornelyard/cornelyard/platform"
-	"github.com/cornelyard/cornelyard/platform/restapi"
+	"github.com/cornelyard/cornelyard/storage"
+	"github.com/cornelyard/cornelyard/storage/restapi"
 )
 
 // Handler serves the platform's services.
@@ -62,7 +62,7 @@
 }
 
 func (p *Platform) commit(c echo.Context) error {
-	var t platform.Transaction
+	var t storage.Transaction
 	if err := c.Bind(&t); err != nil {
 		return c.NoContent(http.StatusBadRequest)
 	}
--- a/internal/standin/platform/hostlist.go
+++ b/internal/standin/platform/hostlist.go
@@ -4,13 +4,13 @@
 	"sync"
 	"time"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // hostVersion is a host list together with the time from which it is seen.
 type hostVersion struct {
 	visible time.Time
-	hosts   []platform.HostEntry
+	hosts   []storage.HostEntry
 }
 
 // hostList keeps the versions that are seen or will be.
@@ -20,21 +20,21 @@
 	versions []hostVersion
 }
 
-func (l *hostList) set(now time.Time, hosts []platform.HostEntry) {
+func (l *hostList) set(now time.Time, hosts []storage.HostEntry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.versions = append(l.versions, hostVersion{visible: now.Add(l.lag), hosts: hosts})
 }
 
 // seen returns the list as it is seen at now.
-func (l *hostList) seen(now time.Time) []platform.HostEntry {
+func (l *hostList) seen(now time.Time) []storage.HostEntry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.versions) > 1 && !l.versions[1].visible.After(now) {
 		l.versions = l.versions[1:]
 	}
 	if len(l.versions) == 0 || l.versions[0].visible.After(now) {
-		return []platform.HostEntry{}
+		return []storage.HostEntry{}
 	}
 	return l.versions[0].hosts
 }
--- a/internal/standin/platform/hostlist_test.go
+++ b/internal/standin/platform/hostlist_test.go
@@ -4,14 +4,14 @@
 	"testing"
 	"time"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 func TestTheHostListLags(t *testing.T) {
 	begin := time.Unix(100, 0)
 	list := hostList{lag: 2 * time.Second}
-	list.set(begin, []platform.HostEntry{{Name: "a"}})
-	list.set(begin.Add(time.Second), []platform.HostEntry{{Name: "b"}})
+	list.set(begin, []storage.HostEntry{{Name: "a"}})
+	list.set(begin.Add(time.Second), []storage.HostEntry{{Name: "b"}})
 	cases := []struct {
 		after time.Duration
 		want  string
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -10,7 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cornelyard/cornelyard/internal/standin"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // Platform is the stand-in. It is safe for concurrent use.
@@ -44,7 +44,7 @@
 }
 
 // SetHosts replaces the true host list.
-func (p *Platform) SetHosts(hosts []platform.HostEntry) {
+func (p *Platform) SetHosts(hosts []storage.HostEntry) {
 	p.hosts.set(time.Now(), hosts)
 }
 
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -5,32 +5,32 @@
 	"strings"
 	"sync"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // store keeps the rows and the objects.
 type store struct {
 	mu       sync.Mutex
 	revision uint64
-	rows     map[string]platform.Row
+	rows     map[string]storage.Row
 	objects  map[string][]byte
 }
 
 func newStore() *store {
-	return &store{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
+	return &store{rows: make(map[string]storage.Row), objects: make(map[string][]byte)}
 }
 
-func (s *store) row(key string) (platform.Row, bool) {
+func (s *store) row(key string) (storage.Row, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	row, ok := s.rows[key]
 	return row, ok
 }
 
-func (s *store) scan(prefix, after string, limit int) []platform.Row {
+func (s *store) scan(prefix, after string, limit int) []storage.Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := []platform.Row{}
+	found := []storage.Row{}
 	for key, row := range s.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			found = append(found, row)
@@ -44,7 +44,7 @@
 }
 
 // commit applies t, or returns the rows whose checks failed.
-func (s *store) commit(t platform.Transaction) (uint64, []platform.Row) {
+func (s *store) commit(t storage.Transaction) (uint64, []storage.Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if failed := s.failedChecks(t.Checks); len(failed) > 0 {
@@ -52,7 +52,7 @@
 	}
 	s.revision++
 	for _, put := range t.Puts {
-		s.rows[put.Key] = platform.Row{Key: put.Key, Revision: s.revision, Value: put.Value}
+		s.rows[put.Key] = storage.Row{Key: put.Key, Revision: s.revision, Value: put.Value}
 	}
 	for _, key := range t.Deletes {
 		delete(s.rows, key)
@@ -60,8 +60,8 @@
 	return s.revision, nil
 }
 
-func (s *store) failedChecks(checks []platform.Check) []platform.Row {
-	var failed []platform.Row
+func (s *store) failedChecks(checks []storage.Check) []storage.Row {
+	var failed []storage.Row
 	for _, check := range checks {
 		row := s.rows[check.Key]
 		if row.Revision != check.Revision {
--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -7,7 +7,7 @@
 	"path/filepath"
 
 	"github.com/cornelyard/cornelyard/ident"
-	"github.com/cornelyard/cornelyard/platform/restclient"
+	"github.com/cornelyard/cornelyard/storage/restclient"
 )
 
 // OperatorToken is accepted by every host's operator listener.
--- a/internal/testbed/hosts.go
+++ b/internal/testbed/hosts.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"github.com/cornelyard/cornelyard/config"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -103,25 +103,25 @@
 }
 
 // HostEntries returns the platform's host list with everything live.
-func (c *Cluster) HostEntries() []platform.HostEntry {
-	var entries []platform.HostEntry
+func (c *Cluster) HostEntries() []storage.HostEntry {
+	var entries []storage.HostEntry
 	for _, h := range c.Hosts {
-		entries = append(entries, platform.HostEntry{
+		entries = append(entries, storage.HostEntry{
 			Name:       string(h.Settings.Host),
-			Role:       platform.RoleEntry,
+			Role:       storage.RoleEntry,
 			DataCentre: h.Settings.DataCentre,
 			Address:    h.peerAddress(),
-			State:      platform.HostLive,
+			State:      storage.HostLive,
 		})
 	}
 	for _, spec := range c.Spec.Targets {
 		declared := c.Targets[spec.Name].Declared
-		entries = append(entries, platform.HostEntry{
+		entries = append(entries, storage.HostEntry{
 			Name:       string(declared.Name),
-			Role:       platform.RoleTarget,
+			Role:       storage.RoleTarget,
 			DataCentre: declared.DataCentre,
 			Address:    declared.Address,
-			State:      platform.HostLive,
+			State:      storage.HostLive,
 		})
 	}
 	return entries
--- a/internal/testbed/platform.go
+++ b/internal/testbed/platform.go
@@ -2,8 +2,8 @@
 
 import (
 	standinplatform "github.com/cornelyard/cornelyard/internal/standin/platform"
-	"github.com/cornelyard/cornelyard/platform"
-	"github.com/cornelyard/cornelyard/platform/restapi"
+	"github.com/cornelyard/cornelyard/storage"
+	"github.com/cornelyard/cornelyard/storage/restapi"
 )
 
 // Platform is the process of the platform's stand-in.
@@ -17,7 +17,7 @@
 }
 
 // SetHosts replaces the true host list.
-func (p *Platform) SetHosts(hosts []platform.HostEntry) error {
+func (p *Platform) SetHosts(hosts []storage.HostEntry) error {
 	return p.control.do("PUT", "/hosts", restapi.Hosts{Hosts: hosts}, nil)
 }
 
--- a/internal/testbed/standins.go
+++ b/internal/testbed/standins.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
-	"github.com/cornelyard/cornelyard/platform/restclient"
+	"github.com/cornelyard/cornelyard/storage/restclient"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
--- a/membership/input.go
+++ b/membership/input.go
@@ -5,7 +5,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // input is one thing that the tracker learned.
@@ -58,7 +58,7 @@
 	t.state.refused(in.host, now)
 }
 
-type hostListInput struct{ hosts []platform.HostEntry }
+type hostListInput struct{ hosts []storage.HostEntry }
 
 func (in hostListInput) apply(t *Tracker, now time.Time) {
 	t.state.listed(in.hosts, now)
--- a/membership/options.go
+++ b/membership/options.go
@@ -8,7 +8,7 @@
 
 	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/logging"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
@@ -24,7 +24,7 @@
 	// Self describes the own host. Its Incarnation is that of this process.
 	Self Member
 	// HostList is the platform's list; nil means that there is none.
-	HostList platform.HostList
+	HostList storage.HostList
 	// HostListInterval is how often the list is read; zero means 2 s.
 	HostListInterval time.Duration
 	Timing           config.Timing
--- a/membership/state.go
+++ b/membership/state.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
@@ -134,16 +134,16 @@
 
 // listed takes the platform's host list. It adds members, addresses and leaving
 // marks; it declares nobody alive or dead.
-func (s *state) listed(hosts []platform.HostEntry, now time.Time) {
+func (s *state) listed(hosts []storage.HostEntry, now time.Time) {
 	for _, r := range s.members {
 		r.listed = false
 	}
 	selfLeaving := false
 	for _, h := range hosts {
-		if h.Role != platform.RoleEntry {
+		if h.Role != storage.RoleEntry {
 			continue
 		}
-		leaving := h.State == platform.HostLeaving
+		leaving := h.State == storage.HostLeaving
 		if h.Name == string(s.self.Host) {
 			selfLeaving = leaving
 			continue
--- a/membership/state_test.go
+++ b/membership/state_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/ident"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
@@ -220,10 +220,10 @@
 func TestHostList(t *testing.T) {
 	s := newState(member("a", "dc1", 1), newTiming(config.Timing{}))
 	now := time.Unix(1000, 0)
-	list := []platform.HostEntry{
-		{Name: "a", Role: platform.RoleEntry, DataCentre: "dc1", Address: "a:1", State: platform.HostLive},
-		{Name: "b", Role: platform.RoleEntry, DataCentre: "dc1", Address: "b:1", State: platform.HostLeaving},
-		{Name: "t", Role: platform.RoleTarget, DataCentre: "dc1", Address: "t:1", State: platform.HostLive},
+	list := []storage.HostEntry{
+		{Name: "a", Role: storage.RoleEntry, DataCentre: "dc1", Address: "a:1", State: storage.HostLive},
+		{Name: "b", Role: storage.RoleEntry, DataCentre: "dc1", Address: "b:1", State: storage.HostLeaving},
+		{Name: "t", Role: storage.RoleTarget, DataCentre: "dc1", Address: "t:1", State: storage.HostLive},
 	}
 	s.listed(list, now)
 	v := s.view(1)
@@ -249,7 +249,7 @@
 func TestLongDeadMembersAreForgotten(t *testing.T) {
 	w := newWorld("a", "b", "c")
 	w.run(time.Second)
-	w.states["a"].listed([]platform.HostEntry{{Name: "c", Role: platform.RoleEntry, Address: "c:1"}}, w.now)
+	w.states["a"].listed([]storage.HostEntry{{Name: "c", Role: storage.RoleEntry, Address: "c:1"}}, w.now)
 	w.frozen["b"], w.frozen["c"] = true, true
 	w.run(forgetAfter + 5*time.Second)
 	if _, ok := w.view("a").Member("b"); ok {
--- a/membership/tracker_test.go
+++ b/membership/tracker_test.go
@@ -11,7 +11,7 @@
 	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/timeline"
 )
@@ -54,11 +54,11 @@
 
 // fixedList is a HostList.
 type fixedList struct {
-	hosts []platform.HostEntry
+	hosts []storage.HostEntry
 	err   error
 }
 
-func (l fixedList) Hosts(context.Context) ([]platform.HostEntry, error) { return l.hosts, l.err }
+func (l fixedList) Hosts(context.Context) ([]storage.HostEntry, error) { return l.hosts, l.err }
 
 const (
 	// hurried makes heartbeats follow each other quickly.
@@ -67,7 +67,7 @@
 	unhurried = patience
 )
 
-func startTracker(t *testing.T, heartbeat time.Duration, list platform.HostList, connected ...ident.Host) (*Tracker, *outlet) {
+func startTracker(t *testing.T, heartbeat time.Duration, list storage.HostList, connected ...ident.Host) (*Tracker, *outlet) {
 	t.Helper()
 	tracker := NewTracker(Options{
 		Self:             member("a", "dc1", 7),
@@ -165,7 +165,7 @@
 }
 
 func TestTrackerReadsTheHostList(t *testing.T) {
-	hosts := []platform.HostEntry{{Name: "b", Role: platform.RoleEntry, DataCentre: "dc1", Address: "b:1"}}
+	hosts := []storage.HostEntry{{Name: "b", Role: storage.RoleEntry, DataCentre: "dc1", Address: "b:1"}}
 	tracker, _ := startTracker(t, unhurried, fixedList{hosts: hosts})
 	run(t, tracker)
 	waitFor(t, "b is known", func() bool {
--- a/operator/documents.go
+++ b/operator/documents.go
@@ -8,7 +8,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/cornelyard/cornelyard/operator/api"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -21,7 +21,7 @@
 	}
 	stale := false
 	tree, found, err := o.options.Store.At(c.Request().Context(), version)
-	if errors.Is(err, platform.ErrUnavailable) && version == 0 && o.options.Settings.Version() > 0 {
+	if errors.Is(err, storage.ErrUnavailable) && version == 0 && o.options.Settings.Version() > 0 {
 		tree, found = o.options.Settings.Tree()
 		stale, err = true, nil
 	}
--- a/operator/error_handler.go
+++ b/operator/error_handler.go
@@ -10,7 +10,7 @@
 
 	"github.com/cornelyard/cornelyard/finding"
 	"github.com/cornelyard/cornelyard/operator/api"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -54,7 +54,7 @@
 		return &api.Error{Code: api.NotFound, Message: base.Error()}
 	case errors.As(err, &unclear):
 		return &api.Error{Code: api.Unclear, Message: unclear.Error()}
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, storage.ErrUnavailable), errors.Is(err, context.DeadlineExceeded):
 		return &api.Error{Code: api.Unavailable, Message: err.Error()}
 	case errors.As(err, &http):
 		return describeHTTP(http)
--- a/pool/build_config.go
+++ b/pool/build_config.go
@@ -6,7 +6,7 @@
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/membership"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -37,10 +37,10 @@
 	return tiers
 }
 
-func leavingTargets(entries []platform.HostEntry) map[ident.Target]struct{} {
+func leavingTargets(entries []storage.HostEntry) map[ident.Target]struct{} {
 	leaving := make(map[ident.Target]struct{})
 	for _, e := range entries {
-		if e.Role == platform.RoleTarget && e.State == platform.HostLeaving {
+		if e.Role == storage.RoleTarget && e.State == storage.HostLeaving {
 			leaving[ident.Target(e.Name)] = struct{}{}
 		}
 	}
--- a/pool/fake_system_test.go
+++ b/pool/fake_system_test.go
@@ -15,7 +15,7 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/membership"
 	"github.com/cornelyard/cornelyard/peer"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/timeline"
 	"github.com/cornelyard/cornelyard/usage"
@@ -50,7 +50,7 @@
 
 type noHosts struct{}
 
-func (noHosts) Entries() []platform.HostEntry { return nil }
+func (noHosts) Entries() []storage.HostEntry { return nil }
 func (noHosts) Changed() <-chan struct{}      { return nil }
 
 type noLoads struct{}
--- a/pool/owner_options.go
+++ b/pool/owner_options.go
@@ -9,7 +9,7 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/membership"
 	"github.com/cornelyard/cornelyard/peer"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/timeline"
 	"github.com/cornelyard/cornelyard/usage"
@@ -40,7 +40,7 @@
 // HostSource gives the newest known host list.
 type HostSource interface {
 	// Entries returns the list; it must not be changed.
-	Entries() []platform.HostEntry
+	Entries() []storage.HostEntry
 	// Changed returns a channel that is closed when the list is replaced.
 	Changed() <-chan struct{}
 }
--- a/settings/attempt.go
+++ b/settings/attempt.go
@@ -7,7 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // attempt is the way of one change into the table, with its retries.
@@ -54,7 +54,7 @@
 	if isRefusal(err) {
 		return true
 	}
-	if !errors.Is(err, platform.ErrUnavailable) {
+	if !errors.Is(err, storage.ErrUnavailable) {
 		a.downSince = time.Time{}
 		return false
 	}
@@ -207,11 +207,11 @@
 
 // failedClearly reports whether a commit with that error had no effect.
 func failedClearly(err error) bool {
-	var conflict *platform.ConflictError
-	return errors.As(err, &conflict) || errors.Is(err, platform.ErrUnavailable)
+	var conflict *storage.ConflictError
+	return errors.As(err, &conflict) || errors.Is(err, storage.ErrUnavailable)
 }
 
-func (a *attempt) transaction(p *plan, version uint64) (platform.Transaction, error) {
+func (a *attempt) transaction(p *plan, version uint64) (storage.Transaction, error) {
 	record := Record{
 		Version:   version,
 		ID:        a.change.ID,
--- a/settings/export_test.go
+++ b/settings/export_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // ScanForTest reads the whole tree by scan, as a host far behind does.
-func ScanForTest(ctx context.Context, table platform.Table) (*Tree, uint64, error) {
+func ScanForTest(ctx context.Context, table storage.Table) (*Tree, uint64, error) {
 	l := loader{table: table}
 	newest, err := l.head(ctx)
 	if err != nil {
--- a/settings/loader.go
+++ b/settings/loader.go
@@ -5,7 +5,7 @@
 	"errors"
 	"strings"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 const (
@@ -18,12 +18,12 @@
 
 // loader reads the settings rows of the platform's table.
 type loader struct {
-	table platform.Table
+	table storage.Table
 }
 
 func (l loader) head(ctx context.Context) (head, error) {
 	row, err := l.table.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return head{}, nil
 	}
 	if err != nil {
@@ -43,7 +43,7 @@
 		return nil, head{}, err
 	}
 	if newest.version < from.version {
-		return nil, head{}, Error.New("the platform shows version %d, but version %d is known: %w", newest.version, from.version, platform.ErrUnavailable)
+		return nil, head{}, Error.New("the platform shows version %d, but version %d is known: %w", newest.version, from.version, storage.ErrUnavailable)
 	}
 	if newest.version-from.version > maxReplay {
 		from, err = l.scan(ctx, from, newest.version)
@@ -127,7 +127,7 @@
 	return l.replay(ctx, scanned, newest.version)
 }
 
-func takeDocument(tree, known *Tree, row platform.Row) error {
+func takeDocument(tree, known *Tree, row storage.Row) error {
 	var value documentRow
 	if err := readRow(row, &value); err != nil {
 		return err
@@ -140,7 +140,7 @@
 // landed returns the version that the change became, if it was accepted.
 func (l loader) landed(ctx context.Context, id string) (version uint64, ok bool, err error) {
 	row, err := l.table.Get(ctx, landedKey(id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return 0, false, nil
 	}
 	if err != nil {
--- a/settings/store.go
+++ b/settings/store.go
@@ -40,7 +40,7 @@
 
 // Apply makes the change a new version, or refuses it with a finding.List, a
 // *ConflictError, a *ForbiddenError or a *BaseError; a refused change is
-// nowhere in force. It fails with platform.ErrUnavailable if nothing was
+// nowhere in force. It fails with storage.ErrUnavailable if nothing was
 // changed, and with an *UnclearError if that could not be told in time.
 func (s *Store) Apply(ctx context.Context, c Change) (Result, error) {
 	a, err := s.begin(c)
--- a/settings/store_options.go
+++ b/settings/store_options.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 const (
@@ -19,7 +19,7 @@
 
 // StoreOptions configures a Store.
 type StoreOptions struct {
-	Table platform.Table
+	Table storage.Table
 	// Watcher gets each change that is accepted here at once; nil means none.
 	Watcher *Watcher
 	// Timeout bounds one change with its retries. It defaults to 10 seconds.
--- a/settings/store_test.go
+++ b/settings/store_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/cornelyard/cornelyard/finding"
 	standin "github.com/cornelyard/cornelyard/internal/standin/platform"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -200,11 +200,11 @@
 
 // gatedTable calls before ahead of the first commit.
 type gatedTable struct {
-	platform.Table
+	storage.Table
 	before func()
 }
 
-func (g *gatedTable) Commit(ctx context.Context, t platform.Transaction) (uint64, error) {
+func (g *gatedTable) Commit(ctx context.Context, t storage.Transaction) (uint64, error) {
 	if g.before != nil {
 		before := g.before
 		g.before = nil
@@ -265,14 +265,14 @@
 
 // outageTable loses the confirmation of each commit and begins an outage.
 type outageTable struct {
-	platform.Table
+	storage.Table
 	platform *standin.Platform
 }
 
-func (o *outageTable) Commit(ctx context.Context, t platform.Transaction) (uint64, error) {
-	o.platform.SetFaults(standin.Faults{LostConfirmations: 1})
+func (o *outageTable) Commit(ctx context.Context, t storage.Transaction) (uint64, error) {
+	o.storage.SetFaults(standin.Faults{LostConfirmations: 1})
 	revision, err := o.Table.Commit(ctx, t)
-	o.platform.SetFaults(standin.Faults{Outage: true})
+	o.storage.SetFaults(standin.Faults{Outage: true})
 	return revision, err
 }
 
@@ -282,7 +282,7 @@
 	s.platform.SetFaults(standin.Faults{Outage: true})
 	_, err := s.storeFor(100*time.Millisecond).Apply(context.Background(), change("tiers/gold.json", tierBody("10s")))
 	var unclear *settings.UnclearError
-	if !errors.Is(err, platform.ErrUnavailable) || errors.As(err, &unclear) {
+	if !errors.Is(err, storage.ErrUnavailable) || errors.As(err, &unclear) {
 		t.Fatalf("got %v", err)
 	}
 	s.platform.SetFaults(standin.Faults{})
--- a/settings/testkit_test.go
+++ b/settings/testkit_test.go
@@ -10,7 +10,7 @@
 	"go.uber.org/goleak"
 
 	standin "github.com/cornelyard/cornelyard/internal/standin/platform"
-	"github.com/cornelyard/cornelyard/platform/restclient"
+	"github.com/cornelyard/cornelyard/storage/restclient"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
--- a/settings/transaction_builder.go
+++ b/settings/transaction_builder.go
@@ -1,15 +1,15 @@
 package settings
 
-import "github.com/cornelyard/cornelyard/platform"
+import "github.com/cornelyard/cornelyard/storage"
 
 // transactionBuilder collects the parts of a transaction and the first error.
 type transactionBuilder struct {
-	transaction platform.Transaction
+	transaction storage.Transaction
 	err         error
 }
 
 func (b *transactionBuilder) check(key string, revision uint64) {
-	b.transaction.Checks = append(b.transaction.Checks, platform.Check{Key: key, Revision: revision})
+	b.transaction.Checks = append(b.transaction.Checks, storage.Check{Key: key, Revision: revision})
 }
 
 func (b *transactionBuilder) put(key string, value any) {
--- a/settings/watcher_options.go
+++ b/settings/watcher_options.go
@@ -8,7 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/cornelyard/cornelyard/logging"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
@@ -29,7 +29,7 @@
 
 // WatcherOptions configures a Watcher.
 type WatcherOptions struct {
-	Table platform.Table
+	Table storage.Table
 	// Interval is the time between two reads of the head version. It defaults
 	// to 1 second.
 	Interval time.Duration
--- a/platform/host_entry.go
+++ b/storage/host_entry.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import "github.com/cornelyard/cornelyard/ident"
 
--- a/platform/hostwatch/watcher.go
+++ b/storage/hostwatch/watcher.go
@@ -10,31 +10,31 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // Options configures a Watcher. All fields are required.
 type Options struct {
-	List     platform.HostList
+	List     storage.HostList
 	Interval time.Duration
 	Logger   *log.Logger
 }
 
-// Watcher polls the host list. It implements platform.HostList from memory.
+// Watcher polls the host list. It implements storage.HostList from memory.
 type Watcher struct {
 	options Options
 
 	mu      sync.Mutex
-	entries []platform.HostEntry
+	entries []storage.HostEntry
 	changed chan struct{}
 	err     error
 }
 
-var _ platform.HostList = (*Watcher)(nil)
+var _ storage.HostList = (*Watcher)(nil)
 
 // New returns a watcher with an empty list.
 func New(o Options) *Watcher {
-	return &Watcher{options: o, changed: make(chan struct{}), err: platform.ErrUnavailable}
+	return &Watcher{options: o, changed: make(chan struct{}), err: storage.ErrUnavailable}
 }
 
 // Run polls until ctx ends. While the platform is down the last list stays.
@@ -76,7 +76,7 @@
 }
 
 // Entries returns the newest list; it must not be changed.
-func (w *Watcher) Entries() []platform.HostEntry {
+func (w *Watcher) Entries() []storage.HostEntry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.entries
@@ -89,8 +89,8 @@
 	return w.changed
 }
 
-// Hosts implements platform.HostList. It fails while the platform does.
-func (w *Watcher) Hosts(context.Context) ([]platform.HostEntry, error) {
+// Hosts implements storage.HostList. It fails while the platform does.
+func (w *Watcher) Hosts(context.Context) ([]storage.HostEntry, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.entries, w.err
--- /dev/null
+++ b/storage/restapi/hosts.go
@@ -0,0 +1,8 @@
+package restapi
+
+import "github.com/cornelyard/cornelyard/storage"
+
+// Hosts answers a read of the host list.
+type Hosts struct {
+	Hosts []storage.HostEntry `json:"hosts"`
+}
--- a/platform/restapi/rows.go
+++ b/storage/restapi/rows.go
@@ -1,8 +1,8 @@
 package restapi
 
-import "github.com/cornelyard/cornelyard/platform"
+import "github.com/cornelyard/cornelyard/storage"
 
 // Rows answers a scan, and a transaction with the rows whose checks failed.
 type Rows struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []storage.Row `json:"rows"`
 }
--- a/platform/restclient/call.go
+++ b/storage/restclient/call.go
@@ -10,7 +10,7 @@
 	"net/url"
 	"sync/atomic"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // maxReplyBytes bounds a reply of the platform.
@@ -40,7 +40,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), call)
 	if err != nil {
-		return reply{}, platform.Error.Wrap(err)
+		return reply{}, storage.Error.Wrap(err)
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
@@ -76,9 +76,9 @@
 // failure maps a broken exchange. A write that had a connection may have taken
 // effect.
 func (c call) failure(cause error, connected bool) error {
-	kind := platform.ErrUnavailable
+	kind := storage.ErrUnavailable
 	if c.write && connected {
-		kind = platform.ErrUnclear
+		kind = storage.ErrUnclear
 	}
 	return wrap(kind, cause)
 }
@@ -89,18 +89,18 @@
 	cause := fmt.Errorf("%s %s: status %d", c.method, c.path, status)
 	switch {
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
-		return wrap(platform.ErrUnavailable, cause)
+		return wrap(storage.ErrUnavailable, cause)
 	case status >= http.StatusInternalServerError && c.write:
-		return wrap(platform.ErrUnclear, cause)
+		return wrap(storage.ErrUnclear, cause)
 	case status >= http.StatusInternalServerError:
-		return wrap(platform.ErrUnavailable, cause)
+		return wrap(storage.ErrUnavailable, cause)
 	default:
-		return platform.Error.Wrap(cause)
+		return storage.Error.Wrap(cause)
 	}
 }
 
 func wrap(kind, cause error) error {
-	return platform.Error.Wrap(fmt.Errorf("%w: %w", kind, cause))
+	return storage.Error.Wrap(fmt.Errorf("%w: %w", kind, cause))
 }
 
 func readBody(r io.Reader) ([]byte, error) {
--- a/platform/restclient/client.go
+++ b/storage/restclient/client.go
@@ -5,12 +5,12 @@
 	"strings"
 	"time"
 
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 var (
-	_ platform.Table    = (*Client)(nil)
-	_ platform.HostList = (*Client)(nil)
+	_ storage.Table    = (*Client)(nil)
+	_ storage.HostList = (*Client)(nil)
 )
 
 // Client calls the platform's services. It is safe for concurrent use. It is
--- a/platform/restclient/client_test.go
+++ b/storage/restclient/client_test.go
@@ -14,8 +14,8 @@
 	"go.uber.org/goleak"
 
 	standinplatform "github.com/cornelyard/cornelyard/internal/standin/platform"
-	"github.com/cornelyard/cornelyard/platform"
-	"github.com/cornelyard/cornelyard/platform/restclient"
+	"github.com/cornelyard/cornelyard/storage"
+	"github.com/cornelyard/cornelyard/storage/restclient"
 )
 
 const shortTimeout = 200 * time.Millisecond
@@ -32,10 +32,10 @@
 	return services, client
 }
 
-func put(key, value string, revision uint64) platform.Transaction {
-	return platform.Transaction{
-		Checks: []platform.Check{{Key: key, Revision: revision}},
-		Puts:   []platform.Put{{Key: key, Value: []byte(value)}},
+func put(key, value string, revision uint64) storage.Transaction {
+	return storage.Transaction{
+		Checks: []storage.Check{{Key: key, Revision: revision}},
+		Puts:   []storage.Put{{Key: key, Value: []byte(value)}},
 	}
 }
 
@@ -47,17 +47,17 @@
 		t.Fatal(err)
 	}
 	_, err = client.Commit(ctx, put("a/1", "two", 0))
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if !errors.As(err, &conflict) {
 		t.Fatalf("a failed check gave %v", err)
 	}
 	if row := conflict.Rows[0]; row.Revision != revision || string(row.Value) != "one" {
 		t.Fatalf("the conflict shows %+v", row)
 	}
-	if _, err := client.Commit(ctx, platform.Transaction{Deletes: []string{"a/1"}}); err != nil {
+	if _, err := client.Commit(ctx, storage.Transaction{Deletes: []string{"a/1"}}); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := client.Get(ctx, "a/1"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := client.Get(ctx, "a/1"); !errors.Is(err, storage.ErrNotFound) {
 		t.Fatalf("a deleted row gave %v", err)
 	}
 }
@@ -97,7 +97,7 @@
 			t.Fatal(err)
 		}
 	}
-	if _, err := objects.Get(ctx, "answers/1"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := objects.Get(ctx, "answers/1"); !errors.Is(err, storage.ErrNotFound) {
 		t.Fatalf("a deleted object gave %v", err)
 	}
 }
@@ -109,10 +109,10 @@
 		want    error
 		applied bool
 	}{
-		{"outage", standinplatform.Faults{Outage: true}, platform.ErrUnavailable, false},
-		{"hang", standinplatform.Faults{Hang: true}, platform.ErrUnclear, false},
-		{"lost request", standinplatform.Faults{LostRequests: 1}, platform.ErrUnclear, false},
-		{"lost confirmation", standinplatform.Faults{LostConfirmations: 1}, platform.ErrUnclear, true},
+		{"outage", standinplatform.Faults{Outage: true}, storage.ErrUnavailable, false},
+		{"hang", standinplatform.Faults{Hang: true}, storage.ErrUnclear, false},
+		{"lost request", standinplatform.Faults{LostRequests: 1}, storage.ErrUnclear, false},
+		{"lost confirmation", standinplatform.Faults{LostConfirmations: 1}, storage.ErrUnclear, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -137,7 +137,7 @@
 func TestReadFaultsAreUnavailable(t *testing.T) {
 	services, client := start(t)
 	services.SetFaults(standinplatform.Faults{Outage: true})
-	if _, err := client.Get(context.Background(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := client.Get(context.Background(), "k"); !errors.Is(err, storage.ErrUnavailable) {
 		t.Fatalf("got %v", err)
 	}
 }
@@ -150,7 +150,7 @@
 	address := listener.Addr().String()
 	_ = listener.Close()
 	client := restclient.New(restclient.Options{BaseURL: "http://" + address})
-	if _, err := client.Commit(context.Background(), put("k", "v", 0)); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := client.Commit(context.Background(), put("k", "v", 0)); !errors.Is(err, storage.ErrUnavailable) {
 		t.Fatalf("got %v", err)
 	}
 }
@@ -162,7 +162,7 @@
 	defer server.Close()
 	client := restclient.New(restclient.Options{BaseURL: server.URL})
 	defer client.CloseIdleConnections()
-	if _, err := client.Commit(context.Background(), put("k", "v", 0)); !errors.Is(err, platform.ErrUnclear) {
+	if _, err := client.Commit(context.Background(), put("k", "v", 0)); !errors.Is(err, storage.ErrUnclear) {
 		t.Fatalf("got %v", err)
 	}
 }
@@ -213,7 +213,7 @@
 	if _, err := client.Commit(ctx, put("k", "v", 0)); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := client.Commit(ctx, put("k", "v", 1)); !errors.Is(err, platform.ErrUnclear) {
+	if _, err := client.Commit(ctx, put("k", "v", 1)); !errors.Is(err, storage.ErrUnclear) {
 		t.Fatalf("the cut write gave %v", err)
 	}
 	if got := received.Load(); got != 2 {
--- a/platform/restclient/doc.go
+++ b/storage/restclient/doc.go
@@ -2,5 +2,5 @@
 // package restapi lays down.
 //
 // A Client sends each call once. Callers may repeat reads; a write that ended
-// with platform.ErrUnclear must be read back first.
+// with storage.ErrUnclear must be read back first.
 package restclient
--- a/platform/restclient/objects.go
+++ b/storage/restclient/objects.go
@@ -5,23 +5,23 @@
 	"net/http"
 	"net/url"
 
-	"github.com/cornelyard/cornelyard/platform"
-	"github.com/cornelyard/cornelyard/platform/restapi"
+	"github.com/cornelyard/cornelyard/storage"
+	"github.com/cornelyard/cornelyard/storage/restapi"
 )
 
-// Objects implements platform.Objects over the connections of a Client.
+// Objects implements storage.Objects over the connections of a Client.
 type Objects struct {
 	client *Client
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ storage.Objects = (*Objects)(nil)
 
 // Objects returns the object store.
 func (c *Client) Objects() *Objects {
 	return &Objects{client: c}
 }
 
-// Put implements platform.Objects.
+// Put implements storage.Objects.
 func (o *Objects) Put(ctx context.Context, name string, data []byte) error {
 	return o.client.write(ctx, call{
 		method: http.MethodPut,
@@ -32,7 +32,7 @@
 	})
 }
 
-// Delete implements platform.Objects.
+// Delete implements storage.Objects.
 func (o *Objects) Delete(ctx context.Context, name string) error {
 	return o.client.write(ctx, call{
 		method: http.MethodDelete,
@@ -42,7 +42,7 @@
 	})
 }
 
-// Get implements platform.Objects.
+// Get implements storage.Objects.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
 	call := call{
 		method: http.MethodGet,
@@ -57,7 +57,7 @@
 	case http.StatusOK:
 		return reply.body, nil
 	case http.StatusNotFound:
-		return nil, platform.ErrNotFound
+		return nil, storage.ErrNotFound
 	default:
 		return nil, call.unexpected(reply.status)
 	}
--- a/platform/restclient/table.go
+++ b/storage/restclient/table.go
@@ -7,24 +7,24 @@
 	"net/url"
 	"strconv"
 
-	"github.com/cornelyard/cornelyard/platform"
-	"github.com/cornelyard/cornelyard/platform/restapi"
+	"github.com/cornelyard/cornelyard/storage"
+	"github.com/cornelyard/cornelyard/storage/restapi"
 )
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (c *Client) Get(ctx context.Context, key string) (storage.Row, error) {
 	call := call{
 		method: http.MethodGet,
 		path:   restapi.RowPath,
 		query:  url.Values{restapi.KeyParam: {key}},
 	}
-	var row platform.Row
+	var row storage.Row
 	err := c.read(ctx, call, &row)
 	return row, err
 }
 
-// Scan implements platform.Table.
-func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements storage.Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	call := call{
 		method: http.MethodGet,
 		path:   restapi.RowsPath,
@@ -39,11 +39,11 @@
 	return rows.Rows, err
 }
 
-// Commit implements platform.Table.
-func (c *Client) Commit(ctx context.Context, t platform.Transaction) (uint64, error) {
+// Commit implements storage.Table.
+func (c *Client) Commit(ctx context.Context, t storage.Transaction) (uint64, error) {
 	body, err := json.Marshal(t)
 	if err != nil {
-		return 0, platform.Error.Wrap(err)
+		return 0, storage.Error.Wrap(err)
 	}
 	call := call{method: http.MethodPost, path: restapi.TransactionsPath, body: body, write: true}
 	reply, err := c.do(ctx, call)
@@ -65,7 +65,7 @@
 func (c call) committed(body []byte) (uint64, error) {
 	var committed restapi.Committed
 	if err := json.Unmarshal(body, &committed); err != nil {
-		return 0, wrap(platform.ErrUnclear, err)
+		return 0, wrap(storage.ErrUnclear, err)
 	}
 	return committed.Revision, nil
 }
@@ -73,9 +73,9 @@
 func (c call) conflict(body []byte) error {
 	var rows restapi.Rows
 	if err := json.Unmarshal(body, &rows); err != nil {
-		return wrap(platform.ErrUnclear, err)
+		return wrap(storage.ErrUnclear, err)
 	}
-	return &platform.ConflictError{Rows: rows.Rows}
+	return &storage.ConflictError{Rows: rows.Rows}
 }
 
 // read makes a call that changes nothing and decodes its reply into result.
@@ -85,13 +85,13 @@
 		return err
 	}
 	if reply.status == http.StatusNotFound {
-		return platform.ErrNotFound
+		return storage.ErrNotFound
 	}
 	if reply.status != http.StatusOK {
 		return call.unexpected(reply.status)
 	}
 	if err := json.Unmarshal(reply.body, result); err != nil {
-		return wrap(platform.ErrUnavailable, err)
+		return wrap(storage.ErrUnavailable, err)
 	}
 	return nil
 }
--- a/platform/row.go
+++ b/storage/row.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 // Row is one row of the table.
 type Row struct {
--- a/platform/transaction.go
+++ b/storage/transaction.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 // Check is a precondition on one row.
 type Check struct {
--- a/test/leaving_target_test.go
+++ b/test/leaving_target_test.go
@@ -11,7 +11,7 @@
 	"github.com/cornelyard/cornelyard/internal/standin/engine"
 	"github.com/cornelyard/cornelyard/internal/standin/faultproxy"
 	"github.com/cornelyard/cornelyard/internal/testbed"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -41,7 +41,7 @@
 	entries := cluster.HostEntries()
 	for i := range entries {
 		if entries[i].Name == string(leavingName) {
-			entries[i].State = platform.HostLeaving
+			entries[i].State = storage.HostLeaving
 		}
 	}
 	if err := cluster.Platform.SetHosts(entries); err != nil {
