Finish the rename of the store's interfaces

Change: the fields have their name back; imports are sorted again. Check: go vet ./... and the tests of settings, pool, membership, operator and entry pass.

--- a/dev/system.go
+++ b/dev/system.go
@@ -14,8 +14,8 @@
 	"github.com/cornelyard/cornelyard/daemon"
 	"github.com/cornelyard/cornelyard/ident"
 	standinplatform "github.com/cornelyard/cornelyard/internal/standin/platform"
-	"github.com/cornelyard/cornelyard/storage/restclient"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage/restclient"
 )
 
 // Error is the class of all errors of this package.
--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -15,8 +15,8 @@
 	"github.com/cornelyard/cornelyard/claim"
 	standin "github.com/cornelyard/cornelyard/internal/standin/platform"
 	"github.com/cornelyard/cornelyard/outcome"
-	"github.com/cornelyard/cornelyard/storage/restclient"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage/restclient"
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
--- a/internal/operatortest/system.go
+++ b/internal/operatortest/system.go
@@ -13,9 +13,9 @@
 	standin "github.com/cornelyard/cornelyard/internal/standin/platform"
 	"github.com/cornelyard/cornelyard/membership"
 	"github.com/cornelyard/cornelyard/operator"
-	"github.com/cornelyard/cornelyard/storage/restclient"
 	"github.com/cornelyard/cornelyard/pool"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage/restclient"
 	"github.com/cornelyard/cornelyard/timeline"
 	"github.com/cornelyard/cornelyard/usage"
 )
--- a/internal/testbed/hosts.go
+++ b/internal/testbed/hosts.go
@@ -6,8 +6,8 @@
 	"strings"
 
 	"github.com/cornelyard/cornelyard/config"
-	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // peerKey is the key of every host, 32 bytes in hex.
--- a/internal/testbed/standins.go
+++ b/internal/testbed/standins.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
-	"github.com/cornelyard/cornelyard/storage/restclient"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage/restclient"
 )
 
 // startLimit bounds the start of one stand-in.
--- a/membership/tracker_test.go
+++ b/membership/tracker_test.go
@@ -11,8 +11,8 @@
 	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
-	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
--- a/operator/documents.go
+++ b/operator/documents.go
@@ -8,8 +8,8 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/cornelyard/cornelyard/operator/api"
-	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // documents gives one version of the declarations. While the platform is down
--- a/operator/error_handler.go
+++ b/operator/error_handler.go
@@ -10,8 +10,8 @@
 
 	"github.com/cornelyard/cornelyard/finding"
 	"github.com/cornelyard/cornelyard/operator/api"
-	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // retryAfterSeconds is when a request that found the platform down may come
--- a/pool/build_config.go
+++ b/pool/build_config.go
@@ -6,8 +6,8 @@
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/membership"
-	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // buildConfig gathers what the scheduler of a pool has to know.
--- a/pool/fake_system_test.go
+++ b/pool/fake_system_test.go
@@ -15,8 +15,8 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/membership"
 	"github.com/cornelyard/cornelyard/peer"
-	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/timeline"
 	"github.com/cornelyard/cornelyard/usage"
 )
@@ -51,7 +51,7 @@
 type noHosts struct{}
 
 func (noHosts) Entries() []storage.HostEntry { return nil }
-func (noHosts) Changed() <-chan struct{}      { return nil }
+func (noHosts) Changed() <-chan struct{}     { return nil }
 
 type noLoads struct{}
 
--- a/pool/owner_options.go
+++ b/pool/owner_options.go
@@ -9,8 +9,8 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/membership"
 	"github.com/cornelyard/cornelyard/peer"
-	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/timeline"
 	"github.com/cornelyard/cornelyard/usage"
 )
--- a/settings/store_test.go
+++ b/settings/store_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/cornelyard/cornelyard/finding"
 	standin "github.com/cornelyard/cornelyard/internal/standin/platform"
-	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 func TestEachAcceptedChangeIsAVersion(t *testing.T) {
@@ -270,9 +270,9 @@
 }
 
 func (o *outageTable) Commit(ctx context.Context, t storage.Transaction) (uint64, error) {
-	o.storage.SetFaults(standin.Faults{LostConfirmations: 1})
+	o.platform.SetFaults(standin.Faults{LostConfirmations: 1})
 	revision, err := o.Table.Commit(ctx, t)
-	o.storage.SetFaults(standin.Faults{Outage: true})
+	o.platform.SetFaults(standin.Faults{Outage: true})
 	return revision, err
 }
 
--- a/settings/testkit_test.go
+++ b/settings/testkit_test.go
@@ -10,8 +10,8 @@
 	"go.uber.org/goleak"
 
 	standin "github.com/cornelyard/cornelyard/internal/standin/platform"
-	"github.com/cornelyard/cornelyard/storage/restclient"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage/restclient"
 )
 
 // patience bounds every wait of these tests.
--- a/settings/watcher_test.go
+++ b/settings/watcher_test.go
@@ -89,7 +89,7 @@
 	store := settings.NewStore(settings.StoreOptions{Table: s.table(), Watcher: old})
 	s.apply(store, firstChange())
 	s.apply(store, change("tiers/gold.json", tierBody("9s")))
-	s.storage.SetFaults(standin.Faults{Outage: true})
+	s.platform.SetFaults(standin.Faults{Outage: true})
 
 	young := s.watcher(func(_ context.Context, have uint64) ([]byte, error) { return old.Export(have) })
 	s.run(young)
@@ -97,7 +97,7 @@
 	if young.Current().Tiers["gold"].DefaultDeadline.Std() != 9*time.Second {
 		t.Error("the peer's declaration is not in force")
 	}
-	s.storage.SetFaults(standin.Faults{})
+	s.platform.SetFaults(standin.Faults{})
 	s.apply(s.store(), change("tiers/gold.json", tierBody("8s")))
 	waitFor(t, "the version after the outage", func() bool { return young.Version() == 3 })
 }
@@ -105,7 +105,7 @@
 func TestWithNeitherPlatformNorPeersAHostIsNotReady(t *testing.T) {
 	s := newSite(t)
 	s.apply(s.store(), firstChange())
-	s.storage.SetFaults(standin.Faults{Outage: true})
+	s.platform.SetFaults(standin.Faults{Outage: true})
 	w := s.watcher(func(context.Context, uint64) ([]byte, error) { return nil, settings.Error.New("no peer answers") })
 	s.run(w)
 	waitFor(t, "the reason", func() bool {
@@ -129,7 +129,7 @@
 	s.run(behind)
 	waitFor(t, "version 1", func() bool { return behind.Version() == 1 })
 	s.apply(store, change("tiers/gold.json", tierBody("9s")))
-	s.storage.SetFaults(standin.Faults{Outage: true})
+	s.platform.SetFaults(standin.Faults{Outage: true})
 	behind.Nudge(2)
 	waitFor(t, "version 2", func() bool { return behind.Version() == 2 })
 }
@@ -173,7 +173,7 @@
 	w := settings.NewWatcher(settings.WatcherOptions{Table: s.table(), Interval: interval, HeadTimeout: 20 * time.Millisecond})
 	store := settings.NewStore(settings.StoreOptions{Table: s.table(), Watcher: w})
 	s.apply(store, firstChange())
-	s.storage.SetFaults(standin.Faults{DelayMs: 100})
+	s.platform.SetFaults(standin.Faults{DelayMs: 100})
 	s.run(w)
 	s.apply(s.store(), change("tiers/gold.json", tierBody("9s")))
 	waitFor(t, "version 2", func() bool { return w.Version() == 2 })
@@ -215,8 +215,8 @@
 		t.Fatal(err)
 	}
 	empty.run(lost)
-	reads := empty.storage.Counts().Reads
-	waitFor(t, "some reads of the empty platform", func() bool { return empty.storage.Counts().Reads > reads+3 })
+	reads := empty.platform.Counts().Reads
+	waitFor(t, "some reads of the empty platform", func() bool { return empty.platform.Counts().Reads > reads+3 })
 	if lost.Version() != 2 {
 		t.Errorf("version %d", lost.Version())
 	}
--- a/test/leaving_target_test.go
+++ b/test/leaving_target_test.go
@@ -11,8 +11,8 @@
 	"github.com/cornelyard/cornelyard/internal/standin/engine"
 	"github.com/cornelyard/cornelyard/internal/standin/faultproxy"
 	"github.com/cornelyard/cornelyard/internal/testbed"
-	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/storage"
 )
 
 // leavingLimit is how long a leaving target may still get new work, by the
