Add the parts that the users' platform needs and the product lacked

Cause: on the platform requests are routed by host name and path, belong to teams with quotas in tokens, and run on targets that many hosts use at once. Ruled out: one owner for each pool, as in pool: its silence stalls the requests of all hosts for the time to notice it, longer than most objectives (150 to 600 ms). Check: go test of the packages; schedule has no tests yet.

--- /dev/null
+++ b/quota/account.go
@@ -0,0 +1,121 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/route"
+)
+
+// account is what one team uses over all hosts.
+type account struct {
+	limits Limits
+	quota  route.Quota
+	// before is the most that could be used in a window before the quota changed
+	// at changed.
+	before  float64
+	changed time.Time
+
+	window *window
+	at     time.Time
+	// used is what this host let through since its start.
+	used float64
+	// heard is what each other host said it had let through, and assumed what was
+	// counted for it since it fell silent.
+	heard   map[ident.Host]float64
+	assumed map[ident.Host]float64
+}
+
+// newAccount returns the account of a team. What was used before this host started
+// is not known; it is assumed that the team used all it could, evenly.
+func newAccount(started, now time.Time, l Limits, q route.Quota) *account {
+	a := &account{
+		limits:  l,
+		quota:   q,
+		at:      now,
+		heard:   make(map[ident.Host]float64),
+		assumed: make(map[ident.Host]float64),
+	}
+	a.window = newWindow(started, l.Window, a.most(q))
+	a.window.advance(now)
+	return a
+}
+
+// most returns what a quota allows in one window.
+func (a *account) most(q route.Quota) float64 {
+	quota := q.PerSecond*a.limits.Window.Seconds() + q.Burst
+	return quota*(1+a.limits.Overage) + allowanceShare*a.limits.Allowance
+}
+
+// limit returns what may be used in the window that ends now. After a change of
+// the quota it goes over from the old limit to the new one within a window, since
+// what was used before was allowed then.
+func (a *account) limit(now time.Time) float64 {
+	target := a.most(a.quota)
+	rest := 1 - now.Sub(a.changed).Seconds()/a.limits.Window.Seconds()
+	if rest <= 0 || a.before <= target {
+		return target
+	}
+	return target + rest*(a.before-target)
+}
+
+func (a *account) requota(now time.Time, q route.Quota) {
+	a.before = a.limit(now)
+	a.changed = now
+	a.quota = q
+}
+
+// advance brings the account up to now. The silent hosts' shares are counted as
+// used.
+func (a *account) advance(now time.Time, silent []ident.Host, hosts int) {
+	elapsed := now.Sub(a.at).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	a.at = now
+	a.window.advance(now)
+	share := elapsed * a.most(a.quota) / a.limits.Window.Seconds() / float64(max(hosts, 1))
+	for _, host := range silent {
+		a.assumed[host] += share
+		a.window.add(share)
+	}
+}
+
+// hear takes in what another host has let through in all. What was counted for it
+// while it was silent counts towards it.
+func (a *account) hear(host ident.Host, used float64) {
+	before, known := a.heard[host]
+	a.heard[host] = used
+	if !known {
+		// How long ago it let that through is not known; it is part of what was
+		// assumed at the start.
+		return
+	}
+	more := used - before
+	if more < 0 {
+		// The host started again and counts from zero.
+		more = used
+	}
+	a.window.add(max(0, more-a.assumed[host]))
+	delete(a.assumed, host)
+}
+
+// take lets a request through if its cost fits in the window.
+func (a *account) take(now time.Time, cost float64) bool {
+	if a.window.sum+cost > a.limit(now) {
+		return false
+	}
+	a.window.add(cost)
+	a.used += cost
+	return true
+}
+
+func (a *account) giveBack(cost float64) {
+	a.window.add(-cost)
+	a.used -= cost
+}
+
+// wait returns how long it takes until a request of that cost fits.
+func (a *account) wait(now time.Time, cost float64) time.Duration {
+	return a.window.until(a.window.sum + cost - a.limit(now))
+}
--- /dev/null
+++ b/quota/ledger.go
@@ -0,0 +1,131 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/route"
+)
+
+// silence is how long a host may not be heard before its use is assumed.
+const silence = 600 * time.Millisecond
+
+// Ledger keeps the accounts of all teams on one host. It is safe for concurrent
+// use.
+type Ledger struct {
+	limits  Limits
+	started time.Time
+
+	mu       sync.Mutex
+	accounts map[ident.Team]*account
+	// lastHeard tells when each other host was heard last.
+	lastHeard map[ident.Host]time.Time
+	silent    []ident.Host
+}
+
+// NewLedger returns a ledger without accounts, for a host that starts now.
+func NewLedger(now time.Time, l Limits) *Ledger {
+	return &Ledger{
+		limits:    l,
+		started:   now,
+		accounts:  make(map[ident.Team]*account),
+		lastHeard: make(map[ident.Host]time.Time),
+	}
+}
+
+// Members tells which other hosts there are.
+func (l *Ledger) Members(now time.Time, others []ident.Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := make(map[ident.Host]time.Time, len(others))
+	for _, host := range others {
+		at, ok := l.lastHeard[host]
+		if !ok {
+			at = now
+		}
+		known[host] = at
+	}
+	l.lastHeard = known
+	l.settle(now)
+}
+
+// settle brings all buckets up to now and finds the silent hosts.
+func (l *Ledger) settle(now time.Time) {
+	for _, a := range l.accounts {
+		a.advance(now, l.silent, l.hosts())
+	}
+	l.silent = l.silent[:0]
+	for host, at := range l.lastHeard {
+		if now.Sub(at) > silence {
+			l.silent = append(l.silent, host)
+		}
+	}
+}
+
+func (l *Ledger) hosts() int { return len(l.lastHeard) + 1 }
+
+// Hear takes in what another host has let through in all, by team.
+func (l *Ledger) Hear(now time.Time, host ident.Host, used map[ident.Team]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(now)
+	l.lastHeard[host] = now
+	for team, amount := range used {
+		if a := l.accounts[team]; a != nil {
+			a.hear(host, amount)
+		}
+	}
+}
+
+// Used returns what this host has let through in all, by team.
+func (l *Ledger) Used() map[ident.Team]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	used := make(map[ident.Team]float64, len(l.accounts))
+	for team, a := range l.accounts {
+		used[team] = a.used
+	}
+	return used
+}
+
+// Take lets a request through, or tells how long the team has to wait.
+func (l *Ledger) Take(now time.Time, team *route.Team, cost float64) (bool, time.Duration) {
+	if !team.Quota.Limited() {
+		return true, 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(now, team)
+	l.settle(now)
+	if a.take(now, cost) {
+		return true, 0
+	}
+	return false, a.wait(now, cost)
+}
+
+// GiveBack returns what a request took that did not run.
+func (l *Ledger) GiveBack(team *route.Team, cost float64) {
+	if !team.Quota.Limited() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.accounts[team.Name]; a != nil {
+		a.giveBack(cost)
+	}
+}
+
+// account returns the team's account, under the limits of its newest
+// configuration.
+func (l *Ledger) account(now time.Time, team *route.Team) *account {
+	a := l.accounts[team.Name]
+	if a == nil {
+		a = newAccount(l.started, now, l.limits, team.Quota)
+		l.accounts[team.Name] = a
+	}
+	if a.quota != team.Quota {
+		a.requota(now, team.Quota)
+	}
+	return a
+}
--- /dev/null
+++ b/quota/ledger_test.go
@@ -0,0 +1,198 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/route"
+)
+
+var (
+	start  = time.Unix(1_000_000, 0)
+	limits = Limits{Window: 8 * time.Second, Overage: 0.1, Allowance: 1000}
+)
+
+// warm is the age at which a ledger knows its whole window.
+const warm = 10 * time.Second
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+func newLedger() *Ledger { return NewLedger(start.Add(-warm), limits) }
+
+func team(rate, burst float64) *route.Team {
+	return &route.Team{Name: "acme", Quota: route.Quota{PerSecond: rate, Burst: burst, InTokens: true}}
+}
+
+// bound is what the platform allows in any window.
+func bound(rate, burst float64) float64 {
+	return (rate*limits.Window.Seconds()+burst)*(1+limits.Overage) + limits.Allowance
+}
+
+// use is one request that was let through.
+type use struct {
+	at     time.Duration
+	amount float64
+}
+
+// spend asks a ledger for 10 tokens every step and returns what it let through.
+func spend(l *Ledger, team *route.Team, from, to, step time.Duration) []use {
+	var uses []use
+	for at := from; at < to; at += step {
+		if ok, _ := l.Take(after(at), team, 10); ok {
+			uses = append(uses, use{at, 10})
+		}
+	}
+	return uses
+}
+
+func sum(uses []use) float64 {
+	total := 0.0
+	for _, u := range uses {
+		total += u.amount
+	}
+	return total
+}
+
+// most returns the largest use within any window. The uses are in order.
+func most(uses []use) float64 {
+	largest, within, first := 0.0, 0.0, 0
+	for _, u := range uses {
+		within += u.amount
+		for u.at-uses[first].at > limits.Window {
+			within -= uses[first].amount
+			first++
+		}
+		largest = max(largest, within)
+	}
+	return largest
+}
+
+func TestOneHostKeepsTheBoundInEveryWindow(t *testing.T) {
+	uses := spend(newLedger(), team(1000, 500), 0, 40*time.Second, time.Millisecond)
+	if got, limit := most(uses), bound(1000, 500); got > limit {
+		t.Errorf("a window holds %v, more than %v", got, limit)
+	}
+	if got := sum(uses); got < 40*1000 {
+		t.Errorf("in 40 s only %v of the quota of %v could be used", got, 40*1000)
+	}
+}
+
+// share plays so long of three hosts that tell each other every 50 ms what they
+// let through. Two of them are asked for 10 tokens every step. It returns what was
+// asked for and let through.
+func share(length time.Duration, steps [2]time.Duration) (asked float64, uses []use) {
+	const round = 50 * time.Millisecond
+	hosts := map[ident.Host]*Ledger{"a": newLedger(), "b": newLedger(), "c": newLedger()}
+	for name, l := range hosts {
+		l.Members(start, others(hosts, name))
+	}
+	for at := time.Duration(0); at < length; at += round {
+		for i, name := range []ident.Host{"a", "b"} {
+			asked += 10 * float64(round/steps[i])
+			uses = append(uses, spend(hosts[name], team(1000, 500), at, at+round, steps[i])...)
+		}
+		for name, l := range hosts {
+			for _, other := range others(hosts, name) {
+				l.Hear(after(at+round), other, hosts[other].Used())
+			}
+		}
+	}
+	return asked, uses
+}
+
+func others(hosts map[ident.Host]*Ledger, name ident.Host) []ident.Host {
+	var list []ident.Host
+	for other := range hosts {
+		if other != name {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
+func TestHostsThatTalkShareOneBound(t *testing.T) {
+	_, uses := share(30*time.Second, [2]time.Duration{time.Millisecond, 10 * time.Millisecond})
+	if got, limit := most(uses), bound(1000, 500); got > limit {
+		t.Errorf("a window holds %v over all hosts, more than %v", got, limit)
+	}
+	if got := sum(uses); got < 30*1000 {
+		t.Errorf("in 30 s only %v of the quota of %v could be used", got, 30*1000)
+	}
+}
+
+func TestNothingBelowTheQuotaIsRefusedWhereverItArrives(t *testing.T) {
+	asked, uses := share(30*time.Second, [2]time.Duration{12500 * time.Microsecond, 50 * time.Millisecond})
+	if got := sum(uses); got != asked {
+		t.Errorf("of %v tokens, fewer than the quota, only %v got through", asked, got)
+	}
+}
+
+func TestHostsThatCannotTalkStayWithinTheBoundTogether(t *testing.T) {
+	names := []ident.Host{"a", "b", "c", "d"}
+	total := 0.0
+	for i, name := range names {
+		l := newLedger()
+		var rest []ident.Host
+		rest = append(append(rest, names[:i]...), names[i+1:]...)
+		l.Members(start, rest)
+		spend(l, team(1000, 500), 0, 20*time.Second, time.Millisecond)
+		own := most(spend(l, team(1000, 500), 20*time.Second, 40*time.Second, time.Millisecond))
+		if own < bound(1000, 500)/8 {
+			t.Errorf("%s alone lets only %v through in a window", name, own)
+		}
+		total += own
+	}
+	if limit := bound(1000, 500); total > limit {
+		t.Errorf("together they let %v through in a window, more than %v", total, limit)
+	}
+}
+
+func TestHostThatStartsTakesThePastForUsed(t *testing.T) {
+	l := NewLedger(start, limits)
+	uses := spend(l, team(1000, 500), 0, 8*time.Second, time.Millisecond)
+	if got, limit := most(uses[:len(uses)/4]), bound(1000, 500)/3; got > limit {
+		t.Errorf("the first quarter of what it let through is %v, more than %v", got, limit)
+	}
+	if got := sum(uses); got > bound(1000, 500) {
+		t.Errorf("in its first window it let %v through", got)
+	}
+	if got := sum(uses); got < 8*1000 {
+		t.Errorf("in its first window it let only %v through", got)
+	}
+}
+
+func TestWhatDidNotRunIsGivenBack(t *testing.T) {
+	l := newLedger()
+	acme := team(100, 100)
+	large := bound(100, 100) / 2
+	if ok, _ := l.Take(start, acme, large); !ok {
+		t.Fatal("the first request was refused")
+	}
+	if ok, wait := l.Take(start, acme, large); ok || wait <= 0 || wait > 9*time.Second {
+		t.Fatalf("the second was let through, or told to come back after %v", wait)
+	}
+	l.GiveBack(acme, large)
+	if ok, _ := l.Take(start, acme, large); !ok {
+		t.Error("what was given back cannot be used")
+	}
+}
+
+func TestLowerLimitHoldsAfterOneWindow(t *testing.T) {
+	l := newLedger()
+	spend(l, team(1000, 1000), 0, 10*time.Second, time.Millisecond)
+	lower := team(100, 100)
+	uses := spend(l, lower, 10*time.Second, 30*time.Second, time.Millisecond)
+	var bound18 []use
+	for _, u := range uses {
+		if u.at >= 18*time.Second {
+			bound18 = append(bound18, u)
+		}
+	}
+	if got, limit := most(bound18), bound(100, 100); got > limit {
+		t.Errorf("under the lower limit a window holds %v, more than %v", got, limit)
+	}
+	if got := sum(uses[:min(len(uses), 10)]); got < 100 {
+		t.Errorf("right after the change nothing gets through")
+	}
+}
--- /dev/null
+++ b/route/kind.go
@@ -0,0 +1,26 @@
+package route
+
+// Kind tells how often a request may run.
+type Kind int
+
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota
+	// NonIdempotent requests may run at most once.
+	NonIdempotent
+	// Stream requests are answered by server-sent events. Like non-idempotent
+	// ones they run at most once, unless the route says that they can be resumed.
+	Stream
+)
+
+// String returns the kind's name for logs.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case NonIdempotent:
+		return "non-idempotent"
+	default:
+		return "stream"
+	}
+}
--- /dev/null
+++ b/route/pool.go
@@ -0,0 +1,13 @@
+package route
+
+import "github.com/cornelyard/cornelyard/ident"
+
+// Pool describes the targets of one service.
+type Pool struct {
+	Name ident.Pool
+	// MaxConnections bounds the connections that one target accepts from all
+	// hosts together; zero means no limit.
+	MaxConnections int
+	// Engine is set if the targets are model engines.
+	Engine *Engine
+}
--- /dev/null
+++ b/schedule/place.go
@@ -0,0 +1,162 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+const (
+	// distancePenalty is what a target in another data centre costs, in seconds.
+	distancePenalty = 0.003
+	// yieldLimit bounds how long free slots are left to other hosts' requests.
+	yieldLimit = 15 * time.Millisecond
+	// kvReserve is the part of the KV cache that is kept free for answers that
+	// grow longer than expected.
+	kvReserve = 0.08
+	// maxPassed bounds the requests that are passed over in one decision because
+	// no usable target suits them.
+	maxPassed = 8
+)
+
+// place sends queued requests to free slots, in order.
+func (s *Scheduler) place(now time.Time, p *pool, actions []Action) []Action {
+	targets := p.usable(now)
+	free := freeSlots(now, targets)
+	passed := 0
+	for i := 0; i < len(p.queue.items) && free > 0 && passed < maxPassed; {
+		w := p.queue.items[i]
+		if s.yields(now, p, w, free) {
+			break
+		}
+		t := s.choose(now, p, w.request, targets)
+		if t == nil {
+			passed++
+			i++
+			continue
+		}
+		p.queue.items = slices.Delete(p.queue.items, i, i+1)
+		actions = append(actions, s.dispatch(now, p, w, t))
+		free--
+		if t.health.probation {
+			targets = slices.DeleteFunc(targets, func(other *target) bool { return other == t })
+			free = freeSlots(now, targets)
+		}
+	}
+	return actions
+}
+
+// yields says whether the free slots are left to other hosts, because their
+// requests come first. Hosts that do not use them are not waited for long.
+func (s *Scheduler) yields(now time.Time, p *pool, w *waiting, free int) bool {
+	if s.peersAhead(now, p.name, w) < free {
+		p.yieldSince = time.Time{}
+		return false
+	}
+	if p.yieldSince.IsZero() {
+		p.yieldSince = now
+	}
+	return now.Sub(p.yieldSince) < yieldLimit
+}
+
+// choose returns the target with a free slot where the request costs least, or
+// nil.
+func (s *Scheduler) choose(now time.Time, p *pool, r *Request, targets []*target) *target {
+	var best *target
+	bestCost := 0.0
+	for _, t := range targets {
+		if t.free(now) <= 0 || avoids(r, t.Name) || !p.fits(r, t) {
+			continue
+		}
+		cost := s.cost(now, p, r, t)
+		if best == nil || cost < bestCost {
+			best, bestCost = t, cost
+		}
+	}
+	return best
+}
+
+// fits says whether the KV cache of the target has room for the request. One that
+// fits nowhere is sent to an idle target, which then decides.
+func (p *pool) fits(r *Request, t *target) bool {
+	if p.engine == nil || p.engine.KVTokens == 0 {
+		return true
+	}
+	used := t.kv + t.others.KVTokens
+	room := float64(p.engine.KVTokens) * (1 - kvReserve)
+	return used == 0 || float64(used+r.PromptTokens+r.OutputTokens) <= room
+}
+
+// cost predicts what a request costs on a target, in seconds: the time that it
+// takes there, and the time that its prompt takes from the requests beside it.
+func (s *Scheduler) cost(now time.Time, p *pool, r *Request, t *target) float64 {
+	cost := 0.0
+	if t.DataCentre != s.dataCentre {
+		cost += distancePenalty
+	}
+	if p.engine == nil {
+		return cost + p.service*float64(t.busy(now))/float64(max(t.Slots, 1))
+	}
+	speed := p.speed(t)
+	prefill := float64(s.prefixes.uncached(now, r, t.Name)) / p.prefillRate / speed
+	ahead := float64(t.prefill+t.others.PrefillTokens) / p.prefillRate / speed
+	decode := float64(r.OutputTokens) * p.tokenTime / speed
+	beside := float64(t.busy(now))
+	return cost + ahead + prefill*(1+beside) + decode
+}
+
+// dispatch takes a slot for the request.
+func (s *Scheduler) dispatch(now time.Time, p *pool, w *waiting, t *target) Action {
+	r := w.request
+	prefill := 0
+	if p.engine != nil {
+		prefill = s.prefixes.uncached(now, r, t.Name)
+	}
+	run := &running{
+		request: r,
+		target:  t,
+		since:   now,
+		prefill: prefill,
+		ahead:   t.prefill + t.others.PrefillTokens + prefill,
+		kv:      r.PromptTokens + r.OutputTokens,
+	}
+	t.running++
+	t.prefill += run.prefill
+	t.kv += run.kv
+	t.health.dispatched()
+	s.running[r.ID] = run
+	delete(s.queued, r.ID)
+	s.notePlacement(now, r, t.Name)
+	p.yieldSince = time.Time{}
+	return &Dispatch{Request: r.ID, Target: t.Target, Queued: now.Sub(r.Arrived)}
+}
+
+// notePlacement remembers where the prompt is computed, and tells the others of
+// its last part, which names a session.
+func (s *Scheduler) notePlacement(now time.Time, r *Request, target ident.Target) {
+	if len(r.Parts) == 0 {
+		return
+	}
+	for _, part := range r.Parts {
+		s.prefixes.note(now, part.Hash, target)
+	}
+	last := r.Parts[len(r.Parts)-1]
+	s.placements = append(s.placements, Placement{Hash: last.Hash, Target: target})
+	if excess := len(s.placements) - maxPlacements; excess > 0 {
+		s.placements = slices.Delete(s.placements, 0, excess)
+		s.placementsTold = max(s.placementsTold-excess, 0)
+	}
+}
+
+// maxPlacements bounds the placements that are told.
+const maxPlacements = 24
+
+// takePlacements returns the placements to tell, each twice, because a message may
+// be lost.
+func (s *Scheduler) takePlacements() []Placement {
+	told := slices.Clone(s.placements)
+	s.placements = slices.Delete(s.placements, 0, s.placementsTold)
+	s.placementsTold = len(s.placements)
+	return told
+}
--- /dev/null
+++ b/schedule/pool.go
@@ -0,0 +1,137 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/route"
+)
+
+const (
+	// Assumptions before anything was observed.
+	assumedEngineService  = 500 * time.Millisecond
+	assumedServiceService = 30 * time.Millisecond
+	assumedPrefillRate    = 50_000.0 // tokens a second
+	assumedPace           = 0.018    // seconds between the events of a stream
+	assumedTokenTime      = 0.006    // seconds for one token
+
+	// serviceMemory is the weight of a new observation of a pool.
+	serviceMemory = 0.05
+)
+
+// pool is the part of the scheduler for the targets of one service.
+type pool struct {
+	name    ident.Pool
+	engine  *route.Engine
+	targets []*target
+	queue   queue
+
+	// service is the mean time in service in seconds.
+	service float64
+	// prefillRate is the prompt tokens that a target of mean speed computes in a
+	// second.
+	prefillRate float64
+	// pace is the mean time between the events of a stream in seconds, and
+	// tokenTime the mean time for one token.
+	pace      float64
+	tokenTime float64
+
+	// yieldSince is since when free slots are left to other hosts' requests, or
+	// zero.
+	yieldSince time.Time
+}
+
+func newPool(name ident.Pool) *pool {
+	return &pool{
+		name:        name,
+		service:     assumedServiceService.Seconds(),
+		prefillRate: assumedPrefillRate,
+		pace:        assumedPace,
+		tokenTime:   assumedTokenTime,
+	}
+}
+
+// declare takes in what the configuration says of the pool.
+func (p *pool) declare(engine *route.Engine) {
+	if engine != nil && p.engine == nil {
+		p.service = assumedEngineService.Seconds()
+	}
+	p.engine = engine
+}
+
+func blend(mean *float64, observed, weight float64) { *mean += weight * (observed - *mean) }
+
+// speed returns how fast a target is, relative to the pool's mean.
+func (p *pool) speed(t *target) float64 {
+	if t.pace == 0 {
+		return 1
+	}
+	return min(max(p.pace/t.pace, minSpeed), maxSpeed)
+}
+
+const (
+	// minSpeed and maxSpeed bound what is believed of a target's speed.
+	minSpeed = 0.1
+	maxSpeed = 5.0
+)
+
+// usable returns the targets that may get requests now. If that would leave out
+// over half of the pool's targets as outliers, the outliers stay in.
+func (p *pool) usable(now time.Time) []*target {
+	var sum tally
+	for _, t := range p.targets {
+		results := t.results(now)
+		sum.good += results.good
+		sum.bad += results.bad
+	}
+	list := make([]*target, 0, len(p.targets))
+	var outliers []*target
+	present := 0
+	for _, t := range p.targets {
+		if !t.declared || t.Leaving {
+			continue
+		}
+		present++
+		switch {
+		case !t.health.usable(now):
+		case !t.health.probation && outlier(t.results(now), sum):
+			outliers = append(outliers, t)
+		default:
+			list = append(list, t)
+		}
+	}
+	if 2*len(list) < present {
+		return append(list, outliers...)
+	}
+	for _, t := range outliers {
+		t.health.restFor(now, firstRest)
+	}
+	return list
+}
+
+func freeSlots(now time.Time, targets []*target) int {
+	free := 0
+	for _, t := range targets {
+		free += max(0, t.free(now))
+	}
+	return free
+}
+
+func slots(targets []*target) int {
+	sum := 0
+	for _, t := range targets {
+		sum += t.Slots
+	}
+	return sum
+}
+
+// firstEvent predicts the time from the dispatch to the first event.
+func (p *pool) firstEvent(r *Request) time.Duration {
+	return seconds(float64(r.PromptTokens)/p.prefillRate) + firstEventOverhead
+}
+
+// firstEventOverhead is the part of the time to the first event that does not
+// depend on the prompt: the network and a step of the engine.
+const firstEventOverhead = 25 * time.Millisecond
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/schedule/progress.go
@@ -0,0 +1,95 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+const (
+	// minPrefillSample is the least prompt work whose time says something of the
+	// rate of prefill.
+	minPrefillSample = 500
+	// minPaceEvents is the least number of events whose time says something of
+	// a target's pace.
+	minPaceEvents = 4
+	// assumedTokensPerEvent stands in where the configuration does not tell.
+	assumedTokensPerEvent = 1
+)
+
+// FirstEvent notes that the first event of a stream has arrived.
+func (s *Scheduler) FirstEvent(now time.Time, id ident.Request) {
+	r := s.running[id]
+	if r == nil || !r.firstAt.IsZero() {
+		return
+	}
+	r.firstAt = now
+	r.target.prefill -= r.prefill
+	r.prefill = 0
+	p := s.pools[r.target.Pool]
+	took := now.Sub(r.since) - firstEventOverhead
+	if r.ahead >= minPrefillSample && took > 0 {
+		rate := float64(r.ahead) / took.Seconds() / p.speed(r.target)
+		blend(&p.prefillRate, min(max(rate, p.prefillRate/2), 2*p.prefillRate), serviceMemory)
+	}
+}
+
+// Progress notes that events of a stream have arrived.
+func (s *Scheduler) Progress(now time.Time, id ident.Request, events int) {
+	r := s.running[id]
+	if r == nil {
+		return
+	}
+	r.events += events
+	r.lastAt = now
+}
+
+// Reported takes in the load that a target told with an answer.
+func (s *Scheduler) Reported(now time.Time, id ident.Request, load int) {
+	if r := s.running[id]; r != nil {
+		r.target.reported(now, load)
+	}
+}
+
+// End frees the slot of a request and learns from how it went.
+func (s *Scheduler) End(now time.Time, id ident.Request, result Result) {
+	r := s.running[id]
+	if r == nil {
+		return
+	}
+	delete(s.running, id)
+	t := r.target
+	t.running--
+	t.prefill -= r.prefill
+	t.kv -= r.kv
+	t.health.ended(now, result)
+	if result == Served {
+		s.learn(now, r)
+	}
+	if !t.declared && t.running == 0 {
+		s.dropTarget(t)
+	}
+}
+
+// learn updates the pool's and the target's times from a whole answer.
+func (s *Scheduler) learn(now time.Time, r *running) {
+	p := s.pools[r.target.Pool]
+	blend(&p.service, now.Sub(r.since).Seconds(), serviceMemory)
+	if r.events < minPaceEvents || r.firstAt.IsZero() {
+		return
+	}
+	pace := r.lastAt.Sub(r.firstAt).Seconds() / float64(r.events-1)
+	if pace <= 0 {
+		return
+	}
+	r.target.observePace(pace)
+	blend(&p.pace, pace, serviceMemory)
+	blend(&p.tokenTime, pace/p.tokensPerEvent(), serviceMemory)
+}
+
+func (p *pool) tokensPerEvent() float64 {
+	if p.engine == nil || p.engine.TokensPerEvent <= 0 {
+		return assumedTokensPerEvent
+	}
+	return float64(p.engine.TokensPerEvent)
+}
--- /dev/null
+++ b/schedule/refuse.go
@@ -0,0 +1,87 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/outcome"
+)
+
+const (
+	// latePatience is the part of a caller's time after which a request that
+	// still waits is refused, so that the caller can come back in time.
+	latePatience = 1.0 / 3
+	// shortestRetry is the least time that a caller is told to stay away.
+	shortestRetry = 100 * time.Millisecond
+	// retryShare bounds what a caller is told by the time that it has left: it
+	// needs the rest for the second try.
+	retryShare = 0.3
+	// emptyRetry is when to come back to a pool without any target.
+	emptyRetry = time.Second
+)
+
+// refuseExpired demotes requests that are late, and refuses those whose time to
+// wait is over.
+func (s *Scheduler) refuseExpired(now time.Time, p *pool, actions []Action) []Action {
+	var demoted []*waiting
+	kept := p.queue.items[:0]
+	for _, w := range p.queue.items {
+		switch {
+		case !now.Before(w.giveUp):
+			actions = append(actions, s.refuse(now, p, w, "no slot was free in time"))
+		case !w.late && !now.Before(w.lapse):
+			demoted = append(demoted, w)
+		default:
+			kept = append(kept, w)
+		}
+	}
+	clear(p.queue.items[len(kept):])
+	p.queue.items = kept
+	for _, w := range demoted {
+		w.late = true
+		p.queue.add(w)
+	}
+	return actions
+}
+
+// hopeless says whether a new request would be refused after a vain wait.
+func (s *Scheduler) hopeless(now time.Time, p *pool, w *waiting) bool {
+	return now.Add(s.wait(now, p, w)).After(w.giveUp)
+}
+
+// wait predicts how long a request waits for its turn.
+func (s *Scheduler) wait(now time.Time, p *pool, w *waiting) time.Duration {
+	targets := p.usable(now)
+	if len(targets) == 0 {
+		return 0
+	}
+	ahead := p.queue.position(w) + s.peersAhead(now, p.name, w)
+	ahead -= max(0, freeSlots(now, targets)-1)
+	if ahead <= 0 {
+		return 0
+	}
+	return seconds(float64(ahead) * p.service / float64(max(slots(targets), 1)))
+}
+
+// refuse takes a request that is not in the queue any more and gives it its final
+// answer.
+func (s *Scheduler) refuse(now time.Time, p *pool, w *waiting, message string) *Refuse {
+	delete(s.queued, w.request.ID)
+	reason, retry := outcome.Shed, s.wait(now, p, w)
+	if len(p.usable(now)) == 0 {
+		reason, message, retry = outcome.NoTarget, "no target of the pool is usable", emptyRetry
+	}
+	return &Refuse{
+		Request:    w.request.ID,
+		Reason:     reason,
+		Message:    message,
+		RetryAfter: s.retryAfter(now, w, retry),
+	}
+}
+
+// retryAfter spreads the callers' returns over the time after the predicted end of
+// the queue, and leaves each time for its second try.
+func (s *Scheduler) retryAfter(now time.Time, w *waiting, wait time.Duration) time.Duration {
+	spread := seconds(s.random() * (wait + shortestRetry).Seconds())
+	left := seconds(retryShare * w.request.Deadline.Sub(now).Seconds())
+	return max(min(wait+shortestRetry+spread, left), shortestRetry)
+}
--- /dev/null
+++ b/schedule/request.go
@@ -0,0 +1,29 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+// Request is what the scheduler knows of a request.
+type Request struct {
+	ID   ident.Request
+	Pool ident.Pool
+	Team ident.Team
+	Rank Rank
+	// Arrived is when the request reached this host.
+	Arrived time.Time
+	// Objective is when its answer, or its first event, stops being on time.
+	Objective time.Time
+	// Deadline is when its caller stops waiting.
+	Deadline time.Time
+	// PromptTokens and OutputTokens are zero for plain services; OutputTokens is
+	// an estimate.
+	PromptTokens int
+	OutputTokens int
+	// Parts is the prompt's composition, first part first.
+	Parts []Part
+	// Avoid lists targets that already failed this request.
+	Avoid []ident.Target
+}
