--- a/config/checker.go
+++ b/config/checker.go
@@ -2,12 +2,9 @@
 
 import (
 	"encoding/hex"
-	"net/netip"
 	"net/url"
-	"slices"
 	"strconv"
 
-	"github.com/cornelyard/cornelyard/finding"
 	"github.com/cornelyard/cornelyard/internal/strictjson"
 	"github.com/cornelyard/cornelyard/settings"
 )
@@ -25,12 +22,10 @@
 	allowedLevels  = "debug, info, warn, error"
 )
 
-// checker collects the findings of one settings file.
+// checker collects the findings of a host's settings file.
 type checker struct {
-	file     string
-	data     []byte
-	host     Host
-	findings finding.List
+	collector
+	host Host
 }
 
 // check adds what the types do not tell. Places that have a finding already get
@@ -41,39 +36,12 @@
 	c.addresses()
 	c.platform()
 	c.keys()
-	c.level()
+	c.logLevel(c.host.LogLevel)
 	c.limits()
 	c.timing()
 	c.findings.Sort()
 }
 
-func (c *checker) add(path strictjson.Path, message, allowed string) {
-	if c.faulty(path) {
-		return
-	}
-	at := strictjson.Locate(c.data, path)
-	c.findings = append(c.findings, finding.Finding{
-		File:    c.file,
-		Path:    string(path),
-		Line:    at.Line,
-		Column:  at.Column,
-		Message: message,
-		Allowed: allowed,
-	})
-}
-
-func (c *checker) faulty(path strictjson.Path) bool {
-	return slices.ContainsFunc(c.findings, func(f finding.Finding) bool {
-		return f.Path == string(path) || f.Path == ""
-	})
-}
-
-func (c *checker) name(path strictjson.Path, name string) {
-	if !settings.ValidName(name) {
-		c.add(path, "the name "+strconv.Quote(name)+" is not allowed", allowedName)
-	}
-}
-
 func (c *checker) addresses() {
 	c.address("callerAddress", c.host.CallerAddress)
 	c.address("peerAddress", c.host.PeerAddress)
@@ -85,12 +53,6 @@
 	c.distinct()
 }
 
-func (c *checker) address(path strictjson.Path, address string) {
-	if _, ok := parseAddress(address); !ok {
-		c.add(path, strconv.Quote(address)+" is not an address", allowedAddress)
-	}
-}
-
 // dialed checks that other hosts can use the advertised address.
 func (c *checker) dialed() {
 	parsed, ok := parseAddress(c.host.AdvertisedPeerAddress)
@@ -112,11 +74,6 @@
 	}
 }
 
-func parseAddress(address string) (netip.AddrPort, bool) {
-	parsed, err := netip.ParseAddrPort(address)
-	return parsed, err == nil && parsed.Port() != 0
-}
-
 func (c *checker) platform() {
 	parsed, err := url.Parse(c.host.Platform)
 	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") {
@@ -147,14 +104,6 @@
 	}
 }
 
-func (c *checker) level() {
-	switch c.host.LogLevel {
-	case "debug", "info", "warn", "error":
-	default:
-		c.add("logLevel", "unknown level "+strconv.Quote(c.host.LogLevel), allowedLevels)
-	}
-}
-
 func (c *checker) limits() {
 	l := c.host.Limits
 	c.positive("limits.maxBodyBytes", l.MaxBodyBytes)
--- /dev/null
+++ b/hoststate/doc.go
@@ -0,0 +1,8 @@
+// Package hoststate lets the hosts tell each other their soft state by datagram:
+// what each has on the targets and in its queues, and what it let through for each
+// team.
+//
+// A message holds the sender's whole state, so a lost one is made up for by the
+// next. It is sent soon after a change and at least every heartbeat. Nothing here
+// is agreed on: a host acts on what it heard last.
+package hoststate
--- /dev/null
+++ b/hoststate/message.go
@@ -0,0 +1,18 @@
+package hoststate
+
+import (
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/schedule"
+)
+
+// Message is what one host tells the others.
+type Message struct {
+	Host ident.Host
+	// TableVersion is the version of the routing configuration in force there.
+	TableVersion uint64
+	// Partial says that Schedule is not told, because the receiver is far away.
+	Partial  bool
+	Schedule schedule.State
+	// Used is what the host has let through since its start, by team.
+	Used map[ident.Team]float64
+}
--- a/internal/proto/generate.go
+++ b/internal/proto/generate.go
@@ -1,6 +1,8 @@
 // Package proto holds the definitions of the messages between hosts. The
-// generated code in peerpb is committed; only a change of peer.proto needs
-// protoc and this command.
+// generated code in peerpb and hostpb is committed; only a change of a .proto
+// file needs protoc and these commands.
 package proto
 
-//go:generate sh -c "go build -o ../../.bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go && protoc --plugin=../../.bin/protoc-gen-go --go_out=. --go_opt=paths=source_relative --go_opt=Mpeer.proto=github.com/cornelyard/cornelyard/internal/proto/peerpb peer.proto && mv peer.pb.go peerpb/"
+//go:generate go build -o ../../.bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+//go:generate protoc --plugin=../../.bin/protoc-gen-go --go_out=peerpb --go_opt=paths=source_relative --go_opt=Mpeer.proto=github.com/cornelyard/cornelyard/internal/proto/peerpb peer.proto
+//go:generate protoc --plugin=../../.bin/protoc-gen-go --go_out=hostpb --go_opt=paths=source_relative --go_opt=Mhost.proto=github.com/cornelyard/cornelyard/internal/proto/hostpb host.proto
--- /dev/null
+++ b/internal/tcpsilence/control.go
@@ -0,0 +1,45 @@
+// Package tcpsilence finds TCP connections whose other side has fallen silent
+// without a reset.
+package tcpsilence
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sys/unix"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("tcpsilence")
+
+// probes is the number of unanswered keep-alive probes after which a connection
+// counts as broken.
+const probes = 3
+
+// Dialer returns a dialer whose connections break when the other side has not
+// answered for about the given time, also while nothing is sent.
+func Dialer(dialTimeout, silence time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     max(silence/2, time.Second),
+			Interval: max(silence/(2*probes), time.Second),
+			Count:    probes,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return limitUnacknowledged(raw, silence)
+		},
+	}
+}
+
+// limitUnacknowledged sets how long sent bytes may stay unacknowledged.
+func limitUnacknowledged(raw syscall.RawConn, silence time.Duration) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+	})
+	return Error.Wrap(errs.Combine(err, failed))
+}
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -8,6 +8,8 @@
 const (
 	// Shed: refused for want of capacity.
 	Shed Reason = "shed"
+	// QuotaExceeded: the team has used up what it may use.
+	QuotaExceeded Reason = "quota-exceeded"
 	// Infeasible: the deadline could not be met by an idle pool either.
 	Infeasible Reason = "infeasible"
 	// Preempted: stopped after its start in favour of a higher tier.
@@ -56,7 +58,7 @@
 // Status returns the HTTP status code that stands for the reason.
 func (r Reason) Status() int {
 	switch r {
-	case Shed, EntryOverloaded:
+	case Shed, EntryOverloaded, QuotaExceeded:
 		return http.StatusTooManyRequests
 	case Infeasible, DeadlineExceeded:
 		return http.StatusGatewayTimeout
--- a/target/client.go
+++ b/target/client.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"time"
@@ -21,10 +19,6 @@
 	defaultDialTimeout   = 2 * time.Second
 	defaultMaxWholeBytes = 32 << 20
 	defaultMaxFrameBytes = 1 << 20
-
-	idleConnTimeout     = 10 * time.Second
-	maxIdleConnsPerHost = 64
-	maxHeaderBytes      = 64 << 10
 )
 
 // Options configures a Client. Zero values mean the defaults.
@@ -43,10 +37,8 @@
 
 // Client dispatches calls to targets. It is safe for concurrent use.
 type Client struct {
-	options Options
-	// shared reuses connections, fresh does not.
-	shared *http.Transport
-	fresh  *http.Transport
+	options   Options
+	transport *Transport
 }
 
 // NewClient returns a Client.
@@ -66,16 +58,11 @@
 	if o.ResumeTries == 0 {
 		o.ResumeTries = defaultResumeTries
 	}
-	fresh := newTransport(o.DialTimeout)
-	fresh.DisableKeepAlives = true
-	return &Client{options: o, shared: newTransport(o.DialTimeout), fresh: fresh}
+	return &Client{options: o, transport: NewTransport(TransportOptions{DialTimeout: o.DialTimeout})}
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() {
-	c.shared.CloseIdleConnections()
-	c.fresh.CloseIdleConnections()
-}
+func (c *Client) Close() { c.transport.Close() }
 
 // Do dispatches the call and returns when the head of the answer has arrived.
 // The error is a *Failure. If the call's latch can still be barred after an
@@ -114,18 +101,14 @@
 }
 
 func (c *Client) send(ctx context.Context, call Call, g *gate) (*http.Response, error) {
-	request, err := newRequest(ctx, call, g)
+	request, err := newRequest(ctx, call)
 	if err != nil {
 		return nil, err
 	}
-	transport := c.shared
-	if call.NonIdempotent {
-		transport = c.fresh
-	}
-	return transport.RoundTrip(request)
+	return c.transport.send(request, g, call.NonIdempotent)
 }
 
-func newRequest(ctx context.Context, call Call, g *gate) (*http.Request, error) {
+func newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	address, err := requestURL(call)
 	if err != nil {
 		return nil, err
@@ -137,7 +120,7 @@
 		Header: outgoingHeader(call.Header, call.Dispatch, call.Kind),
 	}
 	setBody(request, call.Body)
-	return request.WithContext(httptrace.WithClientTrace(ctx, armingTrace(g))), nil
+	return request.WithContext(ctx), nil
 }
 
 func requestURL(call Call) (*url.URL, error) {
@@ -157,35 +140,6 @@
 	}, nil
 }
 
-// armingTrace hands each connection that net/http picks to the dispatch.
-func armingTrace(g *gate) *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*gatedConn); ok {
-			conn.arm(g)
-		}
-	}}
-}
-
-func newTransport(dialTimeout time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &gatedConn{Conn: conn}, nil
-		},
-		Protocols:              protocols,
-		DisableCompression:     true,
-		IdleConnTimeout:        idleConnTimeout,
-		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
-}
-
 // read checks the head of an answer and picks the way to read its body.
 func (c *Client) read(ctx context.Context, call Call, response *http.Response) (*Answer, error) {
 	if err := c.checkHead(call, response); err != nil {
--- /dev/null
+++ b/target/events.go
@@ -0,0 +1,44 @@
+package target
+
+import (
+	"bytes"
+	"io"
+)
+
+// Events reads a stream of server-sent events, whole events only.
+type Events struct {
+	frames *frameReader
+}
+
+// NewEvents returns a reader of events of at most maxBytes each.
+func NewEvents(r io.Reader, maxBytes int) *Events {
+	return &Events{frames: newFrameReader(r, maxBytes)}
+}
+
+// Event is one server-sent event.
+type Event struct {
+	// Raw is the event as received, with the empty line that ends it.
+	Raw []byte
+	// ID is the event's id, if HasID says that it has one.
+	ID    uint64
+	HasID bool
+}
+
+// Next returns the next event, which is valid until the next call. It returns
+// io.EOF only if the stream ends between two events.
+func (e *Events) Next() (Event, error) {
+	f, err := e.frames.next()
+	if err != nil {
+		return Event{}, err
+	}
+	return Event{Raw: f.raw, ID: f.number, HasID: f.numbered}, nil
+}
+
+// Ready says that the next event has arrived already.
+func (e *Events) Ready() bool {
+	buffered, err := e.frames.reader.Peek(e.frames.reader.Buffered())
+	if err != nil {
+		return false
+	}
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\r\n\r\n"))
+}
--- a/target/header.go
+++ b/target/header.go
@@ -33,7 +33,7 @@
 
 // outgoingHeader returns what the target may see of the caller's header.
 func outgoingHeader(caller http.Header, dispatch ident.Dispatch, kind settings.PoolKind) http.Header {
-	header := withoutConnectionHeaders(caller)
+	header := EndToEndHeader(caller)
 	for _, name := range withheldHeaders {
 		header.Del(name)
 	}
@@ -51,7 +51,7 @@
 
 // answerHeader returns what the caller may see of the target's header.
 func answerHeader(answer http.Header) http.Header {
-	header := withoutConnectionHeaders(answer)
+	header := EndToEndHeader(answer)
 	header.Del(HeaderDispatch)
 	header.Del("Content-Length")
 	for name := range header {
@@ -62,7 +62,8 @@
 	return header
 }
 
-func withoutConnectionHeaders(source http.Header) http.Header {
+// EndToEndHeader returns a copy without what concerns one connection only.
+func EndToEndHeader(source http.Header) http.Header {
 	header := source.Clone()
 	if header == nil {
 		header = make(http.Header)
