--- /dev/null
+++ b/cmd/cornelyard-gateway/main.go
@@ -0,0 +1,59 @@
+// Command cornelyard-gateway is the daemon that runs on every host of the users'
+// platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/cornelyard/cornelyard/config"
+	"github.com/cornelyard/cornelyard/gateway"
+	"github.com/cornelyard/cornelyard/platform"
+)
+
+// Exit statuses.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+func main() {
+	app := kingpin.New("cornelyard-gateway", "The request scheduler on the users' platform. SIGTERM is a graceful stop.")
+	path := app.Flag("settings", "The host's settings file (JSON).").Envar(platform.SettingsVariable).Required().String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	host, err := config.LoadGateway(*path)
+	if err != nil {
+		fail(exitSettings, err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	g := gateway.New(gateway.Options{Config: *host})
+	go reloadOnSignal(ctx, g, *path)
+	if err := g.Run(ctx); err != nil {
+		fail(exitFailure, err)
+	}
+}
+
+// reloadOnSignal reads the settings file anew at each SIGHUP.
+func reloadOnSignal(ctx context.Context, g *gateway.Gateway, path string) {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+			g.Reload(config.LoadGateway(path))
+		}
+	}
+}
+
+func fail(status int, err error) {
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(status)
+}
--- /dev/null
+++ b/gateway/knowledge.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cornelyard/cornelyard/hoststate"
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/quota"
+	"github.com/cornelyard/cornelyard/relay"
+	"github.com/cornelyard/cornelyard/retrybudget"
+	"github.com/cornelyard/cornelyard/roster"
+	"github.com/cornelyard/cornelyard/route"
+)
+
+// knowledge is what this host knows of the configuration, the targets and the
+// other hosts. It hands each change to the parts that act on it.
+type knowledge struct {
+	self       ident.Host
+	dispatcher *relay.Dispatcher
+	exchange   *hoststate.Exchange
+	quotas     *quota.Ledger
+	retries    *retrybudget.Budget
+	logger     *log.Logger
+
+	table atomic.Pointer[route.Table]
+	// listed says that the targets were read at least once.
+	listed atomic.Bool
+
+	mu     sync.Mutex
+	keeper *roster.Keeper
+	roster *route.Roster
+}
+
+var _ platform.Listener = (*knowledge)(nil)
+
+// TableChanged implements platform.Listener. An older configuration than the one in
+// force is not used.
+func (k *knowledge) TableChanged(t *route.Table) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	before := k.table.Load()
+	if before != nil && t.Version <= before.Version {
+		return
+	}
+	k.table.Store(t)
+	k.logger.Info().Uint64("version", t.Version).Int("teams", len(t.Teams)).Msg("Configuration is in force.")
+	for _, team := range t.Teams {
+		k.logger.Debug().Str("team", string(team.Name)).Int("priority", team.Priority).
+			Float64("per_second", team.Quota.PerSecond).Float64("burst", team.Quota.Burst).Msg("Quota is in force.")
+	}
+	k.declare(time.Now())
+}
+
+// TargetsChanged implements platform.Listener.
+func (k *knowledge) TargetsChanged(targets map[ident.Target]route.Target) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	k.keeper.Announce(now, targets)
+	k.listed.Store(true)
+	k.refresh(now)
+}
+
+// StoreReachable implements platform.Listener.
+func (k *knowledge) StoreReachable(answered bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.keeper.Store(time.Now(), answered)
+}
+
+// refresh brings the roster up to date, and does so again when missing targets
+// count as gone. The mutex is held.
+func (k *knowledge) refresh(now time.Time) {
+	k.roster = k.keeper.Roster(now)
+	k.logChanges()
+	k.declare(now)
+	if wait := k.keeper.Recheck(now); wait > 0 {
+		time.AfterFunc(wait, k.recheck)
+	}
+}
+
+func (k *knowledge) recheck() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.refresh(time.Now())
+}
+
+func (k *knowledge) logChanges() {
+	leaving := 0
+	for _, t := range k.roster.Targets {
+		if t.Leaving {
+			leaving++
+		}
+	}
+	k.logger.Info().Int("targets", len(k.roster.Targets)).Int("leaving", leaving).Msg("Targets changed.")
+}
+
+// declare hands the configuration and the roster on. The mutex is held.
+func (k *knowledge) declare(now time.Time) {
+	table := k.table.Load()
+	if table == nil || k.roster == nil {
+		return
+	}
+	k.exchange.SetDirectory(hoststate.NewDirectory(table, k.roster))
+	k.dispatcher.Declare(now, table.Pools, k.roster)
+}
+
+// HostsChanged implements platform.Listener.
+func (k *knowledge) HostsChanged(members []hoststate.Member) {
+	others := make([]hoststate.Member, 0, len(members))
+	names := make([]ident.Host, 0, len(members))
+	for _, m := range members {
+		if m.Host != k.self {
+			others = append(others, m)
+			names = append(names, m.Host)
+		}
+	}
+	k.exchange.SetMembers(others)
+	k.quotas.Members(time.Now(), names)
+	k.retries.Hosts(len(names) + 1)
+	k.logger.Info().Int("others", len(names)).Msg("Hosts changed.")
+}
+
+// hear takes in another host's state.
+func (k *knowledge) hear(now time.Time, m hoststate.Message) {
+	k.quotas.Hear(now, m.Host, m.Used)
+	if !m.Partial {
+		k.dispatcher.Hear(now, m.Host, m.Schedule)
+	}
+}
+
+// compose returns this host's state for the others.
+func (k *knowledge) compose(now time.Time) hoststate.Message {
+	m := hoststate.Message{
+		Host:     k.self,
+		Schedule: k.dispatcher.State(now),
+		Used:     k.quotas.Used(),
+	}
+	if table := k.table.Load(); table != nil {
+		m.TableVersion = table.Version
+	}
+	return m
+}
+
+// ready returns why this host should get no callers yet, or nil.
+func (k *knowledge) ready() error {
+	switch {
+	case k.table.Load() == nil:
+		return Error.New("no configuration is known yet")
+	case !k.listed.Load():
+		return Error.New("the targets are not known yet")
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/relay/exchanger.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/route"
+	"github.com/cornelyard/cornelyard/schedule"
+	"github.com/cornelyard/cornelyard/target"
+)
+
+// Exchanger sends requests to targets.
+type Exchanger interface {
+	// Send returns the checked head of the target's answer. The error is a
+	// *Failure.
+	Send(ctx context.Context, d Dispatch) (*Answer, error)
+}
+
+// Dispatch is one request on its way to one target.
+type Dispatch struct {
+	Call   *Call
+	Target route.Target
+	Team   ident.Team
+	// Left is the time that the target has.
+	Left time.Duration
+	// ResumeAfter is the last event that the caller has, if Resumes says that the
+	// target is asked for the rest.
+	ResumeAfter uint64
+	Resumes     bool
+	Latch       *target.Latch
+}
+
+// Answer is a target's answer whose head has arrived.
+type Answer struct {
+	Status int
+	// Header is what the caller may see.
+	Header http.Header
+	// Length is the body's, or -1 if it is not known.
+	Length int64
+	// Stream says that the body is server-sent events.
+	Stream bool
+	// Load is the number of requests that the target had then, or -1 if it does
+	// not tell.
+	Load int
+	// Body ends with io.EOF only if it is whole.
+	Body io.ReadCloser
+}
+
+// Failure is why a dispatch has no answer. It implements error.
+type Failure struct {
+	Result schedule.Result
+	// NotRun says that the target did not run the request and never will.
+	NotRun bool
+	// Sent says that the request reached a target.
+	Sent bool
+	Err  error
+}
+
+// Error implements error.
+func (f *Failure) Error() string { return f.Result.String() + ": " + f.Err.Error() }
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Err }
--- /dev/null
+++ b/relay/observer.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/schedule"
+)
+
+// Observer is told how requests ended. It must not block.
+type Observer interface {
+	Finished(s Summary)
+}
+
+// Summary is how one request ended.
+type Summary struct {
+	Request ident.Request
+	Route   string
+	Pool    ident.Pool
+	Team    ident.Team
+	// TableVersion is the version of the configuration that decided.
+	TableVersion uint64
+	// QuotaCost is what the request counts in its team's quota.
+	QuotaCost float64
+	// Target is the last one that it was sent to.
+	Target     ident.Target
+	Dispatches int
+	// Result is how the last dispatch ended, if there was one.
+	Result  schedule.Result
+	Queued  time.Duration
+	Total   time.Duration
+	ToFirst time.Duration
+	// Status is the target's, if a part of its answer was passed on.
+	Status int
+	Events int
+	// Refusal is the system's own answer, or nil.
+	Refusal *outcome.Refusal
+	// BrokenOff says that the answer was not whole.
+	BrokenOff bool
+}
+
+func (x *execution) summary(refusal *outcome.Refusal) Summary {
+	s := Summary{
+		Request:    x.call.ID,
+		Pool:       x.pool,
+		Team:       x.teamName(),
+		Target:     x.target,
+		Dispatches: x.dispatches,
+		Result:     x.result,
+		QuotaCost:  x.cost,
+		Queued:     x.queued,
+		Total:      time.Since(x.call.Arrived),
+		Status:     x.relayed.status,
+		Events:     x.relayed.events,
+		Refusal:    refusal,
+	}
+	if x.route != nil {
+		s.Route = x.route.Name
+	}
+	if x.table != nil {
+		s.TableVersion = x.table.Version
+	}
+	if !x.relayed.firstAt.IsZero() {
+		s.ToFirst = x.relayed.firstAt.Sub(x.call.Arrived)
+	}
+	s.BrokenOff = refusal != nil && x.relayed.begun
+	return s
+}
