Count what another host gave back only once in quotas

Cause: a host gives back what it charged for requests that did not run, so its sum goes down; the others took that for a restart and counted the whole sum again. Ruled out: the window's limit (teams asked for 218 k/s at most, allowed were 262 k/s). Change: messages tell the sender's incarnation, and only a new one counts from zero. Two tests of quota, of which the first failed before.

--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -128,7 +128,7 @@
 
 // hear takes in another host's state.
 func (k *knowledge) hear(now time.Time, m hoststate.Message) {
-	k.quotas.Hear(now, m.Host, m.Used)
+	k.quotas.Hear(now, m.Host, m.Incarnation, m.Used)
 	if !m.Partial {
 		k.dispatcher.Hear(now, m.Host, m.Schedule)
 	}
--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -22,7 +22,7 @@
 		Partial:      m.Partial,
 	}
 	for team, used := range m.Used {
-		state.Uses = append(state.Uses, &hostpb.TeamUse{Team: hashName(team), Used: uint64(used)})
+		state.Uses = append(state.Uses, &hostpb.TeamUse{Team: hashName(team), Used: uint64(max(used, 0))})
 	}
 	if !m.Partial {
 		encodeSchedule(state, &m.Schedule)
@@ -63,6 +63,7 @@
 func (d *Directory) decode(state *hostpb.HostState) Message {
 	m := Message{
 		Host:         ident.Host(state.GetHost()),
+		Incarnation:  state.GetIncarnation(),
 		TableVersion: state.GetTableVersion(),
 		Partial:      state.GetPartial(),
 		Used:         make(map[ident.Team]float64, len(state.GetUses())),
--- a/hoststate/message.go
+++ b/hoststate/message.go
@@ -8,6 +8,9 @@
 // Message is what one host tells the others.
 type Message struct {
 	Host ident.Host
+	// Incarnation tells a restarted process from its predecessor; it is set by the
+	// exchange.
+	Incarnation uint64
 	// TableVersion is the version of the routing configuration in force there.
 	TableVersion uint64
 	// Partial says that Schedule is not told, because the receiver is far away.
--- a/quota/account.go
+++ b/quota/account.go
@@ -81,8 +81,9 @@
 	}
 }
 
-// hear takes in what another host has let through in all. What was counted for it
-// while it was silent counts towards it.
+// hear takes in what another host has let through in all, which is less than before
+// after it gave something back. What was counted for it while it was silent counts
+// towards it.
 func (a *account) hear(host ident.Host, used float64) {
 	before, known := a.heard[host]
 	a.heard[host] = used
@@ -92,14 +93,16 @@
 		return
 	}
 	more := used - before
-	if more < 0 {
-		// The host started again and counts from zero.
-		more = used
+	if assumed := a.assumed[host]; assumed > 0 {
+		more = max(0, more-assumed)
+		delete(a.assumed, host)
 	}
-	a.window.add(max(0, more-a.assumed[host]))
-	delete(a.assumed, host)
+	a.window.add(more)
 }
 
+// restarted notes that another host counts from zero again.
+func (a *account) restarted(host ident.Host) { a.heard[host] = 0 }
+
 // take lets a request through if its cost fits in the window.
 func (a *account) take(now time.Time, cost float64) bool {
 	if a.window.sum+cost > a.limit(now) {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -19,9 +19,11 @@
 
 	mu       sync.Mutex
 	accounts map[ident.Team]*account
-	// lastHeard tells when each other host was heard last.
-	lastHeard map[ident.Host]time.Time
-	silent    []ident.Host
+	// lastHeard tells when each other host was heard last, and incarnations which
+	// process of it that was.
+	lastHeard    map[ident.Host]time.Time
+	incarnations map[ident.Host]uint64
+	silent       []ident.Host
 }
 
 // NewLedger returns a ledger without accounts, for a host that starts now.
@@ -31,6 +33,8 @@
 		started:   now,
 		accounts:  make(map[ident.Team]*account),
 		lastHeard: make(map[ident.Host]time.Time),
+
+		incarnations: make(map[ident.Host]uint64),
 	}
 }
 
@@ -65,12 +69,18 @@
 
 func (l *Ledger) hosts() int { return len(l.lastHeard) + 1 }
 
-// Hear takes in what another host has let through in all, by team.
-func (l *Ledger) Hear(now time.Time, host ident.Host, used map[ident.Team]float64) {
+// Hear takes in what a process of another host has let through in all, by team.
+func (l *Ledger) Hear(now time.Time, host ident.Host, incarnation uint64, used map[ident.Team]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settle(now)
 	l.lastHeard[host] = now
+	if before, known := l.incarnations[host]; known && before != incarnation {
+		for _, a := range l.accounts {
+			a.restarted(host)
+		}
+	}
+	l.incarnations[host] = incarnation
 	for team, amount := range used {
 		if a := l.accounts[team]; a != nil {
 			a.hear(host, amount)
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -94,7 +94,7 @@
 		}
 		for name, l := range hosts {
 			for _, other := range others(hosts, name) {
-				l.Hear(after(at+round), other, hosts[other].Used())
+				l.Hear(after(at+round), other, 1, hosts[other].Used())
 			}
 		}
 	}
@@ -196,3 +196,32 @@
 		t.Errorf("right after the change nothing gets through")
 	}
 }
+
+func TestWhatAnotherHostGaveBackIsNotCounted(t *testing.T) {
+	l := newLedger()
+	acme := team(100, 100)
+	l.Members(start, []ident.Host{"b"})
+	if ok, _ := l.Take(start, acme, 1); !ok {
+		t.Fatal("the first request was refused")
+	}
+	told := []float64{0, 1000, 500, 1000, 500, 1000, 500}
+	for i, used := range told {
+		l.Hear(after(time.Duration(i)*time.Millisecond), "b", 1, map[ident.Team]float64{"acme": used})
+	}
+	if ok, _ := l.Take(after(10*time.Millisecond), acme, bound(100, 100)-allowanceShare*limits.Allowance-510); !ok {
+		t.Error("what another host gave back still counts")
+	}
+}
+
+func TestHostThatStartsAgainCountsFromZero(t *testing.T) {
+	l := newLedger()
+	acme := team(100, 100)
+	l.Members(start, []ident.Host{"b"})
+	_, _ = l.Take(start, acme, 1)
+	l.Hear(after(1*time.Millisecond), "b", 1, map[ident.Team]float64{"acme": 0})
+	l.Hear(after(2*time.Millisecond), "b", 1, map[ident.Team]float64{"acme": 600})
+	l.Hear(after(3*time.Millisecond), "b", 2, map[ident.Team]float64{"acme": 600})
+	if ok, _ := l.Take(after(4*time.Millisecond), acme, bound(100, 100)-allowanceShare*limits.Allowance-1100); ok {
+		t.Error("what the new process let through does not count")
+	}
+}
