--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -37,7 +37,7 @@
 		return schedule.Served
 	case errors.Is(err, errSinkFailed):
 		return schedule.Abandoned
-	case errors.Is(err, errTargetFailed):
+	case errors.Is(err, errTargetFailed), errors.Is(err, errRepeatable):
 		return schedule.Failed
 	case errors.As(err, &failure):
 		return failure.Result
@@ -101,7 +101,7 @@
 // afterFailure decides whether a failed request is sent to another target.
 func (x *execution) afterFailure(to route.Target, err error) (again bool, refusal *outcome.Refusal) {
 	x.avoidTarget(to.Name)
-	if x.mayTryAgain(err) {
+	if errors.Is(err, errRepeatable) || x.mayTryAgain(err) {
 		return true, nil
 	}
 	if x.mayHaveRun {
@@ -136,3 +136,12 @@
 	}
 	return x.route.Repeatable() || x.route.Resumable
 }
+
+// mayRepeatError says whether a request that a target answered with an error is
+// sent to another one, and takes that from the retry budget.
+func (x *execution) mayRepeatError() bool {
+	if !x.route.Repeatable() || x.dispatches >= x.route.MaxDispatches {
+		return false
+	}
+	return x.relay.options.Retries.Take(time.Now(), x.pool)
+}
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -29,6 +29,9 @@
 	// errTargetFailed says that the target answered with an error of its own,
 	// which was passed on.
 	errTargetFailed = errors.New("the target answered with an error")
+	// errRepeatable says that the target answered with an error of its own, which
+	// another target may not.
+	errRepeatable = errors.New("the target answered with an error, another may not")
 )
 
 // relayed is what the caller has of the answer.
@@ -86,6 +89,9 @@
 		answer.Body = io.NopCloser(io.MultiReader(bytes.NewReader(body), answer.Body))
 		return x.passLarge(answer)
 	}
+	if statusError(answer.Status) != nil && x.mayRepeatError() {
+		return errRepeatable
+	}
 	if err := x.begin(answer, int64(len(body))); err != nil {
 		return err
 	}
--- a/roster/keeper.go
+++ b/roster/keeper.go
@@ -8,9 +8,13 @@
 	"github.com/cornelyard/cornelyard/route"
 )
 
-// returnGrace is how long after the store's return the targets have to renew their
-// entries; the platform promises about two seconds.
-const returnGrace = 2200 * time.Millisecond
+const (
+	// returnGrace is how long after the store's return the targets have to renew
+	// their entries; the platform promises about two seconds.
+	returnGrace = 1900 * time.Millisecond
+	// shortestLapse is the shortest outage in which an entry may lapse.
+	shortestLapse = time.Second
+)
 
 // Keeper holds the list of targets. It is not safe for concurrent use.
 type Keeper struct {
@@ -18,8 +22,9 @@
 	// missing holds targets whose entries have lapsed, maybe only because of an
 	// outage.
 	missing map[ident.Target]route.Target
-	// away says that the store does not answer, back when it answered again.
-	away bool
+	// away is since when the store does not answer, or zero; back is the end of
+	// the last outage in which entries may have lapsed.
+	away time.Time
 	back time.Time
 }
 
@@ -33,10 +38,15 @@
 
 // Store notes whether the store answered a call.
 func (k *Keeper) Store(now time.Time, answered bool) {
-	if k.away && answered {
-		k.back = now
+	switch {
+	case !answered && k.away.IsZero():
+		k.away = now
+	case answered && !k.away.IsZero():
+		if now.Sub(k.away) >= shortestLapse {
+			k.back = now
+		}
+		k.away = time.Time{}
 	}
-	k.away = !answered
 }
 
 // Announce takes in all entries of the store.
