Keep slots for urgent ranks, avoid slow engines for long answers, leave silent targets

Cause: in bursts drafts wait for the slots of long, less urgent streams; answers of 900 events cannot end on the slow two thirds of the engines before their deadline; requests wait out their time at targets that have fallen silent.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -15,7 +15,7 @@
 // whether another target is to be tried.
 func (x *execution) attempt(ctx context.Context, to route.Target) (again bool, refusal *outcome.Refusal) {
 	x.target = to.Name
-	err := x.exchange(ctx, to)
+	err := x.watchedExchange(ctx, to)
 	x.result = resultOf(ctx, err)
 	x.relay.options.Dispatcher.end(x.id, x.result)
 	if err == nil || errors.Is(err, errTargetFailed) {
@@ -46,6 +46,19 @@
 	}
 }
 
+// watchedExchange is an exchange that ends when the target stalls.
+func (x *execution) watchedExchange(ctx context.Context, to route.Target) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	x.watchdog = x.watch(cancel)
+	defer x.watchdog.stop()
+	err := x.exchange(ctx, to)
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		return broken(errStalled)
+	}
+	return err
+}
+
 // exchange sends the request and passes the answer on.
 func (x *execution) exchange(ctx context.Context, to route.Target) error {
 	latch := new(target.Latch)
@@ -65,6 +78,7 @@
 	}
 	x.mayHaveRun = true
 	x.dispatches++
+	x.watchdog.progress()
 	defer func() { _ = answer.Body.Close() }()
 	if answer.Load >= 0 {
 		x.relay.options.Dispatcher.reported(x.id, answer.Load)
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -49,6 +49,8 @@
 	result     schedule.Result
 
 	relayed relayed
+	// watchdog watches the present exchange.
+	watchdog watchdog
 }
 
 // run returns the final answer that is still to be written, or nil.
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -171,6 +171,7 @@
 }
 
 func (x *execution) passBatch(answer *Answer, batch []byte, count int) error {
+	x.watchdog.progress()
 	if x.relayed.firstAt.IsZero() {
 		x.relayed.firstAt = time.Now()
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -27,7 +27,7 @@
 	passed := 0
 	for i := 0; i < len(p.queue.items) && free > 0 && passed < maxPassed; {
 		w := p.queue.items[i]
-		if s.yields(now, p, w, free) {
+		if free <= s.reserve(now, p, w, targets) || s.yields(now, p, w, free) {
 			break
 		}
 		t := s.choose(now, p, w.request, targets)
@@ -47,6 +47,30 @@
 	return actions
 }
 
+const (
+	// reserveShare is the part of the slots that more urgent ranks take up on
+	// average that is kept free for them, so that a burst of theirs does not wait
+	// for less urgent requests to end.
+	reserveShare = 0.5
+	// maxReserve bounds what is kept free, as a part of all slots.
+	maxReserve = 0.15
+)
+
+// reserve returns how many slots are kept free for more urgent requests than w.
+func (s *Scheduler) reserve(now time.Time, p *pool, w *waiting, targets []*target) int {
+	if p.engine == nil {
+		return 0
+	}
+	taken := 0.0
+	for rank, d := range p.demands {
+		if w.late || rank.Compare(w.request.Rank) < 0 {
+			taken += d.slots(now)
+		}
+	}
+	taken *= float64(len(s.peers) + 1)
+	return int(min(reserveShare*taken, maxReserve*float64(slots(targets))))
+}
+
 // yields says whether the free slots are left to other hosts, because their
 // requests come first. Hosts that do not use them are not waited for long.
 func (s *Scheduler) yields(now time.Time, p *pool, w *waiting, free int) bool {
@@ -103,9 +127,21 @@
 	ahead := float64(t.prefill+t.others.PrefillTokens) / p.prefillRate / speed
 	decode := float64(r.OutputTokens) * p.tokenTime / speed
 	beside := float64(t.busy(now))
-	return cost + ahead + prefill*(1+beside) + decode
+	cost += ahead + prefill*(1+beside) + decode
+	if now.Add(seconds(ahead + prefill + lengthMargin*decode)).After(r.Deadline) {
+		cost += tooSlowPenalty
+	}
+	return cost
 }
 
+const (
+	// lengthMargin allows for answers that grow longer than expected.
+	lengthMargin = 2
+	// tooSlowPenalty is what a target costs, in seconds, that would probably not
+	// end before the deadline.
+	tooSlowPenalty = 10.0
+)
+
 // dispatch takes a slot for the request.
 func (s *Scheduler) dispatch(now time.Time, p *pool, w *waiting, t *target) Action {
 	r := w.request
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -25,6 +25,7 @@
 	engine  *route.Engine
 	targets []*target
 	queue   queue
+	demands map[Rank]*demand
 
 	// service is the mean time in service in seconds.
 	service float64
@@ -44,6 +45,7 @@
 func newPool(name ident.Pool) *pool {
 	return &pool{
 		name:        name,
+		demands:     make(map[Rank]*demand),
 		service:     assumedServiceService.Seconds(),
 		prefillRate: assumedPrefillRate,
 		pace:        assumedPace,
@@ -109,6 +111,15 @@
 	return list
 }
 
+func (p *pool) demandOf(r Rank) *demand {
+	d := p.demands[r]
+	if d == nil {
+		d = &demand{}
+		p.demands[r] = d
+	}
+	return d
+}
+
 func freeSlots(now time.Time, targets []*target) int {
 	free := 0
 	for _, t := range targets {
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -24,6 +24,7 @@
 		return
 	}
 	r.firstAt = now
+	r.target.heard = now
 	r.target.prefill -= r.prefill
 	r.prefill = 0
 	p := s.pools[r.target.Pool]
@@ -42,11 +43,13 @@
 	}
 	r.events += events
 	r.lastAt = now
+	r.target.heard = now
 }
 
 // Reported takes in the load that a target told with an answer.
 func (s *Scheduler) Reported(now time.Time, id ident.Request, load int) {
 	if r := s.running[id]; r != nil {
+		r.target.heard = now
 		r.target.reported(now, load)
 	}
 }
@@ -63,6 +66,9 @@
 	t.prefill -= r.prefill
 	t.kv -= r.kv
 	t.health.ended(now, result)
+	if result == Served || result == Failed || result == Rejected {
+		t.heard = now
+	}
 	if result == Served {
 		s.learn(now, r)
 	}
@@ -74,7 +80,9 @@
 // learn updates the pool's and the target's times from a whole answer.
 func (s *Scheduler) learn(now time.Time, r *running) {
 	p := s.pools[r.target.Pool]
-	blend(&p.service, now.Sub(r.since).Seconds(), serviceMemory)
+	took := now.Sub(r.since).Seconds()
+	blend(&p.service, took, serviceMemory)
+	p.demandOf(r.request.Rank).served(took)
 	if r.events < minPaceEvents || r.firstAt.IsZero() {
 		return
 	}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -121,6 +121,7 @@
 // in vain.
 func (s *Scheduler) Enqueue(now time.Time, r Request) {
 	p := s.poolOf(r.Pool)
+	p.demandOf(r.Rank).arrived(now)
 	s.sequence++
 	w := &waiting{request: &r, sequence: s.sequence}
 	w.lapse = r.Objective.Add(-p.firstEventOf(&r))
@@ -175,6 +176,7 @@
 func (s *Scheduler) Decide(now time.Time) []Action {
 	actions := s.pending
 	s.pending = nil
+	s.restSilent(now)
 	for _, p := range s.pools {
 		if len(p.queue.items) == 0 {
 			continue
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -31,6 +31,8 @@
 	surplusAt time.Time
 
 	health health
+	// heard is when the target last sent anything to this host.
+	heard time.Time
 	// pace is the time between the events of a stream, in seconds; zero means
 	// that it is not known.
 	pace float64
