Predict waits with the demand of more urgent ranks; remember the use of teams

Change: a wait is predicted from what is ahead and from the slots that more urgent arrivals will take; a stream is refused before its caller leaves. A host that starts learns the use of teams from another, else gives out 0.6 of the limit; half a window holds at most 0.65 of it.

--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -128,7 +128,7 @@
 
 // hear takes in another host's state.
 func (k *knowledge) hear(now time.Time, m hoststate.Message) {
-	k.quotas.Hear(now, m.Host, m.Incarnation, m.Used)
+	k.quotas.Hear(now, m.Host, m.Incarnation, m.Uses)
 	if !m.Partial {
 		k.dispatcher.Hear(now, m.Host, m.Schedule)
 	}
@@ -139,7 +139,7 @@
 	m := hoststate.Message{
 		Host:     k.self,
 		Schedule: k.dispatcher.State(now),
-		Used:     k.quotas.Used(),
+		Uses:     k.quotas.Uses(now),
 	}
 	if table := k.table.Load(); table != nil {
 		m.TableVersion = table.Version
--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -7,6 +7,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/proto/hostpb"
+	"github.com/cornelyard/cornelyard/quota"
 	"github.com/cornelyard/cornelyard/schedule"
 )
 
@@ -21,8 +22,12 @@
 		TableVersion: m.TableVersion,
 		Partial:      m.Partial,
 	}
-	for team, used := range m.Used {
-		state.Uses = append(state.Uses, &hostpb.TeamUse{Team: hashName(team), Used: uint64(max(used, 0))})
+	for team, use := range m.Uses {
+		state.Uses = append(state.Uses, &hostpb.TeamUse{
+			Team:   hashName(team),
+			Used:   amount(use.Total),
+			Window: amount(use.Window),
+		})
 	}
 	if !m.Partial {
 		encodeSchedule(state, &m.Schedule)
@@ -56,6 +61,8 @@
 	}
 }
 
+func amount(x float64) uint64 { return uint64(max(x, 0)) }
+
 func count(n int) uint32 { return uint32(max(n, 0)) }
 
 // decode translates a message. What names something that is not known here is
@@ -66,11 +73,11 @@
 		Incarnation:  state.GetIncarnation(),
 		TableVersion: state.GetTableVersion(),
 		Partial:      state.GetPartial(),
-		Used:         make(map[ident.Team]float64, len(state.GetUses())),
+		Uses:         make(map[ident.Team]quota.Use, len(state.GetUses())),
 	}
 	for _, u := range state.GetUses() {
 		if team, ok := d.teams[u.GetTeam()]; ok {
-			m.Used[team] = float64(u.GetUsed())
+			m.Uses[team] = quota.Use{Total: float64(u.GetUsed()), Window: float64(u.GetWindow())}
 		}
 	}
 	for _, l := range state.GetLoads() {
--- a/hoststate/message.go
+++ b/hoststate/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quota"
 	"github.com/cornelyard/cornelyard/schedule"
 )
 
@@ -16,6 +17,6 @@
 	// Partial says that Schedule is not told, because the receiver is far away.
 	Partial  bool
 	Schedule schedule.State
-	// Used is what the host has let through since its start, by team.
-	Used map[ident.Team]float64
+	// Uses is what the host tells of each team's use.
+	Uses map[ident.Team]quota.Use
 }
--- a/quota/account.go
+++ b/quota/account.go
@@ -17,7 +17,14 @@
 	changed time.Time
 
 	window *window
-	at     time.Time
+	// half is the second half of the window. It is bounded as well, so that a
+	// restart of all hosts right after a burst, which they then do not know of,
+	// stays within the limit.
+	half *window
+	at   time.Time
+	// unknownUntil is the end of the first window of a host that did not know what
+	// was used before.
+	unknownUntil time.Time
 	// used is what this host let through since its start.
 	used float64
 	// heard is what each other host said it had let through, and assumed what was
@@ -26,9 +33,8 @@
 	assumed map[ident.Host]float64
 }
 
-// newAccount returns the account of a team. What was used before this host started
-// is not known; it is assumed that the team used all it could, evenly.
-func newAccount(started, now time.Time, l Limits, q route.Quota) *account {
+// newAccount returns the account of a team whose use in the window before is known.
+func newAccount(now time.Time, l Limits, q route.Quota, before float64) *account {
 	a := &account{
 		limits:  l,
 		quota:   q,
@@ -36,8 +42,30 @@
 		heard:   make(map[ident.Host]float64),
 		assumed: make(map[ident.Host]float64),
 	}
-	a.window = newWindow(started, l.Window, a.most(q))
+	a.window = newWindow(now, l.Window, before)
+	a.half = newWindow(now, l.Window/2, before/2)
+	return a
+}
+
+const (
+	// startShare is the part of the limit that a host gives out in the first
+	// window after its start, if nobody tells it what was used before.
+	startShare = 0.6
+	// halfShare is the part of the limit that may be used within half a window.
+	halfShare = 0.65
+)
+
+// newUnknownAccount returns the account of a team on a host that started without
+// knowing what was used before. It assumes that nearly all was, evenly.
+func newUnknownAccount(started, now time.Time, l Limits, q route.Quota) *account {
+	a := newAccount(started, l, q, 0)
+	most := a.most(q)
+	a.window = newWindow(started, l.Window, most)
+	a.half = newWindow(started, l.Window/2, halfShare*most)
+	a.unknownUntil = started.Add(l.Window)
+	a.at = now
 	a.window.advance(now)
+	a.half.advance(now)
 	return a
 }
 
@@ -52,6 +80,12 @@
 // what was used before was allowed then.
 func (a *account) limit(now time.Time) float64 {
 	target := a.most(a.quota)
+	if now.Before(a.unknownUntil) {
+		// What is assumed for the past leaves the window bit by bit; only a part of
+		// it is given out again.
+		known := 1 - a.unknownUntil.Sub(now).Seconds()/a.limits.Window.Seconds()
+		return target * (1 - known*(1-startShare))
+	}
 	rest := 1 - now.Sub(a.changed).Seconds()/a.limits.Window.Seconds()
 	if rest <= 0 || a.before <= target {
 		return target
@@ -74,10 +108,11 @@
 	}
 	a.at = now
 	a.window.advance(now)
+	a.half.advance(now)
 	share := elapsed * a.most(a.quota) / a.limits.Window.Seconds() / float64(max(hosts, 1))
 	for _, host := range silent {
 		a.assumed[host] += share
-		a.window.add(share)
+		a.add(share)
 	}
 }
 
@@ -97,7 +132,7 @@
 		more = max(0, more-assumed)
 		delete(a.assumed, host)
 	}
-	a.window.add(more)
+	a.add(more)
 }
 
 // restarted notes that another host counts from zero again.
@@ -105,20 +140,27 @@
 
 // take lets a request through if its cost fits in the window.
 func (a *account) take(now time.Time, cost float64) bool {
-	if a.window.sum+cost > a.limit(now) {
+	limit := a.limit(now)
+	if a.window.sum+cost > limit || a.half.sum+cost > halfShare*limit {
 		return false
 	}
-	a.window.add(cost)
+	a.add(cost)
 	a.used += cost
 	return true
 }
 
+func (a *account) add(amount float64) {
+	a.window.add(amount)
+	a.half.add(amount)
+}
+
 func (a *account) giveBack(cost float64) {
-	a.window.add(-cost)
+	a.add(-cost)
 	a.used -= cost
 }
 
 // wait returns how long it takes until a request of that cost fits.
 func (a *account) wait(now time.Time, cost float64) time.Duration {
-	return a.window.until(a.window.sum + cost - a.limit(now))
+	limit := a.limit(now)
+	return max(a.window.until(a.window.sum+cost-limit), a.half.until(a.half.sum+cost-halfShare*limit))
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -23,7 +23,9 @@
 	// process of it that was.
 	lastHeard    map[ident.Host]time.Time
 	incarnations map[ident.Host]uint64
-	silent       []ident.Host
+	// learned is what others said was used in the window, while this host is cold.
+	learned map[ident.Team]float64
+	silent  []ident.Host
 }
 
 // NewLedger returns a ledger without accounts, for a host that starts now.
@@ -35,6 +37,7 @@
 		lastHeard: make(map[ident.Host]time.Time),
 
 		incarnations: make(map[ident.Host]uint64),
+		learned:      make(map[ident.Team]float64),
 	}
 }
 
@@ -70,7 +73,7 @@
 func (l *Ledger) hosts() int { return len(l.lastHeard) + 1 }
 
 // Hear takes in what a process of another host has let through in all, by team.
-func (l *Ledger) Hear(now time.Time, host ident.Host, incarnation uint64, used map[ident.Team]float64) {
+func (l *Ledger) Hear(now time.Time, host ident.Host, incarnation uint64, uses map[ident.Team]Use) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settle(now)
@@ -81,24 +84,35 @@
 		}
 	}
 	l.incarnations[host] = incarnation
-	for team, amount := range used {
+	for team, use := range uses {
+		if use.Window > 0 && l.cold(now) {
+			l.learned[team] = use.Window
+		}
 		if a := l.accounts[team]; a != nil {
-			a.hear(host, amount)
+			a.hear(host, use.Total)
 		}
 	}
 }
 
-// Used returns what this host has let through in all, by team.
-func (l *Ledger) Used() map[ident.Team]float64 {
+// Uses returns what this host tells the others, by team.
+func (l *Ledger) Uses(now time.Time) map[ident.Team]Use {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	used := make(map[ident.Team]float64, len(l.accounts))
+	l.settle(now)
+	uses := make(map[ident.Team]Use, len(l.accounts))
 	for team, a := range l.accounts {
-		used[team] = a.used
+		use := Use{Total: a.used}
+		if !l.cold(now) {
+			use.Window = a.window.sum
+		}
+		uses[team] = use
 	}
-	return used
+	return uses
 }
 
+// cold says that this host has not run for a whole window.
+func (l *Ledger) cold(now time.Time) bool { return now.Sub(l.started) < l.limits.Window }
+
 // Take lets a request through, or tells how long the team has to wait.
 func (l *Ledger) Take(now time.Time, team *route.Team, cost float64) (bool, time.Duration) {
 	if !team.Quota.Limited() {
@@ -131,7 +145,7 @@
 func (l *Ledger) account(now time.Time, team *route.Team) *account {
 	a := l.accounts[team.Name]
 	if a == nil {
-		a = newAccount(l.started, now, l.limits, team.Quota)
+		a = l.open(now, team)
 		l.accounts[team.Name] = a
 	}
 	if a.quota != team.Quota {
@@ -139,3 +153,13 @@
 	}
 	return a
 }
+
+// open returns an account for a team without one. A host that has run for a whole
+// window, or was told by another, knows what was used before.
+func (l *Ledger) open(now time.Time, team *route.Team) *account {
+	before, known := l.learned[team.Name]
+	if !known && l.cold(now) {
+		return newUnknownAccount(l.started, now, l.limits, team.Quota)
+	}
+	return newAccount(now, l.limits, team.Quota, before)
+}
--- a/quota/window.go
+++ b/quota/window.go
@@ -49,6 +49,9 @@
 
 // until returns how long it takes until so much has left the window.
 func (w *window) until(amount float64) time.Duration {
+	if amount <= 0 {
+		return 0
+	}
 	for i := 1; i <= len(w.used) && amount > 0; i++ {
 		amount -= w.used[(w.at+i)%len(w.used)]
 		if amount <= 0 {
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -126,6 +126,7 @@
 		Arrived:      now,
 		Objective:    x.call.Arrived.Add(x.route.Objective),
 		Deadline:     x.deadline,
+		Leaves:       x.leaves(),
 		PromptTokens: x.call.PromptTokens,
 		OutputTokens: x.expectedOutput(),
 		Parts:        x.call.Parts,
@@ -138,6 +139,26 @@
 	return r
 }
 
+const (
+	// Callers leave a stream without an event after the longest of these: a fixed
+	// time, and multiples of the route's objectives.
+	leaveAfter           = 2 * time.Second
+	leaveAfterObjectives = 4
+	leaveAfterPauses     = 8
+)
+
+// leaves returns when the caller probably leaves if nothing arrives.
+func (x *execution) leaves() time.Time {
+	if x.route.Kind != route.Stream {
+		return x.deadline
+	}
+	patience := max(leaveAfter, leaveAfterObjectives*x.route.Objective, leaveAfterPauses*x.route.PauseObjective)
+	if at := x.call.Arrived.Add(patience); at.Before(x.deadline) {
+		return at
+	}
+	return x.deadline
+}
+
 // expectedOutput returns the caller's estimate, within its limit.
 func (x *execution) expectedOutput() int {
 	switch {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -61,14 +61,7 @@
 	if p.engine == nil {
 		return 0
 	}
-	taken := 0.0
-	for rank, d := range p.demands {
-		if w.late || rank.Compare(w.request.Rank) < 0 {
-			taken += d.slots(now)
-		}
-	}
-	taken *= float64(len(s.peers) + 1)
-	return int(min(reserveShare*taken, maxReserve*float64(slots(targets))))
+	return int(min(reserveShare*s.urgentSlots(now, p, w), maxReserve*float64(slots(targets))))
 }
 
 // yields says whether the free slots are left to other hosts, because their
--- a/schedule/refuse.go
+++ b/schedule/refuse.go
@@ -7,9 +7,12 @@
 )
 
 const (
-	// latePatience is the part of a caller's time after which a request that
-	// still waits is refused, so that the caller can come back in time.
-	latePatience = 1.0 / 3
+	// latePatience is the part of the time until the caller leaves after which a
+	// request that still waits is refused, so that the caller can come back.
+	latePatience = 0.5
+	// minCapacity is the least part of the slots that is counted on for requests
+	// after more urgent ones.
+	minCapacity = 0.05
 	// shortestRetry is the least time that a caller is told to stay away.
 	shortestRetry = 100 * time.Millisecond
 	// retryShare bounds what a caller is told by the time that it has left: it
@@ -29,6 +32,7 @@
 		case !now.Before(w.giveUp):
 			actions = append(actions, s.refuse(now, p, w, "no slot was free in time"))
 		case !w.late && !now.Before(w.lapse):
+			w.late = true
 			demoted = append(demoted, w)
 		default:
 			kept = append(kept, w)
@@ -37,7 +41,10 @@
 	clear(p.queue.items[len(kept):])
 	p.queue.items = kept
 	for _, w := range demoted {
-		w.late = true
+		if s.hopeless(now, p, w) {
+			actions = append(actions, s.refuse(now, p, w, "no slot will be free in time"))
+			continue
+		}
 		p.queue.add(w)
 	}
 	return actions
@@ -48,18 +55,41 @@
 	return now.Add(s.wait(now, p, w)).After(w.giveUp)
 }
 
-// wait predicts how long a request waits for its turn.
+// wait predicts how long a request waits for its turn: for those before it, while
+// more urgent ones that have not arrived yet take slots too.
 func (s *Scheduler) wait(now time.Time, p *pool, w *waiting) time.Duration {
 	targets := p.usable(now)
 	if len(targets) == 0 {
 		return 0
 	}
 	ahead := p.queue.position(w) + s.peersAhead(now, p.name, w)
-	ahead -= max(0, freeSlots(now, targets)-1)
+	ahead -= max(0, freeSlots(now, targets)-s.reserve(now, p, w, targets)-1)
 	if ahead <= 0 {
 		return 0
 	}
-	return seconds(float64(ahead) * p.service / float64(max(slots(targets), 1)))
+	all := float64(slots(targets))
+	capacity := max(all-s.urgentSlots(now, p, w), minCapacity*all)
+	return seconds(float64(ahead) * p.serviceOf(w.request.Rank) / capacity)
+}
+
+// urgentSlots returns how many slots the requests that are served before w take up
+// on average, over all hosts.
+func (s *Scheduler) urgentSlots(now time.Time, p *pool, w *waiting) float64 {
+	taken := 0.0
+	for rank, d := range p.demands {
+		if w.late || rank.Compare(w.request.Rank) < 0 {
+			taken += d.slots(now)
+		}
+	}
+	return taken * float64(len(s.peers)+1)
+}
+
+// serviceOf returns the mean time in service of a rank in seconds.
+func (p *pool) serviceOf(r Rank) float64 {
+	if d := p.demands[r]; d != nil && d.service > 0 {
+		return d.service
+	}
+	return p.service
 }
 
 // refuse takes a request that is not in the queue any more and gives it its final
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -18,6 +18,9 @@
 	Objective time.Time
 	// Deadline is when its caller stops waiting.
 	Deadline time.Time
+	// Leaves is when its caller probably leaves if nothing has arrived until then;
+	// it is not after Deadline.
+	Leaves time.Time
 	// PromptTokens and OutputTokens are zero for plain services; OutputTokens is
 	// an estimate.
 	PromptTokens int
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -125,7 +125,7 @@
 	s.sequence++
 	w := &waiting{request: &r, sequence: s.sequence}
 	w.lapse = r.Objective.Add(-p.firstEventOf(&r))
-	w.giveUp = r.Arrived.Add(seconds(latePatience * r.Deadline.Sub(r.Arrived).Seconds()))
+	w.giveUp = r.Arrived.Add(seconds(latePatience * r.Leaves.Sub(r.Arrived).Seconds()))
 	if w.giveUp.Before(w.lapse) {
 		w.giveUp = w.lapse
 	}
