Remember busy teams in the store, so that the others are served after a restart of all hosts

Ruled out: a full allowance at the start (QUOTA breaks where a team was hot before the restart, TestRestartOfAllHostsKeepsTheBound). Change: hosts mark teams that use over 0.55 of their limit in a table of the store; a starting host reads the marks and lets the other teams use up to 0.85 of theirs. Slots are kept free only from requests that take twice as long as more urgent ones. Test: TestCalmTeamIsNotRefusedAfterARestartOfAllHosts failed before.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -38,6 +38,7 @@
 	addActor(&group, g.directory.FollowTargets)
 	addActor(&group, g.directory.FollowHosts)
 	addActor(&group, g.register)
+	addActor(&group, g.rememberBusyTeams)
 	addActor(&group, g.listener(g.config.ReadinessAddress, platform.ReadinessHandler(http.HandlerFunc(g.serveReadiness))))
 	addActor(&group, g.serveMetrics)
 	g.addIngress(ctx, &group)
--- a/quota/account.go
+++ b/quota/account.go
@@ -23,8 +23,9 @@
 	half *window
 	at   time.Time
 	// unknownUntil is the end of the first window of a host that did not know what
-	// was used before.
+	// was used before, for which assumption holds.
 	unknownUntil time.Time
+	assumption   assumption
 	// used is what this host let through since its start.
 	used float64
 	// heard is what each other host said it had let through, and assumed what was
@@ -47,21 +48,34 @@
 	return a
 }
 
-const (
-	// startShare is the part of the limit that a host gives out in the first
-	// window after its start, if nobody tells it what was used before.
-	startShare = 0.6
-	// halfShare is the part of the limit that may be used within half a window.
-	halfShare = 0.65
+// halfShare is the part of the limit that may be used within half a window.
+const halfShare = 0.65
+
+// assumption is what a host that starts without news takes for granted.
+type assumption struct {
+	// before is the part of the limit that was used in the window before, evenly.
+	before float64
+	// limit is the part of the limit that is given out in the first window.
+	limit float64
+}
+
+var (
+	calm = assumption{before: calmShare, limit: calmLimit}
+	busy = assumption{before: 1, limit: startShare}
 )
 
-// newUnknownAccount returns the account of a team on a host that started without
-// knowing what was used before. It assumes that nearly all was, evenly.
-func newUnknownAccount(started, now time.Time, l Limits, q route.Quota) *account {
+// startShare is the part of the limit that a busy team may use in the first window
+// after a start.
+const startShare = 0.6
+
+// newAssumedAccount returns the account of a team on a host that started without
+// knowing what was used before.
+func newAssumedAccount(started, now time.Time, l Limits, q route.Quota, as assumption) *account {
 	a := newAccount(started, l, q, 0)
 	most := a.most(q)
-	a.window = newWindow(started, l.Window, most)
-	a.half = newWindow(started, l.Window/2, halfShare*most)
+	a.window = newWindow(started, l.Window, as.before*most)
+	a.half = newWindow(started, l.Window/2, min(as.before/2, halfShare)*most)
+	a.assumption = as
 	a.unknownUntil = started.Add(l.Window)
 	a.at = now
 	a.window.advance(now)
@@ -84,7 +98,8 @@
 		// What is assumed for the past leaves the window bit by bit; only a part of
 		// it is given out again.
 		known := 1 - a.unknownUntil.Sub(now).Seconds()/a.limits.Window.Seconds()
-		return target * (1 - known*(1-startShare))
+		first := max(a.assumption.limit, a.assumption.before)
+		return target * (first - known*(first-a.assumption.limit))
 	}
 	rest := 1 - now.Sub(a.changed).Seconds()/a.limits.Window.Seconds()
 	if rest <= 0 || a.before <= target {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -23,6 +23,9 @@
 	// process of it that was.
 	lastHeard    map[ident.Host]time.Time
 	incarnations map[ident.Host]uint64
+	// recalled holds the teams that were busy before this host started; nil means
+	// that it is not known.
+	recalled map[ident.Team]bool
 	// learned is what others said was used in the window, while this host is cold.
 	learned map[ident.Team]float64
 	silent  []ident.Host
@@ -155,11 +158,15 @@
 }
 
 // open returns an account for a team without one. A host that has run for a whole
-// window, or was told by another, knows what was used before.
+// window, or was told by another, knows what was used before; else it is assumed.
 func (l *Ledger) open(now time.Time, team *route.Team) *account {
 	before, known := l.learned[team.Name]
-	if !known && l.cold(now) {
-		return newUnknownAccount(l.started, now, l.limits, team.Quota)
+	switch {
+	case known || !l.cold(now):
+		return newAccount(now, l.limits, team.Quota, before)
+	case l.recalled != nil && !l.recalled[team.Name]:
+		return newAssumedAccount(l.started, now, l.limits, team.Quota, calm)
+	default:
+		return newAssumedAccount(l.started, now, l.limits, team.Quota, busy)
 	}
-	return newAccount(now, l.limits, team.Quota, before)
 }
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -248,3 +248,30 @@
 		t.Error("what the new process let through does not count")
 	}
 }
+
+func TestCalmTeamIsNotRefusedAfterARestartOfAllHosts(t *testing.T) {
+	l := NewLedger(start, limits)
+	l.Recall(map[ident.Team]time.Duration{"other": time.Second})
+	acme := team(1000, 500)
+	// Callers that waited for the hosts come back all at once.
+	if ok, _ := l.Take(start, acme, 2*1000/1.8); !ok {
+		t.Error("the use of two usual seconds was refused")
+	}
+	uses := spend(l, acme, 0, 8*time.Second, 18*time.Millisecond)
+	if got, asked := sum(uses), 10*8000.0/18; got < 0.98*asked {
+		t.Errorf("of %v only %v got through", asked, got)
+	}
+}
+
+func TestBusyTeamIsRemembered(t *testing.T) {
+	l := newLedger()
+	acme := team(1000, 500)
+	spend(l, acme, 0, 8*time.Second, 18*time.Millisecond)
+	if busy := l.Busy(after(8 * time.Second)); len(busy) != 0 {
+		t.Errorf("a team with its usual use is busy: %v", busy)
+	}
+	spend(l, acme, 8*time.Second, 12*time.Second, time.Millisecond)
+	if busy := l.Busy(after(12 * time.Second)); len(busy) != 1 {
+		t.Errorf("a team that uses all it can is not busy")
+	}
+}
--- /dev/null
+++ b/quota/recall.go
@@ -0,0 +1,47 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+const (
+	// busyShare is the part of its limit from which on a team's use is worth
+	// remembering beyond the end of all hosts.
+	busyShare = 0.55
+	// calmShare is the part of its limit that a team is assumed to have used which
+	// was not remembered as busy.
+	calmShare = 0.5
+	// calmLimit is the part of the limit that such a team may use in the first
+	// window after a start.
+	calmLimit = 0.85
+)
+
+// Busy returns the teams whose use a host would have to know that starts when all
+// others have ended.
+func (l *Ledger) Busy(now time.Time) []ident.Team {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(now)
+	var busy []ident.Team
+	for team, a := range l.accounts {
+		if a.window.sum > busyShare*a.most(a.quota) && !l.cold(now) {
+			busy = append(busy, team)
+		}
+	}
+	return busy
+}
+
+// Recall tells a host that starts which teams were busy before, and how long ago.
+// Without it, all are taken for busy.
+func (l *Ledger) Recall(ages map[ident.Team]time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recalled = make(map[ident.Team]bool, len(ages))
+	for team, age := range ages {
+		if age < 2*l.limits.Window {
+			l.recalled[team] = true
+		}
+	}
+}
--- a/schedule/demand.go
+++ b/schedule/demand.go
@@ -40,8 +40,11 @@
 // demandServiceMemory is the weight of a new time in service.
 const demandServiceMemory = 0.1
 
-// slots returns how many slots the rank takes up on average.
-func (d *demand) slots(now time.Time) float64 {
+// rate returns the arrivals a second.
+func (d *demand) rate(now time.Time) float64 {
 	d.decay(now)
-	return d.arrivals / demandMemory.Seconds() * d.service
+	return d.arrivals / demandMemory.Seconds()
 }
+
+// slots returns how many slots the rank takes up on average.
+func (d *demand) slots(now time.Time) float64 { return d.rate(now) * d.service }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -49,11 +49,14 @@
 
 const (
 	// reserveShare is the part of the slots that more urgent ranks take up on
-	// average that is kept free for them, so that a burst of theirs does not wait
-	// for less urgent requests to end.
-	reserveShare = 0.5
+	// average that is kept free for them, so that they need not wait for requests
+	// that hold their slots for much longer.
+	reserveShare = 0.4
 	// maxReserve bounds what is kept free, as a part of all slots.
-	maxReserve = 0.15
+	maxReserve = 0.25
+	// longService is how many times as long as the more urgent ones a request must
+	// take before slots are kept free from it.
+	longService = 2.0
 )
 
 // reserve returns how many slots are kept free for more urgent requests than w.
@@ -61,9 +64,29 @@
 	if p.engine == nil {
 		return 0
 	}
-	return int(min(reserveShare*s.urgentSlots(now, p, w), maxReserve*float64(slots(targets))))
+	taken, arrivals := p.urgent(now, w)
+	if arrivals == 0 || p.serviceOf(w.request.Rank) < longService*taken/arrivals {
+		return 0
+	}
+	return int(min(reserveShare*taken*s.hosts(), maxReserve*float64(slots(targets))))
 }
 
+// urgent returns the slots that more urgent requests of this host take up on
+// average, and their arrivals a second.
+func (p *pool) urgent(now time.Time, w *waiting) (taken, arrivals float64) {
+	for rank, d := range p.demands {
+		if w.late || rank.Compare(w.request.Rank) < 0 {
+			taken += d.slots(now)
+			arrivals += d.rate(now)
+		}
+	}
+	return taken, arrivals
+}
+
+// hosts returns the number of hosts that are heard, with this one. Callers are
+// spread over them.
+func (s *Scheduler) hosts() float64 { return float64(len(s.peers) + 1) }
+
 // yields says whether the free slots are left to other hosts, because their
 // requests come first. Hosts that do not use them are not waited for long.
 func (s *Scheduler) yields(now time.Time, p *pool, w *waiting, free int) bool {
--- a/schedule/refuse.go
+++ b/schedule/refuse.go
@@ -68,22 +68,11 @@
 		return 0
 	}
 	all := float64(slots(targets))
-	capacity := max(all-s.urgentSlots(now, p, w), minCapacity*all)
+	taken, _ := p.urgent(now, w)
+	capacity := max(all-taken*s.hosts(), minCapacity*all)
 	return seconds(float64(ahead) * p.serviceOf(w.request.Rank) / capacity)
 }
 
-// urgentSlots returns how many slots the requests that are served before w take up
-// on average, over all hosts.
-func (s *Scheduler) urgentSlots(now time.Time, p *pool, w *waiting) float64 {
-	taken := 0.0
-	for rank, d := range p.demands {
-		if w.late || rank.Compare(w.request.Rank) < 0 {
-			taken += d.slots(now)
-		}
-	}
-	return taken * float64(len(s.peers)+1)
-}
-
 // serviceOf returns the mean time in service of a rank in seconds.
 func (p *pool) serviceOf(r Rank) float64 {
 	if d := p.demands[r]; d != nil && d.service > 0 {
