Play loads against the scheduler, and probe failed targets from one host at a time

Change: internal/loadmodel (engines that batch, hosts with late news, callers that leave and come back); a target that rests for one host gets no requests of others that have not heard it lately; one host at a time probes it, with a request that may be repeated where there are such.

--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -50,6 +50,7 @@
 			GoodTenths:    count(int(l.Good * tenths)),
 			BadTenths:     count(int(l.Bad * tenths)),
 			PrefillRate:   count(int(l.Speeds.PrefillRate)),
+			Resting:       l.Resting,
 			PaceUs:        count(int(l.Speeds.Pace * microseconds)),
 		})
 	}
@@ -117,6 +118,7 @@
 		KVTokens:      int(l.GetKvTokens()),
 		Good:          float64(l.GetGoodTenths()) / tenths,
 		Bad:           float64(l.GetBadTenths()) / tenths,
+		Resting:       l.GetResting(),
 		Speeds: schedule.Speeds{
 			PrefillRate: float64(l.GetPrefillRate()),
 			Pace:        float64(l.GetPaceUs()) / microseconds,
--- /dev/null
+++ b/internal/loadmodel/outcome.go
@@ -0,0 +1,48 @@
+package loadmodel
+
+// Outcome counts what became of the requests of one class.
+type Outcome struct {
+	Asked   int
+	OnTime  int
+	Late    int
+	Refused int
+	// Left counts callers that left without an answer.
+	Left int
+	// Earned and Owed are in the worth of the class.
+	Earned float64
+	Owed   float64
+}
+
+// Served returns the part of the requests that got an answer.
+func (o Outcome) Served() float64 { return float64(o.OnTime+o.Late) / float64(max(o.Asked, 1)) }
+
+// Punctual returns the part of the requests that got an answer on time.
+func (o Outcome) Punctual() float64 { return float64(o.OnTime) / float64(max(o.Asked, 1)) }
+
+// Report is what came of a run, by class.
+type Report struct {
+	Classes map[string]*Outcome
+}
+
+// Credit returns what was earned of all that was owed.
+func (r Report) Credit() float64 {
+	earned, owed := 0.0, 0.0
+	for _, o := range r.Classes {
+		earned += o.Earned
+		owed += o.Owed
+	}
+	return earned / max(owed, 1)
+}
+
+// Total sums up all classes.
+func (r Report) Total() Outcome {
+	var sum Outcome
+	for _, o := range r.Classes {
+		sum.Asked += o.Asked
+		sum.OnTime += o.OnTime
+		sum.Late += o.Late
+		sum.Refused += o.Refused
+		sum.Left += o.Left
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/loadmodel/setup.go
@@ -0,0 +1,38 @@
+package loadmodel
+
+import "time"
+
+// Setup describes one run.
+type Setup struct {
+	Seed   uint64
+	Length time.Duration
+	Hosts  int
+	// News is how old another host's state is when it is acted on.
+	News time.Duration
+	// Speeds holds an engine each; 1 computes prompts and tokens at the rates
+	// below.
+	Speeds []float64
+	Slots  int
+	// PrefillRate is in prompt tokens a second.
+	PrefillRate float64
+	// TokenTime is the time for one token of an engine without prompts.
+	TokenTime time.Duration
+	Classes   []Class
+	Bursts    []Burst
+	// Lost engines take no request and end none from LostAt on.
+	Lost   int
+	LostAt time.Duration
+	// Policy is how requests are placed.
+	Policy Policy
+}
+
+// Policy is how requests are placed.
+type Policy int
+
+const (
+	// Scheduled uses package schedule on every host.
+	Scheduled Policy = iota
+	// LeastOwn is the baseline: each host sends a request at once to the engine
+	// where it has the fewest itself, and the engine queues it.
+	LeastOwn
+)
--- /dev/null
+++ b/internal/loadmodel/sites.go
@@ -0,0 +1,37 @@
+package loadmodel
+
+import "time"
+
+// Drafting returns a setup like the drafting pool of Lankadhara: twelve engines, a
+// third of them nearly three times as fast as the others, before six hosts.
+func Drafting(seed uint64) Setup {
+	fast, slow := 1/0.6, 1/1.7
+	speeds := []float64{fast, slow, slow, fast, slow, slow, fast, slow, slow, fast, slow, slow}
+	return Setup{
+		Seed:        seed,
+		Length:      30 * time.Second,
+		Hosts:       6,
+		News:        2 * time.Millisecond,
+		Speeds:      speeds,
+		Slots:       7,
+		PrefillRate: 50_000,
+		TokenTime:   6 * time.Millisecond,
+		Classes: []Class{
+			{
+				Name: "draft", PerSecond: 33.6, Priority: 0,
+				Objective: 600 * time.Millisecond, Deadline: 6 * time.Second,
+				Prompt: 2950, PromptSpread: 1, Output: 51, OutputSpread: 1.2, Worth: 5.3, Late: 0.53,
+			},
+			{
+				Name: "check", PerSecond: 22.6, Priority: 1, Repeatable: true,
+				Objective: 400 * time.Millisecond, Deadline: 4 * time.Second,
+				Prompt: 1860, PromptSpread: 1, Output: 23, OutputSpread: 1.2, Worth: 1.7, Late: 0.17,
+			},
+			{
+				Name: "explain", PerSecond: 19.8, Priority: 2,
+				Objective: 300 * time.Millisecond, Deadline: 15 * time.Second,
+				Prompt: 603, PromptSpread: 0.9, Output: 280, OutputSpread: 1.2, Worth: 0.52, Late: 0.052,
+			},
+		},
+	}
+}
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -130,6 +130,7 @@
 		PromptTokens: x.call.PromptTokens,
 		OutputTokens: x.expectedOutput(),
 		Parts:        x.call.Parts,
+		Repeatable:   x.repeatable() && x.dispatches+1 < x.route.MaxDispatches,
 		Avoid:        x.avoid,
 	}
 	if x.team != nil {
--- /dev/null
+++ b/schedule/health_test.go
@@ -0,0 +1,113 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+func TestTargetRestsAfterFailures(t *testing.T) {
+	cases := []struct {
+		name    string
+		results []Result
+		usable  bool
+	}{
+		{"one broken answer", []Result{Broken}, true},
+		{"two broken answers", []Result{Broken, Broken}, false},
+		{"a good answer between", []Result{Broken, Served, Broken}, true},
+		{"one vain connection", []Result{Unreachable}, false},
+		{"another target at the address", []Result{Misaddressed}, false},
+		{"callers that left", []Result{Abandoned, Abandoned, Abandoned}, true},
+		{"errors of its own", []Result{Failed, Failed}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var h health
+			for i, result := range c.results {
+				h.ended(at(i), result)
+			}
+			if got := h.usable(at(len(c.results))); got != c.usable {
+				t.Errorf("usable is %v", got)
+			}
+		})
+	}
+}
+
+func TestRestEndsWithOneProbeAtATime(t *testing.T) {
+	var h health
+	h.ended(at(0), Unreachable)
+	after := at(int(unreachableRest.Milliseconds()) + 1)
+	if !h.usable(after) {
+		t.Fatal("the rest does not end")
+	}
+	h.dispatched()
+	if h.usable(after) {
+		t.Error("a second request is sent before the probe has ended")
+	}
+	h.ended(after, Served)
+	if !h.usable(after) || h.probation {
+		t.Error("a served probe does not end the probation")
+	}
+}
+
+func TestFailedProbesMakeTheRestLonger(t *testing.T) {
+	var h health
+	now, last := at(0), time.Duration(0)
+	for range 8 {
+		h.ended(now, Unreachable)
+		rest := h.until.Sub(now)
+		if rest < last || rest > longestRest {
+			t.Fatalf("a rest of %v after one of %v", rest, last)
+		}
+		now, last = h.until, rest
+	}
+}
+
+func TestOutlierStandsOutFromItsPool(t *testing.T) {
+	cases := []struct {
+		name      string
+		own, pool tally
+		want      bool
+	}{
+		{"fails half among good ones", tally{good: 3, bad: 3}, tally{good: 60, bad: 4}, true},
+		{"fails like all others", tally{good: 3, bad: 3}, tally{good: 30, bad: 28}, false},
+		{"too few results", tally{good: 0, bad: 2}, tally{good: 60, bad: 2}, false},
+		{"fails seldom", tally{good: 20, bad: 4}, tally{good: 60, bad: 4}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := outlier(c.own, c.pool); got != c.want {
+				t.Errorf("got %v", got)
+			}
+		})
+	}
+}
+
+func TestOutlierGetsNoRequestsUnlessMostAre(t *testing.T) {
+	s := newScheduler(7, 7, 7, 7)
+	s.targets["t0"].health.results = tally{good: 1, bad: 5, at: at(0)}
+	for _, name := range []ident.Target{"t1", "t2", "t3"} {
+		s.targets[name].health.results = tally{good: 10, at: at(0)}
+	}
+	if usable := s.pools["p"].usable(at(0)); len(usable) != 3 {
+		t.Errorf("%d targets are usable, want the three that do not fail", len(usable))
+	}
+	for _, name := range []ident.Target{"t1", "t2", "t3"} {
+		s.targets[name].health.restFor(at(0), firstRest)
+	}
+	s.targets["t0"].health = health{results: tally{good: 1, bad: 5, at: at(0)}}
+	if usable := s.pools["p"].usable(at(0)); len(usable) != 1 {
+		t.Error("nothing is usable, though one target answers some requests")
+	}
+}
+
+func TestSilentTargetRests(t *testing.T) {
+	s := newScheduler(7)
+	s.Enqueue(at(0), request("a", 0, 0))
+	dispatched(t, s, 0)
+	s.Decide(at(int(engineSilence.Milliseconds()) + 10))
+	if s.targets["t0"].health.usable(at(int(engineSilence.Milliseconds()) + 11)) {
+		t.Error("a target that leaves a request without sign of life gets more")
+	}
+}
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -12,6 +12,8 @@
 	KVTokens int
 	// Speeds is what the host observed of the target.
 	Speeds Speeds
+	// Resting says that the host sends nothing to the target, because it failed.
+	Resting bool
 	// Good and Bad are decayed counts of dispatches, by how they ended.
 	Good float64
 	Bad  float64
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -59,6 +59,7 @@
 			t.others.Running += load.Running
 			t.others.PrefillTokens += load.PrefillTokens
 			t.others.KVTokens += load.KVTokens
+			t.others.Resting = t.others.Resting || load.Resting
 			t.others.Good += load.Good
 			t.others.Bad += load.Bad
 			speeds[load.Target] = append(speeds[load.Target], load.Speeds)
@@ -105,7 +106,7 @@
 	state := State{Placements: s.takePlacements()}
 	for _, t := range s.targets {
 		load := t.load(now)
-		if load.Running > 0 || load.Good > minTold || load.Bad > minTold || load.Speeds != (Speeds{}) {
+		if load.Running > 0 || load.Good > minTold || load.Bad > minTold || load.Resting || load.Speeds != (Speeds{}) {
 			state.Loads = append(state.Loads, load)
 		}
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -111,6 +111,9 @@
 		if t.free(now) <= 0 || avoids(r, t.Name) || !p.fits(r, t) {
 			continue
 		}
+		if t.health.probation && !p.mayProbe(now, r) {
+			continue
+		}
 		if p.engine != nil && t.busy(now) > 0 && p.firstEventOn(t, s.prefixes.uncached(now, r, t.Name)) > inTime {
 			continue
 		}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -34,6 +34,8 @@
 	// pace is the mean time between the events of a stream in seconds.
 	pace float64
 
+	// repeatableAt is when the last request arrived that is fit for a probe.
+	repeatableAt time.Time
 	// yieldSince is since when free slots are left to other hosts' requests, or
 	// zero.
 	yieldSince time.Time
@@ -104,7 +106,7 @@
 		}
 		present++
 		switch {
-		case !t.health.usable(now):
+		case !t.usable(now):
 		case !t.health.probation && outlier(t.results(now), sum):
 			outliers = append(outliers, t)
 		default:
@@ -120,6 +122,15 @@
 	return list
 }
 
+// probeWait is how long a probe waits for a request that loses nothing by it.
+const probeWait = 5 * time.Second
+
+// mayProbe says whether a request may be sent to a target that has not answered
+// since its rest. One that cannot be repeated is only risked if there are no others.
+func (p *pool) mayProbe(now time.Time, r *Request) bool {
+	return r.Repeatable || now.Sub(p.repeatableAt) > probeWait
+}
+
 func (p *pool) demandOf(r Rank) *demand {
 	d := p.demands[r]
 	if d == nil {
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -27,6 +27,8 @@
 	OutputTokens int
 	// Parts is the prompt's composition, first part first.
 	Parts []Part
+	// Repeatable says that it may go on at another target if this one fails.
+	Repeatable bool
 	// Avoid lists targets that already failed this request.
 	Avoid []ident.Target
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -122,6 +122,9 @@
 func (s *Scheduler) Enqueue(now time.Time, r Request) {
 	p := s.poolOf(r.Pool)
 	p.demandOf(r.Rank).arrived(now)
+	if r.Repeatable {
+		p.repeatableAt = now
+	}
 	s.sequence++
 	w := &waiting{request: &r, sequence: s.sequence}
 	w.lapse = r.Objective.Add(-p.firstEventOf(&r))
--- /dev/null
+++ b/schedule/scheduler_test.go
@@ -0,0 +1,253 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/route"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// newScheduler returns a scheduler with engines of so many slots each.
+func newScheduler(slots ...int) *Scheduler {
+	s := New(Options{DataCentre: "near", Random: func() float64 { return 0 }})
+	s.Declare(start, pools(), engines(slots...))
+	return s
+}
+
+func pools() map[ident.Pool]*route.Pool {
+	return map[ident.Pool]*route.Pool{"p": {Name: "p", Engine: &route.Engine{KVTokens: 100_000}}}
+}
+
+func engines(slots ...int) *route.Roster {
+	roster := &route.Roster{Targets: make(map[ident.Target]route.Target)}
+	for i, n := range slots {
+		name := ident.Target(fmt.Sprintf("t%d", i))
+		roster.Targets[name] = route.Target{Name: name, Pool: "p", DataCentre: "near", Slots: n, Address: string(name)}
+	}
+	return roster
+}
+
+func request(id string, ms int, priority int) Request {
+	return Request{
+		ID:           ident.Request(id),
+		Pool:         "p",
+		Rank:         Rank{Route: priority},
+		Arrived:      at(ms),
+		Objective:    at(ms + 600),
+		Leaves:       at(ms + 2000),
+		Deadline:     at(ms + 6000),
+		PromptTokens: 1000,
+		OutputTokens: 50,
+	}
+}
+
+// dispatched returns the targets of the requests that are sent now, by request.
+func dispatched(t *testing.T, s *Scheduler, ms int) map[ident.Request]ident.Target {
+	t.Helper()
+	sent := make(map[ident.Request]ident.Target)
+	for _, action := range s.Decide(at(ms)) {
+		if d, ok := action.(*Dispatch); ok {
+			sent[d.Request] = d.Target.Name
+		}
+	}
+	return sent
+}
+
+func TestMoreUrgentRequestsGoFirst(t *testing.T) {
+	s := newScheduler(1)
+	s.Enqueue(at(0), request("first", 0, 1))
+	dispatched(t, s, 0)
+	s.Enqueue(at(1), request("low", 1, 2))
+	s.Enqueue(at(2), request("high", 2, 0))
+	s.End(at(100), "first", Served)
+	if sent := dispatched(t, s, 100); len(sent) != 1 || sent["high"] == "" {
+		t.Errorf("sent %v, want the urgent request", sent)
+	}
+}
+
+func TestTeamPriorityComesBeforeRoutePriority(t *testing.T) {
+	s := newScheduler(1)
+	s.Enqueue(at(0), request("first", 0, 0))
+	dispatched(t, s, 0)
+	route := request("route", 1, 0)
+	route.Rank.Team = 1
+	team := request("team", 2, 2)
+	s.Enqueue(at(1), route)
+	s.Enqueue(at(2), team)
+	s.End(at(100), "first", Served)
+	if sent := dispatched(t, s, 100); sent["team"] == "" {
+		t.Errorf("sent %v, want the request of the team that is served first", sent)
+	}
+}
+
+func TestFreeSlotIsLeftToAnotherHostsMoreUrgentRequest(t *testing.T) {
+	s := newScheduler(1)
+	s.Enqueue(at(0), request("first", 0, 1))
+	dispatched(t, s, 0)
+	s.Enqueue(at(1), request("own", 1, 1))
+	s.Hear(at(90), "b", State{Backlogs: []Backlog{{Pool: "p", Rank: Rank{Route: 0}, Count: 1, Slack: 500 * time.Millisecond}}})
+	s.End(at(100), "first", Served)
+	if sent := dispatched(t, s, 100); len(sent) != 0 {
+		t.Fatalf("sent %v, though another host's request comes first", sent)
+	}
+	if sent := dispatched(t, s, 120); sent["own"] == "" {
+		t.Error("a slot that the other host does not use is never taken")
+	}
+}
+
+func TestOthersLoadCounts(t *testing.T) {
+	s := newScheduler(2, 2)
+	s.Hear(at(0), "b", State{Loads: []Load{{Target: "t0", Running: 2}}})
+	s.Enqueue(at(1), request("a", 1, 0))
+	if sent := dispatched(t, s, 1); sent["a"] != "t1" {
+		t.Errorf("sent %v, want the target that the other host does not use", sent)
+	}
+}
+
+func TestSilentHostsLoadIsForgotten(t *testing.T) {
+	s := newScheduler(1)
+	s.Hear(at(0), "b", State{Loads: []Load{{Target: "t0", Running: 1}}})
+	s.ForgetSilent(at(3000))
+	s.Enqueue(at(3000), request("a", 3000, 0))
+	if sent := dispatched(t, s, 3000); len(sent) != 1 {
+		t.Error("the load of a host that is gone still counts")
+	}
+}
+
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	s := newScheduler(1, 1)
+	roster := engines(1, 1)
+	leaving := roster.Targets["t0"]
+	leaving.Leaving = true
+	roster.Targets["t0"] = leaving
+	s.Declare(at(0), pools(), roster)
+	for i := range 4 {
+		s.Enqueue(at(i), request(fmt.Sprint(i), i, 0))
+	}
+	for id, target := range dispatched(t, s, 10) {
+		if target == "t0" {
+			t.Errorf("%s was sent to the leaving target", id)
+		}
+	}
+}
+
+func TestRequestIsRefusedAtOnceWithoutTargets(t *testing.T) {
+	s := newScheduler()
+	s.Enqueue(at(0), request("a", 0, 0))
+	actions := s.Decide(at(0))
+	refuse, ok := actions[0].(*Refuse)
+	if !ok || refuse.Reason != outcome.NoTarget || refuse.RetryAfter <= 0 {
+		t.Errorf("got %+v", actions[0])
+	}
+}
+
+func TestHopelessRequestIsRefusedAtOnceAndToldWhenToComeBack(t *testing.T) {
+	s := newScheduler(1)
+	for i := range 40 {
+		s.Enqueue(at(0), request(fmt.Sprint(i), 0, 0))
+	}
+	refused := 0
+	for _, action := range s.Decide(at(0)) {
+		r, ok := action.(*Refuse)
+		if !ok {
+			continue
+		}
+		refused++
+		if r.RetryAfter < shortestRetry || r.RetryAfter > 2*time.Second {
+			t.Errorf("told to come back after %v, of 6 s that it has", r.RetryAfter)
+		}
+	}
+	if refused == 0 {
+		t.Error("40 requests of half a second wait for one slot, and none is refused")
+	}
+}
+
+func TestWaitingRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+	s := newScheduler(1)
+	s.Enqueue(at(0), request("first", 0, 0))
+	dispatched(t, s, 0)
+	s.Enqueue(at(0), request("second", 0, 0))
+	for ms := 0; ms <= 2000; ms += 10 {
+		for _, action := range s.Decide(at(ms)) {
+			if r, ok := action.(*Refuse); ok && r.Request == "second" {
+				return
+			}
+		}
+	}
+	t.Error("the request waited until its caller left")
+}
+
+func TestLateRequestsGoLast(t *testing.T) {
+	s := newScheduler(1)
+	s.Enqueue(at(0), request("first", 0, 0))
+	dispatched(t, s, 0)
+	s.Enqueue(at(0), request("late", 0, 0))
+	dispatched(t, s, 590)
+	s.Enqueue(at(590), request("fresh", 590, 2))
+	s.End(at(600), "first", Served)
+	if sent := dispatched(t, s, 600); sent["fresh"] == "" {
+		t.Errorf("sent %v, want the request that can still be on time", sent)
+	}
+}
+
+func TestKeptPrefixDrawsTheNextRequest(t *testing.T) {
+	s := newScheduler(7, 7, 7)
+	r := request("a", 0, 0)
+	r.Parts = []Part{{Hash: 1, Tokens: 100}, {Hash: 2, Tokens: 900}}
+	s.Enqueue(at(0), r)
+	first := dispatched(t, s, 0)["a"]
+	s.FirstEvent(at(50), "a")
+	s.End(at(300), "a", Served)
+	r.ID, r.Arrived, r.Objective = "b", at(400), at(1000)
+	s.Enqueue(at(400), r)
+	if second := dispatched(t, s, 400)["b"]; second != first {
+		t.Errorf("the prompt is kept at %s, the next request of its session was sent to %s", first, second)
+	}
+}
+
+func TestRequestThatDoesNotFitInTheKVCacheGoesElsewhere(t *testing.T) {
+	s := newScheduler(7, 7)
+	large := request("large", 0, 0)
+	large.PromptTokens = 80_000
+	large.Objective = at(60_000)
+	s.Enqueue(at(0), large)
+	first := dispatched(t, s, 0)["large"]
+	other := request("other", 1, 0)
+	other.PromptTokens = 30_000
+	other.Objective = at(60_000)
+	s.Enqueue(at(1), other)
+	if second := dispatched(t, s, 1)["other"]; second == first || second == "" {
+		t.Errorf("two requests of 110 k tokens were sent to %q and %q with 100 k each", first, second)
+	}
+}
+
+func TestAvoidedTargetIsNotChosen(t *testing.T) {
+	s := newScheduler(7, 7)
+	r := request("a", 0, 0)
+	r.Avoid = []ident.Target{"t0"}
+	s.Enqueue(at(0), r)
+	if sent := dispatched(t, s, 0); sent["a"] != "t1" {
+		t.Errorf("sent %v, want t1", sent)
+	}
+}
+
+func TestEndFreesTheSlotOnce(t *testing.T) {
+	s := newScheduler(1)
+	s.Enqueue(at(0), request("a", 0, 0))
+	dispatched(t, s, 0)
+	s.End(at(10), "a", Served)
+	s.End(at(11), "a", Served)
+	for i := range 3 {
+		s.Enqueue(at(20), request(fmt.Sprint(i), 20, 0))
+	}
+	if sent := dispatched(t, s, 20); len(sent) != 1 {
+		t.Errorf("%d requests were sent to one slot", len(sent))
+	}
+}
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -75,6 +75,7 @@
 		PrefillTokens: t.prefill,
 		KVTokens:      t.kv,
 		Speeds:        t.speeds,
+		Resting:       t.health.probation,
 		Good:          t.health.results.good,
 		Bad:           t.health.results.bad,
 	}
@@ -89,6 +90,22 @@
 	}
 }
 
+// heardMemory is how long an answer of a target outweighs other hosts' failures.
+const heardMemory = 500 * time.Millisecond
+
+// usable says whether this host may send the target a request. A target that failed
+// for another host, and was not heard here lately, is left to that host's probes;
+// one host at a time probes.
+func (t *target) usable(now time.Time) bool {
+	if !t.health.usable(now) {
+		return false
+	}
+	if t.health.probation {
+		return t.others.Running == 0
+	}
+	return !t.others.Resting || now.Sub(t.heard) < heardMemory
+}
+
 func avoids(r *Request, name ident.Target) bool {
 	for _, avoided := range r.Avoid {
 		if avoided == name {
