--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -31,7 +31,7 @@
 func runTool() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	environment := cli.Environment{Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv}
+	environment := cli.Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv}
 	os.Exit(int(cli.Main(ctx, os.Args[1:], environment, cli.Commands())))
 }
 
--- a/cli/command.go
+++ b/cli/command.go
@@ -24,6 +24,7 @@
 		&historyCommand{},
 		&statusCommand{},
 		&timelineCommand{},
+		&storyCommand{},
 		&usageCommand{},
 		&schemaCommand{},
 		&versionCommand{},
--- /dev/null
+++ b/cli/story.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"context"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/cornelyard/cornelyard/eventlog"
+)
+
+const storyExamples = `Examples:
+  cornelyard story 9c41d07be2a35f68 logs/*.log
+  collect-logs | cornelyard story 9c41d07be2a35f68
+`
+
+// storyTime is how the times of a story are printed.
+const storyTime = "15:04:05.000"
+
+// storyCommand prints what the hosts' logs say of one request.
+type storyCommand struct {
+	request string
+	files   []string
+}
+
+// Register implements Command.
+func (c *storyCommand) Register(app *kingpin.Application) *kingpin.CmdClause {
+	command := app.Command("story", "Print what the logs of gateways say of one request. Needs no host.").HelpLong(storyExamples)
+	command.Arg("request", "The caller's id of its try.").Required().StringVar(&c.request)
+	command.Arg("log", "Log files of any number of hosts; without any, the standard input is read.").StringsVar(&c.files)
+	return command
+}
+
+// Run implements Command.
+func (c *storyCommand) Run(_ context.Context, s *Session) error {
+	reader := eventlog.NewReader(c.request)
+	if err := c.read(s, reader); err != nil {
+		return err
+	}
+	story := reader.Story()
+	if len(story) == 0 {
+		return Error.New("no line is about the request %q; lines of requests that were served are a sample", c.request)
+	}
+	for _, line := range story {
+		s.Printf("%s %s %s %s\n", line.At.UTC().Format(storyTime), line.Host, line.Message, line.Text())
+	}
+	if reader.Skipped > 0 {
+		s.Notef("%d lines were no log lines\n", reader.Skipped)
+	}
+	return nil
+}
+
+func (c *storyCommand) read(s *Session, reader *eventlog.Reader) error {
+	if len(c.files) == 0 {
+		return reader.Read(s.Stdin)
+	}
+	for _, path := range c.files {
+		if err := readLog(reader, path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(reader *eventlog.Reader, path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	// Nothing was written, so closing cannot lose anything.
+	defer func() { _ = file.Close() }()
+	return reader.Read(file)
+}
--- a/cli/validate.go
+++ b/cli/validate.go
@@ -13,6 +13,7 @@
 const validateExamples = `Examples:
   cornelyard validate declarations
   cornelyard validate --host /etc/cornelyard/host.json
+  cornelyard validate --gateway /etc/cornelyard/settings.json
   cornelyard validate --output json declarations
 `
 
@@ -20,27 +21,36 @@
 type validateCommand struct {
 	directory string
 	hosts     []string
+	gateways  []string
 }
 
 // Register implements Command.
 func (c *validateCommand) Register(app *kingpin.Application) *kingpin.CmdClause {
 	command := app.Command("validate", "Check declarations, or settings files of hosts, and list every fault. Needs no host.").HelpLong(validateExamples)
 	command.Flag("host", "Settings file of a host. May be repeated.").PlaceHolder("FILE").StringsVar(&c.hosts)
+	command.Flag("gateway", "Settings file of a gateway. May be repeated.").PlaceHolder("FILE").StringsVar(&c.gateways)
 	command.Arg("directory", "Root of the declarations.").StringVar(&c.directory)
 	return command
 }
 
 // Run implements Command.
 func (c *validateCommand) Run(_ context.Context, s *Session) error {
-	if c.directory == "" && len(c.hosts) == 0 {
-		return &usageError{message: "give a directory or --host"}
+	if c.directory == "" && len(c.hosts) == 0 && len(c.gateways) == 0 {
+		return &usageError{message: "give a directory or --host or --gateway"}
 	}
 	result := validation{Findings: finding.List{}}
 	if err := c.checkTree(&result); err != nil {
 		return err
 	}
 	for _, path := range c.hosts {
-		if err := checkHost(&result, path); err != nil {
+		_, err := config.Load(path)
+		if err := result.addFile(err); err != nil {
+			return err
+		}
+	}
+	for _, path := range c.gateways {
+		_, err := config.LoadGateway(path)
+		if err := result.addFile(err); err != nil {
 			return err
 		}
 	}
@@ -61,14 +71,3 @@
 	result.Findings = append(result.Findings, t.rename(findings)...)
 	return nil
 }
-
-func checkHost(result *validation, path string) error {
-	_, err := config.Load(path)
-	findings, isFindings := err.(finding.List)
-	if err != nil && !isFindings {
-		return err
-	}
-	result.Hosts++
-	result.Findings = append(result.Findings, findings...)
-	return nil
-}
--- a/cli/validation.go
+++ b/cli/validation.go
@@ -25,3 +25,15 @@
 	}
 	return nil
 }
+
+// addFile counts a settings file with the findings that loading it gave. It returns
+// any other error.
+func (v *validation) addFile(err error) error {
+	findings, isFindings := err.(finding.List)
+	if err != nil && !isFindings {
+		return err
+	}
+	v.Hosts++
+	v.Findings = append(v.Findings, findings...)
+	return nil
+}
--- a/cmd/cornelyard/main.go
+++ b/cmd/cornelyard/main.go
@@ -13,7 +13,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	environment := cli.Environment{Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv}
+	environment := cli.Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv}
 	commands := append(cli.Commands(), &devCommand{})
 	os.Exit(int(cli.Main(ctx, os.Args[1:], environment, commands)))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/cornelyard/cornelyard/config"
+	"github.com/cornelyard/cornelyard/eventlog"
 	"github.com/cornelyard/cornelyard/hoststate"
 	"github.com/cornelyard/cornelyard/logging"
 	"github.com/cornelyard/cornelyard/metrics"
@@ -65,14 +66,14 @@
 	debug.SetMemoryLimit(int64(heapShare * float64(c.MemoryMB) * (1 << 20)))
 	g := &Gateway{
 		config:  c,
-		logs:    logging.NewStructured(logging.Options{Level: c.LogLevel, Output: o.LogOutput}),
+		logs:    logging.NewStructured(logging.Options{Level: c.LogLevel, Output: o.LogOutput, Host: string(c.Host)}),
 		metrics: metrics.New(),
 	}
 	g.logger = g.logs.For("gateway")
 	g.reloaded.Store(&c)
 	g.buildKnowledge()
 	g.buildRelay()
-	g.directory = platform.NewDirectory(platform.NewStore(c.StoreAddress), g.knowledge, g.logs.For("directory"))
+	g.directory = platform.NewDirectory(platform.NewStore(c.StoreAddress, g.countStoreCall), g.knowledge, g.logs.For("directory"))
 	return g
 }
 
@@ -87,9 +88,14 @@
 		retries: retrybudget.New(retryLimits(&g.config)),
 		logger:  g.logs.For("knowledge"),
 		keeper:  roster.NewKeeper(),
+		peers:   newPeerWatch(g.logs.For("peers")),
 	}
 	scheduler := schedule.New(schedule.Options{DataCentre: g.config.DataCentre})
-	k.dispatcher = relay.NewDispatcher(scheduler, func() { k.exchange.Changed() })
+	k.dispatcher = relay.NewDispatcher(relay.DispatcherOptions{
+		Scheduler: scheduler,
+		Changed:   func() { k.exchange.Changed() },
+		Noticed:   k.noticed,
+	})
 	k.exchange = hoststate.New(hoststate.Options{
 		Self:        g.self(),
 		Incarnation: uint64(time.Now().UnixNano()),
@@ -112,7 +118,10 @@
 		Exchanger:  platform.NewExchanger(g.transport),
 		Quotas:     g.knowledge.quotas,
 		Retries:    g.knowledge.retries,
-		Observer:   &requestLog{logger: g.logs.For("request")},
+		Observer: observers{
+			eventlog.NewRequests(g.logs.For("request")),
+			&requestMetrics{scope: g.metrics.Scope},
+		},
 	})
 	g.ingress = platform.NewIngress(g.relay, g.knowledge.table.Load, g.stopping.Load)
 }
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -7,6 +7,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/cornelyard/cornelyard/eventlog"
 	"github.com/cornelyard/cornelyard/hoststate"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/platform"
@@ -15,6 +16,7 @@
 	"github.com/cornelyard/cornelyard/retrybudget"
 	"github.com/cornelyard/cornelyard/roster"
 	"github.com/cornelyard/cornelyard/route"
+	"github.com/cornelyard/cornelyard/schedule"
 )
 
 // knowledge is what this host knows of the configuration, the targets and the
@@ -25,8 +27,13 @@
 	exchange   *hoststate.Exchange
 	quotas     *quota.Ledger
 	retries    *retrybudget.Budget
+	peers      *peerWatch
 	logger     *log.Logger
 
+	// tableConfirmed and rosterConfirmed are when the store last confirmed them.
+	tableConfirmed  moment
+	rosterConfirmed moment
+
 	table atomic.Pointer[route.Table]
 	// listed says that the targets were read at least once.
 	listed atomic.Bool
@@ -48,11 +55,8 @@
 		return
 	}
 	k.table.Store(t)
-	k.logger.Info().Uint64("version", t.Version).Int("teams", len(t.Teams)).Msg("Configuration is in force.")
-	for _, team := range t.Teams {
-		k.logger.Debug().Str("team", string(team.Name)).Int("priority", team.Priority).
-			Float64("per_second", team.Quota.PerSecond).Float64("burst", team.Quota.Burst).Msg("Quota is in force.")
-	}
+	k.logger.Info().Str(eventlog.FieldEvent, eventlog.EventTable).Uint64(eventlog.FieldTable, t.Version).
+		Int("teams", len(t.Teams)).Int("pools", len(t.Pools)).Msg("Configuration is in force.")
 	k.declare(time.Now())
 }
 
@@ -70,14 +74,22 @@
 func (k *knowledge) StoreReachable(answered bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.keeper.Store(time.Now(), answered)
+	now := time.Now()
+	k.keeper.Store(now, answered)
+	if answered {
+		k.rosterConfirmed.set(now)
+	}
 }
 
+// TableConfirmed implements platform.Listener.
+func (k *knowledge) TableConfirmed() { k.tableConfirmed.set(time.Now()) }
+
 // refresh brings the roster up to date, and does so again when missing targets
 // count as gone. The mutex is held.
 func (k *knowledge) refresh(now time.Time) {
+	before := k.roster
 	k.roster = k.keeper.Roster(now)
-	k.logChanges()
+	k.logChanges(before)
 	k.declare(now)
 	if wait := k.keeper.Recheck(now); wait > 0 {
 		time.AfterFunc(wait, k.recheck)
@@ -90,14 +102,50 @@
 	k.refresh(time.Now())
 }
 
-func (k *knowledge) logChanges() {
-	leaving := 0
-	for _, t := range k.roster.Targets {
-		if t.Leaving {
-			leaving++
+// logChanges writes a line for each target that came, went, or changed its state.
+func (k *knowledge) logChanges(before *route.Roster) {
+	if before == nil {
+		before = &route.Roster{}
+	}
+	for name, t := range k.roster.Targets {
+		if old, known := before.Targets[name]; !known || old != t {
+			k.logTarget(t, targetState(t))
+		}
+	}
+	for name, t := range before.Targets {
+		if _, still := k.roster.Targets[name]; !still {
+			k.logTarget(t, "gone")
+		}
+	}
+}
+
+func targetState(t route.Target) string {
+	if t.Leaving {
+		return "leaving"
+	}
+	return "ready"
+}
+
+func (k *knowledge) logTarget(t route.Target, state string) {
+	k.logger.Info().Str(eventlog.FieldEvent, eventlog.EventTarget).
+		Str(eventlog.FieldTarget, string(t.Name)).
+		Str(eventlog.FieldPool, string(t.Pool)).
+		Str("address", t.Address).Str("state", state).Msg("Target changed.")
+}
+
+// noticed writes a line for each target that begins or ends a rest.
+func (k *knowledge) noticed(notices []schedule.Notice) {
+	for _, n := range notices {
+		event, message := eventlog.EventTargetBack, "Target is back."
+		if n.Rests {
+			event, message = eventlog.EventTargetRest, "Target rests."
 		}
+		k.logger.Info().Str(eventlog.FieldEvent, event).
+			Str(eventlog.FieldTarget, string(n.Target)).
+			Str(eventlog.FieldPool, string(n.Pool)).
+			Str(eventlog.FieldCause, n.Cause).
+			Int64(eventlog.FieldUntilMs, max(0, time.Until(n.Until).Milliseconds())).Msg(message)
 	}
-	k.logger.Info().Int("targets", len(k.roster.Targets)).Int("leaving", leaving).Msg("Targets changed.")
 }
 
 // declare hands the configuration and the roster on. The mutex is held.
@@ -128,6 +176,7 @@
 
 // hear takes in another host's state.
 func (k *knowledge) hear(now time.Time, m hoststate.Message) {
+	k.peers.hear(now, m.Host)
 	k.quotas.Hear(now, m.Host, m.Incarnation, m.Uses)
 	if !m.Partial {
 		k.dispatcher.Hear(now, m.Host, m.Schedule)
--- /dev/null
+++ b/gateway/peer_watch.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cornelyard/cornelyard/eventlog"
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+const (
+	// peerSilence is how long another host may not be heard before that is logged.
+	peerSilence = time.Second
+	// peerLook is the time between two looks for silent hosts.
+	peerLook = 500 * time.Millisecond
+)
+
+// peerWatch logs which other hosts are heard and which fall silent.
+type peerWatch struct {
+	logger *log.Logger
+
+	mu    sync.Mutex
+	peers map[ident.Host]time.Time
+}
+
+func newPeerWatch(logger *log.Logger) *peerWatch {
+	return &peerWatch{logger: logger, peers: make(map[ident.Host]time.Time)}
+}
+
+// hear notes that a host was heard.
+func (w *peerWatch) hear(now time.Time, host ident.Host) {
+	w.mu.Lock()
+	_, known := w.peers[host]
+	w.peers[host] = now
+	w.mu.Unlock()
+	if !known {
+		w.logger.Info().Str(eventlog.FieldEvent, eventlog.EventPeerHeard).
+			Str(eventlog.FieldPeer, string(host)).Msg("Another host is heard.")
+	}
+}
+
+// heard returns the number of hosts that are heard.
+func (w *peerWatch) heard(now time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := 0
+	for _, at := range w.peers {
+		if now.Sub(at) < peerSilence {
+			count++
+		}
+	}
+	return count
+}
+
+// run looks for silent hosts until ctx ends.
+func (w *peerWatch) run(ctx context.Context) error {
+	ticker := time.NewTicker(peerLook)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			w.look(now)
+		}
+	}
+}
+
+func (w *peerWatch) look(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for host, at := range w.peers {
+		if now.Sub(at) < peerSilence {
+			continue
+		}
+		delete(w.peers, host)
+		w.logger.Warn().Str(eventlog.FieldEvent, eventlog.EventPeerSilent).
+			Str(eventlog.FieldPeer, string(host)).Msg("Another host has fallen silent.")
+	}
+}
--- /dev/null
+++ b/gateway/request_metrics.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cornelyard/cornelyard/metrics"
+	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/relay"
+)
+
+// maxClass is the largest team priority with a class of its own in the metrics.
+const maxClass = 9
+
+// outcomeFailed stands for answers of targets that are errors.
+const outcomeFailed = "failed"
+
+// requestMetrics counts requests. It implements relay.Observer.
+type requestMetrics struct {
+	scope tally.Scope
+}
+
+var _ relay.Observer = (*requestMetrics)(nil)
+
+// Finished implements relay.Observer.
+func (m *requestMetrics) Finished(s relay.Summary) {
+	kind := map[string]string{metrics.TagKind: s.Kind.String()}
+	result, reason := ending(&s)
+	m.scope.Tagged(map[string]string{
+		metrics.TagKind:    s.Kind.String(),
+		metrics.TagClass:   strconv.Itoa(min(s.Priority, maxClass)),
+		metrics.TagOutcome: result,
+		metrics.TagReason:  reason,
+	}).Counter(metrics.GatewayRequests).Inc(1)
+	scope := m.scope.Tagged(kind)
+	m.record(scope, metrics.GatewayTotalTime, s.Total)
+	if s.Dispatches > 0 {
+		m.record(scope, metrics.GatewayQueueTime, s.Queued)
+	}
+	if s.ToFirst > 0 {
+		m.record(scope, metrics.GatewayFirstTime, s.ToFirst)
+	}
+	for i := range s.Steps {
+		if s.Steps[i].Kind == relay.StepAttempt {
+			tags := map[string]string{metrics.TagResult: s.Steps[i].Result.String()}
+			m.scope.Tagged(tags).Counter(metrics.GatewayExchanges).Inc(1)
+		}
+	}
+}
+
+func (m *requestMetrics) record(scope tally.Scope, name string, d time.Duration) {
+	metrics.Latency(scope, name).RecordDuration(d)
+}
+
+// ending returns the outcome and the reason of a request.
+func ending(s *relay.Summary) (result, reason string) {
+	switch {
+	case s.Refusal != nil:
+		return string(s.Refusal.Outcome), string(s.Refusal.Reason)
+	case s.Status >= 500:
+		return outcomeFailed, ""
+	default:
+		return string(outcome.Completed), ""
+	}
+}
+
+// observers hands summaries to several observers.
+type observers []relay.Observer
+
+// Finished implements relay.Observer.
+func (o observers) Finished(s relay.Summary) {
+	for _, observer := range o {
+		observer.Finished(s)
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/cornelyard/cornelyard/eventlog"
 	"github.com/cornelyard/cornelyard/platform"
 )
 
@@ -30,7 +31,8 @@
 // Run serves until ctx ends, and then stops gracefully. It returns an error if a
 // part fails, such as a listener whose address is in use.
 func (g *Gateway) Run(ctx context.Context) error {
-	g.logger.Info().Str("host", string(g.config.Host)).Msg("Host starts.")
+	g.logger.Info().Str(eventlog.FieldEvent, eventlog.EventStarted).
+		Str("data_centre", string(g.config.DataCentre)).Int("memory_mb", g.config.MemoryMB).Msg("Host starts.")
 	var group run.Group
 	addActor(&group, g.knowledge.exchange.Run)
 	addActor(&group, g.knowledge.dispatcher.Run)
@@ -39,12 +41,15 @@
 	addActor(&group, g.directory.FollowHosts)
 	addActor(&group, g.register)
 	addActor(&group, g.rememberBusyTeams)
+	addActor(&group, g.keepGauges)
+	addActor(&group, g.knowledge.peers.run)
 	addActor(&group, g.listener(g.config.ReadinessAddress, platform.ReadinessHandler(http.HandlerFunc(g.serveReadiness))))
 	addActor(&group, g.serveMetrics)
 	g.addIngress(ctx, &group)
 	err := group.Run()
 	g.transport.Close()
-	g.logger.Info().AnErr("cause", err).Uint64("lines_dropped", g.logs.Dropped()).Msg("Host ends.")
+	g.logger.Info().Str(eventlog.FieldEvent, eventlog.EventStopped).
+		AnErr(eventlog.FieldCause, err).Uint64(eventlog.FieldDropped, g.logs.Dropped()).Msg("Host ends.")
 	return errors.Join(err, g.metrics.Closer.Close(), g.logs.Close())
 }
 
@@ -118,7 +123,8 @@
 func (g *Gateway) drain(server *http.Server) error {
 	g.stopping.Store(true)
 	end := time.Now().Add(g.stopTime() - stopReserve)
-	g.logger.Info().Int("requests", g.relay.InFlight()).Msg("Graceful stop begins.")
+	g.logger.Info().Str(eventlog.FieldEvent, eventlog.EventStopping).
+		Int("requests", g.relay.InFlight()).Msg("Graceful stop begins.")
 	time.Sleep(min(balancerNotice, time.Until(end)))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -11,18 +11,24 @@
 // partKey is the field that holds the prefix of a part's lines.
 const partKey = "part"
 
+// hostKey is the field that holds the host of a line.
+const hostKey = "host"
+
 // Options configures the loggers of one process.
 type Options struct {
 	// Level is debug, info, warn or error; empty means info.
 	Level string
 	// Output receives the lines; nil means standard error.
 	Output io.Writer
+	// Host, if set, stands in every line.
+	Host string
 }
 
 // Root makes the loggers of one process.
 type Root struct {
 	level  log.Level
 	writer log.Writer
+	host   string
 }
 
 // New returns the root of a process's loggers.
@@ -48,9 +54,13 @@
 // For returns the logger of a part, such as "peer". Its lines begin with the
 // time, the level and "peer: ".
 func (r *Root) For(part string) *log.Logger {
+	context := log.NewContext(nil)
+	if r.host != "" {
+		context = context.Str(hostKey, r.host)
+	}
 	return &log.Logger{
 		Level:   r.level,
-		Context: log.NewContext(nil).Str(partKey, part).Value(),
+		Context: context.Str(partKey, part).Value(),
 		Writer:  r.writer,
 	}
 }
--- a/logging/structured.go
+++ b/logging/structured.go
@@ -29,7 +29,7 @@
 	}
 	writer := newCountingWriter(o.Output, structuredLines)
 	return &Structured{
-		root:   &Root{level: level, writer: log.IOWriter{Writer: writer}},
+		root:   &Root{level: level, writer: log.IOWriter{Writer: writer}, host: o.Host},
 		writer: writer,
 	}
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -118,18 +118,20 @@
 func (l *Ledger) cold(now time.Time) bool { return now.Sub(l.started) < l.limits.Window }
 
 // Take lets a request through, or tells how long the team has to wait.
-func (l *Ledger) Take(now time.Time, team *route.Team, cost float64) (bool, time.Duration) {
+func (l *Ledger) Take(now time.Time, team *route.Team, cost float64) Verdict {
 	if !team.Quota.Limited() {
-		return true, 0
+		return Verdict{Allowed: true}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(now, team)
 	l.settle(now)
-	if a.take(now, cost) {
-		return true, 0
+	v := Verdict{Used: a.window.sum, Limit: a.limit(now)}
+	v.Allowed = a.take(now, cost)
+	if !v.Allowed {
+		v.Wait = a.wait(now, cost)
 	}
-	return false, a.wait(now, cost)
+	return v
 }
 
 // GiveBack returns what a request took that did not run.
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -39,7 +39,7 @@
 func spend(l *Ledger, team *route.Team, from, to, step time.Duration) []use {
 	var uses []use
 	for at := from; at < to; at += step {
-		if ok, _ := l.Take(after(at), team, 10); ok {
+		if l.Take(after(at), team, 10).Allowed {
 			uses = append(uses, use{at, 10})
 		}
 	}
@@ -180,7 +180,7 @@
 	l := NewLedger(start, limits)
 	l.Members(start, []ident.Host{"b"})
 	l.Hear(after(time.Millisecond), "b", 1, map[ident.Team]Use{"acme": {Total: 5000, Window: 100}})
-	if ok, _ := l.Take(after(2*time.Millisecond), team(1000, 500), 4000); !ok {
+	if !l.Take(after(2*time.Millisecond), team(1000, 500), 4000).Allowed {
 		t.Error("a request was refused though another host told that little was used")
 	}
 }
@@ -189,14 +189,14 @@
 	l := newLedger()
 	acme := team(100, 100)
 	large := bound(100, 100) * 0.4
-	if ok, _ := l.Take(start, acme, large); !ok {
+	if !l.Take(start, acme, large).Allowed {
 		t.Fatal("the first request was refused")
 	}
-	if ok, wait := l.Take(start, acme, large); ok || wait <= 0 || wait > 9*time.Second {
-		t.Fatalf("the second was let through, or told to come back after %v", wait)
+	if v := l.Take(start, acme, large); v.Allowed || v.Wait <= 0 || v.Wait > 9*time.Second {
+		t.Fatalf("the second was let through, or told to come back after %v", v.Wait)
 	}
 	l.GiveBack(acme, large)
-	if ok, _ := l.Take(start, acme, large); !ok {
+	if !l.Take(start, acme, large).Allowed {
 		t.Error("what was given back cannot be used")
 	}
 }
@@ -224,14 +224,14 @@
 	l := newLedger()
 	acme := team(100, 100)
 	l.Members(start, []ident.Host{"b"})
-	if ok, _ := l.Take(start, acme, 1); !ok {
+	if !l.Take(start, acme, 1).Allowed {
 		t.Fatal("the first request was refused")
 	}
 	told := []float64{0, 500, 100, 500, 100, 500, 100}
 	for i, used := range told {
 		l.Hear(after(time.Duration(i)*time.Millisecond), "b", 1, map[ident.Team]Use{"acme": {Total: used}})
 	}
-	if ok, _ := l.Take(after(10*time.Millisecond), acme, 400); !ok {
+	if !l.Take(after(10*time.Millisecond), acme, 400).Allowed {
 		t.Error("what another host gave back still counts")
 	}
 }
@@ -240,11 +240,11 @@
 	l := newLedger()
 	acme := team(100, 100)
 	l.Members(start, []ident.Host{"b"})
-	_, _ = l.Take(start, acme, 1)
+	l.Take(start, acme, 1)
 	l.Hear(after(1*time.Millisecond), "b", 1, map[ident.Team]Use{"acme": {}})
 	l.Hear(after(2*time.Millisecond), "b", 1, map[ident.Team]Use{"acme": {Total: 600}})
 	l.Hear(after(3*time.Millisecond), "b", 2, map[ident.Team]Use{"acme": {Total: 600}})
-	if ok, _ := l.Take(after(4*time.Millisecond), acme, 400); ok {
+	if l.Take(after(4*time.Millisecond), acme, 400).Allowed {
 		t.Error("what the new process let through does not count")
 	}
 }
@@ -254,7 +254,7 @@
 	l.Recall(map[ident.Team]time.Duration{"other": time.Second})
 	acme := team(1000, 500)
 	// Callers that waited for the hosts come back all at once.
-	if ok, _ := l.Take(start, acme, 2*1000/1.8); !ok {
+	if !l.Take(start, acme, 2*1000/1.8).Allowed {
 		t.Error("the use of two usual seconds was refused")
 	}
 	uses := spend(l, acme, 0, 8*time.Second, 18*time.Millisecond)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -15,8 +15,10 @@
 // whether another target is to be tried.
 func (x *execution) attempt(ctx context.Context, to route.Target) (again bool, refusal *outcome.Refusal) {
 	x.target = to.Name
+	begun := time.Now()
 	err := x.watchedExchange(ctx, to)
 	x.result = resultOf(ctx, err)
+	x.step(Step{Kind: StepAttempt, Target: to.Name, Result: x.result, Took: time.Since(begun), Cause: causeOf(err)})
 	x.relay.options.Dispatcher.end(x.id, x.result)
 	if err == nil || errors.Is(err, errTargetFailed) {
 		return false, nil
@@ -116,6 +118,7 @@
 func (x *execution) afterFailure(to route.Target, err error) (again bool, refusal *outcome.Refusal) {
 	x.avoidTarget(to.Name)
 	if errors.Is(err, errRepeatable) || x.mayTryAgain(err) {
+		x.step(Step{Kind: x.nextKind()})
 		return true, nil
 	}
 	if x.mayHaveRun {
@@ -159,3 +162,18 @@
 	}
 	return x.relay.options.Retries.Take(time.Now(), x.pool)
 }
+
+// nextKind tells a repeated request from a stream that is asked for its rest.
+func (x *execution) nextKind() StepKind {
+	if x.relayed.begun {
+		return StepResumed
+	}
+	return StepRepeated
+}
+
+func causeOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -13,11 +13,20 @@
 // silentSweep is the time between two searches for hosts that fell silent.
 const silentSweep = 500 * time.Millisecond
 
+// DispatcherOptions configures a Dispatcher. All fields are required; the functions
+// must not block.
+type DispatcherOptions struct {
+	Scheduler *schedule.Scheduler
+	// Changed is called after each change that other hosts should hear of.
+	Changed func()
+	// Noticed is called when targets begin or end a rest.
+	Noticed func([]schedule.Notice)
+}
+
 // Dispatcher lets the goroutines of requests use one scheduler. It carries out
 // what the scheduler decides.
 type Dispatcher struct {
-	// changed is called after each change that other hosts should hear of.
-	changed func()
+	options DispatcherOptions
 
 	mu        sync.Mutex
 	scheduler *schedule.Scheduler
@@ -27,10 +36,10 @@
 }
 
 // NewDispatcher returns a dispatcher; Run must be running for it to make progress.
-func NewDispatcher(s *schedule.Scheduler, changed func()) *Dispatcher {
+func NewDispatcher(o DispatcherOptions) *Dispatcher {
 	return &Dispatcher{
-		changed:   changed,
-		scheduler: s,
+		options:   o,
+		scheduler: o.Scheduler,
 		waiting:   make(map[ident.Request]chan schedule.Action),
 		wake:      make(chan struct{}, 1),
 	}
@@ -158,7 +167,7 @@
 	d.decide(now)
 	waiting := d.scheduler.Queued() > 0
 	d.mu.Unlock()
-	d.changed()
+	d.options.Changed()
 	if waiting {
 		select {
 		case d.wake <- struct{}{}:
@@ -178,4 +187,14 @@
 		delete(d.waiting, id)
 		decided <- action
 	}
+	if notices := d.scheduler.TakeNotices(); len(notices) > 0 {
+		d.options.Noticed(notices)
+	}
+}
+
+// Load returns figures of the present load, by pool.
+func (d *Dispatcher) Load(now time.Time) []schedule.PoolLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.PoolLoads(now)
 }
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -49,6 +49,7 @@
 	result     schedule.Result
 
 	relayed relayed
+	steps   []Step
 	// watchdog watches the present exchange.
 	watchdog watchdog
 }
@@ -84,15 +85,18 @@
 	x.deadline = deadlineOf(x.call, x.route)
 	x.pool = x.route.ChoosePool(draw())
 	if team == nil {
+		x.step(Step{Kind: StepAccepted})
 		return nil
 	}
 	x.team = team
 	x.cost = team.Quota.Cost(x.call.PromptTokens + x.call.MaxOutput)
-	taken, wait := x.relay.options.Quotas.Take(time.Now(), team, x.cost)
-	if !taken {
-		return outcome.Refuse(outcome.QuotaExceeded, "the team's quota is used up", wait)
+	verdict := x.relay.options.Quotas.Take(time.Now(), team, x.cost)
+	if !verdict.Allowed {
+		x.step(Step{Kind: StepOverQuota, Quota: verdict})
+		return outcome.Refuse(outcome.QuotaExceeded, "the team's quota is used up", verdict.Wait)
 	}
 	x.charged = true
+	x.step(Step{Kind: StepAccepted, Quota: verdict})
 	return nil
 }
 
@@ -108,6 +112,7 @@
 			return x.refusedBySchedule(a)
 		case *schedule.Dispatch:
 			x.queued += a.Queued
+			x.step(Step{Kind: StepPlaced, Target: a.Target.Name, Inputs: a.Inputs})
 			again, refusal := x.attempt(ctx, a.Target)
 			if !again {
 				return refusal
@@ -174,6 +179,7 @@
 
 // refusedBySchedule is the end of a request for which no slot was found.
 func (x *execution) refusedBySchedule(a *schedule.Refuse) *outcome.Refusal {
+	x.step(Step{Kind: StepShed, Inputs: a.Inputs, Reason: a.Reason, RetryAfter: a.RetryAfter})
 	if x.mayHaveRun {
 		return interrupted(outcome.TargetFailed, "the target failed, and no other was free in time")
 	}
--- a/relay/kit_test.go
+++ b/relay/kit_test.go
@@ -118,7 +118,9 @@
 	team := &route.Team{Name: "acme", Keys: []string{"key"}, Quota: route.Quota{PerSecond: 100, Burst: 100}}
 	table := route.NewTable(7, route.Limits{}, []*route.Route{&r}, []*route.Pool{{Name: "p"}}, []*route.Team{team})
 	scheduler := schedule.New(schedule.Options{})
-	d := NewDispatcher(scheduler, func() {})
+	d := NewDispatcher(DispatcherOptions{
+		Scheduler: scheduler, Changed: func() {}, Noticed: func([]schedule.Notice) {},
+	})
 	roster := &route.Roster{Targets: map[ident.Target]route.Target{}}
 	for _, name := range []ident.Target{"t1", "t2", "t3"} {
 		roster.Targets[name] = route.Target{Name: name, Pool: "p", Slots: 4}
--- a/relay/observer.go
+++ b/relay/observer.go
@@ -5,6 +5,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 )
 
@@ -17,8 +18,12 @@
 type Summary struct {
 	Request ident.Request
 	Route   string
-	Pool    ident.Pool
-	Team    ident.Team
+	// Kind is the route's, or zero without a route.
+	Kind route.Kind
+	// Priority is the team's.
+	Priority int
+	Pool     ident.Pool
+	Team     ident.Team
 	// TableVersion is the version of the configuration that decided.
 	TableVersion uint64
 	// QuotaCost is what the request counts in its team's quota.
@@ -35,7 +40,13 @@
 	Status int
 	Events int
 	// Refusal is the system's own answer, or nil.
-	Refusal *outcome.Refusal
+	Refusal      *outcome.Refusal
+	PromptTokens int
+	OutputTokens int
+	// Deadline is the time that the request has from its arrival.
+	Deadline time.Duration
+	// Steps are the decisions in their order.
+	Steps []Step
 	// BrokenOff says that the answer was not whole.
 	BrokenOff bool
 }
@@ -54,9 +65,18 @@
 		Status:     x.relayed.status,
 		Events:     x.relayed.events,
 		Refusal:    refusal,
+		Steps:      x.steps,
+
+		PromptTokens: x.call.PromptTokens,
 	}
 	if x.route != nil {
 		s.Route = x.route.Name
+		s.Kind = x.route.Kind
+		s.OutputTokens = x.expectedOutput()
+		s.Deadline = x.deadline.Sub(x.call.Arrived)
+	}
+	if x.team != nil {
+		s.Priority = x.team.Priority
 	}
 	if x.table != nil {
 		s.TableVersion = x.table.Version
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -65,15 +65,30 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, pool)
-	first, repeats := w.sums()
-	limit := safety * (b.limits.Ratio*first + b.limits.Allowance/float64(b.hosts))
-	if repeats+1 > limit {
+	if b.left(w) < 1 {
 		return false
 	}
 	w.current().repeats++
 	return true
 }
 
+// left returns the repeats that the window still allows. The mutex is held.
+func (b *Budget) left(w *window) float64 {
+	first, repeats := w.sums()
+	return safety*(b.limits.Ratio*first+b.limits.Allowance/float64(b.hosts)) - repeats
+}
+
+// Left returns the repeats that are still allowed now, by pool.
+func (b *Budget) Left(now time.Time) map[ident.Pool]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := make(map[ident.Pool]float64, len(b.pools))
+	for pool := range b.pools {
+		left[pool] = b.left(b.window(now, pool))
+	}
+	return left
+}
+
 func (b *Budget) window(now time.Time, pool ident.Pool) *window {
 	w := b.pools[pool]
 	if w == nil {
--- a/schedule/action.go
+++ b/schedule/action.go
@@ -20,6 +20,7 @@
 	Target  route.Target
 	// Queued is how long the request waited.
 	Queued time.Duration
+	Inputs Inputs
 }
 
 // Refuse gives a request its final answer; it did not run.
@@ -28,6 +29,7 @@
 	Reason     outcome.Reason
 	Message    string
 	RetryAfter time.Duration
+	Inputs     Inputs
 }
 
 // RequestID implements Action.
--- a/schedule/health_test.go
+++ b/schedule/health_test.go
@@ -90,14 +90,19 @@
 	for _, name := range []ident.Target{"t1", "t2", "t3"} {
 		s.targets[name].health.results = tally{good: 10, at: at(0)}
 	}
+	s.Decide(at(0))
 	if usable := s.pools["p"].usable(at(0)); len(usable) != 3 {
 		t.Errorf("%d targets are usable, want the three that do not fail", len(usable))
 	}
+	if notices := s.TakeNotices(); len(notices) != 1 || notices[0].Target != "t0" || !notices[0].Rests {
+		t.Errorf("the notices are %+v", notices)
+	}
 	for _, name := range []ident.Target{"t1", "t2", "t3"} {
 		s.targets[name].health.restFor(at(0), firstRest)
 	}
 	s.targets["t0"].health = health{results: tally{good: 1, bad: 5, at: at(0)}}
-	if usable := s.pools["p"].usable(at(0)); len(usable) != 1 {
+	s.Decide(at(1))
+	if usable := s.pools["p"].usable(at(1)); len(usable) != 1 {
 		t.Error("nothing is usable, though one target answers some requests")
 	}
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -181,6 +181,7 @@
 // dispatch takes a slot for the request.
 func (s *Scheduler) dispatch(now time.Time, p *pool, w *waiting, t *target) Action {
 	r := w.request
+	inputs := s.inputs(now, p, w)
 	prefill := 0
 	if p.engine != nil {
 		prefill = s.prefixes.uncached(now, r, t.Name)
@@ -201,7 +202,7 @@
 	delete(s.queued, r.ID)
 	s.notePlacement(now, r, t.Name)
 	p.yieldSince = time.Time{}
-	return &Dispatch{Request: r.ID, Target: t.Target, Queued: now.Sub(r.Arrived)}
+	return &Dispatch{Request: r.ID, Target: t.Target, Queued: now.Sub(r.Arrived), Inputs: inputs}
 }
 
 // notePlacement remembers where the prompt is computed, and tells the others of
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -88,38 +88,40 @@
 	maxSpeed = 4.0
 )
 
-// usable returns the targets that may get requests now. If that would leave out
-// over half of the pool's targets as outliers, the outliers stay in.
+// usable returns the targets that may get requests now.
 func (p *pool) usable(now time.Time) []*target {
+	list := make([]*target, 0, len(p.targets))
+	for _, t := range p.targets {
+		if t.declared && !t.Leaving && t.usable(now) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// restOutliers lets the targets rest that fail more often than the others, unless
+// less than half of the pool would be left.
+func (s *Scheduler) restOutliers(now time.Time, p *pool) {
 	var sum tally
+	present := 0
 	for _, t := range p.targets {
 		results := t.results(now)
 		sum.good += results.good
 		sum.bad += results.bad
+		if t.declared && !t.Leaving {
+			present++
+		}
 	}
-	list := make([]*target, 0, len(p.targets))
-	var outliers []*target
-	present := 0
+	left := len(p.usable(now))
 	for _, t := range p.targets {
-		if !t.declared || t.Leaving {
+		if t.health.probation || !outlier(t.results(now), sum) || 2*(left-1) < present {
 			continue
 		}
-		present++
-		switch {
-		case !t.usable(now):
-		case !t.health.probation && outlier(t.results(now), sum):
-			outliers = append(outliers, t)
-		default:
-			list = append(list, t)
-		}
-	}
-	if 2*len(list) < present {
-		return append(list, outliers...)
-	}
-	for _, t := range outliers {
+		left--
+		before := t.health
 		t.health.restFor(now, firstRest)
+		s.note(t, before, causeOutlier)
 	}
-	return list
 }
 
 // probeWait is how long a probe waits for a request that loses nothing by it.
--- /dev/null
+++ b/schedule/pool_load.go
@@ -0,0 +1,42 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+// PoolLoad is the present load of one pool as this host sees it.
+type PoolLoad struct {
+	Pool ident.Pool
+	// Targets is the announced targets, Usable those that get requests.
+	Targets int
+	Usable  int
+	// Slots and Free are of the usable targets, over all hosts.
+	Slots int
+	Free  int
+	// Queued and Running are this host's requests.
+	Queued  int
+	Running int
+}
+
+// PoolLoads returns the load of each pool.
+func (s *Scheduler) PoolLoads(now time.Time) []PoolLoad {
+	loads := make([]PoolLoad, 0, len(s.pools))
+	for _, p := range s.pools {
+		targets := p.usable(now)
+		load := PoolLoad{
+			Pool:    p.name,
+			Targets: len(p.targets),
+			Usable:  len(targets),
+			Slots:   slots(targets),
+			Free:    freeSlots(now, targets),
+			Queued:  len(p.queue.items),
+		}
+		for _, t := range p.targets {
+			load.Running += t.running
+		}
+		loads = append(loads, load)
+	}
+	return loads
+}
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -66,7 +66,9 @@
 	t.running--
 	t.prefill -= r.prefill
 	t.kv -= r.kv
+	before := t.health
 	t.health.ended(now, result)
+	s.note(t, before, result.String())
 	if result == Served || result == Failed || result == Rejected {
 		t.heard = now
 	}
--- a/schedule/refuse.go
+++ b/schedule/refuse.go
@@ -86,7 +86,9 @@
 func (s *Scheduler) refuse(now time.Time, p *pool, w *waiting, message string) *Refuse {
 	delete(s.queued, w.request.ID)
 	reason, retry := outcome.Shed, s.wait(now, p, w)
-	if len(p.usable(now)) == 0 {
+	inputs := s.inputs(now, p, w)
+	inputs.Wait = retry
+	if inputs.Usable == 0 {
 		reason, message, retry = outcome.NoTarget, "no target of the pool is usable", emptyRetry
 	}
 	return &Refuse{
@@ -94,6 +96,7 @@
 		Reason:     reason,
 		Message:    message,
 		RetryAfter: s.retryAfter(now, w, retry),
+		Inputs:     inputs,
 	}
 }
 
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -26,6 +26,7 @@
 	// placements are those to tell; the first placementsTold were told once.
 	placements     []Placement
 	placementsTold int
+	notices        []Notice
 	// pending holds answers that are given at the next decision.
 	pending []Action
 }
@@ -181,6 +182,7 @@
 	s.pending = nil
 	s.restSilent(now)
 	for _, p := range s.pools {
+		s.restOutliers(now, p)
 		if len(p.queue.items) == 0 {
 			continue
 		}
--- a/schedule/silence.go
+++ b/schedule/silence.go
@@ -21,7 +21,9 @@
 			limit = serviceSilence
 		}
 		if now.Sub(r.since) > limit && now.Sub(r.target.heard) > limit {
+			before := r.target.health
 			r.target.health.restFor(now, firstRest)
+			s.note(r.target, before, causeSilence)
 		}
 	}
 }
