Take the load of silent hosts from the targets' reports

Change: while hosts are not heard, the mean of the load that targets report beyond what is known counts for five seconds. Test: TestLoadOfHostsThatAreNotHeardIsTakenFromTheTargets.

--- a/eventlog/requests.go
+++ b/eventlog/requests.go
@@ -68,7 +68,9 @@
 		limit = servedLines
 	}
 	if r.written+lines > limit {
-		r.dropped += lines
+		if !served {
+			r.dropped += lines
+		}
 		return false
 	}
 	r.written += lines
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -169,7 +169,9 @@
 		}
 	}
 	k.exchange.SetMembers(others)
-	k.quotas.Members(time.Now(), names)
+	now := time.Now()
+	k.quotas.Members(now, names)
+	k.dispatcher.Members(now, len(names))
 	k.retries.Hosts(len(names) + 1)
 	k.logger.Info().Int("others", len(names)).Msg("Hosts changed.")
 }
--- a/logging/counting_writer.go
+++ b/logging/counting_writer.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// writeBufferBytes is how much is written at once.
-	writeBufferBytes = 32 << 10
+	// writeBufferBytes is how much is written at once: what a pipe takes as a whole.
+	writeBufferBytes = 4 << 10
 	// writeDelay is how long a line may wait for others to be written with it.
 	writeDelay = 50 * time.Millisecond
 	// closeLimit bounds the wait for a reader that does not read at the end.
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -82,6 +82,11 @@
 	d.update(now, func(s *schedule.Scheduler) { s.Declare(now, pools, roster) })
 }
 
+// Members tells how many other hosts there are.
+func (d *Dispatcher) Members(now time.Time, others int) {
+	d.update(now, func(s *schedule.Scheduler) { s.Members(now, others) })
+}
+
 // Hear takes in another host's state.
 func (d *Dispatcher) Hear(now time.Time, host ident.Host, state schedule.State) {
 	d.mu.Lock()
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -28,6 +28,7 @@
 		s.prefixes.note(now, p.Hash, p.Target)
 	}
 	s.sumLoads(now)
+	s.updateBlind(now)
 }
 
 // ForgetSilent drops the hosts that have not been heard for long.
@@ -44,6 +45,25 @@
 	}
 }
 
+// Members tells how many other hosts there are. While some are not heard, their load
+// is only known from what the targets report.
+func (s *Scheduler) Members(now time.Time, others int) {
+	s.members = others
+	s.updateBlind(now)
+}
+
+func (s *Scheduler) updateBlind(now time.Time) {
+	heard := 0
+	for _, peer := range s.peers {
+		if now.Sub(peer.heard) < backlogMemory {
+			heard++
+		}
+	}
+	for _, t := range s.targets {
+		t.blind = heard < s.members
+	}
+}
+
 // sumLoads adds up what the other hosts have on each target.
 func (s *Scheduler) sumLoads(time.Time) {
 	speeds := make(map[ident.Target][]Speeds)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -17,6 +17,8 @@
 	pools   map[ident.Pool]*pool
 	targets map[ident.Target]*target
 	peers   map[ident.Host]*peerState
+	// members is the number of other hosts, heard or not.
+	members int
 
 	queued   map[ident.Request]*waiting
 	running  map[ident.Request]*running
@@ -180,6 +182,7 @@
 func (s *Scheduler) Decide(now time.Time) []Action {
 	actions := s.pending
 	s.pending = nil
+	s.updateBlind(now)
 	s.restSilent(now)
 	for _, p := range s.pools {
 		s.restOutliers(now, p)
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -251,3 +251,30 @@
 		t.Errorf("%d requests were sent to one slot", len(sent))
 	}
 }
+
+func TestLoadOfHostsThatAreNotHeardIsTakenFromTheTargets(t *testing.T) {
+	s := newScheduler(4, 4)
+	s.Members(at(0), 1)
+	for i := range 10 {
+		id := ident.Request(fmt.Sprint("seen", i))
+		s.Enqueue(at(i), request(string(id), i, 0))
+		for _, target := range dispatched(t, s, i) {
+			load := 1
+			if target == "t0" {
+				load = 4
+			}
+			s.Reported(at(i), id, load)
+		}
+		s.End(at(i), id, Served)
+	}
+	s.Enqueue(at(2000), request("a", 2000, 0))
+	if sent := dispatched(t, s, 2000); sent["a"] != "t1" {
+		t.Errorf("sent %v, though another host that is not heard fills t0", sent)
+	}
+	s.End(at(2000), "a", Served)
+	s.Hear(at(2001), "b", State{})
+	s.Enqueue(at(2002), request("b", 2002, 0))
+	if s.targets["t0"].free(at(2002)) != 4 {
+		t.Error("once the other host is heard, old reports still count")
+	}
+}
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -7,9 +7,15 @@
 	"github.com/cornelyard/cornelyard/route"
 )
 
-// surplusMemory is how long load counts that the target reported and no host told
-// of.
-const surplusMemory = 700 * time.Millisecond
+const (
+	// surplusMemory is how long load counts that the target reported and no host
+	// told of.
+	surplusMemory = 700 * time.Millisecond
+	// blindMemory is how long its mean counts while hosts are silent.
+	blindMemory = 5 * time.Second
+	// surplusWeight is the weight of a new report in the mean.
+	surplusWeight = 0.3
+)
 
 // target is one replica as this host sees it.
 type target struct {
@@ -23,8 +29,11 @@
 	// others is the sum of what the other hosts have on it.
 	others Load
 	// surplus is load that nobody told of, and surplusAt when it was seen.
-	surplus   int
-	surplusAt time.Time
+	// meanSurplus is its mean; it counts while hosts are silent.
+	surplus     int
+	surplusAt   time.Time
+	meanSurplus float64
+	blind       bool
 
 	health health
 	// heard is when the target last sent anything to this host.
@@ -38,8 +47,11 @@
 // busy returns the slots in use by all hosts.
 func (t *target) busy(now time.Time) int {
 	busy := t.running + t.others.Running
-	if now.Sub(t.surplusAt) < surplusMemory {
+	switch {
+	case now.Sub(t.surplusAt) < surplusMemory:
 		busy += t.surplus
+	case t.blind && now.Sub(t.surplusAt) < blindMemory:
+		busy += int(t.meanSurplus + 0.5)
 	}
 	return busy
 }
@@ -51,6 +63,7 @@
 func (t *target) reported(now time.Time, load int) {
 	t.surplus = max(0, load-t.running-t.others.Running)
 	t.surplusAt = now
+	blend(&t.meanSurplus, float64(t.surplus), surplusWeight)
 }
 
 // seen returns the speeds of the target, as this host saw them, or else as the
