Keep fast targets for answers that end in time nowhere else

Change: a target where the answer would not end in time is not chosen while another one could; the last two slots of a fast target cost other requests 0.3 s more. Ruled out: pauses and first events (none over the objectives among them).

--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -16,6 +16,8 @@
 	step = time.Millisecond
 	// poolName is the one pool of the model.
 	poolName ident.Pool = "pool"
+	// guessSpread is how far callers' estimates of the answer's length are off.
+	guessSpread = 0.5
 	// warmUp is the time before the first arrival that the schedulers know.
 	warmUp = time.Second
 )
@@ -104,10 +106,12 @@
 	for i := range m.setup.Classes {
 		c := &m.setup.Classes[i]
 		for range m.poisson(c.PerSecond * factor * step.Seconds()) {
-			m.enter(&request{
+			r := &request{
 				class: c, begun: m.now,
 				prompt: m.draw(c.Prompt, c.PromptSpread), output: m.draw(c.Output, c.OutputSpread),
-			})
+			}
+			r.guess = max(1, int(float64(r.output)*math.Exp(guessSpread*m.random.NormFloat64())))
+			m.enter(r)
 			m.report.Classes[c.Name].Asked++
 			m.report.Classes[c.Name].Owed += c.Worth
 		}
@@ -161,7 +165,7 @@
 		Deadline:     clock(r.begun + r.class.Deadline),
 		Leaves:       clock(r.leaves()),
 		PromptTokens: r.prompt,
-		OutputTokens: r.class.Output,
+		OutputTokens: r.guess,
 		Repeatable:   r.class.Repeatable,
 	})
 }
--- a/internal/loadmodel/request.go
+++ b/internal/loadmodel/request.go
@@ -18,6 +18,8 @@
 	retry   bool
 	prompt  int
 	output  int
+	// guess is the caller's estimate of output.
+	guess int
 
 	prefillLeft float64
 	tokensLeft  float64
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -101,23 +101,28 @@
 }
 
 // choose returns the target with a free slot where the request costs least, or nil.
-// Only targets are considered where its first event is predicted in time.
+// Only targets are considered where its first event is predicted in time, and its
+// end before its caller leaves, unless the latter is true of no target.
 func (s *Scheduler) choose(now time.Time, p *pool, w *waiting, targets []*target) *target {
 	r := w.request
 	inTime := s.firstEventLimit(now, w)
+	needsFast, anyEnds := p.needsFast(now, r, targets)
 	var best *target
 	bestCost := 0.0
 	for _, t := range targets {
-		if t.free(now) <= 0 || avoids(r, t.Name) || !p.fits(r, t) {
+		if !s.suits(now, p, w, t) {
 			continue
 		}
-		if t.health.probation && !p.mayProbe(now, r) {
+		if p.engine != nil && t.busy(now) > 0 && p.firstEventOn(t, s.prefixes.uncached(now, r, t.Name)) > inTime {
 			continue
 		}
-		if p.engine != nil && t.busy(now) > 0 && p.firstEventOn(t, s.prefixes.uncached(now, r, t.Name)) > inTime {
+		if anyEnds && !p.ends(now, r, t) {
 			continue
 		}
 		cost := s.cost(now, p, r, t)
+		if !needsFast && p.isFast(t) && t.free(now) <= fastReserve {
+			cost += fastPenalty
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
@@ -125,6 +130,68 @@
 	return best
 }
 
+// suits says whether a target may get the request at all.
+func (s *Scheduler) suits(now time.Time, p *pool, w *waiting, t *target) bool {
+	if t.free(now) <= 0 || avoids(w.request, t.Name) || !p.fits(w.request, t) {
+		return false
+	}
+	return !t.health.probation || p.mayProbe(now, w.request)
+}
+
+const (
+	// fastReserve is the number of slots of a fast target that are kept for answers
+	// too long for the others.
+	fastReserve = 2
+	// fastPenalty is what such a slot costs other requests, in seconds.
+	fastPenalty = 0.3
+	// fastPace is the pace of a fast target, relative to the pool's mean.
+	fastPace = 0.7
+	// lengthMargin allows for answers that grow longer than expected.
+	lengthMargin = 1.5
+)
+
+// ends says whether an answer of the expected length ends in time on a target.
+func (p *pool) ends(now time.Time, r *Request, t *target) bool {
+	if p.engine == nil {
+		return true
+	}
+	decode := seconds(float64(r.OutputTokens) * p.tokenTimeOf(t))
+	return !now.Add(p.firstEventOn(t, r.PromptTokens) + decode).After(r.Deadline)
+}
+
+// needsFast says whether the answer might be too long for a slow target, and whether
+// any target is fast enough.
+func (p *pool) needsFast(now time.Time, r *Request, targets []*target) (needs, anyEnds bool) {
+	if p.engine == nil {
+		return false, false
+	}
+	for _, t := range targets {
+		decode := seconds(lengthMargin * float64(r.OutputTokens) * p.tokenTimeOf(t))
+		if now.Add(decode).After(r.Deadline) {
+			needs = true
+		}
+		anyEnds = anyEnds || p.ends(now, r, t)
+	}
+	return needs, anyEnds
+}
+
+func (p *pool) isFast(t *target) bool {
+	pace := t.seen().Pace
+	return pace > 0 && pace < fastPace*p.meanPace()
+}
+
+// meanPace returns the mean pace of the targets that were seen.
+func (p *pool) meanPace() float64 {
+	sum, count := 0.0, 0.0
+	for _, t := range p.targets {
+		if pace := t.seen().Pace; pace > 0 {
+			sum += pace
+			count++
+		}
+	}
+	return sum / max(count, 1)
+}
+
 // lateFirstEvent is the longest predicted time to the first event with which a late
 // request is sent to a target: the prompts before it would make others late too.
 const lateFirstEvent = 300 * time.Millisecond
@@ -163,21 +230,9 @@
 	ahead := float64(t.prefill+t.others.PrefillTokens) / rate
 	decode := float64(r.OutputTokens) * p.tokenTimeOf(t)
 	beside := float64(t.busy(now))
-	cost += ahead + prefill*(1+beside) + decode
-	if now.Add(seconds(ahead + prefill + lengthMargin*decode)).After(r.Deadline) {
-		cost += tooSlowPenalty
-	}
-	return cost
+	return cost + ahead + prefill*(1+beside) + decode
 }
 
-const (
-	// lengthMargin allows for answers that grow longer than expected.
-	lengthMargin = 2
-	// tooSlowPenalty is what a target costs, in seconds, that would probably not
-	// end before the deadline.
-	tooSlowPenalty = 10.0
-)
-
 // dispatch takes a slot for the request.
 func (s *Scheduler) dispatch(now time.Time, p *pool, w *waiting, t *target) Action {
 	r := w.request
