Keep quotas through the restart of one host among others

A host lost power just after a team had become hot. When it came back it took the others' sum for spread evenly over the window, so that it seemed to drain early; and what the others had counted for the silent host covered what its new process let through. Ruled out: hosts that do not hear each other (all did, but the one that was down). Change: hosts tell the two halves of the window; a new incarnation ends what was counted for the silent one.

--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -31,6 +31,7 @@
 			Team:   hashName(team),
 			Used:   amount(use.Total),
 			Window: amount(use.Window),
+			Half:   amount(use.Half),
 		})
 	}
 	if !m.Partial {
@@ -84,7 +85,9 @@
 	}
 	for _, u := range state.GetUses() {
 		if team, ok := d.teams[u.GetTeam()]; ok {
-			m.Uses[team] = quota.Use{Total: float64(u.GetUsed()), Window: float64(u.GetWindow())}
+			m.Uses[team] = quota.Use{
+				Total: float64(u.GetUsed()), Window: float64(u.GetWindow()), Half: float64(u.GetHalf()),
+			}
 		}
 	}
 	for _, l := range state.GetLoads() {
--- a/quota/account.go
+++ b/quota/account.go
@@ -39,8 +39,9 @@
 	assumed map[ident.Host]float64
 }
 
-// newAccount returns the account of a team whose use in the window before is known.
-func newAccount(now time.Time, l Limits, q route.Quota, before float64) *account {
+// newAccount returns the account of a team whose use in the two halves of the window
+// before is known.
+func newAccount(now time.Time, l Limits, q route.Quota, earlier, later float64) *account {
 	a := &account{
 		limits:  l,
 		quota:   q,
@@ -50,8 +51,8 @@
 		heard:   make(map[ident.Host]float64),
 		assumed: make(map[ident.Host]float64),
 	}
-	a.window = newWindow(now, l.Window, before)
-	a.half = newWindow(now, l.Window/2, before/2)
+	a.window = newWindow(now, l.Window, earlier, later)
+	a.half = newWindow(now, l.Window/2, later/2, later/2)
 	return a
 }
 
@@ -78,10 +79,8 @@
 // newAssumedAccount returns the account of a team on a host that started without
 // knowing what was used before.
 func newAssumedAccount(started, now time.Time, l Limits, q route.Quota, as assumption) *account {
-	a := newAccount(started, l, q, 0)
-	most := a.most(q)
-	a.window = newWindow(started, l.Window, as.before*most)
-	a.half = newWindow(started, l.Window/2, min(as.before/2, halfShare)*most)
+	before := as.before * most(l, q)
+	a := newAccount(started, l, q, before/2, before/2)
 	a.assumption = as
 	a.unknownUntil = started.Add(l.Window)
 	a.at = now
@@ -91,16 +90,16 @@
 }
 
 // most returns what a quota allows in one window.
-func (a *account) most(q route.Quota) float64 {
-	quota := q.PerSecond*a.limits.Window.Seconds() + q.Burst
-	return quota*(1+a.limits.Overage) + allowanceShare*a.limits.Allowance
+func most(l Limits, q route.Quota) float64 {
+	quota := q.PerSecond*l.Window.Seconds() + q.Burst
+	return quota*(1+l.Overage) + allowanceShare*l.Allowance
 }
 
 // limit returns what may be used in the window that ends now. After a change of
 // the quota it goes over from the old limit to the new one within a window, since
 // what was used before was allowed then.
 func (a *account) limit(now time.Time) float64 {
-	target := a.most(a.quota)
+	target := most(a.limits, a.quota)
 	if now.Before(a.unknownUntil) {
 		// What is assumed for the past leaves the window bit by bit; only a part of
 		// it is given out again.
@@ -135,7 +134,7 @@
 	for _, w := range a.byHost {
 		w.advance(now)
 	}
-	share := elapsed * a.most(a.quota) / a.limits.Window.Seconds() / float64(a.hosts)
+	share := elapsed * most(a.limits, a.quota) / a.limits.Window.Seconds() / float64(a.hosts)
 	for _, host := range silent {
 		a.assumed[host] += share
 		a.addFor(host, share)
@@ -146,7 +145,7 @@
 func (a *account) addFor(host ident.Host, amount float64) {
 	w := a.byHost[host]
 	if w == nil {
-		w = newWindow(a.at, a.limits.Window, 0)
+		w = newWindow(a.at, a.limits.Window, 0, 0)
 		a.byHost[host] = w
 	}
 	w.add(amount)
@@ -189,8 +188,12 @@
 	a.addFor(host, more)
 }
 
-// restarted notes that another host counts from zero again.
-func (a *account) restarted(host ident.Host) { a.heard[host] = 0 }
+// restarted notes that another host counts from zero again. What was counted for it
+// while it was silent does not cover what its new process lets through.
+func (a *account) restarted(host ident.Host) {
+	a.heard[host] = 0
+	delete(a.assumed, host)
+}
 
 // take lets a request through if its cost fits in the window.
 func (a *account) take(now time.Time, cost float64) bool {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -28,7 +28,7 @@
 	// that it is not known.
 	recalled map[ident.Team]bool
 	// learned is what others said was used in the window, while this host is cold.
-	learned map[ident.Team]float64
+	learned map[ident.Team]Use
 	silent  []ident.Host
 }
 
@@ -41,7 +41,7 @@
 		lastHeard: make(map[ident.Host]time.Time),
 
 		incarnations: make(map[ident.Host]uint64),
-		learned:      make(map[ident.Team]float64),
+		learned:      make(map[ident.Team]Use),
 	}
 }
 
@@ -90,7 +90,7 @@
 	l.incarnations[host] = incarnation
 	for team, use := range uses {
 		if use.Window > 0 && l.cold(now) {
-			l.learned[team] = use.Window
+			l.learned[team] = use
 		}
 		if a := l.accounts[team]; a != nil {
 			a.hear(host, use.Total)
@@ -107,7 +107,7 @@
 	for team, a := range l.accounts {
 		use := Use{Total: a.used}
 		if !l.cold(now) {
-			use.Window = a.window.sum
+			use.Window, use.Half = a.window.sum, a.half.sum
 		}
 		uses[team] = use
 	}
@@ -166,7 +166,7 @@
 	before, known := l.learned[team.Name]
 	switch {
 	case known || !l.cold(now):
-		return newAccount(now, l.limits, team.Quota, before)
+		return newAccount(now, l.limits, team.Quota, before.Window-before.Half, before.Half)
 	case l.recalled != nil && !l.recalled[team.Name]:
 		return newAssumedAccount(l.started, now, l.limits, team.Quota, calm)
 	default:
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -54,8 +54,8 @@
 	return total
 }
 
-// most returns the largest use within any window. The uses are in order.
-func most(uses []use) float64 {
+// mostOf returns the largest use within any window. The uses are in order.
+func mostOf(uses []use) float64 {
 	largest, within, first := 0.0, 0.0, 0
 	for _, u := range uses {
 		within += u.amount
@@ -70,7 +70,7 @@
 
 func TestOneHostKeepsTheBoundInEveryWindow(t *testing.T) {
 	uses := spend(newLedger(), team(1000, 500), 0, 40*time.Second, time.Millisecond)
-	if got, limit := most(uses), bound(1000, 500); got > limit {
+	if got, limit := mostOf(uses), bound(1000, 500); got > limit {
 		t.Errorf("a window holds %v, more than %v", got, limit)
 	}
 	if got := sum(uses); got < 40*1000 {
@@ -113,7 +113,7 @@
 
 func TestHostsThatTalkShareOneBound(t *testing.T) {
 	_, uses := share(30*time.Second, [2]time.Duration{time.Millisecond, 10 * time.Millisecond})
-	if got, limit := most(uses), bound(1000, 500); got > limit {
+	if got, limit := mostOf(uses), bound(1000, 500); got > limit {
 		t.Errorf("a window holds %v over all hosts, more than %v", got, limit)
 	}
 	if got := sum(uses); got < 30*1000 {
@@ -137,7 +137,7 @@
 		rest = append(append(rest, names[:i]...), names[i+1:]...)
 		l.Members(start, rest)
 		spend(l, team(1000, 500), 0, 20*time.Second, time.Millisecond)
-		own := most(spend(l, team(1000, 500), 20*time.Second, 40*time.Second, time.Millisecond))
+		own := mostOf(spend(l, team(1000, 500), 20*time.Second, 40*time.Second, time.Millisecond))
 		if own < bound(1000, 500)/8 {
 			t.Errorf("%s alone lets only %v through in a window", name, own)
 		}
@@ -160,7 +160,7 @@
 			uses = append(uses, spend(first, team(1000, 500), 20*time.Second, restart, time.Millisecond)...)
 			second := NewLedger(after(restart+down), limits)
 			uses = append(uses, spend(second, team(1000, 500), restart+down, restart+12*time.Second, time.Millisecond)...)
-			if got, limit := most(uses), bound(1000, 500); got > limit {
+			if got, limit := mostOf(uses), bound(1000, 500); got > limit {
 				t.Errorf("restart %v after the heat began, %v down: a window holds %v, more than %v", heat, down, got, limit)
 			}
 		}
@@ -212,7 +212,7 @@
 			bound18 = append(bound18, u)
 		}
 	}
-	if got, limit := most(bound18), bound(100, 100); got > limit {
+	if got, limit := mostOf(bound18), bound(100, 100); got > limit {
 		t.Errorf("under the lower limit a window holds %v, more than %v", got, limit)
 	}
 	if got := sum(uses[:min(len(uses), 10)]); got < 100 {
@@ -309,7 +309,58 @@
 			}
 		}
 	}
-	if got, limit := most(uses), bound(1000, 500); got > limit {
+	if got, limit := mostOf(uses), bound(1000, 500); got > limit {
+		t.Errorf("a window holds %v over all hosts, more than %v", got, limit)
+	}
+}
+
+// TestHostThatRestartsAmongOthersKeepsTheBound plays three hosts, of which one loses
+// power while a team asks for over three times its quota, and comes back.
+func TestHostThatRestartsAmongOthersKeepsTheBound(t *testing.T) {
+	const (
+		round = 50 * time.Millisecond
+		heat  = 10 * time.Second
+		lost  = 10500 * time.Millisecond
+		back  = 14 * time.Second
+		end   = 30 * time.Second
+	)
+	acme := team(1000, 500)
+	hosts := map[ident.Host]*Ledger{"a": newLedger(), "b": newLedger(), "c": newLedger()}
+	for name, l := range hosts {
+		l.Members(start, others(hosts, name))
+	}
+	var uses []use
+	incarnation := uint64(1)
+	for at := time.Duration(0); at < end; at += round {
+		down := at >= lost && at < back
+		if at == back {
+			hosts["c"] = NewLedger(after(at), limits)
+			hosts["c"].Members(after(at), []ident.Host{"a", "b"})
+			incarnation = 2
+		}
+		step := 50 * time.Millisecond
+		if at > heat {
+			step = 9 * time.Millisecond
+		}
+		for name, l := range hosts {
+			for _, other := range others(hosts, name) {
+				if down && (name == "c" || other == "c") {
+					continue
+				}
+				told := uint64(1)
+				if other == "c" {
+					told = incarnation
+				}
+				l.Hear(after(at), other, told, hosts[other].Uses(after(at)))
+			}
+		}
+		for _, name := range []ident.Host{"a", "b", "c"} {
+			if !down || name != "c" {
+				uses = append(uses, spend(hosts[name], acme, at, at+round, step)...)
+			}
+		}
+	}
+	if got, limit := mostOf(uses), bound(1000, 500); got > limit {
 		t.Errorf("a window holds %v over all hosts, more than %v", got, limit)
 	}
 }
--- a/quota/recall.go
+++ b/quota/recall.go
@@ -26,7 +26,7 @@
 	l.settle(now)
 	var busy []ident.Team
 	for team, a := range l.accounts {
-		if a.window.sum > busyShare*a.most(a.quota) && !l.cold(now) {
+		if a.window.sum > busyShare*most(a.limits, a.quota) && !l.cold(now) {
 			busy = append(busy, team)
 		}
 	}
--- a/quota/window.go
+++ b/quota/window.go
@@ -15,14 +15,16 @@
 	sum   float64
 }
 
-// newWindow returns a window that takes the given amount for used evenly before its
-// beginning.
-func newWindow(now time.Time, span time.Duration, before float64) *window {
-	w := &window{step: span / steps, begun: now}
-	for i := range w.used {
-		w.used[i] = before / float64(len(w.used))
+// newWindow returns a window that takes the given amounts for used evenly in the two
+// halves of the span before its beginning.
+func newWindow(now time.Time, span time.Duration, earlier, later float64) *window {
+	const half = steps / 2
+	w := &window{step: span / steps, begun: now, sum: earlier + later}
+	for i := range half {
+		// Steps after the present one are the oldest.
+		w.used[1+i] = earlier / half
+		w.used[1+half+i] = later / half
 	}
-	w.sum = before
 	return w
 }
 
