Confirm the host list after a pause before anything is dispatched

Cause of the known red TestWokenHostSendsNothingToALeavingTarget: a woken owner grants slots, and its own entry dispatches, before the first poll of the host list after the pause has ended; both used the list from before the pause. Ruled out: the grants' leases (they had expired, but new ones were given at once).

--- a/entry/run_execution.go
+++ b/entry/run_execution.go
@@ -81,6 +81,10 @@
 			return v
 		}
 	}
+	if x.entry.options.Leaves(x.ctx, grant.Target().Name) {
+		grant.Decline(admission.DeclineLeaving)
+		return tryAgain()
+	}
 	if !time.Now().Before(grant.Expires()) {
 		grant.Decline(admission.DeclineExpired)
 		return tryAgain()
