Let resting targets back by any answer, and try them when all rest

One slow request of 400 ms counted as silence, an error that is the target's own (14 in 100 of status-read) failed the probe of a target that had only been silent, and one host's rest kept the others away, who hear a desk about once a second. Test: five in health_test.go.

--- a/schedule/health.go
+++ b/schedule/health.go
@@ -31,6 +31,9 @@
 	probing bool
 	// probation says that the target has not served a request since its rest.
 	probation bool
+	// erring says that it rests because it answers with errors, not because it does
+	// not answer.
+	erring bool
 }
 
 // usable says whether the target may get a request.
@@ -57,7 +60,7 @@
 	case Failed, Rejected:
 		h.results.add(now, true)
 		h.breaks = 0
-		h.failProbe(now)
+		h.answered(now)
 	case Broken:
 		h.results.add(now, true)
 		h.breaks++
@@ -82,9 +85,17 @@
 	h.until = time.Time{}
 }
 
-func (h *health) failProbe(now time.Time) {
-	if h.probation {
+// answered takes in an error as the answer to a probe. It shows that a target is back
+// that did not answer before, but not one that answered with errors.
+func (h *health) answered(now time.Time) {
+	switch {
+	case !h.probation:
+	case h.erring:
 		h.restFor(now, firstRest)
+		h.erring = true
+	default:
+		h.probation = false
+		h.rest = 0
 	}
 }
 
@@ -96,6 +107,7 @@
 	h.rest = min(max(2*h.rest, first), longestRest)
 	h.until = now.Add(h.rest)
 	h.probation = true
+	h.erring = false
 	h.breaks = 0
 }
 
--- a/schedule/health_test.go
+++ b/schedule/health_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/route"
 )
 
 func TestTargetRestsAfterFailures(t *testing.T) {
@@ -111,8 +112,62 @@
 	s := newScheduler(7)
 	s.Enqueue(at(0), request("a", 0, 0))
 	dispatched(t, s, 0)
-	s.Decide(at(int(engineSilence.Milliseconds()) + 10))
-	if s.targets["t0"].health.usable(at(int(engineSilence.Milliseconds()) + 11)) {
+	s.Decide(at(int(silence.Milliseconds()) + 10))
+	if s.targets["t0"].health.usable(at(int(silence.Milliseconds()) + 11)) {
 		t.Error("a target that leaves a request without sign of life gets more")
 	}
 }
+
+func TestErrorAnswersAProbeOfATargetThatWasSilent(t *testing.T) {
+	var h health
+	h.ended(at(0), Unreachable)
+	h.dispatched()
+	h.ended(at(300), Failed)
+	if !h.usable(at(301)) || h.probation {
+		t.Error("a target that answers again, with an error, still rests")
+	}
+}
+
+func TestErrorIsNoProbeOfATargetThatErrs(t *testing.T) {
+	var h health
+	h.restFor(at(0), firstRest)
+	h.erring = true
+	h.dispatched()
+	h.ended(at(500), Failed)
+	if h.usable(at(501)) {
+		t.Error("a target that rests for its errors is back after another one")
+	}
+}
+
+func TestRestingTargetsAreTriedWhenAllRest(t *testing.T) {
+	s := newScheduler(4, 4)
+	for _, target := range s.targets {
+		target.heard = at(0)
+		target.health.restFor(at(0), firstRest)
+	}
+	s.Enqueue(at(10), request("a", 10, 0))
+	if sent := dispatched(t, s, 10); len(sent) != 1 {
+		t.Error("a request is refused although both targets answered just now")
+	}
+}
+
+func TestOneSlowRequestOfAPlainServiceIsNoSilence(t *testing.T) {
+	s := New(Options{Random: func() float64 { return 0 }})
+	s.Declare(at(0), map[ident.Pool]*route.Pool{"p": {Name: "p"}}, engines(4))
+	s.Enqueue(at(0), request("a", 0, 0))
+	dispatched(t, s, 0)
+	s.Decide(at(700))
+	if !s.targets["t0"].health.usable(at(701)) {
+		t.Error("a target rests for one request that takes long")
+	}
+}
+
+func TestPlainTargetThatRestsForOneOtherHostIsUsed(t *testing.T) {
+	s := New(Options{Random: func() float64 { return 0 }})
+	s.Declare(at(0), map[ident.Pool]*route.Pool{"p": {Name: "p"}}, engines(4))
+	s.Hear(at(0), "b", State{Loads: []Load{{Target: "t0", Resting: true}}})
+	s.Enqueue(at(1), request("a", 1, 0))
+	if sent := dispatched(t, s, 1); len(sent) != 1 {
+		t.Error("one host's failures keep all others from a target")
+	}
+}
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -69,6 +69,7 @@
 	speeds := make(map[ident.Target][]Speeds)
 	for _, t := range s.targets {
 		t.others = Load{}
+		t.restingElsewhere = 0
 	}
 	for _, peer := range s.peers {
 		for _, load := range peer.state.Loads {
@@ -79,7 +80,9 @@
 			t.others.Running += load.Running
 			t.others.PrefillTokens += load.PrefillTokens
 			t.others.KVTokens += load.KVTokens
-			t.others.Resting = t.others.Resting || load.Resting
+			if load.Resting {
+				t.restingElsewhere++
+			}
 			t.others.Good += load.Good
 			t.others.Bad += load.Bad
 			speeds[load.Target] = append(speeds[load.Target], load.Speeds)
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -88,17 +88,30 @@
 	maxSpeed = 4.0
 )
 
-// usable returns the targets that may get requests now.
+// usable returns the targets that may get requests now. If all of them rest, those
+// that have answered anything lately are tried nevertheless.
 func (p *pool) usable(now time.Time) []*target {
 	list := make([]*target, 0, len(p.targets))
 	for _, t := range p.targets {
-		if t.declared && !t.Leaving && t.usable(now) {
+		if t.stays() && t.usable(now) {
+			list = append(list, t)
+		}
+	}
+	if len(list) > 0 {
+		return list
+	}
+	for _, t := range p.targets {
+		if t.stays() && now.Sub(t.heard) < lastResort {
 			list = append(list, t)
 		}
 	}
 	return list
 }
 
+// lastResort is how long ago a resting target may have answered to be tried when all
+// others rest too.
+const lastResort = 10 * time.Second
+
 // restOutliers lets the targets rest that fail more often than the others, unless
 // less than half of the pool would be left.
 func (s *Scheduler) restOutliers(now time.Time, p *pool) {
@@ -108,7 +121,7 @@
 		results := t.results(now)
 		sum.good += results.good
 		sum.bad += results.bad
-		if t.declared && !t.Leaving {
+		if t.stays() {
 			present++
 		}
 	}
@@ -120,6 +133,7 @@
 		left--
 		before := t.health
 		t.health.restFor(now, firstRest)
+		t.health.erring = true
 		s.note(t, before, causeOutlier)
 	}
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -97,6 +97,7 @@
 	}
 	t.Target = declared
 	t.declared = true
+	t.engine = s.pools[declared.Pool].engine != nil
 }
 
 func (s *Scheduler) dropTarget(t *target) {
@@ -147,7 +148,7 @@
 // present says whether the pool has a target that stays.
 func (p *pool) present() bool {
 	for _, t := range p.targets {
-		if t.declared && !t.Leaving {
+		if t.stays() {
 			return true
 		}
 	}
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -21,13 +21,17 @@
 type target struct {
 	route.Target
 	declared bool
+	// engine says that it is a model engine.
+	engine bool
 
 	running int
 	prefill int
 	kv      int
 
-	// others is the sum of what the other hosts have on it.
-	others Load
+	// others is the sum of what the other hosts have on it, and restingElsewhere
+	// the number of them that send it nothing.
+	others           Load
+	restingElsewhere int
 	// surplus is load that nobody told of, and surplusAt when it was seen.
 	// meanSurplus is its mean; it counts while hosts are silent.
 	surplus     int
@@ -103,11 +107,19 @@
 	}
 }
 
-// heardMemory is how long an answer of a target outweighs other hosts' failures.
-const heardMemory = 500 * time.Millisecond
+const (
+	// heardMemory is how long an answer of a target outweighs other hosts' failures.
+	heardMemory = time.Second
+	// restingHosts is the number of hosts for which a plain service must rest to rest
+	// for the others too; they hear each of them seldom. For an engine one suffices.
+	restingHosts = 2
+)
+
+// stays says whether the target is announced and not leaving.
+func (t *target) stays() bool { return t.declared && !t.Leaving }
 
 // usable says whether this host may send the target a request. A target that failed
-// for another host, and was not heard here lately, is left to that host's probes;
+// for several other hosts, and was not heard here lately, is left to their probes;
 // one host at a time probes.
 func (t *target) usable(now time.Time) bool {
 	if !t.health.usable(now) {
@@ -116,7 +128,13 @@
 	if t.health.probation {
 		return t.others.Running == 0
 	}
-	return !t.others.Resting || now.Sub(t.heard) < heardMemory
+	if now.Sub(t.heard) < heardMemory {
+		return true
+	}
+	if t.engine {
+		return t.restingElsewhere == 0
+	}
+	return t.restingElsewhere < restingHosts
 }
 
 func avoids(r *Request, name ident.Target) bool {
