Do not take callers' quotas for used up after a restart because of a cut before it

A data centre had been cut off just before: what the hosts assumed of the silent ones made teams with their usual use look busy, and they were marked so in the store. And a host whose first request came before it had read the marks kept the strict assumption for a whole window. Change: a team is busy by what was told, not by what was assumed; the recall mends accounts that were opened before it; until it has come, at most 150 ms, up to 0.02 of a limit is let through. Test: TestUseThatIsOnlyAssumedMakesNoTeamBusy and TestRequestsBeforeTheRecallAreLetThroughAndCounted failed before.

--- a/gateway/busy_teams.go
+++ b/gateway/busy_teams.go
@@ -40,7 +40,7 @@
 	for ctx.Err() == nil && time.Now().Before(end) {
 		ages, err := g.directory.BusyTeams(ctx)
 		if err == nil {
-			g.knowledge.quotas.Recall(ages)
+			g.knowledge.quotas.Recall(time.Now(), ages)
 			return
 		}
 		g.logger.Warn().Err(err).Msg("Marks of busy teams could not be read.")
--- a/quota/account.go
+++ b/quota/account.go
@@ -21,11 +21,16 @@
 	// restart of all hosts right after a burst, which they then do not know of,
 	// stays within the limit.
 	half *window
+	// told is what this host and the others said they let through within the window,
+	// without anything assumed.
+	told *window
 	at   time.Time
 	// unknownUntil is the end of the first window of a host that did not know what
 	// was used before, for which assumption holds.
 	unknownUntil time.Time
 	assumption   assumption
+	// counted is what was counted in all since the account was opened.
+	counted float64
 	// used is what this host let through since its start.
 	used float64
 	// byHost is what is counted for each other host within the window.
@@ -53,6 +58,7 @@
 	}
 	a.window = newWindow(now, l.Window, earlier, later)
 	a.half = newWindow(now, l.Window/2, later/2, later/2)
+	a.told = newWindow(now, l.Window, 0, 0)
 	return a
 }
 
@@ -79,14 +85,25 @@
 // newAssumedAccount returns the account of a team on a host that started without
 // knowing what was used before.
 func newAssumedAccount(started, now time.Time, l Limits, q route.Quota, as assumption) *account {
-	before := as.before * most(l, q)
-	a := newAccount(started, l, q, before/2, before/2)
-	a.assumption = as
-	a.unknownUntil = started.Add(l.Window)
+	a := newAccount(started, l, q, 0, 0)
 	a.at = now
+	a.assume(started, now, as)
+	return a
+}
+
+// assume takes for granted what was used before the start, besides what was counted
+// since.
+func (a *account) assume(started, now time.Time, as assumption) {
+	since := a.counted
+	before := as.before * most(a.limits, a.quota)
+	a.window = newWindow(started, a.limits.Window, before/2, before/2)
+	a.half = newWindow(started, a.limits.Window/2, before/4, before/4)
 	a.window.advance(now)
 	a.half.advance(now)
-	return a
+	a.window.add(since)
+	a.half.add(since)
+	a.assumption = as
+	a.unknownUntil = started.Add(a.limits.Window)
 }
 
 // most returns what a quota allows in one window.
@@ -131,6 +148,7 @@
 	a.at = now
 	a.window.advance(now)
 	a.half.advance(now)
+	a.told.advance(now)
 	for _, w := range a.byHost {
 		w.advance(now)
 	}
@@ -181,6 +199,7 @@
 		return
 	}
 	more := used - before
+	a.told.add(more)
 	if assumed := a.assumed[host]; assumed > 0 {
 		more = max(0, more-assumed)
 		delete(a.assumed, host)
@@ -201,18 +220,25 @@
 	if a.window.sum+cost > limit || a.half.sum+cost > halfShare*limit || !a.withinShare(cost, limit) {
 		return false
 	}
+	a.charge(cost)
+	return true
+}
+
+func (a *account) charge(cost float64) {
 	a.add(cost)
+	a.told.add(cost)
 	a.used += cost
-	return true
 }
 
 func (a *account) add(amount float64) {
+	a.counted += amount
 	a.window.add(amount)
 	a.half.add(amount)
 }
 
 func (a *account) giveBack(cost float64) {
 	a.add(-cost)
+	a.told.add(-cost)
 	a.used -= cost
 }
 
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -128,7 +128,12 @@
 	l.settle(now)
 	v := Verdict{Used: a.window.sum, Limit: a.limit(now)}
 	v.Allowed = a.take(now, cost)
-	if !v.Allowed {
+	switch {
+	case v.Allowed:
+	case l.awaitsRecall(now, a):
+		a.charge(cost)
+		v.Allowed = true
+	default:
 		v.Wait = a.wait(now, cost)
 	}
 	return v
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -251,7 +251,7 @@
 
 func TestCalmTeamIsNotRefusedAfterARestartOfAllHosts(t *testing.T) {
 	l := NewLedger(start, limits)
-	l.Recall(map[ident.Team]time.Duration{"other": time.Second})
+	l.Recall(start, map[ident.Team]time.Duration{"other": time.Second})
 	acme := team(1000, 500)
 	// Callers that waited for the hosts come back all at once.
 	if !l.Take(start, acme, 2*1000/1.8).Allowed {
@@ -364,3 +364,29 @@
 		t.Errorf("a window holds %v over all hosts, more than %v", got, limit)
 	}
 }
+
+func TestRequestsBeforeTheRecallAreLetThroughAndCounted(t *testing.T) {
+	l := NewLedger(start, limits)
+	acme := team(1000, 500)
+	if !l.Take(after(5*time.Millisecond), acme, 100).Allowed {
+		t.Error("a request right after the start is refused for a quota that nobody knows of")
+	}
+	l.Recall(after(20*time.Millisecond), nil)
+	before := l.Take(after(21*time.Millisecond), acme, 0).Used
+	if calm := calmShare * bound(1000, 500); before > calm+100 {
+		t.Errorf("after the recall %v count as used, more than %v", before, calm+100)
+	}
+	if !l.Take(after(22*time.Millisecond), acme, 1000).Allowed {
+		t.Error("a calm team is still taken for busy")
+	}
+}
+
+func TestUseThatIsOnlyAssumedMakesNoTeamBusy(t *testing.T) {
+	l := newLedger()
+	acme := team(1000, 500)
+	l.Members(start, []ident.Host{"b", "c"})
+	spend(l, acme, 0, 8*time.Second, 54*time.Millisecond)
+	if busy := l.Busy(after(8 * time.Second)); len(busy) != 0 {
+		t.Errorf("a team is busy for what is assumed of two silent hosts: %v", busy)
+	}
+}
--- a/quota/recall.go
+++ b/quota/recall.go
@@ -26,7 +26,7 @@
 	l.settle(now)
 	var busy []ident.Team
 	for team, a := range l.accounts {
-		if a.window.sum > busyShare*most(a.limits, a.quota) && !l.cold(now) {
+		if a.told.sum > busyShare*most(a.limits, a.quota) && !l.cold(now) {
 			busy = append(busy, team)
 		}
 	}
@@ -35,7 +35,7 @@
 
 // Recall tells a host that starts which teams were busy before, and how long ago.
 // Without it, all are taken for busy.
-func (l *Ledger) Recall(ages map[ident.Team]time.Duration) {
+func (l *Ledger) Recall(now time.Time, ages map[ident.Team]time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.recalled = make(map[ident.Team]bool, len(ages))
@@ -44,4 +44,25 @@
 			l.recalled[team] = true
 		}
 	}
+	l.settle(now)
+	for team, a := range l.accounts {
+		if a.assumption == busy && !l.recalled[team] {
+			a.assume(l.started, now, calm)
+		}
+	}
+}
+
+const (
+	// recallGrace is how long after its start a host lets requests through that it
+	// would refuse, because it does not know yet which teams were busy.
+	recallGrace = 150 * time.Millisecond
+	// graceShare bounds what it lets through so, as a part of the limit.
+	graceShare = 0.02
+)
+
+// awaitsRecall says that the marks of busy teams have not been read yet, and that
+// the account may be used meanwhile.
+func (l *Ledger) awaitsRecall(now time.Time, a *account) bool {
+	return l.recalled == nil && now.Sub(l.started) < recallGrace &&
+		a.counted < graceShare*most(a.limits, a.quota)
 }
