--- a/daemon/usage_metrics.go
+++ b/daemon/usage_metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/metrics"
 	"github.com/cornelyard/cornelyard/timeline"
 	"github.com/cornelyard/cornelyard/usage"
@@ -40,16 +41,7 @@
 
 // run updates the metrics until ctx ends.
 func (m *usageMetrics) run(ctx context.Context) error {
-	ticker := time.NewTicker(usageMetricsInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			m.update(now)
-		}
-	}
+	return periodic.Run(ctx, usageMetricsInterval, m.update)
 }
 
 func (m *usageMetrics) update(now time.Time) {
--- a/gateway/busy_teams.go
+++ b/gateway/busy_teams.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/periodic"
 )
 
 const (
@@ -22,16 +23,7 @@
 func (g *Gateway) rememberBusyTeams(ctx context.Context) error {
 	g.recallBusyTeams(ctx)
 	marked := make(map[ident.Team]time.Time)
-	ticker := time.NewTicker(busyInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			g.markBusyTeams(ctx, now, marked)
-		}
-	}
+	return periodic.Run(ctx, busyInterval, func(now time.Time) { g.markBusyTeams(ctx, now, marked) })
 }
 
 // recallBusyTeams tries to read the marks for as long as they are of use.
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/metrics"
 )
 
@@ -12,16 +13,7 @@
 
 // keepGauges reads the present state into the metrics until ctx ends.
 func (g *Gateway) keepGauges(ctx context.Context) error {
-	ticker := time.NewTicker(gaugeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			g.readGauges(now)
-		}
-	}
+	return periodic.Run(ctx, gaugeInterval, g.readGauges)
 }
 
 func (g *Gateway) readGauges(now time.Time) {
--- a/gateway/peer_watch.go
+++ b/gateway/peer_watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/cornelyard/cornelyard/eventlog"
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/periodic"
 )
 
 const (
@@ -57,16 +58,7 @@
 
 // run looks for silent hosts until ctx ends.
 func (w *peerWatch) run(ctx context.Context) error {
-	ticker := time.NewTicker(peerLook)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			w.look(now)
-		}
-	}
+	return periodic.Run(ctx, peerLook, w.look)
 }
 
 func (w *peerWatch) look(now time.Time) {
--- a/internal/loadmodel/request.go
+++ b/internal/loadmodel/request.go
@@ -27,7 +27,6 @@
 	// last is when it had its last event.
 	last   time.Duration
 	engine *engine
-	gone   bool
 }
 
 // leaves returns when the caller leaves if it has no further event.
