Keep the sums of other hosts' loads up with each message

Cause: each message of a host had the loads of all hosts added up anew; with 15 hosts near and 60 targets that is most of the cost of hearing. Change: what a host told before is taken out, and what it tells now added.

--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -23,11 +23,14 @@
 
 // Hear takes in what another host tells of itself.
 func (s *Scheduler) Hear(now time.Time, host ident.Host, state State) {
+	if before := s.peers[host]; before != nil {
+		s.countLoads(before.state.Loads, (*othersLoad).remove)
+	}
 	s.peers[host] = &peerState{state: state, heard: now}
+	s.countLoads(state.Loads, (*othersLoad).add)
 	for _, p := range state.Placements {
 		s.prefixes.note(now, p.Hash, p.Target)
 	}
-	s.sumLoads(now)
 	s.updateBlind(now)
 }
 
@@ -41,7 +44,7 @@
 		}
 	}
 	if dropped {
-		s.sumLoads(now)
+		s.sumLoads()
 	}
 }
 
@@ -64,32 +67,23 @@
 	}
 }
 
-// sumLoads adds up what the other hosts have on each target.
-func (s *Scheduler) sumLoads(time.Time) {
-	speeds := make(map[ident.Target][]Speeds)
+// countLoads adds or takes out what another host has on each target.
+func (s *Scheduler) countLoads(loads []Load, count func(*othersLoad, *Load)) {
+	for i := range loads {
+		if t := s.targets[loads[i].Target]; t != nil {
+			count(&t.others, &loads[i])
+		}
+	}
+}
+
+// sumLoads adds up anew what the other hosts have on each target, after targets or
+// hosts came or went.
+func (s *Scheduler) sumLoads() {
 	for _, t := range s.targets {
-		t.others = Load{}
-		t.restingElsewhere = 0
+		t.others = othersLoad{}
 	}
 	for _, peer := range s.peers {
-		for _, load := range peer.state.Loads {
-			t := s.targets[load.Target]
-			if t == nil {
-				continue
-			}
-			t.others.Running += load.Running
-			t.others.PrefillTokens += load.PrefillTokens
-			t.others.KVTokens += load.KVTokens
-			if load.Resting {
-				t.restingElsewhere++
-			}
-			t.others.Good += load.Good
-			t.others.Bad += load.Bad
-			speeds[load.Target] = append(speeds[load.Target], load.Speeds)
-		}
-	}
-	for name, seen := range speeds {
-		s.targets[name].othersSpeeds = average(seen)
+		s.countLoads(peer.state.Loads, (*othersLoad).add)
 	}
 }
 
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -75,7 +75,7 @@
 			s.dropTarget(t)
 		}
 	}
-	s.sumLoads(now)
+	s.sumLoads()
 }
 
 func (s *Scheduler) declareTarget(name ident.Target, declared route.Target) {
--- a/schedule/speeds.go
+++ b/schedule/speeds.go
@@ -18,22 +18,3 @@
 	}
 	blend(mean, observed, speedMemory)
 }
-
-// average returns the mean of the speeds that were seen.
-func average(all []Speeds) Speeds {
-	var sum, count Speeds
-	for _, s := range all {
-		if s.PrefillRate > 0 {
-			sum.PrefillRate += s.PrefillRate
-			count.PrefillRate++
-		}
-		if s.Pace > 0 {
-			sum.Pace += s.Pace
-			count.Pace++
-		}
-	}
-	return Speeds{
-		PrefillRate: sum.PrefillRate / max(count.PrefillRate, 1),
-		Pace:        sum.Pace / max(count.Pace, 1),
-	}
-}
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -28,10 +28,8 @@
 	prefill int
 	kv      int
 
-	// others is the sum of what the other hosts have on it, and restingElsewhere
-	// the number of them that send it nothing.
-	others           Load
-	restingElsewhere int
+	// others is the sum of what the other hosts tell of it.
+	others othersLoad
 	// surplus is load that nobody told of, and surplusAt when it was seen.
 	// meanSurplus is its mean; it counts while hosts are silent.
 	surplus     int
@@ -42,10 +40,8 @@
 	health health
 	// heard is when the target last sent anything to this host.
 	heard time.Time
-	// speeds is what this host saw of the target, and othersSpeeds the mean of what
-	// the others saw.
-	speeds       Speeds
-	othersSpeeds Speeds
+	// speeds is what this host saw of the target.
+	speeds Speeds
 }
 
 // busy returns the slots in use by all hosts.
@@ -75,10 +71,10 @@
 func (t *target) seen() Speeds {
 	seen := t.speeds
 	if seen.PrefillRate == 0 {
-		seen.PrefillRate = t.othersSpeeds.PrefillRate
+		seen.PrefillRate = t.others.meanSpeeds().PrefillRate
 	}
 	if seen.Pace == 0 {
-		seen.Pace = t.othersSpeeds.Pace
+		seen.Pace = t.others.meanSpeeds().Pace
 	}
 	return seen
 }
@@ -132,9 +128,9 @@
 		return true
 	}
 	if t.engine {
-		return t.restingElsewhere == 0
+		return t.others.resting == 0
 	}
-	return t.restingElsewhere < restingHosts
+	return t.others.resting < restingHosts
 }
 
 func avoids(r *Request, name ident.Target) bool {
