Keep headroom in quotas for what other hosts let through at the same moment

Change: a host keeps room for as much as it has let through itself in the last 30 ms, for each other host, at most 0.05 of the limit. Test: TestManyHostsDoNotAllTakeWhatBecomesFree failed before (10500 of 10350).

--- a/quota/account.go
+++ b/quota/account.go
@@ -29,6 +29,9 @@
 	// was used before, for which assumption holds.
 	unknownUntil time.Time
 	assumption   assumption
+	// burst is what this host let through since burstAt, a short time ago.
+	burst   float64
+	burstAt time.Time
 	// counted is what was counted in all since the account was opened.
 	counted float64
 	// used is what this host let through since its start.
@@ -217,14 +220,32 @@
 // take lets a request through if its cost fits in the window.
 func (a *account) take(now time.Time, cost float64) bool {
 	limit := a.limit(now)
-	if a.window.sum+cost > limit || a.half.sum+cost > halfShare*limit || !a.withinShare(cost, limit) {
+	taken := cost + a.headroom(now, cost, limit)
+	if a.window.sum+taken > limit || a.half.sum+taken > halfShare*limit || !a.withinShare(cost, limit) {
 		return false
 	}
 	a.charge(cost)
 	return true
 }
 
+const (
+	// maxHeadroom bounds the headroom, as a part of the limit.
+	maxHeadroom = 0.05
+	// newsAge is how old the news of other hosts may be under load.
+	newsAge = 30 * time.Millisecond
+)
+
+// headroom returns what is kept for the other hosts. Each may just now have let
+// through as much as this one, and this host will hear of it too late.
+func (a *account) headroom(now time.Time, cost, limit float64) float64 {
+	if now.Sub(a.burstAt) > newsAge {
+		a.burst, a.burstAt = 0, now
+	}
+	return min(float64(a.hosts-1)*(a.burst+cost), maxHeadroom*limit)
+}
+
 func (a *account) charge(cost float64) {
+	a.burst += cost
 	a.add(cost)
 	a.told.add(cost)
 	a.used += cost
@@ -245,5 +266,6 @@
 // wait returns how long it takes until a request of that cost fits.
 func (a *account) wait(now time.Time, cost float64) time.Duration {
 	limit := a.limit(now)
-	return max(a.window.until(a.window.sum+cost-limit), a.half.until(a.half.sum+cost-halfShare*limit))
+	taken := cost + a.headroom(now, cost, limit)
+	return max(a.window.until(a.window.sum+taken-limit), a.half.until(a.half.sum+taken-halfShare*limit))
 }
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -390,3 +390,38 @@
 		t.Errorf("a team is busy for what is assumed of two silent hosts: %v", busy)
 	}
 }
+
+// TestManyHostsDoNotAllTakeWhatBecomesFree plays seven hosts that hear of each other
+// every 20 ms, and a team that asks each of them for half of its quota.
+func TestManyHostsDoNotAllTakeWhatBecomesFree(t *testing.T) {
+	const round = 20 * time.Millisecond
+	acme := team(1000, 500)
+	hosts := make(map[ident.Host]*Ledger)
+	for _, name := range []ident.Host{"a", "b", "c", "d", "e", "f", "g"} {
+		hosts[name] = newLedger()
+	}
+	for name, l := range hosts {
+		l.Members(start, others(hosts, name))
+	}
+	var uses []use
+	for at := time.Duration(0); at < 30*time.Second; at += round {
+		for _, l := range hosts {
+			for offset := time.Duration(0); offset < round; offset += 10 * time.Millisecond {
+				if l.Take(after(at+offset), acme, 50).Allowed {
+					uses = append(uses, use{at, 50})
+				}
+			}
+		}
+		for name, l := range hosts {
+			for _, other := range others(hosts, name) {
+				l.Hear(after(at+round), other, 1, hosts[other].Uses(after(at+round)))
+			}
+		}
+	}
+	if got, limit := mostOf(uses), bound(1000, 500); got > limit {
+		t.Errorf("a window holds %v over all hosts, more than %v", got, limit)
+	}
+	if got := sum(uses); got < 30*1000 {
+		t.Errorf("in 30 s only %v of the quota of %v could be used", got, 30*1000)
+	}
+}
