Test what hosts tell each other

Cause: hoststate had no tests. Change: its encoding, the order of messages, near and far hosts, and two exchanges on loopback. Nothing else changes.

--- /dev/null
+++ b/hoststate/exchange_test.go
@@ -0,0 +1,169 @@
+package hoststate
+
+import (
+	"context"
+	"io"
+	"net"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/proto/hostpb"
+	"github.com/cornelyard/cornelyard/logging"
+	"github.com/cornelyard/cornelyard/quota"
+	"github.com/cornelyard/cornelyard/route"
+	"github.com/cornelyard/cornelyard/schedule"
+)
+
+func directory() *Directory {
+	table := route.NewTable(1, route.Limits{}, nil, []*route.Pool{{Name: "p"}}, []*route.Team{{Name: "acme"}})
+	return NewDirectory(table, &route.Roster{Targets: map[ident.Target]route.Target{"t1": {Name: "t1"}}})
+}
+
+func message() Message {
+	return Message{
+		Host: "b", TableVersion: 7,
+		Uses: map[ident.Team]quota.Use{"acme": {Total: 300, Window: 200, Half: 100}},
+		Schedule: schedule.State{
+			Loads: []schedule.Load{{
+				Target: "t1", Running: 2, PrefillTokens: 900, KVTokens: 4000, Good: 1.5, Bad: 0.5, Resting: true,
+				Speeds: schedule.Speeds{PrefillRate: 50_000, Pace: 0.018},
+			}},
+			Backlogs:   []schedule.Backlog{{Pool: "p", Rank: schedule.Rank{Team: 1, Route: 2}, Count: 3, Slack: -40 * time.Millisecond}},
+			Placements: []schedule.Placement{{Hash: 99, Target: "t1"}},
+		},
+	}
+}
+
+func decodeBytes(t *testing.T, d *Directory, data []byte) Message {
+	t.Helper()
+	state := &hostpb.HostState{}
+	if err := proto.Unmarshal(data, state); err != nil {
+		t.Fatal(err)
+	}
+	return d.decode(state)
+}
+
+func TestMessageSurvivesItsEncoding(t *testing.T) {
+	want := message()
+	data, err := encode(&want, 5, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want.Incarnation = 5
+	if got := decodeBytes(t, directory(), data); !reflect.DeepEqual(got, want) {
+		t.Errorf("got  %+v\nwant %+v", got, want)
+	}
+}
+
+func TestUnknownNamesAreLeftOut(t *testing.T) {
+	m := message()
+	data, err := encode(&m, 5, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := decodeBytes(t, NewDirectory(nil, nil), data)
+	if len(got.Uses)+len(got.Schedule.Loads)+len(got.Schedule.Backlogs)+len(got.Schedule.Placements) != 0 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestOldMessagesAreNotTaken(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	cases := []struct {
+		name                  string
+		after                 time.Duration
+		incarnation, sequence uint64
+		want                  bool
+	}{
+		{"next", time.Millisecond, 5, 11, true},
+		{"the same again", time.Millisecond, 5, 10, false},
+		{"overtaken", time.Millisecond, 5, 9, false},
+		{"restarted", time.Millisecond, 6, 1, true},
+		{"left over from before a restart", time.Millisecond, 4, 99, false},
+		{"restarted with a clock that jumped back", time.Second, 4, 1, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			book := newSenderBook()
+			book.admit(now, "b", 5, 10)
+			if got := book.admit(now.Add(c.after), "b", c.incarnation, c.sequence); got != c.want {
+				t.Errorf("taken is %v", got)
+			}
+		})
+	}
+}
+
+func TestFarHostsAreToldLess(t *testing.T) {
+	e := New(Options{Self: Member{Host: "a", DataCentre: "near"}})
+	members := []Member{{Host: "b", DataCentre: "near"}, {Host: "c", DataCentre: "far"}}
+	if near, far := e.split(members); len(near) != 2 || len(far) != 0 {
+		t.Errorf("of few hosts %d are near and %d far", len(near), len(far))
+	}
+	for range nearHosts {
+		members = append(members, Member{DataCentre: "far"})
+	}
+	if near, far := e.split(members); len(near) != 1 || len(far) != nearHosts+1 {
+		t.Errorf("of many hosts %d are near and %d far", len(near), len(far))
+	}
+}
+
+// startExchange runs an exchange whose messages go to the channel.
+func startExchange(t *testing.T, self, other Member, taken chan<- Message) *Exchange {
+	t.Helper()
+	e := New(Options{
+		Self: self, Incarnation: 1,
+		Compose: func(time.Time) Message {
+			m := message()
+			m.Host = self.Host
+			return m
+		},
+		Take: func(_ time.Time, m Message) {
+			select {
+			case taken <- m:
+			default:
+			}
+		},
+		Logger: logging.New(logging.Options{Output: io.Discard}).For("hoststate"),
+	})
+	e.SetDirectory(directory())
+	e.SetMembers([]Member{other})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		if err := e.Run(ctx); err != nil {
+			t.Errorf("the exchange ended with %v", err)
+		}
+	}()
+	return e
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().String()
+}
+
+func TestHostsHearOfChangesAndHeartbeats(t *testing.T) {
+	a, b := Member{Host: "a", Address: freePort(t)}, Member{Host: "b", Address: freePort(t)}
+	heardByA, heardByB := make(chan Message, 64), make(chan Message, 64)
+	startExchange(t, a, b, heardByA)
+	startExchange(t, b, a, heardByB).Changed()
+	for name, heard := range map[ident.Host]chan Message{"b": heardByA, "a": heardByB} {
+		select {
+		case m := <-heard:
+			if m.Host != name || m.Schedule.Loads[0].Running != 2 {
+				t.Errorf("heard %+v", m)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("%s is never heard", name)
+		}
+	}
+}
