--- a/entry/serving.go
+++ b/entry/serving.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/cornelyard/cornelyard/internal/periodic"
 )
 
 const (
@@ -52,7 +54,7 @@
 		return nil
 	}
 	e.logger().Info().Int("requests", e.occupancy.held()).Msg("Drain began")
-	pause(ctx, e.options.Timing.ReadinessDelay.Std())
+	periodic.Pause(ctx, e.options.Timing.ReadinessDelay.Std())
 	bounded, release := e.drainContext(ctx)
 	defer release()
 	if err := e.finishAll(bounded); err != nil {
@@ -99,12 +101,3 @@
 	}
 	return Error.New("%d requests were cut by the drain limit", count)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/gateway/busy_teams.go
+++ b/gateway/busy_teams.go
@@ -36,10 +36,7 @@
 			return
 		}
 		g.logger.Warn().Err(err).Msg("Marks of busy teams could not be read.")
-		select {
-		case <-ctx.Done():
-		case <-time.After(recallPause):
-		}
+		periodic.Pause(ctx, recallPause)
 	}
 }
 
--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -12,6 +12,8 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/proto/hostpb"
+
+	"github.com/cornelyard/cornelyard/internal/periodic"
 )
 
 const (
@@ -131,20 +133,11 @@
 		case <-e.changed:
 		}
 		e.tell(conn, time.Now())
-		pause(ctx, minInterval)
+		periodic.Pause(ctx, minInterval)
 		timer.Reset(heartbeat)
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // tell sends the state to the near hosts, and at times to the far ones.
 func (e *Exchange) tell(conn *net.UDPConn, now time.Time) {
 	near, far := e.split(*e.members.Load())
--- /dev/null
+++ b/internal/periodic/pause.go
@@ -0,0 +1,18 @@
+package periodic
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for d. It returns false if ctx ends first.
+func Pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/periodic/periodic.go
+++ b/internal/periodic/periodic.go
@@ -1,4 +1,4 @@
-// Package periodic runs a duty at intervals.
+// Package periodic runs a duty at intervals, and waits.
 package periodic
 
 import (
--- a/peer/accept.go
+++ b/peer/accept.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"time"
+
+	"github.com/cornelyard/cornelyard/internal/periodic"
 )
 
 // acceptPause is the wait after a failure to accept, such as a lack of file
@@ -24,7 +26,7 @@
 		raw, err := listener.Accept()
 		if err != nil {
 			<-slots
-			if !pause(ctx, acceptPause) {
+			if !periodic.Pause(ctx, acceptPause) {
 				return nil
 			}
 			continue
@@ -63,15 +65,3 @@
 	}
 	entry.Str("side", side).Str("address", address).Err(err).Msg("Connection became no session.")
 }
-
-// pause waits for d and returns false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
