Log a digest of each request's content

Change: package quarantine computes the digest (xxhash over team, method, host name, path and body); relay takes it for each authenticated request, and the line request-ended has it. The own interface's digest is computed by the same function over the same fields as before. Result: tests of quarantine, admission, pool, entry, relay and eventlog pass; no decision uses the digest on the gateway.

--- a/admission/crash_test.go
+++ b/admission/crash_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 )
 
 // crashFixture runs requests that are identified by their digest.
@@ -19,8 +20,8 @@
 
 // startAll queues one request for each digest and returns those that were
 // granted a slot.
-func (f *crashFixture) startAll(digests ...Digest) map[Digest]Request {
-	started := make(map[Digest]Request)
+func (f *crashFixture) startAll(digests ...quarantine.Digest) map[quarantine.Digest]Request {
+	started := make(map[quarantine.Digest]Request)
 	for _, digest := range digests {
 		f.count++
 		r := testRequest(fmt.Sprint(f.count), "shops", "desk")
@@ -36,12 +37,12 @@
 }
 
 // endAll ends requests. The target that runs the culprit's digest crashes.
-func (f *crashFixture) endAll(started map[Digest]Request, culprit Digest) {
+func (f *crashFixture) endAll(started map[quarantine.Digest]Request, culprit quarantine.Digest) {
 	crashed := ""
 	if r, ok := started[culprit]; ok {
 		crashed = string(f.scheduler.running[r.ID].target.Name)
 	}
-	digests := make([]Digest, 0, len(started))
+	digests := make([]quarantine.Digest, 0, len(started))
 	for digest := range started {
 		digests = append(digests, digest)
 	}
@@ -60,7 +61,7 @@
 	}
 }
 
-func (f *crashFixture) expectQuarantined(want bool, digests ...Digest) {
+func (f *crashFixture) expectQuarantined(want bool, digests ...quarantine.Digest) {
 	f.t.Helper()
 	for _, digest := range digests {
 		if _, got := f.scheduler.crashTracker.quarantineExpiry(f.now, digest); got != want {
--- a/admission/crash_tracker.go
+++ b/admission/crash_tracker.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cornelyard/cornelyard/quarantine"
 )
 
 const (
@@ -23,16 +25,16 @@
 // digest that merely ran beside a culprit is released from quarantine.
 type crashTracker struct {
 	crashes []*targetCrash
-	digests map[Digest]*digestStrikes
+	digests map[quarantine.Digest]*digestStrikes
 }
 
 func newCrashTracker() *crashTracker {
-	return &crashTracker{digests: make(map[Digest]*digestStrikes)}
+	return &crashTracker{digests: make(map[quarantine.Digest]*digestStrikes)}
 }
 
 // recordCrash gives a strike to each digest that was running on a target that
 // crashed.
-func (t *crashTracker) recordCrash(now time.Time, digests []Digest) *targetCrash {
+func (t *crashTracker) recordCrash(now time.Time, digests []quarantine.Digest) *targetCrash {
 	t.expire(now)
 	crash := &targetCrash{at: now, digests: digests}
 	t.crashes = append(t.crashes, crash)
@@ -46,20 +48,20 @@
 
 // clear drops the strikes of a digest that ran to completion, unless it is
 // confirmed.
-func (t *crashTracker) clear(digest Digest) {
+func (t *crashTracker) clear(digest quarantine.Digest) {
 	s := t.digests[digest]
 	if s == nil || s.confirmed {
 		return
 	}
 	for _, crash := range s.crashes {
-		crash.digests = slices.DeleteFunc(crash.digests, func(other Digest) bool { return other == digest })
+		crash.digests = slices.DeleteFunc(crash.digests, func(other quarantine.Digest) bool { return other == digest })
 	}
 	delete(t.digests, digest)
 }
 
 // mergeRemote merges a strike count from another owner and reports whether it
 // changed anything here.
-func (t *crashTracker) mergeRemote(now time.Time, digest Digest, count int, expiry time.Time) bool {
+func (t *crashTracker) mergeRemote(now time.Time, digest quarantine.Digest, count int, expiry time.Time) bool {
 	if digest == 0 || count <= 0 || !now.Before(expiry) {
 		return false
 	}
@@ -76,14 +78,14 @@
 }
 
 // isSuspect reports whether the digest has a strike.
-func (t *crashTracker) isSuspect(now time.Time, digest Digest) bool {
+func (t *crashTracker) isSuspect(now time.Time, digest quarantine.Digest) bool {
 	s := t.digests[digest]
 	return s != nil && t.strikeCount(now, digest, s) > 0
 }
 
 // quarantineExpiry returns the end of the digest's quarantine and whether it is
 // quarantined now.
-func (t *crashTracker) quarantineExpiry(now time.Time, digest Digest) (time.Time, bool) {
+func (t *crashTracker) quarantineExpiry(now time.Time, digest quarantine.Digest) (time.Time, bool) {
 	s := t.digests[digest]
 	if s == nil || t.strikeCount(now, digest, s) < QuarantineThreshold {
 		return time.Time{}, false
@@ -114,7 +116,7 @@
 }
 
 // strikeCount returns the number of local strikes and unexpired remote ones.
-func (t *crashTracker) strikeCount(now time.Time, digest Digest, s *digestStrikes) int {
+func (t *crashTracker) strikeCount(now time.Time, digest quarantine.Digest, s *digestStrikes) int {
 	count := t.localStrikeCount(now, digest, s)
 	if now.Before(s.remoteExpiry) {
 		count += s.remoteStrikes
@@ -124,7 +126,7 @@
 
 // localStrikeCount returns the number of unexpired crashes that are not
 // attributed to another digest.
-func (t *crashTracker) localStrikeCount(now time.Time, digest Digest, s *digestStrikes) int {
+func (t *crashTracker) localStrikeCount(now time.Time, digest quarantine.Digest, s *digestStrikes) int {
 	count := 0
 	for _, crash := range s.crashes {
 		if now.Sub(crash.at) < strikeTTL && !t.attributedToOther(crash, digest) {
@@ -136,7 +138,7 @@
 
 // attributedToOther reports whether another digest that took part in the crash
 // is confirmed as a culprit.
-func (t *crashTracker) attributedToOther(crash *targetCrash, digest Digest) bool {
+func (t *crashTracker) attributedToOther(crash *targetCrash, digest quarantine.Digest) bool {
 	for _, other := range crash.digests {
 		if other != digest && t.digests[other] != nil && t.digests[other].confirmed {
 			return true
@@ -148,7 +150,7 @@
 // confirmCulprits confirms the digests that a new crash brings to the
 // threshold.
 func (t *crashTracker) confirmCulprits(now time.Time, crash *targetCrash) {
-	var confirmed []Digest
+	var confirmed []quarantine.Digest
 	for _, digest := range crash.digests {
 		if s := t.digests[digest]; t.strikeCount(now, digest, s) >= QuarantineThreshold {
 			confirmed = append(confirmed, digest)
@@ -167,7 +169,7 @@
 // clearUnsupported reverses earlier confirmations that rest on crashes now
 // attributed to the digest and so fall below the threshold. The digests just
 // confirmed stay.
-func (t *crashTracker) clearUnsupported(now time.Time, digest Digest, confirmed []Digest) {
+func (t *crashTracker) clearUnsupported(now time.Time, digest quarantine.Digest, confirmed []quarantine.Digest) {
 	for _, crash := range t.digests[digest].crashes {
 		for _, other := range crash.digests {
 			s := t.digests[other]
@@ -182,7 +184,7 @@
 }
 
 // strikesOf returns the record of a digest, creating it on first use.
-func (t *crashTracker) strikesOf(digest Digest) *digestStrikes {
+func (t *crashTracker) strikesOf(digest quarantine.Digest) *digestStrikes {
 	s := t.digests[digest]
 	if s == nil {
 		s = &digestStrikes{}
--- a/admission/external_reports.go
+++ b/admission/external_reports.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/quarantine"
+)
 
 // ObserveLoad records a target's load report.
 func (s *Scheduler) ObserveLoad(now time.Time, l LoadReport) {
@@ -13,7 +17,7 @@
 func (s *Scheduler) UpdatePoolHint(now time.Time, hint PoolHint) { s.peerHints.update(hint) }
 
 // MergeStrikes merges the strike count of another owner.
-func (s *Scheduler) MergeStrikes(now time.Time, d Digest, count int, expiry time.Time) {
+func (s *Scheduler) MergeStrikes(now time.Time, d quarantine.Digest, count int, expiry time.Time) {
 	if s.crashTracker.mergeRemote(now, d, count, expiry) {
 		s.updateSuspects(now)
 		s.refuseQuarantined(now)
--- a/admission/property_test.go
+++ b/admission/property_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -196,7 +197,7 @@
 	r.MaxTokens = rapid.IntRange(0, 1000).Draw(t, "max tokens")
 	r.NonIdempotent = rapid.Bool().Draw(t, "non-idempotent")
 	r.Forwarded = rapid.Bool().Draw(t, "forwarded")
-	r.Digest = Digest(rapid.IntRange(0, 30).Draw(t, "digest"))
+	r.Digest = quarantine.Digest(rapid.IntRange(0, 30).Draw(t, "digest"))
 	ref.enqueue(r)
 	ref.decide(t)
 }
--- a/admission/request.go
+++ b/admission/request.go
@@ -4,12 +4,9 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quarantine"
 )
 
-// Digest identifies the content of a request, so that a request that crashes
-// targets is recognised when it is sent again.
-type Digest uint64
-
 // Request describes a request to the scheduler.
 type Request struct {
 	ID    ident.Request
@@ -27,7 +24,7 @@
 	// Prefix holds chained hashes of the prompt's leading blocks of
 	// PrefixBlockTokens tokens, shortest prefix first.
 	Prefix        []uint64
-	Digest        Digest
+	Digest        quarantine.Digest
 	NonIdempotent bool
 	// Forwarded says that the request came from another data centre. It is not
 	// forwarded again.
--- a/admission/simulation_test.go
+++ b/admission/simulation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -436,7 +437,7 @@
 			PromptTokens: prompt,
 			MaxTokens:    limit,
 			Prefix:       prefix,
-			Digest:       Digest(n + 1),
+			Digest:       quarantine.Digest(n + 1),
 		},
 	}
 }
--- a/admission/strike_record.go
+++ b/admission/strike_record.go
@@ -1,11 +1,15 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/quarantine"
+)
 
 // StrikeRecord is the strike count of a digest suspected of crashing targets,
 // as one owner shares it with the others.
 type StrikeRecord struct {
-	Digest Digest
+	Digest quarantine.Digest
 	Count  int
 	Expiry time.Time
 }
--- a/admission/suspects.go
+++ b/admission/suspects.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 )
 
 // handleTargetCrash records the crash of a running request's target. The other
@@ -25,8 +26,8 @@
 	s.refuseQuarantined(now)
 }
 
-func runningDigests(target *targetState) []Digest {
-	var digests []Digest
+func runningDigests(target *targetState) []quarantine.Digest {
+	var digests []quarantine.Digest
 	for _, r := range target.running.items {
 		if digest := r.request.Digest; digest != 0 && !slices.Contains(digests, digest) {
 			digests = append(digests, digest)
--- a/admission/target_crash.go
+++ b/admission/target_crash.go
@@ -1,10 +1,14 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/quarantine"
+)
 
 // targetCrash is one crash of a target's process, with the digests that were
 // running there.
 type targetCrash struct {
 	at      time.Time
-	digests []Digest
+	digests []quarantine.Digest
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -7,6 +7,7 @@
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/claim"
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -32,7 +33,7 @@
 	promptTokens int
 	maxTokens    int
 	prefix       []uint64
-	digest       admission.Digest
+	digest       quarantine.Digest
 }
 
 func (c *call) admissionRequest(host ident.Host, excluded []ident.Target) admission.Request {
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/quarantine"
 )
 
 const (
@@ -38,12 +39,6 @@
 
 // contentDigest returns a digest of the request's content, by which repetitions of
 // a request that crashes targets are recognized.
-func contentDigest(poolName, path, query string, body []byte) admission.Digest {
-	d := xxhash.New()
-	for _, part := range []string{poolName, path, query} {
-		_, _ = d.WriteString(part)
-		_, _ = d.WriteString("\x00")
-	}
-	_, _ = d.Write(body)
-	return admission.Digest(d.Sum64())
+func contentDigest(poolName, path, query string, body []byte) quarantine.Digest {
+	return quarantine.NewDigest(body, poolName, path, query)
 }
--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -13,7 +13,10 @@
 	FieldPool    = "pool"
 	FieldTeam    = "team"
 	FieldTarget  = "target"
-	FieldPeer    = "peer"
+	// FieldDigest identifies the content of a request. All attempts with the same content
+	// have the same digest.
+	FieldDigest = "digest"
+	FieldPeer   = "peer"
 	// FieldTableVersion is the version of the configuration in force.
 	FieldTableVersion = "table"
 	// FieldResult is the result of an exchange with a target.
--- a/eventlog/request_logger.go
+++ b/eventlog/request_logger.go
@@ -150,6 +150,7 @@
 		Str(FieldEvent, EventEnded).
 		Str(FieldRoute, s.Route).
 		Str(FieldTeam, string(s.Team)).
+		Stringer(FieldDigest, s.Digest).
 		Int(FieldDispatches, s.Dispatches).
 		Int64(FieldQueuedMs, s.QueueTime.Milliseconds()).
 		Int64(FieldFirstEventMs, s.TimeToFirstEvent.Milliseconds()).
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -8,6 +8,7 @@
 
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/timeline"
 )
@@ -66,7 +67,7 @@
 	lastForward map[ident.DataCentre]time.Time
 	// recordedStrikes holds the strike counts that were last recorded in the time
 	// line.
-	recordedStrikes map[admission.Digest]int
+	recordedStrikes map[quarantine.Digest]int
 
 	mu sync.Mutex
 	// unsynced holds the entries whose events were dropped because the inbox was
--- a/pool/owner_record.go
+++ b/pool/owner_record.go
@@ -6,6 +6,7 @@
 
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
@@ -70,7 +71,7 @@
 
 // recordStrikes records the digests that have more strikes than in the last call.
 func (o *owner) recordStrikes(records []admission.StrikeRecord) {
-	counts := make(map[admission.Digest]int, len(records))
+	counts := make(map[quarantine.Digest]int, len(records))
 	for _, r := range records {
 		counts[r.Digest] = r.Count
 		if r.Count <= o.recordedStrikes[r.Digest] {
--- a/pool/request_codec.go
+++ b/pool/request_codec.go
@@ -6,6 +6,7 @@
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+	"github.com/cornelyard/cornelyard/quarantine"
 )
 
 // encodeRequest encodes times as durations relative to now, since clocks differ
@@ -43,7 +44,7 @@
 		PromptTokens:  int(info.GetPromptTokens()),
 		MaxTokens:     int(info.GetMaxTokens()),
 		Prefix:        info.GetPrefix(),
-		Digest:        admission.Digest(info.GetDigest()),
+		Digest:        quarantine.Digest(info.GetDigest()),
 		NonIdempotent: info.GetNonIdempotent(),
 		Forwarded:     info.GetForwarded(),
 	}
--- a/pool/strike_codec.go
+++ b/pool/strike_codec.go
@@ -6,6 +6,7 @@
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
+	"github.com/cornelyard/cornelyard/quarantine"
 )
 
 func encodeStrikes(now time.Time, pool ident.Pool, records []admission.StrikeRecord) *peerpb.StrikeList {
@@ -24,7 +25,7 @@
 	records := make([]admission.StrikeRecord, 0, len(list.GetStrikes()))
 	for _, s := range list.GetStrikes() {
 		records = append(records, admission.StrikeRecord{
-			Digest: admission.Digest(s.GetDigest()),
+			Digest: quarantine.Digest(s.GetDigest()),
 			Count:  int(s.GetCount()),
 			Expiry: now.Add(time.Duration(s.GetRemainingMs()) * time.Millisecond),
 		})
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -8,6 +8,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 )
@@ -29,6 +30,7 @@
 	table    *route.Table
 	route    *route.Route
 	team     *route.Team
+	digest   quarantine.Digest
 	pool     ident.Pool
 	deadline time.Time
 	// cost is the request's cost in units of the team's quota. charged is set once
@@ -82,13 +84,14 @@
 	if !ok {
 		return outcome.Refuse(outcome.Unauthorized, "unknown API key", 0)
 	}
+	x.team = team
+	x.digest = x.contentDigest()
 	x.deadline = requestDeadline(x.call, x.route)
 	x.pool = x.route.ChoosePool(randomFraction())
 	if team == nil {
 		x.recordStep(Step{Kind: StepAccepted})
 		return nil
 	}
-	x.team = team
 	x.cost = team.Quota.Cost(x.call.PromptTokens + x.call.MaxOutput)
 	decision := x.relay.options.Quotas.Admit(time.Now(), team, x.cost)
 	if !decision.Allowed {
@@ -100,6 +103,12 @@
 	return nil
 }
 
+// contentDigest returns the digest of the request, which is the same for each attempt of
+// the team to have the same content served.
+func (x *execution) contentDigest() quarantine.Digest {
+	return quarantine.NewDigest(x.call.Body, string(x.teamName()), x.call.Method, x.call.HostName, x.call.RequestURI)
+}
+
 // serve dispatches the request, with retries, until it has a final response.
 func (x *execution) serve(ctx context.Context) *outcome.Refusal {
 	for {
--- a/relay/observer.go
+++ b/relay/observer.go
@@ -5,6 +5,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 )
@@ -24,6 +25,9 @@
 	Priority int
 	Pool     ident.Pool
 	Team     ident.Team
+	// Digest identifies the content of the request. It is zero if no team was
+	// authenticated.
+	Digest quarantine.Digest
 	// TableVersion is the version of the configuration that was applied.
 	TableVersion uint64
 	// QuotaCost is the request's cost in units of the team's quota.
@@ -56,6 +60,7 @@
 		Request:    x.call.ID,
 		Pool:       x.pool,
 		Team:       x.teamName(),
+		Digest:     x.digest,
 		Target:     x.target,
 		Dispatches: x.dispatches,
 		Result:     x.result,
