Track crashing requests in one package, and exchange crashes instead of strikes

Cause: the tracker of requests that crash targets was internal to admission, so the gateway's core could not use it, and owners exchanged counts of strikes. A count can't be passed on (it would be counted twice) and can't be taken back: a clearance stayed with the owner that saw it, and strikes that a manager had received from one owner were replaced by those of another. An owner that rebuilt its state after a pause forgot the crashes it had seen. Change: package quarantine holds crashes with the runs on the target; verdicts are a pure function of them, and merging is commutative and idempotent. admission, pool and peer.proto use it; the tracker outlives an owner's scheduler. A strike counts only if the run began after the previous one; a served digest is cleared also while quarantined. Tests: TestRemoteStrikesCount tested the exchange of counts, which is gone; it is replaced by TestCrashesAtOtherOwnersCount, which asks the same of crashes and also that a report given twice counts once and that a clearance arrives. crash_test otherwise keeps its cases and bounds. TestRebuiltOwnerKeepsQuarantine and TestCrashesOutliveScheduler are new.

--- a/admission/crash_test.go
+++ b/admission/crash_test.go
@@ -64,7 +64,7 @@
 func (f *crashFixture) expectQuarantined(want bool, digests ...quarantine.Digest) {
 	f.t.Helper()
 	for _, digest := range digests {
-		if _, got := f.scheduler.crashTracker.quarantineExpiry(f.now, digest); got != want {
+		if _, got := f.scheduler.crashes.QuarantinedUntil(f.now, digest); got != want {
 			f.t.Errorf("digest %d: quarantined = %v, want %v", digest, got, want)
 		}
 	}
@@ -82,7 +82,7 @@
 	}
 	f.endAll(f.startAll(2, 3), 0)
 	f.expectQuarantined(false, 2, 3)
-	f.now = f.now.Add(strikeTTL)
+	f.now = f.now.Add(quarantine.Duration)
 	f.expectQuarantined(false, 1)
 }
 
@@ -115,13 +115,26 @@
 	f.expectQuarantined(false, bystander)
 }
 
-func TestRemoteStrikesCount(t *testing.T) {
+func TestCrashesAtOtherOwnersCount(t *testing.T) {
 	f := &crashFixture{t: t, scheduler: newTestScheduler(testConfig(1, 4)), now: epoch}
-	f.scheduler.MergeStrikes(f.now, 1, 1, f.now.Add(time.Hour))
+	elsewhere := quarantine.Crash{Target: "elsewhere", At: f.now.Add(-time.Minute), Runs: []quarantine.Run{{Digest: 1}}}
+	f.scheduler.MergeCrashes(f.now, []quarantine.Crash{elsewhere})
+	f.scheduler.MergeCrashes(f.now, []quarantine.Crash{elsewhere})
+	f.expectQuarantined(false, 1)
 	f.endAll(f.startAll(1), 1)
 	f.expectQuarantined(true, 1)
-	want := []StrikeRecord{{Digest: 1, Count: 1, Expiry: epoch.Add(strikeTTL)}}
-	if got := f.scheduler.LocalStrikes(f.now); !slices.Equal(got, want) {
-		t.Errorf("local strikes are %v, want %v", got, want)
+	elsewhere.Runs[0].Cleared = true
+	f.scheduler.MergeCrashes(f.now, []quarantine.Crash{elsewhere})
+	f.expectQuarantined(false, 1)
+}
+
+func TestCrashesOutliveScheduler(t *testing.T) {
+	crashes := quarantine.NewTracker()
+	for range 2 {
+		f := &crashFixture{t: t, scheduler: New(Options{Crashes: crashes}), now: epoch.Add(time.Minute * time.Duration(len(crashes.Crashes(epoch))))}
+		f.scheduler.Configure(f.now, testConfig(1, 4))
+		f.endAll(f.startAll(1), 1)
 	}
+	f := &crashFixture{t: t, scheduler: New(Options{Crashes: crashes}), now: epoch.Add(2 * time.Minute)}
+	f.expectQuarantined(true, 1)
 }
--- a/admission/external_reports.go
+++ b/admission/external_reports.go
@@ -16,14 +16,14 @@
 // UpdatePoolHint records a hint about the pool in another data centre.
 func (s *Scheduler) UpdatePoolHint(now time.Time, hint PoolHint) { s.peerHints.update(hint) }
 
-// MergeStrikes merges the strike count of another owner.
-func (s *Scheduler) MergeStrikes(now time.Time, d quarantine.Digest, count int, expiry time.Time) {
-	if s.crashTracker.mergeRemote(now, d, count, expiry) {
+// MergeCrashes merges the crashes that another owner knows of.
+func (s *Scheduler) MergeCrashes(now time.Time, crashes []quarantine.Crash) {
+	changed := false
+	for _, c := range crashes {
+		changed = s.crashes.Merge(now, c) || changed
+	}
+	if changed {
 		s.updateSuspects(now)
 		s.refuseQuarantined(now)
 	}
 }
-
-// LocalStrikes returns the strikes counted by this owner, to be shared with the
-// others.
-func (s *Scheduler) LocalStrikes(now time.Time) []StrikeRecord { return s.crashTracker.records(now) }
--- a/admission/running_events.go
+++ b/admission/running_events.go
@@ -211,7 +211,9 @@
 		return
 	}
 	r.target.Breaker.RecordSuccess()
-	s.crashTracker.clear(r.request.Digest)
+	if s.crashes.RecordServed(now, r.request.Digest) {
+		s.updateSuspects(now)
+	}
 	if r.uncalibratedCost > 0 {
 		s.calibration.observe(r.uncalibratedCost, now.Sub(r.granted).Seconds())
 	}
--- a/admission/running_request.go
+++ b/admission/running_request.go
@@ -37,8 +37,8 @@
 	// beneficiary is the queued request that gets the slot after a preemption,
 	// or nil.
 	beneficiary *queuedRequest
-	// crash is the crash of the request's target, or nil.
-	crash *targetCrash
+	// crashRecorded says that the crash of the request's target is recorded.
+	crashRecorded bool
 	// suspect says that the request is counted in its target's Suspects.
 	suspect bool
 
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -7,6 +7,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/routing"
 	"github.com/cornelyard/cornelyard/settings"
 )
@@ -42,13 +43,13 @@
 	// Decide returns them.
 	pendingActions []Action
 
-	policy       schedulingPolicy
-	prefixes     *routing.PrefixIndex
-	estimator    *routing.Estimator
-	lengths      *routing.LengthEstimator
-	peerHints    peerHintTable
-	crashTracker *crashTracker
-	retryBudget  *rate.Limiter
+	policy      schedulingPolicy
+	prefixes    *routing.PrefixIndex
+	estimator   *routing.Estimator
+	lengths     *routing.LengthEstimator
+	peerHints   peerHintTable
+	crashes     *quarantine.Tracker
+	retryBudget *rate.Limiter
 }
 
 const (
@@ -60,6 +61,9 @@
 
 // New returns a Scheduler. It has no targets until Configure is called.
 func New(o Options) *Scheduler {
+	if o.Crashes == nil {
+		o.Crashes = quarantine.NewTracker()
+	}
 	s := &Scheduler{
 		options:      o,
 		random:       rand.New(rand.NewPCG(o.Seed, o.Seed)),
@@ -72,7 +76,7 @@
 		estimator:    routing.NewEstimator(),
 		lengths:      routing.NewLengthEstimator(),
 		peerHints:    peerHintTable{},
-		crashTracker: newCrashTracker(),
+		crashes:      o.Crashes,
 		retryBudget:  rate.NewLimiter(retriesPerSecond, retryBurst),
 	}
 	s.policy = newPredictive(s)
--- a/admission/suspects.go
+++ b/admission/suspects.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cornelyard/cornelyard/outcome"
@@ -15,31 +14,33 @@
 	target := r.target
 	target.Breaker.RecordFailure(now)
 	s.prefixes.RemoveTarget(target.Target)
-	if r.crash != nil {
+	if r.crashRecorded {
 		return
 	}
-	crash := s.crashTracker.recordCrash(now, runningDigests(target))
+	crash := quarantine.Crash{Target: target.Name, Process: now.UnixMilli(), At: now, Runs: runsOn(now, target)}
 	for _, other := range target.running.items {
-		other.crash = crash
+		other.crashRecorded = true
+	}
+	if !s.crashes.Merge(now, crash) {
+		return
 	}
 	s.updateSuspects(now)
 	s.refuseQuarantined(now)
 }
 
-func runningDigests(target *targetState) []quarantine.Digest {
-	var digests []quarantine.Digest
+// runsOn returns the requests that run on the target.
+func runsOn(now time.Time, target *targetState) []quarantine.Run {
+	runs := make([]quarantine.Run, 0, len(target.running.items))
 	for _, r := range target.running.items {
-		if digest := r.request.Digest; digest != 0 && !slices.Contains(digests, digest) {
-			digests = append(digests, digest)
-		}
+		runs = append(runs, quarantine.Run{Digest: r.request.Digest, Duration: now.Sub(r.granted)})
 	}
-	return digests
+	return runs
 }
 
 // markSuspect counts a running request among its target's suspects if its
 // digest has a strike.
 func (s *Scheduler) markSuspect(now time.Time, r *runningRequest) {
-	if !r.suspect && s.crashTracker.isSuspect(now, r.request.Digest) {
+	if !r.suspect && s.crashes.IsSuspect(now, r.request.Digest) {
 		r.suspect = true
 		r.target.Suspects++
 	}
@@ -52,7 +53,7 @@
 		s.markSuspect(now, r)
 	}
 	for _, q := range s.queue {
-		q.work.Suspect = s.crashTracker.isSuspect(now, q.request.Digest)
+		q.work.Suspect = s.crashes.IsSuspect(now, q.request.Digest)
 	}
 }
 
@@ -60,8 +61,8 @@
 // quarantined.
 func (s *Scheduler) refuseQuarantined(now time.Time) {
 	for _, q := range s.queuedByArrival() {
-		if expiry, quarantined := s.crashTracker.quarantineExpiry(now, q.request.Digest); quarantined {
-			s.queueRefusal(q, outcome.Quarantined, "requests like this one crashed targets", expiry.Sub(now))
+		if until, quarantined := s.crashes.QuarantinedUntil(now, q.request.Digest); quarantined {
+			s.queueRefusal(q, outcome.Quarantined, "requests like this one crashed targets", until.Sub(now))
 		}
 	}
 }
--- a/pool/manager.go
+++ b/pool/manager.go
@@ -9,6 +9,7 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/membership"
 	"github.com/cornelyard/cornelyard/metrics"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -20,9 +21,10 @@
 type Manager struct {
 	options ManagerOptions
 
-	mu      sync.Mutex
-	owners  map[ident.Pool]*runningOwner
-	strikes map[ident.Pool][]admission.StrikeRecord
+	mu     sync.Mutex
+	owners map[ident.Pool]*runningOwner
+	// crashes holds the crashes that owners published, by pool.
+	crashes map[ident.Pool]*quarantine.Tracker
 	// fallbackUntil holds the end of the fallback period, in which this host
 	// schedules its own requests, for pools that it does not own.
 	fallbackUntil map[ident.Pool]time.Time
@@ -41,7 +43,7 @@
 	return &Manager{
 		options: o,
 		owners:  make(map[ident.Pool]*runningOwner),
-		strikes: make(map[ident.Pool][]admission.StrikeRecord),
+		crashes: make(map[ident.Pool]*quarantine.Tracker),
 
 		fallbackUntil: make(map[ident.Pool]time.Time),
 	}
@@ -122,8 +124,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	o := &runningOwner{owner: newOwner(m.options, k, fallback), stop: stop}
 	m.owners[k.pool] = o
-	if known := m.strikes[k.pool]; len(known) > 0 {
-		o.offer("", strikeEvent{strikes: known})
+	if known := m.crashes[k.pool]; known != nil {
+		o.offer("", crashEvent{crashes: known.Crashes(m.options.Now())})
 	}
 	m.done.Add(1)
 	go func() {
--- a/pool/manager_handler.go
+++ b/pool/manager_handler.go
@@ -7,6 +7,7 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
 	"github.com/cornelyard/cornelyard/peer"
+	"github.com/cornelyard/cornelyard/quarantine"
 )
 
 var _ peer.Handler = (*Manager)(nil)
@@ -33,8 +34,8 @@
 		})
 	case *peerpb.Frame_PoolHint:
 		m.handleHint(now, body.PoolHint)
-	case *peerpb.Frame_Strikes:
-		m.handleStrikes(now, body.Strikes)
+	case *peerpb.Frame_Crashes:
+		m.handleCrashes(now, body.Crashes)
 	}
 }
 
@@ -130,14 +131,25 @@
 	}})
 }
 
-// handleStrikes stores the strikes in case this host becomes the owner of the
-// pool, and passes them to the owner if it already is.
-func (m *Manager) handleStrikes(now time.Time, list *peerpb.StrikeList) {
-	records := decodeStrikes(now, list)
+// handleCrashes stores the crashes in case this host becomes the owner of the pool, and
+// passes them to the owner if it already is.
+func (m *Manager) handleCrashes(now time.Time, list *peerpb.CrashList) {
+	crashes := quarantine.Decode(now, list.GetCrashes())
+	m.rememberCrashes(now, ident.Pool(list.GetPool()), crashes)
+	m.offer("", list.GetPool(), crashEvent{crashes: crashes})
+}
+
+func (m *Manager) rememberCrashes(now time.Time, name ident.Pool, crashes []quarantine.Crash) {
 	m.mu.Lock()
-	m.strikes[ident.Pool(list.GetPool())] = records
-	m.mu.Unlock()
-	m.offer("", list.GetPool(), strikeEvent{strikes: records})
+	defer m.mu.Unlock()
+	known := m.crashes[name]
+	if known == nil {
+		known = quarantine.NewTracker()
+		m.crashes[name] = known
+	}
+	for _, c := range crashes {
+		known.Merge(now, c)
+	}
 }
 
 func decodeDecline(d *peerpb.Decline) admission.Decline {
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -24,7 +24,7 @@
 	// that its process was paused, and rebuilds its state.
 	pauseThreshold = 2 * time.Second
 	// publishInterval is the time between two hints to another data centre, between
-	// two snapshots and between two lists of strikes.
+	// two snapshots and between two lists of crashes.
 	publishInterval = 500 * time.Millisecond
 	// forwarderPublishInterval is the time between two hints to a data centre that
 	// forwards requests.
@@ -50,7 +50,7 @@
 
 	metrics *ownerMetrics
 
-	// The fields down to recordedStrikes are confined to the goroutine of run.
+	// The fields down to allCrashesPublished are confined to the goroutine of run.
 	scheduler    *admission.Scheduler
 	config       admission.Config
 	recovery     *recovery
@@ -68,6 +68,12 @@
 	// recordedStrikes holds the strike counts that were last recorded in the time
 	// line.
 	recordedStrikes map[quarantine.Digest]int
+	// crashes holds the known crashes of targets. It outlives the scheduler.
+	crashes *quarantine.Tracker
+	// crashesPublished is when changes of the crashes were last published,
+	// allCrashesPublished when all crashes were.
+	crashesPublished    time.Time
+	allCrashesPublished time.Time
 
 	mu sync.Mutex
 	// unsynced holds the entries whose events were dropped because the inbox was
@@ -83,6 +89,7 @@
 		key:      k,
 		inbox:    make(chan event, inboxSize),
 		unsynced: make(map[ident.Host]struct{}),
+		crashes:  quarantine.NewTracker(),
 
 		lastHint:    make(map[ident.DataCentre]time.Time),
 		lastForward: make(map[ident.DataCentre]time.Time),
@@ -152,6 +159,7 @@
 		DataCentre: o.key.dataCentre,
 		Pool:       o.key.pool,
 		Usage:      o.options.Usage,
+		Crashes:    o.crashes,
 		Seed:       uint64(now.UnixNano()),
 	})
 	o.configure(now, o.config)
--- a/pool/owner_publish.go
+++ b/pool/owner_publish.go
@@ -6,10 +6,11 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
 	"github.com/cornelyard/cornelyard/membership"
+	"github.com/cornelyard/cornelyard/quarantine"
 )
 
-// publish sends the pool's owners in other data centres a load hint and the
-// requests that are suspected of crashing targets. A data centre that forwards
+// publish sends the pool's owners in other data centres a load hint and the known
+// crashes of targets. A data centre that forwards
 // requests here gets hints more often, since it counts each forwarded request
 // against the last hint.
 func (o *owner) publish(now time.Time) {
@@ -26,7 +27,7 @@
 	snapshot := o.scheduler.Snapshot()
 	o.status.Store(&snapshot)
 	o.metrics.update(&snapshot)
-	o.publishStrikes(now, view)
+	o.publishCrashes(now, view)
 }
 
 func (o *owner) publishHints(now time.Time, view *membership.View) {
@@ -66,16 +67,20 @@
 	}
 }
 
-// publishStrikes sends the strikes to all hosts of this data centre, since any of
+// fullCrashInterval is the time between two publications of all known crashes. In between,
+// only changes are published.
+const fullCrashInterval = 10 * time.Second
+
+// publishCrashes sends the known crashes to all hosts of this data centre, since any of
 // them may become the owner, and to the pool's owners in other data centres.
-func (o *owner) publishStrikes(now time.Time, view *membership.View) {
-	records := o.scheduler.LocalStrikes(now)
-	o.recordStrikes(records)
-	if len(records) == 0 {
+func (o *owner) publishCrashes(now time.Time, view *membership.View) {
+	o.recordStrikes(now)
+	crashes := o.unpublishedCrashes(now)
+	if len(crashes) == 0 {
 		return
 	}
-	list := encodeStrikes(now, o.key.pool, records)
-	frame := &peerpb.Frame{Body: &peerpb.Frame_Strikes{Strikes: list}}
+	list := &peerpb.CrashList{Pool: string(o.key.pool), Crashes: quarantine.Encode(now, crashes)}
+	frame := &peerpb.Frame{Body: &peerpb.Frame_Crashes{Crashes: list}}
 	for _, host := range liveMembers(view, o.key.dataCentre) {
 		if host != o.options.Host {
 			o.send(host, frame)
@@ -88,6 +93,17 @@
 	}
 }
 
+// unpublishedCrashes returns the crashes to publish now: those that changed since the last
+// publication, or all if those were not published for fullCrashInterval.
+func (o *owner) unpublishedCrashes(now time.Time) []quarantine.Crash {
+	since := o.crashesPublished
+	o.crashesPublished = now
+	if now.Sub(o.allCrashesPublished) >= fullCrashInterval {
+		o.allCrashesPublished, since = now, time.Time{}
+	}
+	return o.crashes.CrashesSince(now, since)
+}
+
 // dataCentres returns the data centres with at least one member that is not dead.
 func dataCentres(view *membership.View) []ident.DataCentre {
 	seen := make(map[ident.DataCentre]struct{})
--- a/pool/owner_record.go
+++ b/pool/owner_record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/ident"
@@ -70,16 +71,17 @@
 }
 
 // recordStrikes records the digests that have more strikes than in the last call.
-func (o *owner) recordStrikes(records []admission.StrikeRecord) {
-	counts := make(map[quarantine.Digest]int, len(records))
-	for _, r := range records {
-		counts[r.Digest] = r.Count
-		if r.Count <= o.recordedStrikes[r.Digest] {
+func (o *owner) recordStrikes(now time.Time) {
+	counts := make(map[quarantine.Digest]int)
+	for _, digest := range o.crashes.Suspects(now) {
+		count, _ := o.crashes.Strikes(now, digest)
+		counts[digest] = count
+		if count <= o.recordedStrikes[digest] {
 			continue
 		}
-		detail := fmt.Sprintf("digest %016x, %d in all", uint64(r.Digest), r.Count)
+		detail := fmt.Sprintf("digest %s, %d in all", digest, count)
 		o.record(timeline.Event{Kind: timeline.StrikeRecorded, Detail: detail})
-		if r.Count >= admission.QuarantineThreshold {
+		if _, quarantined := o.crashes.QuarantinedUntil(now, digest); quarantined {
 			o.record(timeline.Event{Kind: timeline.Quarantine, Detail: detail})
 		}
 	}
--- a/pool/owner_test.go
+++ b/pool/owner_test.go
@@ -9,15 +9,14 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
-// Guards against an owner that rebuilds its state after a pause with the settings
-// that it was started with instead of the latest ones.
-func TestRebuiltOwnerKeepsTheNewestSettings(t *testing.T) {
-	now := time.Now()
-	o := newOwner(ManagerOptions{
+func newTestOwner(now time.Time) *owner {
+	return newOwner(ManagerOptions{
 		Host:       "a",
 		DataCentre: testCentre,
 		Members:    newFakeMembers("a", threeHosts()),
@@ -27,6 +26,13 @@
 		Logger:     &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		Now:        func() time.Time { return now },
 	}, key{dataCentre: testCentre, pool: testPool}, false)
+}
+
+// Guards against an owner that rebuilds its state after a pause with the settings
+// that it was started with instead of the latest ones.
+func TestRebuiltOwnerKeepsTheNewestSettings(t *testing.T) {
+	now := time.Now()
+	o := newTestOwner(now)
 	snapshot := testSnapshot(1)
 	o.config = admission.Config{Pool: *snapshot.Pools[testPool]}
 	o.rebuild(now)
@@ -41,3 +47,25 @@
 		t.Errorf("after the rebuild the owner has the targets %v, want only the added one", targets)
 	}
 }
+
+func TestRebuiltOwnerKeepsQuarantine(t *testing.T) {
+	now := time.Now()
+	o := newTestOwner(now)
+	snapshot := testSnapshot(1)
+	o.config = admission.Config{Pool: *snapshot.Pools[testPool]}
+	o.rebuild(now)
+	runs := []quarantine.Run{{Digest: 1}}
+	crashEvent{[]quarantine.Crash{
+		{Target: "t1", At: now.Add(-time.Second), Runs: runs}, {Target: "t2", At: now, Runs: runs},
+	}}.apply(o, now)
+	now = now.Add(time.Minute)
+	o.rebuild(now)
+	o.scheduler.Enqueue(now, admission.Request{ID: "again", Tier: "filing", Digest: 1, Deadline: now.Add(time.Hour)})
+	actions := o.scheduler.Decide(now)
+	if len(actions) != 1 {
+		t.Fatalf("got actions %v, want one refusal", actions)
+	}
+	if refusal, ok := actions[0].(*admission.Refuse); !ok || refusal.Reason != outcome.Quarantined {
+		t.Errorf("got action %+v, want a refusal because of the quarantine", actions[0])
+	}
+}
--- /dev/null
+++ b/quarantine/codec.go
@@ -0,0 +1,47 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/proto/crashpb"
+)
+
+// Encode converts crashes to their wire format, with ages instead of times because the
+// clocks of hosts differ.
+func Encode(now time.Time, crashes []Crash) []*crashpb.Crash {
+	encoded := make([]*crashpb.Crash, 0, len(crashes))
+	for i := range crashes {
+		c := &crashes[i]
+		report := &crashpb.Crash{Target: string(c.Target), ProcessMs: c.Process, AgeMs: now.Sub(c.At).Milliseconds()}
+		for _, run := range c.Runs {
+			report.Runs = append(report.Runs, &crashpb.Run{
+				Digest: uint64(run.Digest), DurationMs: run.Duration.Milliseconds(), Cleared: run.Cleared,
+			})
+		}
+		encoded = append(encoded, report)
+	}
+	return encoded
+}
+
+// Decode converts crashes from their wire format.
+func Decode(now time.Time, encoded []*crashpb.Crash) []Crash {
+	crashes := make([]Crash, 0, len(encoded))
+	for _, report := range encoded {
+		c := Crash{
+			Target:  ident.Target(report.GetTarget()),
+			Process: report.GetProcessMs(),
+			At:      now.Add(-milliseconds(report.GetAgeMs())),
+		}
+		for _, run := range report.GetRuns() {
+			c.Runs = append(c.Runs, Run{
+				Digest: Digest(run.GetDigest()), Duration: milliseconds(run.GetDurationMs()), Cleared: run.GetCleared(),
+			})
+		}
+		crashes = append(crashes, c)
+	}
+	return crashes
+}
+
+// milliseconds converts a number of milliseconds that is not negative.
+func milliseconds(n int64) time.Duration { return time.Duration(max(n, 0)) * time.Millisecond }
--- /dev/null
+++ b/quarantine/crash.go
@@ -0,0 +1,29 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+// Crash is the unplanned end of a target's process, as far as one host knows it.
+type Crash struct {
+	Target ident.Target
+	// Process distinguishes the process from others of the target, by a time in Unix
+	// milliseconds: when it started or, where only one host records its crash, when that
+	// was detected.
+	Process int64
+	// At is when the crash was detected.
+	At time.Time
+	// Runs holds the requests that were running on the target, one for each digest.
+	Runs []Run
+}
+
+// Run is a request that was running on a target when it crashed.
+type Run struct {
+	Digest Digest
+	// Duration is the time from its dispatch to the crash.
+	Duration time.Duration
+	// Cleared says that the digest was served since, or shortly before.
+	Cleared bool
+}
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -1,7 +1,17 @@
-// Package quarantine identifies requests that crash the targets that run them.
+// Package quarantine identifies requests that crash the targets that run them, so that
+// they can be kept from the remaining targets.
 //
 // A digest identifies the content of a request, whichever attempt carries it. A crash is
-// the unplanned end of a target's process, with the digests that were running on it.
+// the unplanned end of a target's process, with the digests that were running on it. Each
+// crash is a strike against each of them, unless their runs began before the previous strike.
+// Threshold strikes, with no run that was served
+// in between, quarantine a digest for Duration. A served run clears a digest of the crashes
+// before it. A crash that a quarantined digest took part in is attributed to it and is no
+// strike against the digests that ran beside it.
+//
+// Hosts exchange crashes, not verdicts. Merging is commutative, associative and idempotent,
+// so all hosts that know the same crashes reach the same verdicts, in whatever order and
+// however often they learned of them.
 //
 // The package has no clock, performs no I/O and starts no goroutines.
 package quarantine
--- /dev/null
+++ b/quarantine/record.go
@@ -0,0 +1,75 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// record is all that is known of one crash.
+type record struct {
+	crash Crash
+	// changedAt is when something was last added to it.
+	changedAt time.Time
+}
+
+// matches reports whether c is a report about the crash of the record.
+func (r *record) matches(c *Crash) bool {
+	return r.crash.Target == c.Target && r.crash.Process == c.Process
+}
+
+// add adds a report about the crash and says whether it contains anything new.
+func (r *record) add(c *Crash) (changed bool) {
+	if c.At.Before(r.crash.At) {
+		r.crash.At = c.At
+	}
+	for _, run := range c.Runs {
+		changed = r.addRun(run) || changed
+	}
+	return changed
+}
+
+// addRun adds a run. Of several runs of a digest, the longest is kept.
+func (r *record) addRun(run Run) (changed bool) {
+	known := r.run(run.Digest)
+	switch {
+	case known != nil:
+		changed = run.Cleared && !known.Cleared
+		known.Cleared = known.Cleared || run.Cleared
+		known.Duration = max(known.Duration, run.Duration)
+		return changed
+	case run.Digest == 0, len(r.crash.Runs) >= maxRuns:
+		return false
+	default:
+		r.crash.Runs = append(r.crash.Runs, run)
+		return true
+	}
+}
+
+// run returns the run of a digest, or nil if there was none.
+func (r *record) run(digest Digest) *Run {
+	i := slices.IndexFunc(r.crash.Runs, func(run Run) bool { return run.Digest == digest })
+	if i < 0 {
+		return nil
+	}
+	return &r.crash.Runs[i]
+}
+
+// implicates reports whether the crash is a strike against the digest, unless it is
+// attributed to another one.
+func (r *record) implicates(digest Digest) bool {
+	run := r.run(digest)
+	return run != nil && !run.Cleared
+}
+
+// report returns a copy of the crash.
+func (r *record) report() Crash {
+	c := r.crash
+	c.Runs = slices.Clone(c.Runs)
+	return c
+}
+
+// compareRecords orders records by time.
+func compareRecords(a, b *record) int {
+	return cmp.Or(a.crash.At.Compare(b.crash.At), cmp.Compare(a.crash.Target, b.crash.Target), cmp.Compare(a.crash.Process, b.crash.Process))
+}
--- /dev/null
+++ b/quarantine/verdict.go
@@ -0,0 +1,88 @@
+package quarantine
+
+import "time"
+
+// verdict is what the known crashes say about one digest.
+type verdict struct {
+	strikes    int
+	lastStrike time.Time
+	// confirmed says that the digest reached the threshold.
+	confirmed bool
+}
+
+// verdicts holds the digests with strikes.
+type verdicts map[Digest]verdict
+
+// judge returns the verdicts that follow from the records, which are in the order of their
+// times. It confirms digests one after the other: those with the most strikes first and,
+// among these, those with the latest one. Each confirmation attributes crashes.
+func judge(records []*record) verdicts {
+	attributed := make(map[*record]bool)
+	confirmed := make(verdicts)
+	for {
+		open := countStrikes(records, attributed, confirmed)
+		worst := open.worst()
+		if worst.strikes < Threshold {
+			return merge(confirmed, open)
+		}
+		for digest, v := range open {
+			if v != worst {
+				continue
+			}
+			v.confirmed = true
+			confirmed[digest] = v
+			for _, r := range records {
+				if r.implicates(digest) {
+					attributed[r] = true
+				}
+			}
+		}
+	}
+}
+
+// countStrikes counts the strikes against the digests that are not confirmed.
+func countStrikes(records []*record, attributed map[*record]bool, confirmed verdicts) verdicts {
+	open := make(verdicts)
+	for _, r := range records {
+		if attributed[r] {
+			continue
+		}
+		for _, run := range r.crash.Runs {
+			if run.Cleared || confirmed[run.Digest].confirmed {
+				continue
+			}
+			open[run.Digest] = open[run.Digest].withCrash(r.crash.At, run.Duration)
+		}
+	}
+	return open
+}
+
+// withCrash adds a crash. It is another strike only if the run began after the previous
+// one: targets that crash at the same time have a common cause, which is not a request.
+func (v verdict) withCrash(at time.Time, duration time.Duration) verdict {
+	if v.strikes > 0 && at.Add(-duration).Before(v.lastStrike) {
+		return v
+	}
+	v.strikes++
+	v.lastStrike = at
+	return v
+}
+
+// worst returns the verdict with the most strikes and, among these, the latest one.
+func (v verdicts) worst() verdict {
+	var worst verdict
+	for _, candidate := range v {
+		if candidate.strikes > worst.strikes ||
+			candidate.strikes == worst.strikes && candidate.lastStrike.After(worst.lastStrike) {
+			worst = candidate
+		}
+	}
+	return worst
+}
+
+func merge(confirmed, open verdicts) verdicts {
+	for digest, v := range open {
+		confirmed[digest] = v
+	}
+	return confirmed
+}
