Quarantine requests that crash targets on the gateway

Callers saw: a request under which targets crash was sent to the next ones as often as it came, by any host; requests beside it broke off. Cause: a promise that only one of the two deciding cores kept. admission tracked such requests; schedule and relay, on the users' platform, had no notion of a crash or of a request's content, and each resend has a new id. Fix: schedule keeps the tracker of package quarantine and refuses quarantined content at arrival, in the queue and before each retry and resumption. A broken response is a crash if the target's address refuses connections right afterwards, or if nothing responds and the entry is gone within 10 s; a planned leave is none. Hosts exchange crashes in their states and through the store, so a host that was cut off, or started, knows them too. Such a request gets 503 with outcome not-run and what is left of the quarantine as Retry-After, and is not charged to the quota; if this attempt ran, it gets 502. New: lines target-crashed, digest-quarantined, digest-released, request-quarantined; two counters. Content that is served is cleared on all hosts.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -16,7 +16,15 @@
 	// FieldDigest identifies the content of a request. All attempts with the same content
 	// have the same digest.
 	FieldDigest = "digest"
-	FieldPeer   = "peer"
+	// FieldDigests holds the digests that ran on a target, FieldProcess when its process
+	// started, in Unix milliseconds.
+	FieldDigests = "digests"
+	FieldProcess = "process"
+	// FieldStrikes is the number of crashes held against a digest, FieldAgeMs the age of
+	// the last one.
+	FieldStrikes = "strikes"
+	FieldAgeMs   = "age_ms"
+	FieldPeer    = "peer"
 	// FieldTableVersion is the version of the configuration in force.
 	FieldTableVersion = "table"
 	// FieldResult is the result of an exchange with a target.
@@ -60,25 +68,31 @@
 
 // Names of events.
 const (
-	EventAccepted         = "request-accepted"
-	EventQuotaExceeded    = "request-over-quota"
-	EventPlaced           = "request-placed"
-	EventShed             = "request-shed"
-	EventAttemptEnded     = "attempt-ended"
-	EventRetried          = "request-repeated"
-	EventResumed          = "stream-resumed"
-	EventEnded            = "request-ended"
-	EventLinesDropped     = "lines-dropped"
-	EventStarted          = "host-started"
-	EventStopping         = "host-stopping"
-	EventStopped          = "host-stopped"
-	EventSettingsReloaded = "settings-reloaded"
-	EventTableApplied     = "table-in-force"
-	EventTargetChanged    = "target-changed"
-	EventTargetEjected    = "target-rests"
-	EventTargetRestored   = "target-back"
-	EventPeerDetected     = "peer-heard"
-	EventPeerTimedOut     = "peer-silent"
-	EventStoreUnreachable = "store-lost"
-	EventStoreReachable   = "store-back"
+	EventAccepted      = "request-accepted"
+	EventQuotaExceeded = "request-over-quota"
+	// EventQuarantineRefused is about one request, EventQuarantined and EventReleased are
+	// about a digest.
+	EventQuarantineRefused = "request-quarantined"
+	EventQuarantined       = "digest-quarantined"
+	EventReleased          = "digest-released"
+	EventTargetCrashed     = "target-crashed"
+	EventPlaced            = "request-placed"
+	EventShed              = "request-shed"
+	EventAttemptEnded      = "attempt-ended"
+	EventRetried           = "request-repeated"
+	EventResumed           = "stream-resumed"
+	EventEnded             = "request-ended"
+	EventLinesDropped      = "lines-dropped"
+	EventStarted           = "host-started"
+	EventStopping          = "host-stopping"
+	EventStopped           = "host-stopped"
+	EventSettingsReloaded  = "settings-reloaded"
+	EventTableApplied      = "table-in-force"
+	EventTargetChanged     = "target-changed"
+	EventTargetEjected     = "target-rests"
+	EventTargetRestored    = "target-back"
+	EventPeerDetected      = "peer-heard"
+	EventPeerTimedOut      = "peer-silent"
+	EventStoreUnreachable  = "store-lost"
+	EventStoreReachable    = "store-back"
 )
--- a/eventlog/request_logger.go
+++ b/eventlog/request_logger.go
@@ -99,6 +99,9 @@
 		addRequestFields(entry, s, step).Msg("Request accepted.")
 	case relay.StepQuotaExceeded:
 		addRequestFields(entry, s, step).Str(FieldEvent, EventQuotaExceeded).Msg("Request refused because the team's quota is exhausted.")
+	case relay.StepQuarantined:
+		entry.Str(FieldEvent, EventQuarantineRefused).Stringer(FieldDigest, s.Digest).
+			Int64(FieldRetryAfterMs, step.RetryAfter.Milliseconds()).Msg("Request refused because requests with its content crashed targets.")
 	case relay.StepPlaced:
 		addSchedulerInputs(entry, step).Str(FieldEvent, EventPlaced).Str(FieldTarget, string(step.Target)).Msg("Request placed.")
 	case relay.StepShed:
--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,7 @@
 	quotas      *quota.Limiter
 	retryBudget *retrybudget.Budget
 	peers       *peerMonitor
+	crashes     *crashRecords
 	logger      *log.Logger
 
 	// tableConfirmed and targetsConfirmed are when the store last responded to a call for
@@ -43,6 +45,8 @@
 	mu            sync.Mutex
 	targetTracker *roster.Tracker
 	targets       *route.TargetSnapshot
+	// members holds the other hosts, sorted by name.
+	members []hoststate.Member
 }
 
 var _ platform.Listener = (*clusterState)(nil)
@@ -164,6 +168,13 @@
 // HostsChanged implements platform.Listener.
 func (s *clusterState) HostsChanged(members []hoststate.Member) {
 	others := slices.DeleteFunc(members, func(m hoststate.Member) bool { return m.Host == s.self.Host })
+	slices.SortFunc(others, func(a, b hoststate.Member) int { return cmp.Compare(a.Host, b.Host) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.members != nil && slices.Equal(s.members, others) {
+		return
+	}
+	s.members = others
 	peers := hoststate.NewPeerSet(s.self, others)
 	s.exchange.SetPeers(peers)
 	now := time.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,12 +89,15 @@
 		logger:        g.logs.For("knowledge"),
 		targetTracker: roster.NewTracker(),
 		peers:         newPeerMonitor(g.logs.For("peers")),
+		crashes:       &crashRecords{logger: g.logs.For("quarantine")},
 	}
 	scheduler := schedule.New(schedule.Options{DataCentre: g.config.DataCentre})
 	state.dispatcher = relay.NewDispatcher(relay.DispatcherOptions{
-		Scheduler:      scheduler,
-		OnStateChange:  func() { state.exchange.TriggerSend() },
-		OnHealthEvents: state.logHealthEvents,
+		Scheduler:          scheduler,
+		OnStateChange:      func() { state.exchange.TriggerSend() },
+		OnHealthEvents:     state.logHealthEvents,
+		OnCrashes:          g.logCrashes,
+		OnQuarantineEvents: g.logQuarantineEvents,
 	})
 	state.exchange = hoststate.New(hoststate.Options{
 		Self:           g.self(),
--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -7,6 +7,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/proto/hostpb"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/quota"
 	"github.com/cornelyard/cornelyard/schedule"
 )
@@ -19,7 +20,7 @@
 	microsecondsPerSecond = 1e6
 )
 
-func encode(m *Message, incarnation, sequence uint64) ([]byte, error) {
+func encode(now time.Time, m *Message, incarnation, sequence uint64) ([]byte, error) {
 	state := &hostpb.HostState{
 		Host:         string(m.Host),
 		Incarnation:  incarnation,
@@ -37,6 +38,7 @@
 			Settled: use.WarmedUp,
 		})
 	}
+	state.Crashes = quarantine.Encode(now, m.Schedule.Crashes)
 	encodeSchedule(state, &m.Schedule)
 	data, err := proto.Marshal(state)
 	return data, Error.Wrap(err)
@@ -91,7 +93,7 @@
 func clampUint32(n int) uint32 { return uint32(max(n, 0)) }
 
 // decode converts a message. Items whose name hash is not in the index are omitted.
-func (n *NameIndex) decode(state *hostpb.HostState) Message {
+func (n *NameIndex) decode(now time.Time, state *hostpb.HostState) Message {
 	m := Message{
 		Host:            ident.Host(state.GetHost()),
 		Incarnation:     state.GetIncarnation(),
@@ -114,6 +116,7 @@
 		Demands:         decodeItems(state.GetDemands(), n.pools, (*hostpb.Demand).GetPool, decodeDemand),
 		Backlogs:        decodeItems(state.GetBacklogs(), n.pools, (*hostpb.Backlog).GetPool, decodeBacklog),
 		PrefixLocations: decodeItems(state.GetPlacements(), n.targets, (*hostpb.Placement).GetTarget, decodePlacement),
+		Crashes:         quarantine.Decode(now, state.GetCrashes()),
 	}
 	return m
 }
--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -128,7 +128,7 @@
 	if host == e.options.Self.Host || !filter.accept(now, host, state.GetIncarnation(), state.GetSequence()) {
 		return
 	}
-	e.options.OnMessage(now, e.names.Load().decode(state))
+	e.options.OnMessage(now, e.names.Load().decode(now, state))
 }
 
 // sendLoop sends the state after changes and at each heartbeat, until ctx is done.
@@ -153,20 +153,20 @@
 // aggregate to its receivers.
 func (e *Exchange) sendState(conn *net.UDPConn, peers *PeerSet, now time.Time) {
 	message := e.options.LocalState(now)
-	e.broadcast(conn, &message, peers.direct)
+	e.broadcast(now, conn, &message, peers.direct)
 	if len(peers.aggregateReceivers) > 0 && now.Sub(e.lastAggregate) >= aggregateInterval {
 		e.lastAggregate = now
 		aggregate := e.options.AggregateState(now)
-		e.broadcast(conn, &aggregate, peers.aggregateReceivers)
+		e.broadcast(now, conn, &aggregate, peers.aggregateReceivers)
 	}
 }
 
-func (e *Exchange) broadcast(conn *net.UDPConn, m *Message, to []Member) {
+func (e *Exchange) broadcast(now time.Time, conn *net.UDPConn, m *Message, to []Member) {
 	if len(to) == 0 {
 		return
 	}
 	e.sequence++
-	data, err := encode(m, e.options.Incarnation, e.sequence)
+	data, err := encode(now, m, e.options.Incarnation, e.sequence)
 	if err != nil {
 		e.options.Logger.Error().Err(err).Msg("Encoding the host state failed; it is not sent.")
 		return
--- a/hoststate/exchange_test.go
+++ b/hoststate/exchange_test.go
@@ -49,12 +49,12 @@
 	if err := proto.Unmarshal(data, state); err != nil {
 		t.Fatal(err)
 	}
-	return names.decode(state)
+	return names.decode(time.Now(), state)
 }
 
 func TestEncodeDecodeRoundTrip(t *testing.T) {
 	want := testMessage()
-	data, err := encode(&want, 5, 1)
+	data, err := encode(time.Now(), &want, 5, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -66,7 +66,7 @@
 
 func TestDecodeOmitsUnknownNames(t *testing.T) {
 	m := testMessage()
-	data, err := encode(&m, 5, 1)
+	data, err := encode(time.Now(), &m, 5, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -38,6 +38,10 @@
 	// GatewayRetriesLeft is the number of retries that the retry budget still allows,
 	// by pool.
 	GatewayRetriesLeft = "gateway_retries_left"
+	// GatewayTargetCrashes counts the crashes of targets that this host detected, and
+	// GatewayQuarantines the digests that were quarantined because of crashes.
+	GatewayTargetCrashes = "gateway_target_crashes"
+	GatewayQuarantines   = "gateway_quarantines"
 	// GatewayLogLinesDropped is the number of log lines that were not written.
 	GatewayLogLinesDropped = "gateway_log_lines_dropped"
 )
--- a/quarantine/codec.go
+++ b/quarantine/codec.go
@@ -10,6 +10,9 @@
 // Encode converts crashes to their wire format, with ages instead of times because the
 // clocks of hosts differ.
 func Encode(now time.Time, crashes []Crash) []*crashpb.Crash {
+	if len(crashes) == 0 {
+		return nil
+	}
 	encoded := make([]*crashpb.Crash, 0, len(crashes))
 	for i := range crashes {
 		c := &crashes[i]
@@ -26,6 +29,9 @@
 
 // Decode converts crashes from their wire format.
 func Decode(now time.Time, encoded []*crashpb.Crash) []Crash {
+	if len(encoded) == 0 {
+		return nil
+	}
 	crashes := make([]Crash, 0, len(encoded))
 	for _, report := range encoded {
 		c := Crash{
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -19,6 +19,9 @@
 	err := x.exchangeWithWatchdog(ctx, to)
 	x.result = exchangeResult(ctx, err)
 	x.recordStep(Step{Kind: StepAttemptEnded, Target: to.Name, Result: x.result, Duration: time.Since(start), Cause: errorText(err)})
+	if x.result == schedule.Broken {
+		x.checkForCrash(ctx, to)
+	}
 	x.relay.options.Dispatcher.finish(x.id, x.result)
 	if err == nil || errors.Is(err, errErrorResponse) {
 		return false, nil
@@ -29,6 +32,18 @@
 	return x.handleFailure(to, err)
 }
 
+// checkForCrash finds out whether the target broke off the exchange because its process
+// ended. A request that crashes targets is recognized by that.
+func (x *execution) checkForCrash(ctx context.Context, to route.Target) {
+	switch x.relay.options.TargetClient.Probe(ctx, to) {
+	case target.ProbeRefused:
+		x.relay.options.Dispatcher.recordCrash(to)
+	case target.ProbeFailed:
+		x.relay.options.Dispatcher.recordUnreachable(to)
+	case target.ProbeConnected:
+	}
+}
+
 // exchangeResult classifies the end of an exchange for the target's health.
 func exchangeResult(ctx context.Context, err error) schedule.Result {
 	var dispatchErr *DispatchError
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 )
@@ -21,6 +22,10 @@
 	OnStateChange func()
 	// OnHealthEvents is called when targets are ejected or restored.
 	OnHealthEvents func([]schedule.HealthEvent)
+	// OnCrashes is called when this host detected crashes of targets.
+	OnCrashes func([]quarantine.Crash)
+	// OnQuarantineEvents is called when digests are quarantined or released.
+	OnQuarantineEvents func([]schedule.QuarantineEvent)
 }
 
 // Dispatcher gives concurrent requests access to one scheduler and delivers the
@@ -184,6 +189,39 @@
 	d.scheduler.ReportLoad(time.Now(), id, load)
 }
 
+// recordCrash records that a target's process has ended without notice.
+func (d *Dispatcher) recordCrash(crashed route.Target) {
+	now := time.Now()
+	d.update(now, func(s *schedule.Scheduler) { s.RecordCrash(now, crashed) })
+}
+
+// recordUnreachable records that a target broke off a request and can't be reached.
+func (d *Dispatcher) recordUnreachable(lost route.Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.RecordUnreachable(time.Now(), lost)
+}
+
+// quarantinedUntil returns the end of a digest's quarantine, and whether it is quarantined
+// now.
+func (d *Dispatcher) quarantinedUntil(now time.Time, digest quarantine.Digest) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.QuarantinedUntil(now, digest)
+}
+
+// MergeCrashes merges crashes that were read from the store.
+func (d *Dispatcher) MergeCrashes(now time.Time, crashes []quarantine.Crash) {
+	d.update(now, func(s *schedule.Scheduler) { s.MergeCrashes(now, crashes) })
+}
+
+// Crashes returns the known crashes of targets.
+func (d *Dispatcher) Crashes(now time.Time) []quarantine.Crash {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.Crashes(now)
+}
+
 // update applies a change to the scheduler, delivers the resulting decisions and
 // signals the state change.
 func (d *Dispatcher) update(now time.Time, change func(*schedule.Scheduler)) {
@@ -216,6 +254,12 @@
 	if events := d.scheduler.TakeHealthEvents(); len(events) > 0 {
 		d.options.OnHealthEvents(events)
 	}
+	if crashes := d.scheduler.TakeCrashEvents(); len(crashes) > 0 {
+		d.options.OnCrashes(crashes)
+	}
+	if events := d.scheduler.TakeQuarantineEvents(); len(events) > 0 {
+		d.options.OnQuarantineEvents(events)
+	}
 }
 
 // PoolLoads returns the current load of each pool.
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -88,6 +88,9 @@
 	x.digest = x.contentDigest()
 	x.deadline = requestDeadline(x.call, x.route)
 	x.pool = x.route.ChoosePool(randomFraction())
+	if refusal := x.quarantineRefusal(); refusal != nil {
+		return refusal
+	}
 	if team == nil {
 		x.recordStep(Step{Kind: StepAccepted})
 		return nil
@@ -103,6 +106,18 @@
 	return nil
 }
 
+// quarantineRefusal returns the refusal of a request whose content is quarantined, or nil.
+// Such a request is not charged to the quota.
+func (x *execution) quarantineRefusal() *outcome.Refusal {
+	now := time.Now()
+	until, quarantined := x.relay.options.Dispatcher.quarantinedUntil(now, x.digest)
+	if !quarantined {
+		return nil
+	}
+	x.recordStep(Step{Kind: StepQuarantined, Reason: outcome.Quarantined, RetryAfter: until.Sub(now)})
+	return outcome.Refuse(outcome.Quarantined, schedule.QuarantineMessage, until.Sub(now))
+}
+
 // contentDigest returns the digest of the request, which is the same for each attempt of
 // the team to have the same content served.
 func (x *execution) contentDigest() quarantine.Digest {
@@ -136,6 +151,7 @@
 	r := schedule.Request{
 		ID:              x.id,
 		Pool:            x.pool,
+		Digest:          x.digest,
 		Rank:            schedule.Rank{Route: x.route.Priority},
 		Arrived:         now,
 		Objective:       x.call.ArrivalTime.Add(x.route.LatencyObjective),
@@ -192,6 +208,9 @@
 // refused.
 func (x *execution) schedulerRefusal(a *schedule.Refuse) *outcome.Refusal {
 	x.recordStep(Step{Kind: StepShed, Inputs: a.Inputs, Reason: a.Reason, RetryAfter: a.RetryAfter})
+	if x.mayHaveRun && a.Reason == outcome.Quarantined {
+		return unknownOutcome(outcome.Quarantined, a.Message)
+	}
 	if x.mayHaveRun {
 		return unknownOutcome(outcome.TargetFailed, "the target failed after the request had been sent, and no other target became available in time")
 	}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -12,10 +12,12 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/quota"
 	"github.com/cornelyard/cornelyard/retrybudget"
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
+	"github.com/cornelyard/cornelyard/target"
 )
 
 // targetBehavior is what a scripted target does with one dispatch.
@@ -27,8 +29,12 @@
 	mu         sync.Mutex
 	behaviors  []targetBehavior
 	dispatches []Dispatch
+	// probe is the result of all probes.
+	probe target.ProbeResult
 }
 
+func (c *scriptedClient) Probe(context.Context, route.Target) target.ProbeResult { return c.probe }
+
 func (c *scriptedClient) Send(ctx context.Context, d Dispatch) (*Response, error) {
 	c.mu.Lock()
 	c.dispatches = append(c.dispatches, d)
@@ -121,6 +127,7 @@
 	scheduler := schedule.New(schedule.Options{})
 	d := NewDispatcher(DispatcherOptions{
 		Scheduler: scheduler, OnStateChange: func() {}, OnHealthEvents: func([]schedule.HealthEvent) {},
+		OnCrashes: func([]quarantine.Crash) {}, OnQuarantineEvents: func([]schedule.QuarantineEvent) {},
 	})
 	targets := &route.TargetSnapshot{Targets: map[ident.Target]route.Target{}}
 	for _, name := range []ident.Target{"t1", "t2", "t3"} {
--- a/relay/step.go
+++ b/relay/step.go
@@ -17,6 +17,8 @@
 	StepAccepted StepKind = iota
 	// StepQuotaExceeded: the team's quota is exhausted.
 	StepQuotaExceeded
+	// StepQuarantined: requests with this content crashed targets.
+	StepQuarantined
 	// StepPlaced: the scheduler assigned the request a slot of a target.
 	StepPlaced
 	// StepShed: the scheduler refused the request.
--- a/relay/target_client.go
+++ b/relay/target_client.go
@@ -17,6 +17,9 @@
 	// Send returns the target's response once its head has arrived and was
 	// validated. The error is a *DispatchError.
 	Send(ctx context.Context, d Dispatch) (*Response, error)
+	// Probe opens a connection to the target, sends nothing and closes it. It returns
+	// within a fraction of a second.
+	Probe(ctx context.Context, t route.Target) target.ProbeResult
 }
 
 // Dispatch is one attempt to send a request to a target.
--- /dev/null
+++ b/schedule/crashes.go
@@ -0,0 +1,159 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
+	"github.com/cornelyard/cornelyard/route"
+)
+
+const (
+	// crashReportWindow is how long a crash is included in states for other hosts after
+	// something became known of it. Hosts that miss all of these states read it in the
+	// store.
+	crashReportWindow = 3 * time.Second
+	// confirmationWindow is how long a target that can't be reached may take to lose its
+	// entry for the loss to count as a crash.
+	confirmationWindow = 10 * time.Second
+)
+
+// RecordCrash records that the process of a target has ended without notice, which is a
+// strike against each request that this host was running there.
+func (s *Scheduler) RecordCrash(now time.Time, crashed route.Target) {
+	t := s.targets[crashed.Name]
+	if t == nil || t.Draining {
+		return
+	}
+	before := t.health
+	t.health.eject(now, unreachableEjection)
+	s.recordHealthChange(t, before, causeCrash)
+	s.addCrash(now, s.crashOf(now, crashed))
+}
+
+// RecordUnreachable records that a target broke off a request and can't be reached. If its
+// entry disappears too, or names another process, it has crashed.
+func (s *Scheduler) RecordUnreachable(now time.Time, lost route.Target) {
+	if t := s.targets[lost.Name]; t != nil && !t.Draining {
+		s.unconfirmed = append(s.unconfirmed, s.crashOf(now, lost))
+	}
+}
+
+// crashOf returns the crash of a target's process with the requests that this host was
+// running on it.
+func (s *Scheduler) crashOf(now time.Time, crashed route.Target) quarantine.Crash {
+	c := quarantine.Crash{Target: crashed.Name, Process: crashed.StartUnixMs, At: now}
+	if c.Process == 0 {
+		c.Process = now.UnixMilli()
+	}
+	for _, r := range s.running {
+		if r.target.Name == crashed.Name {
+			c.Runs = append(c.Runs, quarantine.Run{Digest: r.request.Digest, Duration: now.Sub(r.dispatchedAt)})
+		}
+	}
+	return c
+}
+
+func (s *Scheduler) addCrash(now time.Time, c quarantine.Crash) {
+	if s.crashes.Merge(now, c) {
+		s.crashesChanged = true
+		s.crashesUrgent = true
+		s.crashEvents = append(s.crashEvents, c)
+	}
+}
+
+// confirmCrashes records the crashes of targets whose entry has disappeared since, or
+// names another process.
+func (s *Scheduler) confirmCrashes(now time.Time, snapshot *route.TargetSnapshot) {
+	s.unconfirmed = slices.DeleteFunc(s.unconfirmed, func(c quarantine.Crash) bool {
+		if now.Sub(c.At) > confirmationWindow {
+			return true
+		}
+		current, announced := snapshot.Targets[c.Target]
+		switch {
+		case announced && current.Draining:
+			return true
+		case announced && (current.StartUnixMs == 0 || current.StartUnixMs == c.Process):
+			return false
+		default:
+			s.addCrash(now, c)
+			return true
+		}
+	})
+}
+
+// MergeCrashes merges crashes that are known elsewhere.
+func (s *Scheduler) MergeCrashes(now time.Time, crashes []quarantine.Crash) {
+	for _, c := range crashes {
+		s.crashesChanged = s.crashes.Merge(now, c) || s.crashesChanged
+	}
+}
+
+// Crashes returns the known crashes.
+func (s *Scheduler) Crashes(now time.Time) []quarantine.Crash { return s.crashes.Crashes(now) }
+
+// TakeCrashEvents returns the crashes that this host recorded since the last call.
+func (s *Scheduler) TakeCrashEvents() []quarantine.Crash {
+	events := s.crashEvents
+	s.crashEvents = nil
+	return events
+}
+
+// QuarantinedUntil returns the end of a digest's quarantine, and whether it is quarantined
+// now.
+func (s *Scheduler) QuarantinedUntil(now time.Time, digest quarantine.Digest) (time.Time, bool) {
+	return s.crashes.QuarantinedUntil(now, digest)
+}
+
+// refuseQuarantined refuses the queued requests whose digest has been quarantined since
+// the last call.
+func (s *Scheduler) refuseQuarantined(now time.Time, actions []Action) []Action {
+	if !s.crashesChanged {
+		return actions
+	}
+	s.crashesChanged = false
+	s.recordQuarantineChanges(now)
+	for _, p := range s.pools {
+		p.queue.items = slices.DeleteFunc(p.queue.items, func(w *queuedRequest) bool {
+			until, quarantined := s.crashes.QuarantinedUntil(now, w.request.Digest)
+			if quarantined {
+				actions = append(actions, s.quarantineRefusal(now, p, w, until))
+			}
+			return quarantined
+		})
+	}
+	return actions
+}
+
+// quarantineRefusal returns the refusal of a request that is not, or no longer, queued.
+func (s *Scheduler) quarantineRefusal(now time.Time, p *pool, w *queuedRequest, until time.Time) *Refuse {
+	delete(s.queued, w.request.ID)
+	return &Refuse{
+		Request:    w.request.ID,
+		Reason:     outcome.Quarantined,
+		Message:    QuarantineMessage,
+		RetryAfter: until.Sub(now),
+		Inputs:     s.inputs(now, p, w),
+	}
+}
+
+// QuarantineMessage explains the refusal of a quarantined request.
+const QuarantineMessage = "requests with this content crashed targets"
+
+// takeCrashReport returns the crashes to include in the state for other hosts.
+func (s *Scheduler) takeCrashReport(now time.Time, due bool) []quarantine.Crash {
+	if !due && !s.crashesUrgent {
+		return nil
+	}
+	s.crashesUrgent = false
+	return s.crashes.CrashesSince(now, now.Add(-crashReportWindow))
+}
+
+// recordServed records that a run of a request was served.
+func (s *Scheduler) recordServed(now time.Time, r *Request) {
+	if s.crashes.RecordServed(now, r.Digest) {
+		s.crashesChanged = true
+		s.crashesUrgent = true
+	}
+}
--- a/schedule/health_event.go
+++ b/schedule/health_event.go
@@ -23,6 +23,7 @@
 const (
 	causeUnresponsive = "silence"
 	causeOutlier      = "outlier"
+	causeCrash        = "crash"
 )
 
 // TakeHealthEvents returns the events since the last call.
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -34,12 +34,14 @@
 	for _, p := range state.PrefixLocations {
 		s.prefixes.record(now, p.Hash, p.Target)
 	}
+	s.MergeCrashes(now, state.Crashes)
 }
 
 // ApplyDataCentreState replaces the known aggregate state of the hosts of another data
 // centre.
 func (s *Scheduler) ApplyDataCentreState(now time.Time, dc ident.DataCentre, hosts int, state State) {
 	s.dcAggregates[dc] = s.replacePeerState(s.dcAggregates[dc], &peerState{state: state, receivedAt: now, hosts: hosts})
+	s.MergeCrashes(now, state.Crashes)
 }
 
 // replacePeerState subtracts the older state from the totals and adds the newer one.
@@ -180,7 +182,9 @@
 	for _, p := range s.pools {
 		state.Backlogs = append(state.Backlogs, p.backlogs(now)...)
 	}
-	if s.observationsUrgent || now.Sub(s.observationsSentAt) >= maxObservationInterval {
+	observationsDue := s.observationsUrgent || now.Sub(s.observationsSentAt) >= maxObservationInterval
+	state.Crashes = s.takeCrashReport(now, observationsDue)
+	if observationsDue {
 		s.observationsUrgent, s.observationsSentAt = false, now
 		state.Observed, state.Observations = true, s.observations(now)
 		state.Demands = s.localDemands(now)
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -78,6 +78,7 @@
 	}
 	if result == Served {
 		s.updateEstimates(now, r)
+		s.recordServed(now, r.request)
 	}
 	if !t.announced && t.running == 0 {
 		s.removeTarget(t)
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quarantine"
 )
 
 // Request describes a request to the scheduler.
@@ -11,7 +12,9 @@
 	ID   ident.Request
 	Pool ident.Pool
 	Team ident.Team
-	Rank Rank
+	// Digest identifies the content of the request.
+	Digest quarantine.Digest
+	Rank   Rank
 	// Arrived is when the request reached this host.
 	Arrived time.Time
 	// Objective is the time by which the response, or its first event, is on time.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/route"
 )
 
@@ -41,6 +42,19 @@
 	prefixLocations     []PrefixLocation
 	prefixLocationsSent int
 	healthEvents        []HealthEvent
+
+	// crashes holds the known crashes of targets. crashesChanged says that they changed
+	// since the queue was last checked for quarantined requests, crashesUrgent that this
+	// host's changes are still to be reported.
+	crashes        *quarantine.Tracker
+	crashesChanged bool
+	crashesUrgent  bool
+	// unconfirmed holds the possible crashes of targets that can't be reached.
+	unconfirmed []quarantine.Crash
+	crashEvents []quarantine.Crash
+	// quarantined holds the digests that were quarantined when events were last recorded.
+	quarantined      []quarantine.Digest
+	quarantineEvents []QuarantineEvent
 	// pendingActions holds refusals for the next call of Decide.
 	pendingActions []Action
 }
@@ -68,12 +82,14 @@
 		queued:       make(map[ident.Request]*queuedRequest),
 		running:      make(map[ident.Request]*runningRequest),
 		prefixes:     newPrefixIndex(),
+		crashes:      quarantine.NewTracker(),
 	}
 }
 
 // Configure applies the configured pools and the announced targets. Running requests
 // are not moved.
 func (s *Scheduler) Configure(now time.Time, pools map[ident.Pool]*route.Pool, snapshot *route.TargetSnapshot) {
+	s.confirmCrashes(now, snapshot)
 	for name, configured := range pools {
 		s.poolOf(name).configure(configured.Engine)
 	}
@@ -144,6 +160,10 @@
 	}
 	s.sequence++
 	w := &queuedRequest{request: &r, sequence: s.sequence}
+	if until, quarantined := s.crashes.QuarantinedUntil(now, r.Digest); quarantined {
+		s.pendingActions = append(s.pendingActions, s.quarantineRefusal(now, p, w, until))
+		return
+	}
 	w.latestStart = r.Objective.Add(-p.leadTime(&r))
 	w.refuseAt = r.Arrived.Add(seconds(lateWaitRatio * r.AbandonTime.Sub(r.Arrived).Seconds()))
 	if w.refuseAt.Before(w.latestStart) {
@@ -198,6 +218,7 @@
 func (s *Scheduler) Decide(now time.Time) []Action {
 	actions := s.pendingActions
 	s.pendingActions = nil
+	actions = s.refuseQuarantined(now, actions)
 	s.updatePeersMissing(now)
 	s.ejectUnresponsive(now)
 	s.ejectOutliers(now)
--- a/schedule/state.go
+++ b/schedule/state.go
@@ -1,5 +1,7 @@
 package schedule
 
+import "github.com/cornelyard/cornelyard/quarantine"
+
 // State is the scheduling state that one host sends to the others, or the aggregate of
 // the hosts of a data centre.
 type State struct {
@@ -12,6 +14,8 @@
 	// Demands is only sent at intervals; if nil, the previous values remain valid.
 	Demands  []Demand
 	Backlogs []Backlog
+	// Crashes holds the crashes of which something became known a short time ago.
+	Crashes []quarantine.Crash
 	// PrefixLocations holds the newest locations, oldest first.
 	PrefixLocations []PrefixLocation
 }
--- /dev/null
+++ b/target/probe.go
@@ -0,0 +1,40 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+// ProbeResult is what an attempt to connect says about a target's process.
+type ProbeResult int
+
+const (
+	// ProbeConnected: a process listens at the address.
+	ProbeConnected ProbeResult = iota
+	// ProbeRefused: the machine responds, and no process listens at the address.
+	ProbeRefused
+	// ProbeFailed: nothing responded in time, which says nothing about the process.
+	ProbeFailed
+)
+
+// probeTimeout bounds the time that a probe takes.
+const probeTimeout = 100 * time.Millisecond
+
+// Probe connects to an address, IP:port, and closes the connection.
+func Probe(ctx context.Context, address string) ProbeResult {
+	dialer := net.Dialer{Timeout: probeTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	switch {
+	case err == nil:
+		// Nothing was sent, so a failure to close loses nothing.
+		_ = conn.Close()
+		return ProbeConnected
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return ProbeRefused
+	default:
+		return ProbeFailed
+	}
+}
