Keep the retry budget over restarts and a shrinking set of hosts

Callers saw nothing of it yet: it was found while looking for what else has the name BUDGET. With targets that fail, all hosts together could retry more than the platform allows. Cause: a new process had the full share of the allowance at once, though its predecessor may just have used it; a host that had not read the set of hosts yet took the whole allowance; when the set shrank, or the window changed, shares grew at once or counts began anew. Fix: a starting host, one that does not know the others and one whose window changed have no part of the allowance for one window, but the ratio of their own requests; a larger share takes effect after a window. Tests: four new ones, which fail with the old shares. The hosts of the older test now started a minute before.

--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -180,7 +180,7 @@
 	now := time.Now()
 	s.quotas.SetPeers(now, peers.Direct(), peers.AggregatedCounts())
 	s.dispatcher.SetPeerCount(now, len(others))
-	s.retryBudget.SetHostCount(len(others) + 1)
+	s.retryBudget.SetHostCount(now, len(others)+1)
 	s.logger.Info().Int("others", len(others)).Msg("Set of hosts changed.")
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,7 +85,7 @@
 			Overage:   g.config.Quota.Overage,
 			Allowance: g.config.Quota.Allowance,
 		}),
-		retryBudget:   retrybudget.New(retryLimits(&g.config)),
+		retryBudget:   retrybudget.New(time.Now(), retryLimits(&g.config)),
 		logger:        g.logs.For("knowledge"),
 		targetTracker: roster.NewTracker(),
 		peers:         newPeerMonitor(g.logs.For("peers")),
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -17,7 +17,7 @@
 		return
 	}
 	g.reloaded.Store(c)
-	g.state.retryBudget.SetLimits(retryLimits(c))
+	g.state.retryBudget.SetLimits(time.Now(), retryLimits(c))
 	g.logger.Info().Str(eventlog.FieldEvent, eventlog.EventSettingsReloaded).Msg("Changed settings applied.")
 }
 
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -148,7 +148,7 @@
 		Dispatcher:   d,
 		TargetClient: f.client,
 		Quotas:       f.quotas,
-		RetryBudget:  retrybudget.New(retrybudget.Limits{Ratio: 1, Allowance: 100, Window: 10 * time.Second}),
+		RetryBudget:  newRetryBudget(),
 		Observer:     f.observer,
 	})
 	return f
@@ -165,3 +165,11 @@
 	sink := &recordingSink{}
 	return f.relay.Serve(ctx, c, sink), sink
 }
+
+// newRetryBudget returns the budget of a host that has run for long.
+func newRetryBudget() *retrybudget.Budget {
+	started := time.Now().Add(-time.Hour)
+	b := retrybudget.New(started, retrybudget.Limits{Ratio: 1, Allowance: 100, Window: 10 * time.Second})
+	b.SetHostCount(started, 1)
+	return b
+}
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -25,30 +25,38 @@
 // Budget counts the requests and retries of one host by pool. It is safe for concurrent
 // use.
 type Budget struct {
-	mu        sync.Mutex
-	limits    Limits
-	hostCount int
-	pools     map[ident.Pool]*window
+	mu     sync.Mutex
+	limits Limits
+	share  share
+	pools  map[ident.Pool]*window
 }
 
-// New returns the budget of a host that is the only one until SetHostCount is called.
-func New(limits Limits) *Budget {
-	return &Budget{limits: limits, hostCount: 1, pools: make(map[ident.Pool]*window)}
+// New returns the budget of a host that starts now. It has no part of the allowance for one
+// window, because an earlier process of the host may have used it, and until SetHostCount is
+// called.
+func New(now time.Time, limits Limits) *Budget {
+	return &Budget{
+		limits: limits,
+		share:  share{window: limits.Window, startedAt: now},
+		pools:  make(map[ident.Pool]*window),
+	}
 }
 
 // SetHostCount sets how many hosts share the allowance.
-func (b *Budget) SetHostCount(n int) {
+func (b *Budget) SetHostCount(now time.Time, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.hostCount = max(n, 1)
+	b.share.setHostCount(now, n)
 }
 
-// SetLimits replaces the limits. The counts restart if the window length changes.
-func (b *Budget) SetLimits(l Limits) {
+// SetLimits replaces the limits. If the window length changes, the counts restart, and the
+// host has no part of the allowance for one window.
+func (b *Budget) SetLimits(now time.Time, l Limits) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if l.Window != b.limits.Window {
 		clear(b.pools)
+		b.share.window, b.share.startedAt = l.Window, now
 	}
 	b.limits = l
 }
@@ -65,7 +73,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, pool)
-	if b.remaining(w) < 1 {
+	if b.remaining(now, w) < 1 {
 		return false
 	}
 	w.currentBucket().retries++
@@ -73,9 +81,9 @@
 }
 
 // remaining returns the retries that the window still allows. b.mu must be held.
-func (b *Budget) remaining(w *window) float64 {
+func (b *Budget) remaining(now time.Time, w *window) float64 {
 	requests, retries := w.sums()
-	return usableShare*(b.limits.Ratio*requests+b.limits.Allowance/float64(b.hostCount)) - retries
+	return usableShare*(b.limits.Ratio*requests+b.share.of(now, b.limits.Allowance)) - retries
 }
 
 // Remaining returns the retries that are still allowed now, by pool.
@@ -84,7 +92,7 @@
 	defer b.mu.Unlock()
 	remaining := make(map[ident.Pool]float64, len(b.pools))
 	for pool := range b.pools {
-		remaining[pool] = b.remaining(b.window(now, pool))
+		remaining[pool] = b.remaining(now, b.window(now, pool))
 	}
 	return remaining
 }
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -5,13 +5,16 @@
 	"time"
 )
 
+var (
+	start      = time.Unix(1_000_000, 0)
+	testLimits = Limits{Ratio: 0.2, Allowance: 52, Window: 10 * time.Second}
+)
+
 func TestAllHostsTogetherStayWithinTheBudget(t *testing.T) {
-	limits := Limits{Ratio: 0.2, Allowance: 52, Window: 10 * time.Second}
-	start := time.Unix(1_000_000, 0)
 	retries := 0
 	for range 6 {
-		b := New(limits)
-		b.SetHostCount(6)
+		b := New(start.Add(-time.Minute), testLimits)
+		b.SetHostCount(start.Add(-time.Minute), 6)
 		for i := range 1000 {
 			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
 			b.RecordRequest(now, "pool")
@@ -29,8 +32,7 @@
 }
 
 func TestRequestsOutsideTheWindowDoNotCount(t *testing.T) {
-	b := New(Limits{Ratio: 0.2, Allowance: 0, Window: time.Second})
-	start := time.Unix(1_000_000, 0)
+	b := New(start, Limits{Ratio: 0.2, Allowance: 0, Window: time.Second})
 	for range 100 {
 		b.RecordRequest(start, "pool")
 	}
@@ -41,3 +43,90 @@
 		t.Error("retry allowed although the requests have left the window")
 	}
 }
+
+// loadInterval is the time between two requests to a host, all of which want to be retried.
+const loadInterval = 100 * time.Millisecond
+
+// countRetries offers the load to hosts in turn and returns the retries allowed. The
+// function each is called before each request.
+func countRetries(hosts []*Budget, duration time.Duration, each func(now time.Time)) (requests, retries int) {
+	for now := start; now.Before(start.Add(duration)); now = now.Add(loadInterval) {
+		each(now)
+		for _, b := range hosts {
+			b.RecordRequest(now, "pool")
+			requests++
+			for b.AllowRetry(now, "pool") {
+				retries++
+			}
+		}
+	}
+	return requests, retries
+}
+
+func TestRestartsOfHostsDoNotRenewTheAllowance(t *testing.T) {
+	hosts := make([]*Budget, 6)
+	lastStart := time.Time{}
+	requests, retries := countRetries(hosts, testLimits.Window, func(now time.Time) {
+		if now.Sub(lastStart) < 2*time.Second {
+			return
+		}
+		lastStart = now
+		for i := range hosts {
+			hosts[i] = New(now, testLimits)
+			hosts[i].SetHostCount(now, len(hosts))
+		}
+	})
+	checkBudget(t, requests, retries)
+}
+
+func TestShrinkingSetOfHostsDoesNotEnlargeSharesAtOnce(t *testing.T) {
+	hosts := newHosts(6)
+	requests, retries := countRetries(hosts, testLimits.Window, func(now time.Time) {
+		for _, b := range hosts {
+			b.SetHostCount(now, 6-int(now.Sub(start)/(2*time.Second)))
+		}
+	})
+	checkBudget(t, requests, retries)
+}
+
+func TestHostThatDoesNotKnowTheOthersHasNoAllowance(t *testing.T) {
+	hosts := make([]*Budget, 6)
+	for i := range hosts {
+		hosts[i] = New(start.Add(-time.Minute), testLimits)
+	}
+	requests, retries := countRetries(hosts, testLimits.Window, func(time.Time) {})
+	checkBudget(t, requests, retries)
+}
+
+func TestChangedWindowDoesNotRenewTheAllowance(t *testing.T) {
+	hosts := newHosts(6)
+	requests, retries := countRetries(hosts, testLimits.Window, func(now time.Time) {
+		changed := testLimits
+		changed.Window += now.Sub(start).Truncate(2 * time.Second)
+		for _, b := range hosts {
+			b.SetLimits(now, changed)
+		}
+	})
+	checkBudget(t, requests, retries)
+}
+
+// newHosts returns hosts that have run for long.
+func newHosts(count int) []*Budget {
+	hosts := make([]*Budget, count)
+	for i := range hosts {
+		hosts[i] = New(start.Add(-time.Minute), testLimits)
+		hosts[i].SetHostCount(start.Add(-time.Minute), count)
+	}
+	return hosts
+}
+
+func checkBudget(t *testing.T, requests, retries int) {
+	t.Helper()
+	limit := testLimits.Ratio*float64(requests) + testLimits.Allowance
+	if float64(retries) > limit {
+		t.Errorf("%d retries of %d requests, limit %v", retries, requests, limit)
+	}
+	if retries == 0 {
+		t.Error("no retry was allowed")
+	}
+}
