Never leave out a frame between two frames of one peer session

Callers saw: a pool's frames (grants, cancellations, ends) could vanish while both ends believed one session to be open, so nobody resynchronized: a slot stayed taken or a request waited. Cause: a dial that another connection supersedes leaves the frames queued so far in place, but starts a backoff in which Send refuses later ones. When the session opens, it begins with the queued frames and goes on after the refused ones. The same happened when the queue was full, and when the host could not be dialled for a moment. Fix: while frames are queued, later ones are queued behind them. If the queue overflows, all of it is dropped when the session opens, and SessionDown is reported before SessionUp; so is the queue of a host that is no member any more. Why it works: a frame joins a session only if all frames after it that were accepted do, so the gap of a refused frame lies before the session's first frame.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -61,6 +61,9 @@
 	for _, l := range d.mesh.allLinks() {
 		member, known := view.Member(l.host)
 		if !known {
+			if l.hostRemoved() {
+				d.mesh.connectionTasks.Go(func() { l.deliver(func() { d.mesh.handlers.sessionDown(l.host) }) })
+			}
 			d.mesh.removeLink(l)
 			continue
 		}
--- a/peer/link.go
+++ b/peer/link.go
@@ -113,8 +113,11 @@
 	s.previousDone = l.handlersDone
 	l.handlersDone = s.handlersDone
 	l.current = s
-	queued, _ := l.pending.take()
-	s.outbox.prepend(queued)
+	s.framesLost = l.pending.isOverflowed()
+	if !s.framesLost {
+		queued, _ := l.pending.take()
+		s.outbox.prepend(queued)
+	}
 	l.pending = newOutbox(maxPendingBytes)
 	l.dials.succeeded()
 	l.notifyWaiters()
@@ -170,14 +173,16 @@
 }
 
 // push queues a frame on the open session. If there is none and mayDial is set, it
-// queues the frame until a session opens.
+// queues the frame until a session opens. While earlier frames are queued, it never
+// refuses a frame for another reason than a full queue, which drops all of them: a session
+// must not begin with frames from before and after a refused one.
 func (l *link) push(f *peerpb.Frame, clock *timeline.Clock, mayDial bool) (opened *session, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s := l.openSessionLocked(); s != nil {
 		return s, s.outbox.push(f, clock)
 	}
-	if !mayDial || l.dials.backingOff(time.Now()) {
+	if l.pending.empty() && (!mayDial || l.dials.backingOff(time.Now())) {
 		return nil, ErrNoSession
 	}
 	if err := l.pending.push(f, clock); err != nil {
@@ -215,11 +220,24 @@
 	if l.openSessionLocked() != nil {
 		return false
 	}
+	return l.dropPending()
+}
+
+// dropPending drops the queued frames and reports whether there were any. l.mu is held.
+func (l *link) dropPending() (lost bool) {
 	lost = !l.pending.empty()
 	l.pending = newOutbox(maxPendingBytes)
 	return lost
 }
 
+// hostRemoved drops the frames queued for a host that is no longer a member and has no
+// session. It reports whether frames were lost.
+func (l *link) hostRemoved() (lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.openSessionLocked() == nil && l.dropPending()
+}
+
 // dialSuperseded records a dial that was rejected in favour of another connection to
 // the host, which is open or about to become the session.
 func (l *link) dialSuperseded(now time.Time) {
--- a/peer/outbox.go
+++ b/peer/outbox.go
@@ -76,6 +76,13 @@
 	return len(o.buffer) == 0
 }
 
+// isOverflowed reports whether a frame was refused because the queue was full.
+func (o *outbox) isOverflowed() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.overflowed
+}
+
 func (o *outbox) signal() {
 	select {
 	case o.ready <- struct{}{}:
--- a/peer/session.go
+++ b/peer/session.go
@@ -24,6 +24,9 @@
 	// lastRead is when the last frame was received, in Unix nanoseconds.
 	lastRead atomic.Int64
 
+	// framesLost says that frames queued before the session opened were dropped.
+	framesLost bool
+
 	// previousDone is closed when the handlers have finished with the preceding
 	// session.
 	previousDone <-chan struct{}
@@ -100,6 +103,9 @@
 		<-s.previousDone
 	}
 	l := s.mesh.link(s.host)
+	if s.framesLost {
+		l.deliver(func() { s.mesh.handlers.sessionDown(s.host) })
+	}
 	l.deliver(func() { s.mesh.handlers.sessionUp(s.host, s.hello) })
 	s.mesh.recordSessionUp(s)
 	s.close(s.readFrames(l))
