Follow the store when it returns from a copy some seconds old

A watcher refused every version below the one it knew, so its table stayed frozen until the counter had passed it, and a version given out again was taken for the old one. Host rows, crashes and marks of busy teams were gone for good; the set of hosts shrank and shares grew. Once the tables are followed, an entry of the copy could revive a target that had left. Fix: a position is era and version together, in platform/ only; the era is read from every response, and a response of an ended era is an error. A rise ends the long polls; each table is read again and the own row written again within 0.3 s at random. roster believes what it knew of a process that had left or was draining, and not its entry, for 5 s, and keeps a missing target for 1.9 s; gateway counts a missing host for 3 s; marks of busy teams and crashes are written again. Found on the way: net/http sends a long poll again by itself on a kept connection that broke, and the returned store held it for ten seconds; watches now have a connection each. The stand-in learns copy, outage, return, era and 410 for versions that it does not have, and ends waiting polls; it also applies removals now, which it had ignored. The soak gets the fault store-returns-from-copy, half of the time twice in a row, and a request that crashes targets, with the promise crashing-request-is-contained.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -94,5 +94,6 @@
 	EventPeerDetected      = "peer-heard"
 	EventPeerTimedOut      = "peer-silent"
 	EventStoreUnreachable  = "store-lost"
+	EventStoreReturned     = "store-rolled-back"
 	EventStoreReachable    = "store-back"
 )
--- a/gateway/busy_teams.go
+++ b/gateway/busy_teams.go
@@ -26,7 +26,14 @@
 func (g *Gateway) persistBusyTeams(ctx context.Context) error {
 	g.restoreBusyTeams(ctx)
 	lastMarked := make(map[ident.Team]time.Time)
-	return periodic.Run(ctx, busyCheckInterval, func(now time.Time) { g.markBusyTeams(ctx, now, lastMarked) })
+	storeReturns := g.state.storeReturns.Load()
+	return periodic.Run(ctx, busyCheckInterval, func(now time.Time) {
+		if returns := g.state.storeReturns.Load(); returns != storeReturns {
+			storeReturns = returns
+			clear(lastMarked)
+		}
+		g.markBusyTeams(ctx, now, lastMarked)
+	})
 }
 
 // restoreBusyTeams reads the marks, with retries for one quota window. After that they
--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -39,13 +38,16 @@
 	targetsConfirmed timestamp
 
 	table atomic.Pointer[route.Table]
+	// storeReturns counts the returns of the store from an older copy.
+	storeReturns atomic.Int64
 	// targetsLoaded is set once the targets were read from the store.
 	targetsLoaded atomic.Bool
 
 	mu            sync.Mutex
 	targetTracker *roster.Tracker
 	targets       *route.TargetSnapshot
-	// members holds the other hosts, sorted by name.
+	memberTracker memberTracker
+	// members holds the hosts that were last applied.
 	members []hoststate.Member
 }
 
@@ -167,23 +169,48 @@
 
 // HostsChanged implements platform.Listener.
 func (s *clusterState) HostsChanged(members []hoststate.Member) {
-	others := slices.DeleteFunc(members, func(m hoststate.Member) bool { return m.Host == s.self.Host })
-	slices.SortFunc(others, func(a, b hoststate.Member) int { return cmp.Compare(a.Host, b.Host) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.members != nil && slices.Equal(s.members, others) {
+	s.memberTracker.setListed(members)
+	s.refreshMembers(time.Now())
+}
+
+// StoreReturned implements platform.Listener.
+func (s *clusterState) StoreReturned() {
+	s.storeReturns.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.targetTracker.RecordReturn(now)
+	s.memberTracker.recordReturn(now)
+}
+
+// refreshMembers applies the set of hosts if it has changed, and schedules another update
+// for when hosts that are missing in the store no longer count. The caller holds s.mu.
+func (s *clusterState) refreshMembers(now time.Time) {
+	members := s.memberTracker.members(now)
+	if wait := s.memberTracker.untilExpiry(now); wait > 0 {
+		time.AfterFunc(wait, s.expireMembers)
+	}
+	if s.members != nil && slices.Equal(s.members, members) {
 		return
 	}
-	s.members = others
+	s.members = members
+	others := othersThan(s.self.Host, members)
 	peers := hoststate.NewPeerSet(s.self, others)
 	s.exchange.SetPeers(peers)
-	now := time.Now()
 	s.quotas.SetPeers(now, peers.Direct(), peers.AggregatedCounts())
 	s.dispatcher.SetPeerCount(now, len(others))
 	s.retryBudget.SetHostCount(now, len(others)+1)
 	s.logger.Info().Int("others", len(others)).Msg("Set of hosts changed.")
 }
 
+func (s *clusterState) expireMembers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refreshMembers(time.Now())
+}
+
 // handleMessage merges the state received from another host, or from the hosts of
 // another data centre.
 func (s *clusterState) handleMessage(now time.Time, m hoststate.Message) {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -21,6 +21,7 @@
 	scope.Gauge(metrics.GatewayInFlight).Update(float64(g.relay.InFlight()))
 	scope.Gauge(metrics.GatewayPeersActive).Update(float64(state.peers.active(now)))
 	scope.Gauge(metrics.GatewayTeamsBusy).Update(float64(len(state.quotas.BusyTeams(now))))
+	scope.Gauge(metrics.GatewayStoreReturns).Update(float64(state.storeReturns.Load()))
 	scope.Gauge(metrics.GatewayLogLinesDropped).Update(float64(g.logs.Dropped()))
 	if table := state.table.Load(); table != nil {
 		scope.Gauge(metrics.GatewayTableVersion).Update(float64(table.Version))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -62,11 +62,7 @@
 
 // register registers this host in the directory and then waits until ctx is done.
 func (g *Gateway) register(ctx context.Context) error {
-	if err := g.directory.Register(ctx, g.self()); err != nil {
-		return err
-	}
-	<-ctx.Done()
-	return nil
+	return g.directory.Register(ctx, g.self())
 }
 
 // listener returns an actor that serves HTTP at the address.
--- a/internal/soak/check_host.go
+++ b/internal/soak/check_host.go
@@ -70,7 +70,7 @@
 			return fmt.Sprintf("%s ended by itself in its lives %v", h.Name, h.unexpectedExits)
 		})
 	}
-	err := errors.Join(r.injector.errs...)
+	err := errors.Join(append(r.injector.errs, r.system.faultErrs...)...)
 	v.Check(err == nil, func() string { return err.Error() })
 	logs, err := r.system.logs()
 	v.Check(err == nil, func() string { return err.Error() })
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -133,3 +133,19 @@
 	r.system.targets[0].leavingPeriods = [][2]time.Time{{at.Add(-propagationTime - time.Second), at.Add(time.Second)}}
 	checkViolations(t, r.checkLeavingTargets(), 1)
 }
+
+func TestLateAttemptsOfCrashingRequestAreDetected(t *testing.T) {
+	r := newTestRunner(t)
+	healthy := r.system.hosts[0]
+	faulty := &host{Process: &testbed.Process{Name: "h-1"}}
+	faulty.faultSpans.list = []span{{from: time.Now().Add(-time.Second)}}
+	longAgo := time.Now().Add(-time.Minute)
+	contained := &crashingRequest{hosts: map[string]*host{"a": healthy, "b": faulty}, crashes: []time.Time{longAgo, longAgo, longAgo}}
+	violating := &crashingRequest{hosts: map[string]*host{"c": healthy}, crashes: contained.crashes}
+	r.system.crashing.Store("contained", contained)
+	r.system.crashing.Store("violating", violating)
+	r.sendToTarget(t, "a", maxLateArrivals)
+	r.sendToTarget(t, "b", maxLateArrivals)
+	r.sendToTarget(t, "c", maxLateArrivals+1)
+	checkViolations(t, r.checkCrashingRequests(), 1)
+}
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -30,6 +30,8 @@
 	targetLeaving             faultKind = "target-leaves"
 	targetPartitionedFromHost faultKind = "target-cut-off-from-a-host"
 	configurationChanged      faultKind = "configuration-changed"
+	storeReturned             faultKind = "store-returns-from-copy"
+	requestCrashes            faultKind = "request-crashes-targets"
 )
 
 // fault is a kind of fault; inject injects it, ends it and returns.
@@ -71,6 +73,7 @@
 			return nil
 		}},
 		{targetLeaving, leaveAndReturn},
+		{requestCrashes, sendCrashingRequest},
 		{targetPartitionedFromHost, func(ctx context.Context, s *system, random *rand.Rand) error {
 			t, h := pick(random, s.targets), pick(random, s.hosts)
 			t.link.SetSourceFaults(h.Name, faultproxy.Faults{Cut: true})
@@ -127,9 +130,30 @@
 			s.store.SetStaleRead(max(version, 2) - 1)
 			return nil
 		}},
+		{storeReturned, returnStoreFromCopy},
 		{configurationChanged, func(_ context.Context, s *system, _ *rand.Rand) error {
 			s.writeConfiguration()
 			return nil
 		}},
 	}
 }
+
+const (
+	// maxStoreReturnOutage is the longest outage before the store returns from a copy, and
+	// maxRewriteDelay the longest time until the operator and the targets have written again.
+	maxStoreReturnOutage = 500 * time.Millisecond
+	maxRewriteDelay      = time.Second
+)
+
+// returnStoreFromCopy makes the store return from a copy that is some seconds old, in half of
+// the cases twice in a row.
+func returnStoreFromCopy(ctx context.Context, s *system, random *rand.Rand) error {
+	defer s.storeFaults.start()()
+	s.store.TakeCopy()
+	holdFault(ctx, random)
+	for range 1 + random.IntN(2) {
+		outage := time.Duration(random.Int64N(int64(maxStoreReturnOutage)))
+		s.store.RestoreAfterOutage(outage, time.Duration(random.Int64N(int64(maxRewriteDelay))))
+	}
+	return nil
+}
--- a/internal/soak/promise.go
+++ b/internal/soak/promise.go
@@ -12,6 +12,7 @@
 	NoRequestToLeavingTarget verdict.Promise = "nothing-to-leaving-targets"
 	NoConfigurationRollback  verdict.Promise = "configuration-never-back"
 	GracefulShutdown         verdict.Promise = "planned-stop-breaks-nothing"
+	CrashingRequestContained verdict.Promise = "crashing-request-is-contained"
 	NoUnexpectedExit         verdict.Promise = "hosts-end-only-when-told"
 	RecoversAfterFaults      verdict.Promise = "serves-after-the-faults"
 )
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -29,8 +29,23 @@
 	// storeFaults are the periods in which the store was unavailable or stale for all hosts.
 	storeFaults spans
 
+	// crashing holds the history of each request that crashes targets, by path.
+	crashing sync.Map
+
 	mu      sync.Mutex
 	version int
+	// faultErrs holds errors of faults that targets injected themselves.
+	faultErrs []error
+}
+
+// injectError records an error of a fault that a target injected itself.
+func (s *system) injectError(err error) {
+	if err == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faultErrs = append(s.faultErrs, err)
 }
 
 // startSystem starts all processes. If it returns a system, the caller must stop it,
@@ -75,7 +90,11 @@
 		t.service = platformtest.ModelService
 	}
 	t.fake = platformtest.NewTarget(name)
-	t.fake.SetHandler(t.serve)
+	t.fake.SetHandler(func(w http.ResponseWriter, r *http.Request) {
+		if !t.crash(s, r) {
+			t.serve(w, r)
+		}
+	})
 	link, err := s.addLink(name, t.fake.Address())
 	if err != nil {
 		return err
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -24,6 +24,8 @@
 	GatewaySlotsFree     = "gateway_slots_free"
 	// GatewayStoreCalls counts calls to the store by table and result.
 	GatewayStoreCalls = "gateway_store_calls"
+	// GatewayStoreReturns is how often the store returned from an older copy since the start.
+	GatewayStoreReturns = "gateway_store_returns"
 	// GatewayTableVersion is the version of the configuration in force.
 	// GatewayTableAge and GatewayRosterAge are the time since the store last confirmed
 	// the configuration and the target list.
--- a/roster/tracker.go
+++ b/roster/tracker.go
@@ -26,6 +26,10 @@
 	// outageEnd is the end of the last outage during which entries may have expired.
 	outageStart time.Time
 	outageEnd   time.Time
+	// returnedAt is when the store returned from an older copy, or zero.
+	returnedAt time.Time
+	// departures holds the targets that have left or are draining.
+	departures map[ident.Target]departure
 }
 
 // NewTracker returns a tracker without targets.
@@ -33,6 +37,8 @@
 	return &Tracker{
 		entries: make(map[ident.Target]route.Target),
 		missing: make(map[ident.Target]route.Target),
+
+		departures: make(map[ident.Target]departure),
 	}
 }
 
@@ -49,9 +55,18 @@
 	}
 }
 
+// RecordReturn notes that the store has returned from an older copy. Entries may be missing
+// as after an outage, and for a while those of the copy are believed only as far as they do
+// not contradict what is known.
+func (t *Tracker) RecordReturn(now time.Time) {
+	t.outageEnd = now
+	t.returnedAt = now
+}
+
 // SetEntries replaces the list by all entries in the store. Within the renewal grace,
 // targets without an entry are kept as missing, unless they were draining.
 func (t *Tracker) SetEntries(now time.Time, entries map[ident.Target]route.Target) {
+	t.recordDepartures(now, entries)
 	if t.inRenewalGrace(now) {
 		for name, target := range t.entries {
 			if _, listed := entries[name]; !listed && !target.Draining {
@@ -69,13 +84,17 @@
 	return !t.outageEnd.IsZero() && now.Sub(t.outageEnd) < renewalGrace
 }
 
-// UntilExpiry returns the time until missing targets are removed, or zero if none is
-// missing.
+// UntilExpiry returns the time until the snapshot changes without another list of entries,
+// or zero if it does not: until missing targets are removed, or entries of an older copy
+// are believed.
 func (t *Tracker) UntilExpiry(now time.Time) time.Duration {
-	if len(t.missing) == 0 {
-		return 0
+	if len(t.missing) > 0 {
+		return max(renewalGrace-now.Sub(t.outageEnd), time.Millisecond)
+	}
+	if t.inReturnGrace(now) && len(t.departures) > 0 {
+		return max(returnGrace-now.Sub(t.returnedAt), time.Millisecond)
 	}
-	return max(renewalGrace-now.Sub(t.outageEnd), time.Millisecond)
+	return 0
 }
 
 // Snapshot returns the targets as of now, including missing ones within the renewal
@@ -86,5 +105,6 @@
 	}
 	targets := maps.Clone(t.entries)
 	maps.Copy(targets, t.missing)
+	t.withDepartures(now, targets)
 	return &route.TargetSnapshot{Targets: targets}
 }
