Split three large files, and make one of logic that stood twice

schedule/dispatch.go held the queue, the choice of a target and the prefix locations; quota/account.go also the headroom and the assumptions after a start; platformtest/store.go also the handlers. Each part has a file now. The totals of peers are added by one method for each kind of report, where loads and observations had the same loop; quota.account.admit and retryAfter shared the arithmetic of the headroom, which is account.excess now. No behaviour changes.

--- a/quota/account.go
+++ b/quota/account.go
@@ -77,24 +77,6 @@
 // halfWindowShare is the part of the limit that may be used within half a window.
 const halfWindowShare = 0.65
 
-// assumption is what a host assumes about a team if it starts without knowledge of
-// earlier usage. Both values are parts of the limit.
-type assumption struct {
-	// used is assumed to have been used, evenly, in the preceding window.
-	used float64
-	// limit may be used in the first window.
-	limit float64
-}
-
-var (
-	normalAssumption = assumption{used: normalUsedShare, limit: normalStartShare}
-	busyAssumption   = assumption{used: 1, limit: busyStartShare}
-)
-
-// busyStartShare is the part of the limit that a busy team may use in the first
-// window after a start.
-const busyStartShare = 0.6
-
 // newAssumedAccount returns the account of a team on a host that started without
 // knowledge of earlier usage.
 func newAssumedAccount(started, now time.Time, l Limits, q route.Quota, as assumption) *account {
@@ -255,41 +237,26 @@
 
 // admit charges the cost of a request if it fits in the window.
 func (a *account) admit(now time.Time, cost float64) bool {
-	limit := a.limit(now)
-	required := cost + a.headroom(now, cost, limit)
-	if a.window.sum+required > limit || a.halfWindow.sum+required > halfWindowShare*limit || !a.withinReachableShare(cost, limit) {
+	window, half := a.excess(now, cost)
+	if window > 0 || half > 0 || !a.withinReachableShare(cost, a.limit(now)) {
 		return false
 	}
 	a.charge(cost)
 	return true
 }
 
-// headroomLimits bounds what is kept free for usage that other hosts have not reported
-// yet.
-type headroomLimits struct {
-	// staleness is how old the other hosts' reports may be under load.
-	staleness time.Duration
-	// maxShare bounds the headroom, as a part of the limit. It is small enough that a
-	// team can always use its quota without the overage.
-	maxShare float64
+// retryAfter returns how long it takes until a request of that cost fits.
+func (a *account) retryAfter(now time.Time, cost float64) time.Duration {
+	window, half := a.excess(now, cost)
+	return max(a.window.timeToFree(window), a.halfWindow.timeToFree(half))
 }
 
-var (
-	hostHeadroom       = headroomLimits{staleness: 30 * time.Millisecond, maxShare: 0.05}
-	dataCentreHeadroom = headroomLimits{staleness: 130 * time.Millisecond, maxShare: 0.09}
-)
-
-// headroom returns what is kept free for the other hosts. Each may have just admitted
-// as much as this one, and its report will arrive too late.
-func (a *account) headroom(now time.Time, cost, limit float64) float64 {
-	h := hostHeadroom
-	if len(a.dataCentreTotals) > 0 {
-		h = dataCentreHeadroom
-	}
-	if now.Sub(a.recentSince) > h.staleness {
-		a.recentAdmitted, a.recentSince = 0, now
-	}
-	return min(float64(a.hosts-1)*(a.recentAdmitted+cost), h.maxShare*limit)
+// excess returns by how much a request of that cost would exceed the limits of the window
+// and of its second half, with the headroom for other hosts. It is not positive if it fits.
+func (a *account) excess(now time.Time, cost float64) (window, half float64) {
+	limit := a.limit(now)
+	required := cost + a.headroom(now, cost, limit)
+	return a.window.sum + required - limit, a.halfWindow.sum + required - halfWindowShare*limit
 }
 
 func (a *account) charge(cost float64) {
@@ -312,10 +279,3 @@
 	a.hostUsage -= cost
 	a.dataCentreUsage -= cost
 }
-
-// retryAfter returns how long it takes until a request of that cost fits.
-func (a *account) retryAfter(now time.Time, cost float64) time.Duration {
-	limit := a.limit(now)
-	required := cost + a.headroom(now, cost, limit)
-	return max(a.window.timeToFree(a.window.sum+required-limit), a.halfWindow.timeToFree(a.halfWindow.sum+required-halfWindowShare*limit))
-}
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -3,22 +3,11 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cornelyard/cornelyard/ident"
 )
 
 const (
-	// remotePenalty is the cost, in seconds, of using a target in another data centre.
-	remotePenalty = 0.003
-	// aggregatedPenalty is the additional cost, in seconds, if the hosts of that data
-	// centre are only known in aggregate: this host knows an older state of those targets
-	// than they do.
-	aggregatedPenalty = 0.1
 	// maxYield bounds how long free slots are left to requests of other hosts.
 	maxYield = 15 * time.Millisecond
-	// kvReserve is the fraction of the KV cache that is kept free for responses that turn
-	// out longer than expected.
-	kvReserve = 0.08
 	// maxSkipped bounds the requests that are skipped in one decision because no usable
 	// target is eligible.
 	maxSkipped = 8
@@ -121,151 +110,6 @@
 	return p.peersRunning > before
 }
 
-// selectTarget returns the eligible target with the lowest cost, or nil. It skips busy
-// targets on which the first event is predicted to be late and, if any target can
-// finish before the deadline, those that cannot.
-func (s *Scheduler) selectTarget(now time.Time, p *pool, w *queuedRequest, targets []*target) *target {
-	r := w.request
-	limit := s.firstEventLimit(now, w)
-	needsFast, anyFinishes := p.needsFastTarget(now, r, targets)
-	var best *target
-	bestCost := 0.0
-	for _, t := range targets {
-		if !s.eligible(now, p, w, t) {
-			continue
-		}
-		if p.engine != nil && t.busySlots(now) > 0 && p.firstEventTime(t, s.prefixes.uncached(now, r, t.Name)) > limit {
-			continue
-		}
-		if anyFinishes && !p.finishesInTime(now, r, t) {
-			continue
-		}
-		cost := s.cost(now, p, r, t)
-		if !needsFast && p.isFast(t) && t.freeSlots(now) <= fastSlotReserve {
-			cost += fastPenalty
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = t, cost
-		}
-	}
-	return best
-}
-
-// eligible reports whether a target may get the request at all.
-func (s *Scheduler) eligible(now time.Time, p *pool, w *queuedRequest, t *target) bool {
-	if t.freeSlots(now) <= 0 || excludes(w.request, t.Name) || !p.fitsKVCache(w.request, t) {
-		return false
-	}
-	return !t.health.probation || p.mayProbe(now, w.request)
-}
-
-const (
-	// fastSlotReserve is the number of slots of a fast target that are reserved for
-	// responses too long for the other targets.
-	fastSlotReserve = 2
-	// fastPenalty is the cost, in seconds, of a reserved slot to other requests.
-	fastPenalty = 0.3
-	// fastIntervalRatio is the largest event interval of a fast target, relative to the
-	// mean of the pool.
-	fastIntervalRatio = 0.7
-	// outputMargin is a safety factor for responses that turn out longer than expected.
-	outputMargin = 1.5
-)
-
-// finishesInTime reports whether a response of the expected length is predicted to end
-// before the deadline on a target.
-func (p *pool) finishesInTime(now time.Time, r *Request, t *target) bool {
-	if p.engine == nil {
-		return true
-	}
-	decode := seconds(float64(r.OutputTokens) * p.tokenTimeOf(t))
-	return !now.Add(p.firstEventTime(t, r.PromptTokens) + decode).After(r.Deadline)
-}
-
-// needsFastTarget reports whether the response may be too long for some of the targets,
-// and whether any target is predicted to finish it before the deadline.
-func (p *pool) needsFastTarget(now time.Time, r *Request, targets []*target) (needs, anyFinishes bool) {
-	if p.engine == nil {
-		return false, false
-	}
-	for _, t := range targets {
-		decode := seconds(outputMargin * float64(r.OutputTokens) * p.tokenTimeOf(t))
-		if now.Add(decode).After(r.Deadline) {
-			needs = true
-		}
-		anyFinishes = anyFinishes || p.finishesInTime(now, r, t)
-	}
-	return needs, anyFinishes
-}
-
-func (p *pool) isFast(t *target) bool {
-	interval := t.knownSpeeds().EventInterval
-	return interval > 0 && interval < fastIntervalRatio*p.meanEventInterval()
-}
-
-// meanEventInterval returns the mean event interval of the targets for which one is
-// known.
-func (p *pool) meanEventInterval() float64 {
-	sum, count := 0.0, 0.0
-	for _, t := range p.targets {
-		if interval := t.knownSpeeds().EventInterval; interval > 0 {
-			sum += interval
-			count++
-		}
-	}
-	return sum / max(count, 1)
-}
-
-// lateFirstEventLimit bounds the predicted time to the first event of a late request.
-// On a target with more prompts ahead, it would make other requests late too.
-const lateFirstEventLimit = 300 * time.Millisecond
-
-// firstEventLimit returns the time within which the first event must arrive.
-func (s *Scheduler) firstEventLimit(now time.Time, w *queuedRequest) time.Duration {
-	if w.late {
-		return lateFirstEventLimit
-	}
-	return w.request.Objective.Sub(now)
-}
-
-// fitsKVCache reports whether the KV cache of the target has room for the request. A
-// request that is too large for any target is sent to an idle one, which may reject it.
-func (p *pool) fitsKVCache(r *Request, t *target) bool {
-	if p.engine == nil || p.engine.KVCacheTokens == 0 {
-		return true
-	}
-	used := t.kv + t.peers.KVTokens
-	room := float64(p.engine.KVCacheTokens) * (1 - kvReserve)
-	return used == 0 || float64(used+r.PromptTokens+r.OutputTokens) <= room
-}
-
-// cost predicts the cost of a request on a target, in seconds: the time that it takes
-// there, and the delay that its prompt causes to the requests running beside it.
-func (s *Scheduler) cost(now time.Time, p *pool, r *Request, t *target) float64 {
-	cost := s.localityCost(t)
-	if p.engine == nil {
-		return cost + p.meanService*float64(t.busySlots(now))/float64(max(t.Slots, 1))
-	}
-	rate := p.prefillRateOf(t)
-	prefill := float64(s.prefixes.uncached(now, r, t.Name)) / rate
-	ahead := float64(t.prefill+t.peers.PrefillTokens) / rate
-	decode := float64(r.OutputTokens) * p.tokenTimeOf(t)
-	concurrent := float64(t.busySlots(now))
-	return cost + ahead + prefill*(1+concurrent) + decode
-}
-
-// localityCost returns the cost of the target's data centre, in seconds.
-func (s *Scheduler) localityCost(t *target) float64 {
-	switch {
-	case t.DataCentre == s.dataCentre:
-		return 0
-	case s.dcAggregates[t.DataCentre] != nil:
-		return remotePenalty + aggregatedPenalty
-	default:
-		return remotePenalty
-	}
-}
-
 // dispatch takes a slot of the target for the request.
 func (s *Scheduler) dispatch(now time.Time, p *pool, w *queuedRequest, t *target) Action {
 	r := w.request
@@ -292,32 +136,3 @@
 	p.yieldingSince = time.Time{}
 	return &Dispatch{Request: r.ID, Target: t.Target, QueueTime: now.Sub(r.Arrived), Inputs: inputs}
 }
-
-// recordPrefixLocation records on which target the prompt is processed, and queues the
-// location of its last block, which identifies a session, for the other hosts.
-func (s *Scheduler) recordPrefixLocation(now time.Time, r *Request, target ident.Target) {
-	if len(r.PromptBlocks) == 0 {
-		return
-	}
-	for _, block := range r.PromptBlocks {
-		s.prefixes.record(now, block.Hash, target)
-	}
-	last := r.PromptBlocks[len(r.PromptBlocks)-1]
-	s.prefixLocations = append(s.prefixLocations, PrefixLocation{Hash: last.Hash, Target: target})
-	if excess := len(s.prefixLocations) - maxPrefixLocations; excess > 0 {
-		s.prefixLocations = slices.Delete(s.prefixLocations, 0, excess)
-		s.prefixLocationsSent = max(s.prefixLocationsSent-excess, 0)
-	}
-}
-
-// maxPrefixLocations bounds the prefix locations that are waiting to be sent.
-const maxPrefixLocations = 24
-
-// takePrefixLocations returns the prefix locations to send. Each is returned twice,
-// because a message may be lost.
-func (s *Scheduler) takePrefixLocations() []PrefixLocation {
-	locations := slices.Clone(s.prefixLocations)
-	s.prefixLocations = slices.Delete(s.prefixLocations, 0, s.prefixLocationsSent)
-	s.prefixLocationsSent = len(s.prefixLocations)
-	return locations
-}
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -64,24 +64,14 @@
 func (s *Scheduler) addToAggregates(p *peerState, sign sign) {
 	for i := range p.state.Loads {
 		load := &p.state.Loads[i]
-		t := s.targets[load.Target]
-		if t == nil {
-			continue
-		}
-		t.peers.addLoad(load, sign)
-		if p.direct {
-			t.directPeers.addLoad(load, sign)
+		if t := s.targets[load.Target]; t != nil {
+			t.addPeerLoad(load, p.direct, sign)
 		}
 	}
 	for i := range p.state.Observations {
 		observation := &p.state.Observations[i]
-		t := s.targets[observation.Target]
-		if t == nil {
-			continue
-		}
-		t.peers.addObservation(observation, sign)
-		if p.direct {
-			t.directPeers.addObservation(observation, sign)
+		if t := s.targets[observation.Target]; t != nil {
+			t.addPeerObservation(observation, p.direct, sign)
 		}
 	}
 	for i := range p.state.Demands {
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -85,6 +85,22 @@
 	return speeds
 }
 
+// addPeerLoad adds what another host reports of its load to the totals, or subtracts it.
+func (t *target) addPeerLoad(l *TargetLoad, direct bool, sign sign) {
+	t.peers.addLoad(l, sign)
+	if direct {
+		t.directPeers.addLoad(l, sign)
+	}
+}
+
+// addPeerObservation adds what another host observed to the totals, or subtracts it.
+func (t *target) addPeerObservation(o *Observation, direct bool, sign sign) {
+	t.peers.addObservation(o, sign)
+	if direct {
+		t.directPeers.addObservation(o, sign)
+	}
+}
+
 // load returns the load that this host puts on the target.
 func (t *target) load() TargetLoad {
 	return TargetLoad{Target: t.Name, Running: t.running, PrefillTokens: t.prefill, KVTokens: t.kv}
