Take the end of a target without an entry for a planned leave

Cause: some targets leave without reporting that they drain: their entry is removed, they go on serving for a while and exit. A request still running then would have been taken for a suspect. Change: a crash counts only if the target was announced and not draining when the response broke off.

--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -20,10 +20,11 @@
 )
 
 // RecordCrash records that the process of a target has ended without notice, which is a
-// strike against each request that this host was running there.
+// strike against each request that this host was running there. A target that was draining
+// or had no entry any more has left as planned.
 func (s *Scheduler) RecordCrash(now time.Time, crashed route.Target) {
 	t := s.targets[crashed.Name]
-	if t == nil || t.Draining {
+	if t == nil || !t.available() {
 		return
 	}
 	before := t.health
@@ -35,7 +36,7 @@
 // RecordUnreachable records that a target broke off a request and can't be reached. If its
 // entry disappears too, or names another process, it has crashed.
 func (s *Scheduler) RecordUnreachable(now time.Time, lost route.Target) {
-	if t := s.targets[lost.Name]; t != nil && !t.Draining {
+	if t := s.targets[lost.Name]; t != nil && t.available() {
 		s.unconfirmed = append(s.unconfirmed, s.crashOf(now, lost))
 	}
 }
