--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -17,6 +17,8 @@
 	// confirmationWindow is how long a target that can't be reached may take to lose its
 	// entry for the loss to count as a crash.
 	confirmationWindow = 10 * time.Second
+	// maxUnconfirmed bounds the possible crashes that are remembered.
+	maxUnconfirmed = 256
 )
 
 // RecordCrash records that the process of a target has ended without notice, which is a
@@ -36,8 +38,13 @@
 // RecordUnreachable records that a target broke off a request and can't be reached. If its
 // entry disappears too, or names another process, it has crashed.
 func (s *Scheduler) RecordUnreachable(now time.Time, lost route.Target) {
-	if t := s.targets[lost.Name]; t != nil && t.available() {
-		s.unconfirmed = append(s.unconfirmed, s.crashOf(now, lost))
+	t := s.targets[lost.Name]
+	if t == nil || !t.available() {
+		return
+	}
+	s.unconfirmed = append(s.unconfirmed, s.crashOf(now, lost))
+	if excess := len(s.unconfirmed) - maxUnconfirmed; excess > 0 {
+		s.unconfirmed = slices.Delete(s.unconfirmed, 0, excess)
 	}
 }
 
