Tell a former owner that requests have moved, so that it frees their slots

Callers saw: after a suspended owner resumed, no call completed for a minute though all hosts lived. Cause: a host that was paused takes itself for the owner and asks the entries for reports. They report what they run, and go on with the owner in their own view, which gets the ends. The paused host never learns of them: when the members take it for the owner again, an entry that has no request left sends nothing, and all slots stay taken there. The other way round, a request that ended right after the report told its end to the paused host, and the entry forgot the pool before the owner heard of it. Fix: an entry that turns to another owner sends the former one an empty report, unless its own view still names it; a pool is forgotten only after the owner in the entry's view has its last report. Why it works: reports replace what an owner knows of an entry, so each host that was ever told of a request is told that it is gone.

--- a/pool/client_handler.go
+++ b/pool/client_handler.go
@@ -192,7 +192,7 @@
 	}
 	k := key{dataCentre: member.DataCentre, pool: ident.Pool(r.GetPool())}
 	p := c.pool(k)
-	p.owner = from
+	c.setOwner(c.options.Members.View(), p, from)
 	c.report(p, r.GetEpoch())
 }
 
--- a/pool/client_reconcile.go
+++ b/pool/client_reconcile.go
@@ -35,11 +35,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for k, p := range c.pools {
+		c.reconcilePool(view, p)
 		if len(p.requests) == 0 && !p.needReport {
 			delete(c.pools, k)
-			continue
 		}
-		c.reconcilePool(view, p)
 	}
 	if len(c.pools) == 0 {
 		return idleFlushInterval
@@ -50,7 +49,7 @@
 func (c *Client) reconcilePool(view *membership.View, p *clientPool) {
 	owner := c.ownerFor(view, p)
 	if owner != "" && owner != p.owner {
-		p.owner = owner
+		c.setOwner(view, p, owner)
 		p.needReport = true
 	}
 	if p.needReport {
@@ -65,6 +64,23 @@
 	}
 }
 
+// setOwner sets the host to which the requests of p are sent. A former owner is informed
+// that it has none of them any more, because it will not receive their ends. It may still
+// take itself for the owner, and would count their slots as taken for ever.
+func (c *Client) setOwner(view *membership.View, p *clientPool, owner ident.Host) {
+	former := p.owner
+	p.owner = owner
+	if former == "" || former == owner || former == c.ownerFor(view, p) {
+		return
+	}
+	empty := &peerpb.Frame{Body: &peerpb.Frame_Report{Report: &peerpb.Report{Pool: string(p.key.pool)}}}
+	if err := c.options.Sender.Send(former, empty); err != nil {
+		// Without a session the former owner asks for a report when it has one again.
+		c.options.Logger.Debug().Err(err).Str("pool", string(p.key.pool)).Str("host", string(former)).
+			Msg("A former owner could not be informed that requests have moved; it asks when its session is back.")
+	}
+}
+
 func (c *Client) retry(view *membership.View, p *clientPool, t *trackedRequest, now time.Time) {
 	if t.grant != nil || t.enqueueSent {
 		return
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 
 	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/peer"
 )
 
 func TestEveryEntryGetsGrants(t *testing.T) {
@@ -217,3 +220,51 @@
 	})
 	return got
 }
+
+// reportRecorder records the reports that a host receives.
+type reportRecorder struct {
+	peer.Handler
+	mu   sync.Mutex
+	last *peerpb.Report
+}
+
+func (r *reportRecorder) HandleFrame(_ ident.Host, f *peerpb.Frame) {
+	if report := f.GetReport(); report != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.last = report
+	}
+}
+
+// running returns the number of running requests in the last report, or -1.
+func (r *reportRecorder) running() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.last == nil {
+		return -1
+	}
+	return len(r.last.GetInService())
+}
+
+// A host that was paused takes itself for the owner and asks for reports, which the entry
+// corrects once it reports to the actual owner.
+func TestFormerOwnerDoesNotKeepRequestsThatEndElsewhere(t *testing.T) {
+	s := newFakeSystem(t, testSnapshot(1), threeHosts()...)
+	entry, former := s.nonOwner(), s.hosts[0]
+	for _, h := range s.hosts {
+		if h != entry && h != s.owner() {
+			former = h
+		}
+	}
+	recorder := &reportRecorder{}
+	s.network.mu.Lock()
+	s.network.hosts[former.name] = []peer.Handler{recorder}
+	s.network.mu.Unlock()
+	granted := s.wait(entry.acquire(t.Context(), testRequest("running", "filing")))
+	request := &peerpb.ReportRequest{Pool: string(testPool), Epoch: 1}
+	entry.client.HandleFrame(former.name, &peerpb.Frame{Body: &peerpb.Frame_ReportRequest{ReportRequest: request}})
+	s.waitUntil("the paused host has a report", func() bool { return recorder.running() >= 0 })
+	granted.grant.End(admission.End{Outcome: outcome.Completed})
+	s.waitUntil("the paused host has no running request", func() bool { return recorder.running() == 0 })
+	s.waitUntil("the owner has no running request", func() bool { return s.owner().running() == 0 })
+}
