--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -246,8 +246,7 @@
 	return len(r.last.GetInService())
 }
 
-// A host that was paused takes itself for the owner and asks for reports, which the entry
-// corrects once it reports to the actual owner.
+// A host that was paused asks for reports although another host is the owner.
 func TestFormerOwnerDoesNotKeepRequestsThatEndElsewhere(t *testing.T) {
 	s := newFakeSystem(t, testSnapshot(1), threeHosts()...)
 	entry, former := s.nonOwner(), s.hosts[0]
