Never start another insertion of a claim at the end of its timeout

Callers could see the same: a request refused as not run, and its repetition at another host refused as held for a moment, though it never ran.

Cause: between two insertions an attempt waits 10 to 30 ms. If the deadline of the attempt falls into the wait and both are due when the goroutine wakes, `select` may take the timer, and the next `select` may enqueue the row although the deadline has passed.

Change: an attempt that would reach its deadline while it waits is refused at once, and the deadline is looked at again after the wait.

--- a/claim/claim_attempt.go
+++ b/claim/claim_attempt.go
@@ -152,13 +152,17 @@
 	a.manager.finalize(&finalization{claim: c, pendingInsert: a.pendingInsert, release: true})
 }
 
-// sleep waits for the duration and returns true, or false if ctx ends first.
+// sleep waits for the duration and returns true. It returns false as soon as ctx ends,
+// and at once if ctx would end first.
 func sleep(ctx context.Context, d time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
+		return false
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
+		return ctx.Err() == nil
 	case <-ctx.Done():
 		return false
 	}
--- a/claim/manager_test.go
+++ b/claim/manager_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
@@ -201,6 +202,25 @@
 	}
 }
 
+// TestClaimIsNotInsertedAgainAtItsTimeout guards against a row that is written for a
+// request that was refused.
+func TestClaimIsNotInsertedAgainAtItsTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newFakeTable()
+		table.failReads = true
+		table.faults = []fault{faultLostWrite}
+		const claimTimeout = readBackInitialBackoff / 2
+		manager := startManager(t, table, "host-1", func(o *Options) { o.ClaimTimeout = claimTimeout })
+		started := time.Now()
+		checkRefusal(t, manager.Claim(context.Background(), request("k", "body")), outcome.ClaimUnavailable, outcome.NotRun)
+		if waited := time.Since(started); waited >= claimTimeout {
+			t.Errorf("refused after %s, want it before the timeout of %s", waited, claimTimeout)
+		}
+		table.update(func() { table.failReads = false })
+		waitFor(t, "the release is finished", finalized(manager, request("k", "body")))
+	})
+}
+
 // TestClaimIsNotTakenOverFromDeadHost guards against running a request twice. The
 // holder is considered dead while it is only paused, and completes the request after
 // it resumes.
