Let a new host use targets that only other hosts have ejected

Cause: an engine that any other host has ejected is left to that host's probes. If all are ejected by some host, a host falls back to those that responded to it in the last 10 s. A new host has had no response, so it refuses although it knows nothing bad of any target.

Change: the fallback includes the targets that this host has not ejected itself. If they don't respond, the host ejects them after its own attempt, as at any other time.

The new test failed before ("the request was not dispatched although this host has ejected no target").

--- a/schedule/health_test.go
+++ b/schedule/health_test.go
@@ -151,6 +151,18 @@
 	}
 }
 
+// A host that started a moment ago has had no response of its own.
+func TestNewHostUsesTargetsThatOnlyOthersEjected(t *testing.T) {
+	s := newScheduler(4, 4)
+	for host, target := range map[ident.Host]ident.Target{"b": "t0", "c": "t1"} {
+		s.ApplyPeerState(at(0), host, State{Observed: true, Observations: []Observation{{Target: target, Ejected: true}}})
+	}
+	s.Enqueue(at(10), request("a", 10, 0))
+	if sent := dispatched(t, s, 10); len(sent) != 1 {
+		t.Error("the request was not dispatched although this host has ejected no target")
+	}
+}
+
 func TestOneSlowRequestDoesNotEjectPlainService(t *testing.T) {
 	s := New(Options{Random: func() float64 { return 0 }})
 	s.Configure(at(0), map[ident.Pool]*route.Pool{"p": {Name: "p"}}, engines(4))
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -94,7 +94,8 @@
 )
 
 // usableTargets returns the targets that may get requests now. If there are none, it
-// falls back to those that responded within fallbackWindow.
+// falls back to those that responded within fallbackWindow, and to those that only other
+// hosts have ejected.
 func (p *pool) usableTargets(now time.Time) []*target {
 	list := make([]*target, 0, len(p.targets))
 	for _, t := range p.targets {
@@ -106,7 +107,7 @@
 		return list
 	}
 	for _, t := range p.targets {
-		if t.available() && now.Sub(t.lastResponseAt) < fallbackWindow {
+		if t.available() && (!t.health.probation || now.Sub(t.lastResponseAt) < fallbackWindow) {
 			list = append(list, t)
 		}
 	}
