Report an ejection to other hosts only while this host probes

Change: an ejection is reported while it lasts, while a probe is under way and for 3 s after the ejection's end, in which a host with requests has probed. Then the others find out by their own requests.

The new test failed before ("3400 ms after the ejection: 1 targets are usable, want 2").

--- a/schedule/health.go
+++ b/schedule/health.go
@@ -18,6 +18,9 @@
 	// outlierMinExcess how far it must exceed the ratio of the rest of the pool.
 	outlierMinRatio  = 0.3
 	outlierMinExcess = 0.25
+	// probeWindow is how long after an ejection other hosts leave the target to the
+	// probes of this one. A host that has no requests for the target sends it no probe.
+	probeWindow = 3 * time.Second
 )
 
 // health is the passive health state of one target, derived from the results of real
@@ -45,6 +48,11 @@
 	return !h.probation || !h.probeInFlight
 }
 
+// leftToProbes reports whether other hosts are to leave the target to this host's probes.
+func (h *health) leftToProbes(now time.Time) bool {
+	return h.probation && (h.probeInFlight || now.Before(h.ejectedUntil.Add(probeWindow)))
+}
+
 // recordDispatch records that a request is being sent to the target.
 func (h *health) recordDispatch() {
 	if h.probation {
--- a/schedule/health_test.go
+++ b/schedule/health_test.go
@@ -163,6 +163,21 @@
 	}
 }
 
+// A host without requests ejected a target, and another host has requests for it.
+func TestTargetIsUsedAgainAlthoughItsEjectorSendsNoProbe(t *testing.T) {
+	idle, busy := newScheduler(4, 4), newScheduler(4, 4)
+	idle.targets["t0"].health.eject(at(0), baseEjection)
+	for _, c := range []struct {
+		ms         int
+		wantUsable int
+	}{{500, 1}, {int((baseEjection + probeWindow).Milliseconds()), 2}} {
+		busy.ApplyPeerState(at(c.ms), "idle", idle.LocalState(at(c.ms)))
+		if usable := busy.pools["p"].usableTargets(at(c.ms)); len(usable) != c.wantUsable {
+			t.Errorf("%d ms after the ejection: %d targets are usable, want %d", c.ms, len(usable), c.wantUsable)
+		}
+	}
+}
+
 func TestOneSlowRequestDoesNotEjectPlainService(t *testing.T) {
 	s := New(Options{Random: func() float64 { return 0 }})
 	s.Configure(at(0), map[ident.Pool]*route.Pool{"p": {Name: "p"}}, engines(4))
--- a/schedule/observation.go
+++ b/schedule/observation.go
@@ -6,7 +6,8 @@
 type Observation struct {
 	Target ident.Target
 	Speeds Speeds
-	// Ejected says that the host has ejected the target and sends it only probes.
+	// Ejected says that the host has ejected the target and that its probes are to find
+	// out when it is back.
 	Ejected bool
 	// Successes and Failures are exponentially decayed counts of finished dispatches.
 	Successes float64
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -112,7 +112,7 @@
 	return Observation{
 		Target:    t.Name,
 		Speeds:    t.speeds,
-		Ejected:   t.health.probation,
+		Ejected:   t.health.leftToProbes(now),
 		Successes: t.health.results.successes,
 		Failures:  t.health.results.failures,
 	}
