Be ready only once the crashes of targets are known

Listed as remaining in the postmortem: a host that starts took callers some milliseconds before it had read the crashes, and could send a request on that was quarantined everywhere. Same class as the incident: a host that restarts and does not know.

Cause: readiness waited for the configuration and the targets only; crashes come with the table of hosts, which may be read last or later.

Change: readiness also waits for the crashes. If the table can't be read, the host takes no callers, as with the other two tables.

--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -42,6 +42,8 @@
 	storeReturns atomic.Int64
 	// targetsLoaded is set once the targets were read from the store.
 	targetsLoaded atomic.Bool
+	// crashesLoaded is set once the crashes were read from the store.
+	crashesLoaded atomic.Bool
 
 	mu            sync.Mutex
 	targetTracker *roster.Tracker
@@ -256,6 +258,8 @@
 		return Error.New("no configuration is known yet")
 	case !s.targetsLoaded.Load():
 		return Error.New("the targets are not known yet")
+	case !s.crashesLoaded.Load():
+		return Error.New("the crashes of targets are not known yet")
 	default:
 		return nil
 	}
--- a/gateway/crash_records.go
+++ b/gateway/crash_records.go
@@ -107,6 +107,7 @@
 func (s *clusterState) CrashesChanged(crashes []quarantine.Crash) {
 	s.crashes.replace(crashes)
 	s.dispatcher.MergeCrashes(time.Now(), crashes)
+	s.crashesLoaded.Store(true)
 }
 
 // logCrashes logs the crashes of targets that this host detected.
