End a session between hosts in which a frame is missing

Cause of the risk: order within a session rested on the sender alone. The receiver could not notice a frame that the sender left out, as happened after a superseded dial.

Change: a link numbers its frames, refused ones included; a receiver that misses one ends the session, so both sides resynchronize, and counts it (peer_frames_missing). Frames without a number, from hosts of the previous version, are taken as before. `bench faults` and TestAllPromises check each session's end: no-frame-missing.

--- a/internal/faultrun/check.go
+++ b/internal/faultrun/check.go
@@ -11,6 +11,7 @@
 
 	"github.com/cornelyard/cornelyard/internal/standin/engine"
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/peer"
 )
 
 // check compares the responses to callers with the targets' records and with the
@@ -33,6 +34,7 @@
 		r.checkGracefulShutdown(),
 		r.checkSettings(events),
 		r.checkEveryCallAnswered(),
+		r.checkFrames(),
 	}
 	if strings.Contains(r.cluster.Logs(), "DATA RACE") {
 		return nil, Error.New("a process reported a data race:\n%s", r.cluster.Logs())
@@ -199,3 +201,14 @@
 	}
 	return false
 }
+
+// checkFrames checks that no host missed a frame within a session with another host.
+func (r *runner) checkFrames() Verdict {
+	v := Verdict{Promise: NoFrameMissing}
+	for line := range strings.Lines(r.cluster.Logs()) {
+		if strings.Contains(line, peer.SessionEndedMessage) {
+			v.Check(!strings.Contains(line, peer.ErrFrameMissing.Error()), func() string { return line })
+		}
+	}
+	return v
+}
--- a/internal/faultrun/promise.go
+++ b/internal/faultrun/promise.go
@@ -20,10 +20,12 @@
 	GracefulShutdown         Promise = "planned-stop"
 	NoSettingsRollback       Promise = "settings-never-back"
 	EveryCallAnswered        Promise = "every-call-has-an-answer"
+	NoFrameMissing           Promise = "no-frame-missing"
 )
 
 // Promises lists all promises.
 var Promises = []Promise{
 	AtMostOneDispatch, TierOrder, CorrectResponse, RefusedNotExecuted, NonIdempotentOnce,
 	NoRequestToLeavingTarget, GracefulShutdown, NoSettingsRollback, EveryCallAnswered,
+	NoFrameMissing,
 }
--- a/metrics/names.go
+++ b/metrics/names.go
@@ -66,6 +66,8 @@
 	// PeerBacklogs counts sessions closed because of a full send queue, and frames to
 	// this host itself that a full queue rejected.
 	PeerBacklogs = "peer_backlogs"
+	// PeerFramesMissing counts sessions closed because a frame did not arrive.
+	PeerFramesMissing = "peer_frames_missing"
 	// PeerHandshakesFailed counts connections that did not become a session, by
 	// reason: "dialled" or "accepted".
 	PeerHandshakesFailed = "peer_handshakes_failed"
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -12,27 +12,31 @@
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
-// Field numbers of the clock fields of Frame, which appendFrame encodes separately
-// from the body.
+// Field numbers of the fields of Frame that appendFrame encodes separately from the body.
 const (
 	fieldClockWall    protowire.Number = 1
 	fieldClockLogical protowire.Number = 2
+	fieldNumber       protowire.Number = 19
 )
 
-// appendFrame appends f to buffer as a length-prefixed message with the clock reading
-// now. It does not modify f, so that one frame can be sent to several hosts.
-func appendFrame(buffer []byte, f *peerpb.Frame, now timeline.Timestamp) ([]byte, error) {
-	timestampSize := protowire.SizeTag(fieldClockWall) + protowire.SizeVarint(uint64(now.Wall)) +
-		protowire.SizeTag(fieldClockLogical) + protowire.SizeVarint(uint64(now.Logical))
-	size := timestampSize + proto.Size(f)
+// appendFrame appends f to buffer as a length-prefixed message with the clock reading now
+// and its number. It does not modify f, so that one frame can be sent to several hosts. It
+// returns errFrameTooLarge for a frame that no host would accept.
+func appendFrame(buffer []byte, f *peerpb.Frame, now timeline.Timestamp, number uint64) ([]byte, error) {
+	headerSize := protowire.SizeTag(fieldClockWall) + protowire.SizeVarint(uint64(now.Wall)) +
+		protowire.SizeTag(fieldClockLogical) + protowire.SizeVarint(uint64(now.Logical)) +
+		protowire.SizeTag(fieldNumber) + protowire.SizeVarint(number)
+	size := headerSize + proto.Size(f)
 	if size > maxFrameBytes {
-		return buffer, Error.New("frame of %d bytes is too large", size)
+		return buffer, errFrameTooLarge
 	}
 	buffer = protowire.AppendVarint(buffer, uint64(size))
 	buffer = protowire.AppendTag(buffer, fieldClockWall, protowire.VarintType)
 	buffer = protowire.AppendVarint(buffer, uint64(now.Wall))
 	buffer = protowire.AppendTag(buffer, fieldClockLogical, protowire.VarintType)
 	buffer = protowire.AppendVarint(buffer, uint64(now.Logical))
+	buffer = protowire.AppendTag(buffer, fieldNumber, protowire.VarintType)
+	buffer = protowire.AppendVarint(buffer, number)
 	return proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buffer, f)
 }
 
--- a/peer/codec_bench_test.go
+++ b/peer/codec_bench_test.go
@@ -15,7 +15,7 @@
 	var buffer []byte
 	b.ReportAllocs()
 	for b.Loop() {
-		buffer, _ = appendFrame(buffer[:0], f, clock.Now())
+		buffer, _ = appendFrame(buffer[:0], f, clock.Now(), 1<<32)
 	}
 	b.ReportMetric(float64(len(buffer)), "B/frame")
 }
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -14,7 +14,7 @@
 func TestFrameRoundTripAddsClock(t *testing.T) {
 	now := timeline.Timestamp{Wall: 1_800_000_000_000_000_000, Logical: 3}
 	sent := &peerpb.Frame{Body: &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{Pool: "p", Id: "r"}}}
-	encoded, err := appendFrame(nil, sent, now)
+	encoded, err := appendFrame(nil, sent, now, 5)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -23,7 +23,7 @@
 		t.Fatal(err)
 	}
 	want := proto.CloneOf(sent)
-	want.ClockWall, want.ClockLogical = now.Wall, now.Logical
+	want.ClockWall, want.ClockLogical, want.Number = now.Wall, now.Logical, 5
 	if !proto.Equal(got, want) {
 		t.Errorf("got %v, want %v", got, want)
 	}
@@ -35,7 +35,7 @@
 func TestHeartbeatSize(t *testing.T) {
 	heartbeat := &peerpb.Heartbeat{Incarnation: 1_800_000_000_000_000_000, SettingsVersion: 1 << 20}
 	f := &peerpb.Frame{Body: &peerpb.Frame_Heartbeat{Heartbeat: heartbeat}}
-	encoded, err := appendFrame(nil, f, timeline.Timestamp{Wall: 1_800_000_000_000_000_000, Logical: 1 << 10})
+	encoded, err := appendFrame(nil, f, timeline.Timestamp{Wall: 1_800_000_000_000_000_000, Logical: 1 << 10}, 1<<32)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -47,7 +47,7 @@
 
 func TestOversizedFrameIsRejected(t *testing.T) {
 	f := &peerpb.Frame{Body: &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{Id: string(make([]byte, maxFrameBytes))}}}
-	if _, err := appendFrame(nil, f, timeline.Timestamp{}); err == nil {
+	if _, err := appendFrame(nil, f, timeline.Timestamp{}, 1); err == nil {
 		t.Error("no error for an oversized frame")
 	}
 }
@@ -55,7 +55,7 @@
 func FuzzReadFrame(f *testing.F) {
 	valid, err := appendFrame(nil, &peerpb.Frame{Body: &peerpb.Frame_Heartbeat{Heartbeat: &peerpb.Heartbeat{
 		Incarnation: 1, Members: []*peerpb.Member{{Host: "a"}},
-	}}}, timeline.Timestamp{Wall: 1})
+	}}}, timeline.Timestamp{Wall: 1}, 1)
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -68,7 +68,7 @@
 		if err != nil {
 			return
 		}
-		encoded, err := appendFrame(nil, &peerpb.Frame{Body: frame.GetBody()}, timeline.Timestamp{})
+		encoded, err := appendFrame(nil, &peerpb.Frame{Body: frame.GetBody()}, timeline.Timestamp{}, frame.GetNumber())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -16,6 +16,7 @@
 	wireBytes      tally.Counter
 	wireWrites     tally.Counter
 	backlogsFull   tally.Counter
+	framesMissing  tally.Counter
 }
 
 func newCounters(scope tally.Scope) *counters {
@@ -28,6 +29,7 @@
 		wireBytes:      scope.Counter(metrics.PeerWireBytesSent),
 		wireWrites:     scope.Counter(metrics.PeerWireWrites),
 		backlogsFull:   scope.Counter(metrics.PeerBacklogs),
+		framesMissing:  scope.Counter(metrics.PeerFramesMissing),
 	}
 }
 
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -16,6 +16,10 @@
 	// reads too slowly.
 	ErrBacklogFull = Error.New("backlog full")
 
+	// ErrFrameMissing is why a session ends in which a frame did not arrive.
+	ErrFrameMissing = Error.New("a frame of the session is missing")
+
+	errFrameTooLarge  = Error.New("frame is too large")
 	errDuplicate      = Error.New("duplicate connection: another session to the host is kept")
 	errSelfConnection = Error.New("connection to this host itself")
 	errNameConflict   = Error.New("another process uses this host's name")
--- a/peer/fault_test.go
+++ b/peer/fault_test.go
@@ -119,6 +119,7 @@
 		{"length above the limit", []byte{0xff, 0xff, 0xff, 0xff, 0x7f}},
 		{"unterminated length", bytes.Repeat([]byte{0xff}, 20)},
 		{"not protobuf", []byte{4, 0xff, 0xff, 0xff, 0xff}},
+		{"frame 3 after frame 1", []byte{3, 0x98, 0x01, 1, 3, 0x98, 0x01, 3}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			a := startHost(t, hostOptions{host: "a", key: 1})
--- a/peer/link.go
+++ b/peer/link.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	// handlersDone is closed when the handlers have finished with the latest session.
 	handlersDone <-chan struct{}
 	pending      *outbox
+	// lastNumber is the number of the last frame for the host.
+	lastNumber uint64
 	// waiters counts the calls that wait for a session.
 	waiters int
 	dials   dialState
@@ -175,20 +178,33 @@
 // push queues a frame on the open session. If there is none and mayDial is set, it
 // queues the frame until a session opens. While earlier frames are queued, it never
 // refuses a frame for another reason than a full queue, which drops all of them: a session
-// must not begin with frames from before and after a refused one.
+// must not begin with frames from before and after a refused one. A refused frame takes a
+// number too, so that the other host would notice. A frame that is too large does not: it is
+// the sender's fault, and ending the session would not help.
 func (l *link) push(f *peerpb.Frame, clock *timeline.Clock, mayDial bool) (opened *session, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	number := l.lastNumber + 1
+	opened, err = l.pushNumbered(f, clock, mayDial, number)
+	if !errors.Is(err, errFrameTooLarge) {
+		l.lastNumber = number
+	}
+	return opened, err
+}
+
+// pushNumbered is push with l.mu held, for a frame with a number.
+func (l *link) pushNumbered(f *peerpb.Frame, clock *timeline.Clock, mayDial bool, number uint64) (opened *session, err error) {
 	if s := l.openSessionLocked(); s != nil {
-		return s, s.outbox.push(f, clock)
+		return s, s.outbox.push(f, clock, number)
 	}
 	if l.pending.empty() && (!mayDial || l.dials.backingOff(time.Now())) {
 		return nil, ErrNoSession
 	}
-	if err := l.pending.push(f, clock); err != nil {
+	err = l.pending.push(f, clock, number)
+	if errors.Is(err, ErrBacklogFull) {
 		return nil, ErrNoSession
 	}
-	return nil, nil
+	return nil, err
 }
 
 // hasDemand reports whether frames or calls wait for a session.
--- a/peer/link_order_test.go
+++ b/peer/link_order_test.go
@@ -45,13 +45,14 @@
 	return s
 }
 
-// checkNoGap checks that the frames queued on a session have consecutive numbers, and
-// returns how many there are.
+// checkNoGap checks that no frame is missing between those queued on a session, and returns
+// how many there are. The receiver's check must come to the same result.
 func (l *linkTest) checkNoGap(s *session) int {
 	l.t.Helper()
 	encoded, _ := s.outbox.take()
 	reader := bufio.NewReader(bytes.NewReader(encoded))
 	previous, count := -1, 0
+	receiver := &session{}
 	for {
 		f, err := readFrame(reader)
 		if errors.Is(err, io.EOF) {
@@ -69,6 +70,9 @@
 		}
 		previous = number
 		count++
+		if !receiver.continues(f.GetNumber()) {
+			l.t.Fatalf("the receiver misses a frame before frame %d", number)
+		}
 	}
 }
 
@@ -136,3 +140,30 @@
 		}
 	}
 }
+
+// A sender that leaves out a refused frame must be noticed.
+func TestReceiverNoticesMissingFrame(t *testing.T) {
+	l := newLinkTest(t)
+	before := l.openSession(1)
+	_ = l.send(true)
+	queued, _ := before.outbox.take()
+	before.close(errStopped)
+	if l.send(false) == nil {
+		t.Fatal("no frame was refused")
+	}
+	after := l.openSession(2)
+	_ = l.send(true)
+	after.outbox.prepend(bytes.Clone(queued))
+	encoded, _ := after.outbox.take()
+	reader := bufio.NewReader(bytes.NewReader(encoded))
+	receiver := &session{}
+	for _, want := range []bool{true, false} {
+		f, err := readFrame(reader)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := receiver.continues(f.GetNumber()); got != want {
+			t.Errorf("frame %d continues the session: %v, want %v", f.GetNumber(), got, want)
+		}
+	}
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -212,9 +212,12 @@
 	m.options.Logger.Info().Str("host", string(s.host)).Msg("Session opened.")
 }
 
+// SessionEndedMessage is the log message of the end of a session.
+const SessionEndedMessage = "Session ended; the dialler reopens it if it is still needed."
+
 func (m *Mesh) recordSessionDown(s *session) {
 	m.counters.sessions.Update(float64(m.openSessions.Add(-1)))
 	m.options.Logger.Info().Str("host", string(s.host)).
-		Dur("age", time.Since(s.opened)).Err(s.cause).Msg("Session ended; the dialler reopens it if it is still needed.")
+		Dur("age", time.Since(s.opened)).Err(s.cause).Msg(SessionEndedMessage)
 	m.wakeDialler()
 }
--- a/peer/outbox.go
+++ b/peer/outbox.go
@@ -25,16 +25,16 @@
 	return &outbox{limit: limit, ready: make(chan struct{}, 1)}
 }
 
-// push queues f with the current clock reading. It returns ErrBacklogFull if the queue
-// is full. After that it accepts no frame, because a gap would break the order.
-func (o *outbox) push(f *peerpb.Frame, clock *timeline.Clock) error {
+// push queues f with its number and the current clock reading. It returns ErrBacklogFull
+// if the queue is full. After that it accepts no frame, because a gap would break the order.
+func (o *outbox) push(f *peerpb.Frame, clock *timeline.Clock, number uint64) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.overflowed || len(o.buffer) >= o.limit {
 		o.overflowed = true
 		return ErrBacklogFull
 	}
-	buffer, err := appendFrame(o.buffer, f, clock.Now())
+	buffer, err := appendFrame(o.buffer, f, clock.Now(), number)
 	if err != nil {
 		return err
 	}
--- a/peer/session.go
+++ b/peer/session.go
@@ -27,6 +27,9 @@
 	// framesLost says that frames queued before the session opened were dropped.
 	framesLost bool
 
+	// lastNumber is the number of the last frame received, or zero.
+	lastNumber uint64
+
 	// previousDone is closed when the handlers have finished with the preceding
 	// session.
 	previousDone <-chan struct{}
@@ -124,6 +127,10 @@
 		s.lastRead.Store(time.Now().UnixNano())
 		s.mesh.options.Clock.Observe(timeline.Timestamp{Wall: f.GetClockWall(), Logical: f.GetClockLogical()})
 		s.mesh.counters.framesReceived.Inc(1)
+		if !s.continues(f.GetNumber()) {
+			s.mesh.counters.framesMissing.Inc(1)
+			return ErrFrameMissing
+		}
 		if f.GetBody() == nil {
 			continue
 		}
@@ -131,6 +138,14 @@
 	}
 }
 
+// continues records the number of a received frame. It returns false if the one before it
+// did not arrive.
+func (s *session) continues(number uint64) bool {
+	previous := s.lastNumber
+	s.lastNumber = number
+	return previous == 0 || number == 0 || number == previous+1
+}
+
 // write sends queued frames, all that are available at a time.
 func (s *session) write() {
 	for {
