Split two large files by their job

entry/dispatch.go: what follows from a failed exchange is in dispatch_failure.go. quota/limiter.go: merging the reports of other hosts is in limiter_reports.go.

--- /dev/null
+++ b/quota/limiter_reports.go
@@ -0,0 +1,92 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+// MergeHost applies a report from another host: what it admitted since its start, by
+// team.
+func (l *Limiter) MergeHost(now time.Time, host ident.Host, incarnation uint64, usages map[ident.Team]Usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance(now)
+	from := source{host: host}
+	l.recordReport(now, from)
+	if l.recordIncarnation(host, incarnation) {
+		for _, a := range l.accounts {
+			a.resetHost(from)
+		}
+	}
+	l.cache(now, usages)
+	for team, usage := range usages {
+		if a := l.accounts[team]; a != nil {
+			a.mergeHost(from, usage)
+		}
+	}
+}
+
+// MergeDataCentre applies a report about all hosts of another data centre: what they
+// admitted since the start of the reporting host, by team. Several of its hosts send
+// such totals, each with a count of its own. Those of one host are counted until it
+// falls silent, then those of another.
+func (l *Limiter) MergeDataCentre(now time.Time, dc ident.DataCentre, host ident.Host, incarnation uint64, usages map[ident.Team]Usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance(now)
+	if l.recordIncarnation(host, incarnation) {
+		for _, a := range l.accounts {
+			a.resetReporter(host)
+		}
+	}
+	l.cache(now, usages)
+	counted := l.selectReporter(now, dc, host)
+	if counted {
+		l.recordReport(now, source{dataCentre: dc})
+	}
+	for team, usage := range usages {
+		if a := l.accounts[team]; a != nil {
+			a.mergeDataCentre(dc, host, usage.Total, counted)
+		}
+	}
+}
+
+// selectReporter reports whether this host's totals for its data centre are counted.
+// It switches to this host if the previous reporter has fallen silent.
+func (l *Limiter) selectReporter(now time.Time, dc ident.DataCentre, host ident.Host) bool {
+	if last := l.reporters[dc]; last.host != host && now.Sub(last.lastReportAt) < staleAfter {
+		return false
+	}
+	l.reporters[dc] = reporter{host: host, lastReportAt: now}
+	return true
+}
+
+func (l *Limiter) recordReport(now time.Time, from source) {
+	state := l.sources[from]
+	if state == nil {
+		return
+	}
+	if now.Sub(state.lastReportAt) > longSilence {
+		state.limitedUntil = now.Add(l.limits.Window)
+	}
+	state.lastReportAt = now
+}
+
+// recordIncarnation stores the host's incarnation and reports whether the host has
+// restarted since its last report.
+func (l *Limiter) recordIncarnation(host ident.Host, incarnation uint64) bool {
+	previous, known := l.incarnations[host]
+	l.incarnations[host] = incarnation
+	return known && previous != incarnation
+}
+
+// cache stores what hosts that have run for a whole window report as used in it, for
+// accounts that are opened later.
+func (l *Limiter) cache(now time.Time, usages map[ident.Team]Usage) {
+	for team, usage := range usages {
+		if usage.WarmedUp {
+			l.cached[team] = cachedUsage{Usage: usage, at: now}
+		}
+	}
+}
