--- a/claim/manager_test.go
+++ b/claim/manager_test.go
@@ -202,8 +202,7 @@
 	}
 }
 
-// TestClaimIsNotInsertedAgainAtItsTimeout guards against a row that is written for a
-// request that was refused.
+// A row must not be written for a request that is being refused.
 func TestClaimIsNotInsertedAgainAtItsTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := newFakeTable()
