Wait for the end of a grant in three tests that raced with it

Cause: the entry reports a grant's end after the response has been sent, because it reports the total time; the test looked as soon as the caller had the response. That order is allowed: the slot is given back a moment after the last byte.

The checks of the end are the same, and one end is still all that is accepted.

--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -211,6 +211,21 @@
 	return r
 }
 
+// awaitEnd waits until the first grant has ended, which may be after the caller has the
+// whole response, and returns its only end.
+func (f *fixture) awaitEnd() admission.End {
+	f.t.Helper()
+	var ends []admission.End
+	eventually(f.t, "the grant is returned", func() bool {
+		_, ends = f.admitter.grant(0).returned()
+		return len(ends) > 0
+	})
+	if len(ends) != 1 {
+		f.t.Fatalf("ends are %+v, want one", ends)
+	}
+	return ends[0]
+}
+
 func eventually(t *testing.T, description string, condition func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -89,9 +89,8 @@
 	if got := response.Trailer.Get(headerOutcome); got != string(outcome.Completed) {
 		t.Errorf("outcome trailer is %q", got)
 	}
-	_, ends := f.admitter.grant(0).returned()
-	if len(ends) != 1 || ends[0].Outcome != outcome.Completed || ends[0].Tokens != 5 {
-		t.Errorf("ends are %+v", ends)
+	if end := f.awaitEnd(); end.Outcome != outcome.Completed || end.Tokens != 5 {
+		t.Errorf("end is %+v", end)
 	}
 	for _, kind := range []timeline.Kind{timeline.Accepted, timeline.Dispatched, timeline.FirstToken, timeline.Finished} {
 		if n := f.events.count(kind); n != 1 {
@@ -116,9 +115,8 @@
 	if response.StatusCode != http.StatusOK || response.Header.Get(headerOutcome) != string(outcome.Completed) {
 		t.Fatalf("status %d, outcome %q, body %s", response.StatusCode, response.Header.Get(headerOutcome), body)
 	}
-	_, ends := f.admitter.grant(0).returned()
-	if len(ends) != 1 || ends[0].Tokens != 4 || ends[0].PromptTokens != 9 {
-		t.Errorf("ends are %+v", ends)
+	if end := f.awaitEnd(); end.Tokens != 4 || end.PromptTokens != 9 {
+		t.Errorf("end is %+v", end)
 	}
 }
 
@@ -224,9 +222,8 @@
 	t.Cleanup(engine.Close)
 	f := newFixture(t, nil, engineTarget(engine))
 	do(t, f.request("POST", "/v1/chat/completions", chatBody))
-	_, ends := f.admitter.grant(0).returned()
-	if len(ends) != 1 || ends[0].Prefill != 0 || ends[0].Tokens != 4 || ends[0].Total == 0 {
-		t.Errorf("ends are %+v", ends)
+	if end := f.awaitEnd(); end.Prefill != 0 || end.Tokens != 4 || end.Total == 0 {
+		t.Errorf("end is %+v", end)
 	}
 	if reports := f.admitter.grant(0).reported(); len(reports) != 0 {
 		t.Errorf("unexpected reports %+v", reports)
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -56,13 +56,9 @@
 
 func (f *fixture) checkEnd(reason outcome.Reason) {
 	f.t.Helper()
-	eventually(f.t, "the grant is returned", func() bool {
-		_, ends := f.admitter.grant(0).returned()
-		return len(ends) == 1
-	})
-	_, ends := f.admitter.grant(0).returned()
-	if ends[0].Outcome != outcome.Interrupted || ends[0].Reason != reason || ends[0].Tokens != 1 {
-		f.t.Errorf("end is %+v", ends[0])
+	end := f.awaitEnd()
+	if end.Outcome != outcome.Interrupted || end.Reason != reason || end.Tokens != 1 {
+		f.t.Errorf("end is %+v", end)
 	}
 }
 
