--- a/pool/owner_test.go
+++ b/pool/owner_test.go
@@ -28,8 +28,7 @@
 	}, key{dataCentre: testCentre, pool: testPool}, false)
 }
 
-// Guards against an owner that rebuilds its state after a pause with the settings
-// that it was started with instead of the latest ones.
+// A rebuilt owner must not fall back to the settings that it was started with.
 func TestRebuiltOwnerKeepsTheNewestSettings(t *testing.T) {
 	now := time.Now()
 	o := newTestOwner(now)
