Log why a failed exchange is not followed by another

The log told that an exchange ended and that the request did, but not whether the retry budget, the attempt limit or the route kept it from being retried, so a run that was given up without a replacement looked like any broken one. The step retry-denied and the counter retries_denied give the reason. No decision changes: the conditions of mayRetry stand in the same order, now with a name each.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -81,6 +81,7 @@
 	EventAttemptEnded      = "attempt-ended"
 	EventRetried           = "request-repeated"
 	EventResumed           = "stream-resumed"
+	EventRetryDenied       = "retry-denied"
 	EventEnded             = "request-ended"
 	EventLinesDropped      = "lines-dropped"
 	EventStarted           = "host-started"
--- a/eventlog/request_logger.go
+++ b/eventlog/request_logger.go
@@ -116,6 +116,9 @@
 		entry.Str(FieldEvent, EventRetried).Msg("Request is retried on another target.")
 	case relay.StepResumed:
 		entry.Str(FieldEvent, EventResumed).Msg("Stream is resumed on another target.")
+	case relay.StepRetryDenied:
+		entry.Str(FieldEvent, EventRetryDenied).Str(FieldTarget, string(step.Target)).
+			Str(FieldReason, string(step.RetryDenial)).Msg("Request is not retried.")
 	}
 }
 
--- a/gateway/request_metrics.go
+++ b/gateway/request_metrics.go
@@ -44,10 +44,20 @@
 		m.record(scope, metrics.GatewayFirstEventTime, s.TimeToFirstEvent)
 	}
 	for i := range s.Steps {
-		if s.Steps[i].Kind == relay.StepAttemptEnded {
-			tags := map[string]string{metrics.TagResult: s.Steps[i].Result.String()}
-			m.scope.Tagged(tags).Counter(metrics.GatewayExchanges).Inc(1)
-		}
+		m.countStep(&s.Steps[i])
+	}
+}
+
+// countStep counts the end of an exchange and why a failed request was not retried.
+func (m *requestMetrics) countStep(step *relay.Step) {
+	switch step.Kind {
+	case relay.StepAttemptEnded:
+		tags := map[string]string{metrics.TagResult: step.Result.String()}
+		m.scope.Tagged(tags).Counter(metrics.GatewayExchanges).Inc(1)
+	case relay.StepRetryDenied:
+		tags := map[string]string{metrics.TagReason: string(step.RetryDenial)}
+		m.scope.Tagged(tags).Counter(metrics.GatewayRetriesDenied).Inc(1)
+	default:
 	}
 }
 
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -13,6 +13,8 @@
 	GatewayTotalTime      = "gateway_total_seconds"
 	// GatewayExchanges counts exchanges with targets by result.
 	GatewayExchanges = "gateway_exchanges"
+	// GatewayRetriesDenied counts the failed requests that were not retried, by reason.
+	GatewayRetriesDenied = "gateway_retries_denied"
 	// GatewayInFlight is the number of requests without a final answer.
 	GatewayInFlight = "gateway_in_flight"
 	// GatewayQueued, GatewayRunning, GatewayTargets, GatewayTargetsUsable and
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -133,33 +133,41 @@
 // handleFailure decides whether a failed request is retried on another target.
 func (x *execution) handleFailure(to route.Target, err error) (retry bool, refusal *outcome.Refusal) {
 	x.excludeTarget(to.Name)
-	if errors.Is(err, errRetryableResponse) || x.mayRetry(err) {
+	denial := x.retryDenial(err)
+	if denial == retryAllowed {
 		x.recordStep(Step{Kind: x.retryStepKind()})
 		return true, nil
 	}
+	x.recordStep(Step{Kind: StepRetryDenied, Target: to.Name, RetryDenial: denial})
 	if x.mayHaveRun {
 		return false, unknownOutcome(outcome.TargetFailed, "the target failed after the request had been sent")
 	}
 	return false, outcome.Refuse(outcome.NoTarget, "all targets that were tried rejected the request or were unreachable", rejectedRetryAfter)
 }
 
-// mayRetry applies the route's attempt limit and the retry budget. A request that
-// may have run is retried only if the route allows that.
-func (x *execution) mayRetry(err error) bool {
-	if errors.Is(err, errSinkFailed) {
-		return false
-	}
-	if x.mayHaveRun && !x.retryable() {
-		return false
-	}
-	if x.dispatches >= x.route.MaxAttempts || x.triedEnoughUnreachable() {
-		return false
-	}
+// retryDenial applies the route's attempt limit and the retry budget, which it charges
+// if the request is retried. A request that may have run is retried only if the route
+// allows that.
+func (x *execution) retryDenial(err error) RetryDenial {
 	var dispatchErr *DispatchError
-	if errors.As(err, &dispatchErr) && !dispatchErr.Sent {
-		return true
+	switch {
+	case errors.Is(err, errRetryableResponse):
+		return retryAllowed
+	case errors.Is(err, errSinkFailed):
+		return DeniedCallerGone
+	case x.mayHaveRun && !x.retryable():
+		return DeniedMayHaveRun
+	case x.dispatches >= x.route.MaxAttempts:
+		return DeniedAttempts
+	case x.triedEnoughUnreachable():
+		return DeniedUnreachable
+	case errors.As(err, &dispatchErr) && !dispatchErr.Sent:
+		return retryAllowed
+	case !x.relay.options.RetryBudget.AllowRetry(time.Now(), x.pool):
+		return DeniedBudget
+	default:
+		return retryAllowed
 	}
-	return x.relay.options.RetryBudget.AllowRetry(time.Now(), x.pool)
 }
 
 // triedEnoughUnreachable reports whether the request is not to be sent to another target
--- a/relay/step.go
+++ b/relay/step.go
@@ -29,6 +29,8 @@
 	StepRetried
 	// StepResumed: the remainder of a stream is to be requested from another target.
 	StepResumed
+	// StepRetryDenied: the exchange failed and the request is not retried.
+	StepRetryDenied
 )
 
 // Step is one decision about a request with the data it was based on. Fields that do
@@ -44,6 +46,8 @@
 	Quota      quota.Decision
 	Reason     outcome.Reason
 	RetryAfter time.Duration
+	// RetryDenial is why a request is not retried.
+	RetryDenial RetryDenial
 }
 
 // maxSteps bounds the steps that are recorded per request. Later ones are dropped.
