--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -111,6 +111,7 @@
 	quotas   *quota.Limiter
 	observer *recordingObserver
 	team     *route.Team
+	pools    map[ident.Pool]*route.Pool
 }
 
 // fixtureTargets is the number of targets of a fixture.
@@ -133,12 +134,7 @@
 		Scheduler: scheduler, OnStateChange: func() {}, OnHealthEvents: func([]schedule.HealthEvent) {},
 		OnCrashes: func([]quarantine.Crash) {}, OnQuarantineEvents: func([]schedule.QuarantineEvent) {},
 	})
-	targets := &route.TargetSnapshot{Targets: map[ident.Target]route.Target{}}
-	for i := range fixtureTargets {
-		name := ident.Target(fmt.Sprintf("t%d", i+1))
-		targets.Targets[name] = route.Target{Name: name, Pool: "p", Slots: 4}
-	}
-	d.Configure(time.Now(), table.Pools, targets)
+	d.Configure(time.Now(), table.Pools, targetSnapshot(fixtureTargets))
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = d.Run(ctx) }()
@@ -147,6 +143,7 @@
 		quotas:   quota.NewLimiter(time.Now().Add(-time.Hour), quota.Limits{Window: 8 * time.Second}),
 		observer: &recordingObserver{},
 		team:     team,
+		pools:    table.Pools,
 	}
 	f.relay = New(Options{
 		Table:        func() *route.Table { return table },
@@ -159,6 +156,21 @@
 	return f
 }
 
+// targetSnapshot returns a snapshot of n targets.
+func targetSnapshot(n int) *route.TargetSnapshot {
+	targets := &route.TargetSnapshot{Targets: map[ident.Target]route.Target{}}
+	for i := range n {
+		name := ident.Target(fmt.Sprintf("t%d", i+1))
+		targets.Targets[name] = route.Target{Name: name, Pool: "p", Slots: 4}
+	}
+	return targets
+}
+
+// keepTargets removes all targets but the first n.
+func (f *fixture) keepTargets(n int) {
+	f.relay.options.Dispatcher.Configure(time.Now(), f.pools, targetSnapshot(n))
+}
+
 func (f *fixture) call(ctx context.Context, change func(*Call)) (Result, *recordingSink) {
 	c := &Call{
 		ID: "try-1", HostName: "api.example", Path: "/x", RequestURI: "/x", Method: "POST",
