Resume streams that break later than two seconds after their arrival

What callers saw: a stream cut although other targets were free. Cause: the scheduler was told that the caller leaves two seconds after the arrival of its call, also when it had received events since. A resumption after that was past its latest start and was refused at once. So no stream older than two seconds was ever resumed, whatever broke it, the watchdog included.

The time at which a caller leaves now counts from its last event, and the remainder of a stream is of use until then. Class: a time measured from the wrong event. The other uses of the arrival time (objective of the first event, deadline) are meant from the arrival.

--- a/relay/execution.go
+++ b/relay/execution.go
@@ -148,14 +148,13 @@
 
 // request returns the scheduler's view of the call.
 func (x *execution) request() schedule.Request {
-	now := time.Now()
 	r := schedule.Request{
 		ID:              x.id,
 		Pool:            x.pool,
 		Digest:          x.digest,
 		Rank:            schedule.Rank{Route: x.route.Priority},
-		Arrived:         now,
-		Objective:       x.call.ArrivalTime.Add(x.route.LatencyObjective),
+		Arrived:         time.Now(),
+		Objective:       x.objective(),
 		Deadline:        x.deadline,
 		AbandonTime:     x.abandonTime(),
 		PromptTokens:    x.call.PromptTokens,
@@ -171,27 +170,44 @@
 	return r
 }
 
+// objective returns when the response, or its first event, must have arrived to be on
+// time. The remainder of a stream is of use until its caller leaves.
+func (x *execution) objective() time.Time {
+	if x.delivery.headWritten {
+		return x.abandonTime()
+	}
+	return x.call.ArrivalTime.Add(x.route.LatencyObjective)
+}
+
 const (
-	// A caller is expected to abandon a stream without an event after the longest of
-	// a fixed time and these multiples of the route's objectives.
+	// A caller is expected to abandon a stream after a gap without an event of the longest
+	// of a fixed time and these multiples of the route's objectives.
 	minAbandonTimeout     = 2 * time.Second
 	abandonLatencyFactor  = 4
 	abandonEventGapFactor = 8
 )
 
 // abandonTime returns when the caller is expected to disconnect if it has received
-// nothing by then.
+// nothing more by then.
 func (x *execution) abandonTime() time.Time {
 	if x.route.Kind != route.Stream {
 		return x.deadline
 	}
 	timeout := max(minAbandonTimeout, abandonLatencyFactor*x.route.LatencyObjective, abandonEventGapFactor*x.route.EventGapObjective)
-	if at := x.call.ArrivalTime.Add(timeout); at.Before(x.deadline) {
+	if at := x.lastProgress().Add(timeout); at.Before(x.deadline) {
 		return at
 	}
 	return x.deadline
 }
 
+// lastProgress returns when the caller last received events, or when its call arrived.
+func (x *execution) lastProgress() time.Time {
+	if x.delivery.lastEventTime.IsZero() {
+		return x.call.ArrivalTime
+	}
+	return x.delivery.lastEventTime
+}
+
 // expectedOutput returns the caller's estimate of the output tokens, capped by the
 // caller's limit. Without an estimate it returns the limit.
 func (x *execution) expectedOutput() int {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -45,6 +45,7 @@
 	lastEventID    uint64
 	hasEventIDs    bool
 	firstEventTime time.Time
+	lastEventTime  time.Time
 }
 
 func (x *execution) teamName() ident.Team {
@@ -173,8 +174,9 @@
 
 func (x *execution) forwardBatch(response *Response, batch []byte, count int) error {
 	x.watchdog.reset()
+	x.delivery.lastEventTime = time.Now()
 	if x.delivery.firstEventTime.IsZero() {
-		x.delivery.firstEventTime = time.Now()
+		x.delivery.firstEventTime = x.delivery.lastEventTime
 	}
 	x.relay.options.Dispatcher.recordFirstEvent(x.id)
 	x.relay.options.Dispatcher.recordProgress(x.id, count)
