Give up a stalled run only once a second one is certain to replace it

What callers saw: a stream cut in the middle, or a 502, although the target that ran the request would have gone on a moment later. Cause: the watchdog aborted an exchange 0.3 s to 1.2 s after its last progress if the route allowed a retry; whether the retry budget, a slot and a target allowed it was asked only afterwards, when the run was gone. Class: a run is given up before its replacement is certain.

A stalled run now goes on while a second one is prepared beside it: a slot, the retry budget and the attempt limit first, then the dispatch. Whichever responds first goes on and the other one is cancelled. If a second run can't be started, is rejected or fails, nothing happens to the first. Two runs of one stream overlap for 0.3 s at most: after that the first is given up if it has been silent for 1.3 s, else the second. A second run that is in flight when the first one breaks takes its place.

One fixture shared an error between concurrent dispatches; it makes one for each now.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -82,6 +82,8 @@
 	EventRetried           = "request-repeated"
 	EventResumed           = "stream-resumed"
 	EventRetryDenied       = "retry-denied"
+	EventHedged            = "request-hedged"
+	EventHedgeDenied       = "hedge-denied"
 	EventEnded             = "request-ended"
 	EventLinesDropped      = "lines-dropped"
 	EventStarted           = "host-started"
--- a/eventlog/request_logger.go
+++ b/eventlog/request_logger.go
@@ -119,6 +119,12 @@
 	case relay.StepRetryDenied:
 		entry.Str(FieldEvent, EventRetryDenied).Str(FieldTarget, string(step.Target)).
 			Str(FieldReason, string(step.RetryDenial)).Msg("Request is not retried.")
+	case relay.StepHedged:
+		addSchedulerInputs(entry, step).Str(FieldEvent, EventHedged).Str(FieldTarget, string(step.Target)).
+			Msg("Request is also sent to a second target because the first has stalled.")
+	case relay.StepHedgeDenied:
+		entry.Str(FieldEvent, EventHedgeDenied).Str(FieldReason, string(step.RetryDenial)).
+			Msg("Target has stalled, and the request can't be sent to a second one.")
 	}
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -12,24 +12,47 @@
 )
 
 // attempt sends the request to one target and forwards the response to the caller.
-// It returns retry=true if the request is to be sent to another target.
-func (x *execution) attempt(ctx context.Context, to route.Target) (retry bool, refusal *outcome.Refusal) {
-	x.target = to.Name
-	start := time.Now()
-	err := x.exchangeWithWatchdog(ctx, to)
+// It returns retry=true if the request goes on with another run.
+func (x *execution) attempt(ctx context.Context, r *run) (retry bool, refusal *outcome.Refusal) {
+	defer r.cancel(nil)
+	x.target = r.target.Name
+	x.hedge = x.supervise(ctx, r)
+	err := x.exchange(r)
 	x.result = exchangeResult(ctx, err)
-	x.recordStep(Step{Kind: StepAttemptEnded, Target: to.Name, Result: x.result, Duration: time.Since(start), Cause: errorText(err)})
-	if x.result == schedule.Broken {
-		x.checkForCrash(ctx, to)
+	successor := x.hedge.end(x.result == schedule.Broken || x.result == schedule.Failed && errors.Is(err, errRetryableResponse))
+	x.recordStep(Step{Kind: StepAttemptEnded, Target: r.target.Name, Result: x.result, Duration: time.Since(r.started), Cause: errorText(err)})
+	if successor != nil {
+		x.excludeTarget(r.target.Name)
+		x.successor = successor
+		x.recordStep(Step{Kind: x.retryStepKind()})
+		go x.endFailed(r, err)
+		return true, nil
 	}
-	x.relay.options.Dispatcher.finish(x.id, x.result)
+	x.endRun(ctx, r)
 	if err == nil || errors.Is(err, errErrorResponse) {
 		return false, nil
 	}
 	if ctx.Err() != nil {
 		return false, x.cancelledRefusal(ctx)
 	}
-	return x.handleFailure(to, err)
+	return x.handleFailure(r.target, err)
+}
+
+// endRun frees the slot of the current run.
+func (x *execution) endRun(ctx context.Context, r *run) {
+	if x.result == schedule.Broken {
+		x.checkForCrash(ctx, r.target)
+	}
+	x.relay.options.Dispatcher.finish(r.slot, x.result)
+}
+
+// endFailed frees the slot of a run that failed while the request goes on elsewhere.
+func (x *execution) endFailed(r *run, err error) {
+	result := exchangeResult(context.Background(), err)
+	if result == schedule.Broken {
+		x.checkForCrash(context.Background(), r.target)
+	}
+	x.relay.options.Dispatcher.finish(r.slot, result)
 }
 
 // checkForCrash finds out whether the target broke off the exchange because its process
@@ -63,44 +86,47 @@
 	}
 }
 
-// exchangeWithWatchdog runs an exchange and aborts it when the target stalls.
-func (x *execution) exchangeWithWatchdog(ctx context.Context, to route.Target) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	x.watchdog = x.startWatchdog(cancel)
-	defer x.watchdog.stop()
-	err := x.exchange(ctx, to)
-	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+// exchange sends the request to the target, unless that was done already, and forwards the
+// response.
+func (x *execution) exchange(r *run) error {
+	if !r.counted {
+		x.recordFirstDispatch()
+		x.send(r, x.dispatch(r))
+	}
+	result := <-r.head
+	err := result.err
+	if err == nil {
+		err = x.receive(r, result.response)
+	} else {
+		x.mu.Lock()
+		x.recordDispatchError(r, err)
+		x.mu.Unlock()
+	}
+	if err != nil && errors.Is(context.Cause(r.ctx), errStalled) {
 		return brokenError(errStalled)
 	}
 	return err
 }
 
-// exchange sends the request to the target and forwards the response.
-func (x *execution) exchange(ctx context.Context, to route.Target) error {
-	latch := new(target.SendLatch)
-	x.recordFirstDispatch()
-	response, err := x.relay.options.TargetClient.Send(ctx, Dispatch{
-		Call:        x.call,
-		Target:      to,
-		Team:        x.teamName(),
-		Timeout:     time.Until(x.deadline),
-		ResumeAfter: x.resumeAfter(),
-		Resumes:     x.resumes(),
-		Latch:       latch,
-	})
-	if err != nil {
-		x.recordDispatchError(err)
-		return err
-	}
-	x.mayHaveRun = true
-	x.dispatches++
-	x.watchdog.reset()
+// receive records a response whose head has arrived and forwards it.
+func (x *execution) receive(r *run, response *Response) error {
 	defer func() { _ = response.Body.Close() }()
 	if response.Load >= 0 {
-		x.relay.options.Dispatcher.reportLoad(x.id, response.Load)
+		x.relay.options.Dispatcher.reportLoad(r.slot, response.Load)
+	}
+	if err := x.recordHead(r); err != nil {
+		return err
 	}
-	return x.forward(response)
+	return x.forward(r, response)
+}
+
+// recordHead records that the head of the run's response has arrived.
+func (x *execution) recordHead(r *run) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.mayHaveRun = true
+	x.countDispatch(r)
+	return x.hedge.recordProgress()
 }
 
 // recordFirstDispatch credits the retry budget at the first dispatch of a request.
@@ -111,25 +137,42 @@
 	}
 }
 
+// countDispatch counts a run as a dispatch that reached a target, once. x.mu must be held.
+func (x *execution) countDispatch(r *run) {
+	if !r.counted {
+		r.counted = true
+		x.dispatches++
+	}
+}
+
 // recordDispatchError records whether the request was sent and whether it may have
-// run, given the error of its dispatch.
-func (x *execution) recordDispatchError(err error) {
+// run, given the error of its dispatch. x.mu must be held.
+func (x *execution) recordDispatchError(r *run, err error) {
 	var dispatchErr *DispatchError
 	if !errors.As(err, &dispatchErr) {
 		x.mayHaveRun = true
-		x.dispatches++
+		x.countDispatch(r)
 		return
 	}
 	if dispatchErr.Sent {
-		x.dispatches++
+		x.countDispatch(r)
 	} else {
-		x.unreachableTargets++
+		x.countUnreachable(r)
 	}
 	if !dispatchErr.NotRun {
 		x.mayHaveRun = true
 	}
 }
 
+// countUnreachable counts a run as one that reached no target. x.mu must be held.
+func (x *execution) countUnreachable(r *run) {
+	if r.counted {
+		x.dispatches--
+	}
+	r.counted = true
+	x.unreachableTargets++
+}
+
 // handleFailure decides whether a failed request is retried on another target.
 func (x *execution) handleFailure(to route.Target, err error) (retry bool, refusal *outcome.Refusal) {
 	x.excludeTarget(to.Name)
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
@@ -40,6 +42,9 @@
 	charged         bool
 	excludedTargets []ident.Target
 
+	// mu guards dispatches, unreachableTargets, mayHaveRun, delivery and the hedge while an
+	// exchange is in progress.
+	mu sync.Mutex
 	// dispatches counts the dispatches that reached a target, unreachableTargets
 	// those that did not.
 	dispatches         int
@@ -51,9 +56,12 @@
 	result     schedule.Result
 
 	delivery delivery
-	steps    []Step
-	// watchdog supervises the current exchange.
-	watchdog watchdog
+	// hedge supervises the current run; successor is the run that replaced the last one.
+	hedge     *hedge
+	successor *run
+
+	stepsMu sync.Mutex
+	steps   []Step
 }
 
 // run serves the request. It returns nil if a target's response was forwarded in
@@ -128,24 +136,39 @@
 // serve dispatches the request, with retries, until it has a final response.
 func (x *execution) serve(ctx context.Context) *outcome.Refusal {
 	for {
-		action, err := x.relay.options.Dispatcher.acquire(ctx, x.request())
-		if err != nil {
-			return x.cancelledRefusal(ctx)
+		r, refusal := x.nextRun(ctx)
+		if refusal != nil {
+			return refusal
 		}
-		switch a := action.(type) {
-		case *schedule.Refuse:
-			return x.schedulerRefusal(a)
-		case *schedule.Dispatch:
-			x.queueTime += a.QueueTime
-			x.recordStep(Step{Kind: StepPlaced, Target: a.Target.Name, Inputs: a.Inputs})
-			retry, refusal := x.attempt(ctx, a.Target)
-			if !retry {
-				return refusal
-			}
+		x.recordStep(Step{Kind: StepPlaced, Target: r.target.Name, Inputs: r.inputs})
+		retry, refusal := x.attempt(ctx, r)
+		if !retry {
+			return refusal
 		}
 	}
 }
 
+// nextRun returns the run that replaced the last one, or waits for a slot for a new one.
+func (x *execution) nextRun(ctx context.Context) (*run, *outcome.Refusal) {
+	if r := x.successor; r != nil {
+		x.successor = nil
+		return r, nil
+	}
+	action, err := x.relay.options.Dispatcher.acquire(ctx, x.request())
+	if err != nil {
+		return nil, x.cancelledRefusal(ctx)
+	}
+	switch a := action.(type) {
+	case *schedule.Refuse:
+		return nil, x.schedulerRefusal(a)
+	case *schedule.Dispatch:
+		x.queueTime += a.QueueTime
+		return newRun(ctx, a), nil
+	default:
+		panic(fmt.Sprintf("unknown action %T", action))
+	}
+}
+
 // request returns the scheduler's view of the call.
 func (x *execution) request() schedule.Request {
 	r := schedule.Request{
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -67,8 +67,9 @@
 
 func failWith(f DispatchError) targetBehavior {
 	return func(context.Context, Dispatch) (*Response, error) {
-		f.Err = errors.New("scripted")
-		return nil, &f
+		failure := f
+		failure.Err = errors.New("scripted")
+		return nil, &failure
 	}
 }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -65,11 +65,11 @@
 	return x.call.ResumeAfter
 }
 
-// forward writes the response to the caller. It returns nil only if the response was
-// complete and its status no server error.
-func (x *execution) forward(response *Response) error {
+// forward writes the response of a run to the caller. It returns nil only if the response
+// was complete and its status no server error.
+func (x *execution) forward(r *run, response *Response) error {
 	if response.Stream {
-		return x.forwardStream(response)
+		return x.forwardStream(r, response)
 	}
 	if x.delivery.headWritten {
 		return &DispatchError{Result: resultForStatus(response.Status), Sent: true, Err: errors.New("a resumed stream is answered with no stream")}
@@ -126,9 +126,9 @@
 
 // forwardStream writes complete events to the caller. Events that arrived together
 // are written together.
-func (x *execution) forwardStream(response *Response) error {
+func (x *execution) forwardStream(r *run, response *Response) error {
 	events := target.NewEventReader(response.Body, maxEventBytes)
-	var batch []byte
+	var batch eventBatch
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -137,21 +137,17 @@
 		if err != nil {
 			return brokenError(err)
 		}
-		batch = append(batch, event.Raw...)
-		count := 1
-		x.recordEventID(event)
-		for len(batch) < maxBatchBytes && events.Buffered() {
+		batch.add(event)
+		for len(batch.raw) < maxBatchBytes && events.Buffered() {
 			if event, err = events.Next(); err != nil {
 				return brokenError(err)
 			}
-			batch = append(batch, event.Raw...)
-			x.recordEventID(event)
-			count++
+			batch.add(event)
 		}
-		if err := x.forwardBatch(response, batch, count); err != nil {
+		if err := x.forwardBatch(r, response, &batch); err != nil {
 			return err
 		}
-		batch = batch[:0]
+		batch.reset()
 	}
 }
 
@@ -165,39 +161,65 @@
 	return errorForStatus(response.Status)
 }
 
-func (x *execution) recordEventID(event target.Event) {
-	x.delivery.hasEventIDs = event.HasID
-	if event.HasID {
-		x.delivery.lastEventID = event.ID
-	}
-}
-
-func (x *execution) forwardBatch(response *Response, batch []byte, count int) error {
-	x.watchdog.reset()
-	x.delivery.lastEventTime = time.Now()
-	if x.delivery.firstEventTime.IsZero() {
-		x.delivery.firstEventTime = x.delivery.lastEventTime
+func (x *execution) forwardBatch(r *run, response *Response, batch *eventBatch) error {
+	begun := x.delivery.headWritten
+	if err := x.recordBatch(batch); err != nil {
+		return err
 	}
-	x.relay.options.Dispatcher.recordFirstEvent(x.id)
-	x.relay.options.Dispatcher.recordProgress(x.id, count)
-	x.delivery.events += count
-	if !x.delivery.headWritten {
+	x.relay.options.Dispatcher.recordFirstEvent(r.slot)
+	x.relay.options.Dispatcher.recordProgress(r.slot, batch.count)
+	if !begun {
 		if err := x.writeHead(response, -1); err != nil {
 			return err
 		}
 	}
-	return x.writeBody(batch)
+	return x.writeBody(batch.raw)
 }
 
+// recordBatch records events that are about to be written. It returns errStalled if the
+// remainder of the stream comes from another run.
+func (x *execution) recordBatch(batch *eventBatch) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if err := x.hedge.recordProgress(); err != nil {
+		return err
+	}
+	d := &x.delivery
+	d.hasEventIDs = batch.hasIDs
+	if batch.hasIDs {
+		d.lastEventID = batch.lastID
+	}
+	d.events += batch.count
+	d.lastEventTime = time.Now()
+	if d.firstEventTime.IsZero() {
+		d.firstEventTime = d.lastEventTime
+	}
+	return nil
+}
+
+// writeHead writes the head of the response. It returns errStalled if another run has
+// replaced this one.
 func (x *execution) writeHead(response *Response, length int64) error {
-	x.delivery.headWritten = true
-	x.delivery.status = response.Status
+	if err := x.recordHeadWritten(response.Status); err != nil {
+		return err
+	}
 	if err := x.sink.WriteHead(response.Status, response.Header, length); err != nil {
 		return errSinkFailed
 	}
 	return nil
 }
 
+func (x *execution) recordHeadWritten(status int) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if err := x.hedge.recordProgress(); err != nil {
+		return err
+	}
+	x.delivery.headWritten = true
+	x.delivery.status = status
+	return nil
+}
+
 func (x *execution) writeBody(p []byte) error {
 	x.delivery.bytes += int64(len(p))
 	if err := x.sink.Write(p); err != nil {
--- /dev/null
+++ b/relay/hedge.go
@@ -0,0 +1,311 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/route"
+	"github.com/cornelyard/cornelyard/schedule"
+)
+
+const (
+	// firstEventFactor is the multiple of the route's latency objective after which a run
+	// whose target has not begun to respond counts as stalled.
+	firstEventFactor = 2
+	// eventGapFactor is the corresponding multiple of the event gap objective, for the
+	// gaps between the events of a stream.
+	eventGapFactor = 4
+	// minStallTimeout is the shortest stall timeout. Without it, a very short objective
+	// could double the load by hedging runs that are merely slow.
+	minStallTimeout = 300 * time.Millisecond
+	// maxOverlap is how long two targets may work on one stream.
+	maxOverlap = 300 * time.Millisecond
+	// minSilence is how long a run must have been silent to be given up for a second one
+	// that has been sent, but has not responded yet. Shorter pauses are common.
+	minSilence = 1300 * time.Millisecond
+)
+
+// errStalled is the cancellation cause of a run that was replaced because its target had
+// stalled.
+var errStalled = errors.New("the target does not go on")
+
+// hedge supervises a run of a request that may run again. When its target stalls, the
+// hedge starts a second run on another target, if the attempts, the retry budget and a
+// slot allow that. Whichever responds first goes on and the other one is cancelled, so a
+// stalled run is not given up before its replacement is certain.
+//
+// The mutex of the execution guards the fields below first.
+type hedge struct {
+	x *execution
+	// ctx is the context of the request.
+	ctx          context.Context
+	first        *run
+	eventTimeout time.Duration
+
+	timer *time.Timer
+	// lastProgress is when the target of the first run last responded. stalledSince is its
+	// value when a slot for a second run was asked for.
+	lastProgress time.Time
+	stalledSince time.Time
+	// ended is set, and done closed, once the first run has ended.
+	ended bool
+	done  chan struct{}
+	// second is the second run while both are in flight.
+	second *run
+	// cancelAcquire ends the wait for a slot of a second run.
+	cancelAcquire context.CancelFunc
+	// successor is the second run once it has replaced the first.
+	successor *run
+	// failedTargets holds the targets on which second runs have failed.
+	failedTargets []ident.Target
+}
+
+// supervise starts the supervision of a run.
+func (x *execution) supervise(ctx context.Context, r *run) *hedge {
+	h := &hedge{x: x, ctx: ctx, first: r, lastProgress: time.Now(), done: make(chan struct{})}
+	if !x.mayHedge(r) {
+		return h
+	}
+	h.eventTimeout = stallTimeout(eventGapFactor, x.eventGapObjective())
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	h.timer = time.AfterFunc(stallTimeout(firstEventFactor, x.route.LatencyObjective), h.startSecond)
+	return h
+}
+
+// mayHedge reports whether the route allows a second run beside r. x.mu must be held
+// while an exchange is in progress.
+func (x *execution) mayHedge(r *run) bool {
+	used := x.dispatches
+	if !r.counted {
+		used++
+	}
+	return x.retryable() && used < x.route.MaxAttempts
+}
+
+func (x *execution) eventGapObjective() time.Duration {
+	if x.route.Kind != route.Stream {
+		return x.route.LatencyObjective
+	}
+	return x.route.EventGapObjective
+}
+
+func stallTimeout(factor int, objective time.Duration) time.Duration {
+	return max(time.Duration(factor)*objective, minStallTimeout)
+}
+
+// recordProgress records that the target of the first run responded, which makes a second
+// run superfluous. It returns errStalled if a second run has replaced the first. x.mu must
+// be held.
+func (h *hedge) recordProgress() error {
+	if h.successor != nil {
+		return errStalled
+	}
+	h.lastProgress = time.Now()
+	h.cancelSecond()
+	if h.timer != nil {
+		h.timer.Reset(h.eventTimeout)
+	}
+	return nil
+}
+
+// end ends the supervision. It returns the run that replaces the first one, or nil. If the
+// first run failed, a second one that has been sent replaces it.
+func (h *hedge) end(failed bool) *run {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	h.ended = true
+	close(h.done)
+	if h.timer != nil {
+		h.timer.Stop()
+	}
+	if failed && h.second != nil {
+		h.successor = h.second
+		h.second = nil
+	}
+	h.cancelSecond()
+	if !failed && h.successor != nil {
+		go h.x.discard(h.successor)
+		return nil
+	}
+	return h.successor
+}
+
+// cancelSecond cancels a second run that has not replaced the first. x.mu must be held.
+func (h *hedge) cancelSecond() {
+	if h.cancelAcquire != nil {
+		h.cancelAcquire()
+	}
+	if h.second != nil {
+		h.x.mayHaveRun = true
+		h.second.cancel(nil)
+		h.second = nil
+	}
+}
+
+// startSecond tries to replace the stalled run by a second one. It runs on a goroutine of
+// the timer.
+func (h *hedge) startSecond() {
+	second := h.acquireSecond()
+	if second == nil {
+		h.rearm()
+		return
+	}
+	d, ok := h.prepareSecond(second)
+	if !ok {
+		h.x.relay.options.Dispatcher.finish(second.slot, schedule.Abandoned)
+		h.rearm()
+		return
+	}
+	go h.x.send(second, d)
+	h.awaitSecond(second)
+	h.rearm()
+}
+
+// rearm starts the stall timeout again, unless the supervision has ended.
+func (h *hedge) rearm() {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	if !h.ended && h.successor == nil {
+		h.timer.Reset(h.eventTimeout)
+	}
+}
+
+// acquireSecond acquires a slot for a second run. It returns nil if none is allowed, if
+// there is no slot, or if the first run goes on.
+func (h *hedge) acquireSecond() *run {
+	ctx, cancel := context.WithCancel(h.ctx)
+	defer cancel()
+	request, ok := h.secondRequest(cancel)
+	if !ok {
+		return nil
+	}
+	action, err := h.x.relay.options.Dispatcher.acquire(ctx, request)
+	if err != nil {
+		return nil
+	}
+	switch a := action.(type) {
+	case *schedule.Dispatch:
+		return newRun(h.ctx, a)
+	case *schedule.Refuse:
+		h.x.recordStep(Step{Kind: StepHedgeDenied, RetryDenial: DeniedNoSlot, Inputs: a.Inputs})
+	}
+	return nil
+}
+
+// secondRequest returns the scheduler's view of a second run, and false if none may start.
+// Cancel ends the wait for its slot.
+func (h *hedge) secondRequest(cancel context.CancelFunc) (schedule.Request, bool) {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	if h.ended || h.successor != nil || !h.x.mayHedge(h.first) {
+		return schedule.Request{}, false
+	}
+	h.cancelAcquire = cancel
+	h.stalledSince = h.lastProgress
+	r := h.x.request()
+	r.ID = h.x.relay.newID()
+	// A target on probation would be no certain replacement.
+	r.Retryable = false
+	r.ExcludedTargets = append(append([]ident.Target{h.first.target.Name}, h.failedTargets...), h.x.excludedTargets...)
+	return r, true
+}
+
+// prepareSecond makes a run the second one. It returns false if the first run went on
+// meanwhile, or if the retry budget is exhausted.
+func (h *hedge) prepareSecond(second *run) (Dispatch, bool) {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	h.cancelAcquire = nil
+	if h.ended || h.lastProgress != h.stalledSince {
+		return Dispatch{}, false
+	}
+	if !h.x.relay.options.RetryBudget.AllowRetry(time.Now(), h.x.pool) {
+		h.x.recordStep(Step{Kind: StepHedgeDenied, RetryDenial: DeniedBudget})
+		return Dispatch{}, false
+	}
+	h.x.recordStep(Step{Kind: StepHedged, Target: second.target.Name, Inputs: second.inputs})
+	h.second = second
+	h.x.countDispatch(second)
+	return h.x.dispatch(second), true
+}
+
+// awaitSecond waits until the second run responds, fails, or is cancelled because the
+// first one goes on. Of two runs of a stream, one is given up after maxOverlap.
+func (h *hedge) awaitSecond(second *run) {
+	var overlap <-chan time.Time
+	if h.x.route.Kind == route.Stream {
+		timer := time.NewTimer(maxOverlap)
+		defer timer.Stop()
+		overlap = timer.C
+	}
+	select {
+	case result := <-second.head:
+		second.head <- result
+		h.settle(second, result)
+	case <-overlap:
+		h.endOverlap(second)
+	case <-h.done:
+		h.leave(second)
+	}
+}
+
+// leave discards the second run after the end of the first, unless it is the successor.
+func (h *hedge) leave(second *run) {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	if h.successor != second {
+		go h.x.discard(second)
+	}
+}
+
+// settle decides between the runs after the second one has responded or failed.
+func (h *hedge) settle(second *run, result headResult) {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	switch {
+	case h.successor == second:
+		// The execution goes on with it.
+	case h.second != second:
+		go h.x.discard(second)
+	case result.err != nil:
+		h.second = nil
+		h.recordFailure(second, result.err)
+	default:
+		h.replaceFirst()
+	}
+}
+
+// recordFailure records that the second run failed. x.mu must be held.
+func (h *hedge) recordFailure(second *run, err error) {
+	h.failedTargets = append(h.failedTargets, second.target.Name)
+	h.x.recordDispatchError(second, err)
+	go h.x.endFailed(second, err)
+}
+
+// endOverlap gives up one of two runs of a stream that are both silent.
+func (h *hedge) endOverlap(second *run) {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	switch {
+	case h.successor == second:
+		// The execution goes on with it.
+	case h.second != second:
+		go h.x.discard(second)
+	case time.Since(h.lastProgress) >= minSilence:
+		h.replaceFirst()
+	default:
+		h.cancelSecond()
+		go h.x.discard(second)
+	}
+}
+
+// replaceFirst makes the second run the successor of the first and cancels the first.
+// x.mu must be held.
+func (h *hedge) replaceFirst() {
+	h.successor = h.second
+	h.second = nil
+	h.first.cancel(errStalled)
+}
--- a/relay/retry_denial.go
+++ b/relay/retry_denial.go
@@ -16,4 +16,6 @@
 	DeniedUnreachable RetryDenial = "unreachable-targets"
 	// DeniedBudget: the retry budget is exhausted.
 	DeniedBudget RetryDenial = "retry-budget"
+	// DeniedNoSlot: no other target has a free slot in time.
+	DeniedNoSlot RetryDenial = "no-slot"
 )
--- /dev/null
+++ b/relay/run.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/route"
+	"github.com/cornelyard/cornelyard/schedule"
+	"github.com/cornelyard/cornelyard/target"
+)
+
+// run is one dispatch of a request to a target, from the assignment of a slot to the end
+// of the exchange.
+type run struct {
+	// slot identifies the slot to the scheduler.
+	slot    ident.Request
+	target  route.Target
+	inputs  schedule.Inputs
+	started time.Time
+	// ctx is cancelled by cancel, or when the request's context is done.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// head receives the result of sending the request.
+	head chan headResult
+	// counted is set once the run counts as a dispatch of the request, or as an
+	// unreachable target.
+	counted bool
+}
+
+// headResult is a target's response whose head has arrived, or a *DispatchError.
+type headResult struct {
+	response *Response
+	err      error
+}
+
+// newRun returns a run with the slot that the scheduler assigned.
+func newRun(ctx context.Context, a *schedule.Dispatch) *run {
+	r := &run{slot: a.Request, target: a.Target, inputs: a.Inputs, started: time.Now(), head: make(chan headResult, 1)}
+	r.ctx, r.cancel = context.WithCancelCause(ctx)
+	return r
+}
+
+// dispatch returns what is sent to the run's target.
+func (x *execution) dispatch(r *run) Dispatch {
+	return Dispatch{
+		Call:        x.call,
+		Target:      r.target,
+		Team:        x.teamName(),
+		Timeout:     time.Until(x.deadline),
+		ResumeAfter: x.resumeAfter(),
+		Resumes:     x.resumes(),
+		Latch:       new(target.SendLatch),
+	}
+}
+
+// send sends the request and delivers the result to r.head.
+func (x *execution) send(r *run, d Dispatch) {
+	response, err := x.relay.options.TargetClient.Send(r.ctx, d)
+	r.head <- headResult{response, err}
+}
+
+// discard cancels a run whose result is not needed, and frees its slot.
+func (x *execution) discard(r *run) {
+	r.cancel(nil)
+	if result := <-r.head; result.response != nil {
+		_ = result.response.Body.Close()
+	}
+	x.relay.options.Dispatcher.finish(r.slot, schedule.Abandoned)
+}
--- a/relay/step.go
+++ b/relay/step.go
@@ -31,6 +31,12 @@
 	StepResumed
 	// StepRetryDenied: the exchange failed and the request is not retried.
 	StepRetryDenied
+	// StepHedged: the target of the current exchange has stalled, and a second exchange
+	// was begun beside it.
+	StepHedged
+	// StepHedgeDenied: the target of the current exchange has stalled, and no second
+	// exchange can be begun.
+	StepHedgeDenied
 )
 
 // Step is one decision about a request with the data it was based on. Fields that do
@@ -55,6 +61,8 @@
 
 func (x *execution) recordStep(s Step) {
 	s.At = time.Now()
+	x.stepsMu.Lock()
+	defer x.stepsMu.Unlock()
 	if len(x.steps) < maxSteps {
 		x.steps = append(x.steps, s)
 	}
