Keep the connection of a target that pauses reading

What callers saw: a request that may run only once got 502 while its target paused for 2 s, long before its deadline. Cause: TCP_USER_TIMEOUT was 1.2 s; it breaks a connection whose sent bytes are unacknowledged that long, and also one whose target keeps its window closed. Class: silence taken for the end of a run. Stalled runs that may be repeated are replaced by a second one meanwhile, so nothing needs a broken connection to be retried.

The timeout is now 30 s, after all deadlines. A target that is gone without a sign was found by the broken connection; a run without a response at its deadline now has its target probed, so such a crash is still recognized (TestCrashThatShowsOnlyAsSilenceUntilTheDeadlineCounts).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,8 +28,9 @@
 	targetDialTimeout = 300 * time.Millisecond
 	// targetIdleTimeout is how long an idle connection to a target is kept.
 	targetIdleTimeout = 4 * time.Second
-	// unresponsiveTargetTimeout is how long sent bytes may stay unacknowledged by a target.
-	unresponsiveTargetTimeout = 1200 * time.Millisecond
+	// unresponsiveTargetTimeout is how long sent bytes may stay unacknowledged by a target,
+	// or unsent because it reads nothing. It outlasts the pauses of a target that goes on.
+	unresponsiveTargetTimeout = 30 * time.Second
 	// heapFraction is the fraction of the process's memory that the Go heap may use. The
 	// remainder is for program text, stacks and socket buffers.
 	heapFraction = 0.6
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -40,12 +40,23 @@
 
 // endRun frees the slot of the current run.
 func (x *execution) endRun(ctx context.Context, r *run) {
+	if !r.responded && errors.Is(context.Cause(ctx), errDeadlineExceeded) {
+		go x.endUnanswered(r, x.result)
+		return
+	}
 	if x.result == schedule.Broken {
 		x.checkForCrash(ctx, r.target)
 	}
 	x.relay.options.Dispatcher.finish(r.slot, x.result)
 }
 
+// endUnanswered frees the slot of a run that had no response by its deadline. Its target
+// may have ended without a sign on the connection.
+func (x *execution) endUnanswered(r *run, result schedule.Result) {
+	x.checkForCrash(context.Background(), r.target)
+	x.relay.options.Dispatcher.finish(r.slot, result)
+}
+
 // endFailed frees the slot of a run that failed while the request goes on elsewhere.
 func (x *execution) endFailed(r *run, err error) {
 	result := exchangeResult(context.Background(), err)
@@ -125,6 +136,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.mayHaveRun = true
+	r.responded = true
 	x.countDispatch(r)
 	return x.hedge.recordProgress()
 }
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/route"
@@ -64,3 +65,14 @@
 		t.Errorf("the request was sent to %d targets, want 2", n)
 	}
 }
+
+func TestCrashThatShowsOnlyAsSilenceUntilTheDeadlineCounts(t *testing.T) {
+	f := newFixture(t, route.Route{Kind: route.NonIdempotent, Timeout: 50 * time.Millisecond}, hang)
+	f.client.probe = target.ProbeFailed
+	f.call(context.Background(), nil)
+	f.awaitIdle(t)
+	f.keepTargets(0)
+	if n := len(f.relay.options.Dispatcher.Crashes(time.Now())); n != 1 {
+		t.Errorf("%d crashes are known after the target's entry is gone, want 1", n)
+	}
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -26,6 +26,8 @@
 	// counted is set once the run counts as a dispatch of the request, or as an
 	// unreachable target.
 	counted bool
+	// responded is set once the head of the response has arrived.
+	responded bool
 }
 
 // headResult is a target's response whose head has arrived, or a *DispatchError.
