Remove a target only while it holds its name

A target whose entry names another pool is replaced by a new one of the same name while requests still run on the old one. The end of the last of them removed the new one from the index, so the next configuration added it once more: the pool counted its slots twice.

Evidence: TestTargetThatChangesItsPoolIsCountedOnce failed before (2 targets with 2 slots, want 1) and passes now.

--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -129,7 +129,11 @@
 	t.isEngine = s.pools[announced.Pool].engine != nil
 }
 
+// removeTarget removes a target, unless another one has taken its name.
 func (s *Scheduler) removeTarget(t *target) {
+	if s.targets[t.Name] != t {
+		return
+	}
 	delete(s.targets, t.Name)
 	p := s.pools[t.Pool]
 	for i := range p.targets {
