Soak: targets that pause, and the promise that accepted requests are answered

The soak had no target that falls silent and goes on, and no check of what a caller gets when nothing is at fault: a cut stream was a prefix of the right one, a 502 no wrong answer.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -149,3 +150,16 @@
 	r.sendToTarget(t, "c", maxLateArrivals+1)
 	checkViolations(t, r.checkCrashingRequests(), 1)
 }
+
+func TestCallsCutWithoutAFaultAreDetected(t *testing.T) {
+	cut := newCall("a", platformtest.PathStream, http.StatusOK, streamEvent("a", 0))
+	cut.reply.Err = io.ErrUnexpectedEOF
+	failed := newCall("b", platformtest.PathRead, http.StatusBadGateway, "")
+	refused := newCall("c", platformtest.PathRead, http.StatusServiceUnavailable, "")
+	r := newTestRunner(t, cut, failed, refused)
+	r.sendToTarget(t, "a", 1)
+	r.sendToTarget(t, "b", 1)
+	checkViolations(t, r.checkAnswered(), 2)
+	r.system.targets[0].faultSpans.list = []span{{from: baseTime, to: baseTime.Add(time.Second)}}
+	checkViolations(t, r.checkAnswered(), 0)
+}
--- a/internal/soak/crashing_request.go
+++ b/internal/soak/crashing_request.go
@@ -74,8 +74,12 @@
 	history.mu.Lock()
 	history.crashes = append(history.crashes, time.Now())
 	history.mu.Unlock()
+	end := t.faultSpans.start()
 	s.injectError(t.link.SetFaults(faultproxy.Faults{Refuse: true}))
-	time.AfterFunc(crashedTime, func() { s.injectError(t.link.SetFaults(faultproxy.Faults{})) })
+	time.AfterFunc(crashedTime, func() {
+		s.injectError(t.link.SetFaults(faultproxy.Faults{}))
+		end()
+	})
 	return true
 }
 
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -29,6 +29,7 @@
 	targetRejecting           faultKind = "target-full"
 	targetLeaving             faultKind = "target-leaves"
 	targetPartitionedFromHost faultKind = "target-cut-off-from-a-host"
+	targetPauses              faultKind = "target-pauses"
 	configurationChanged      faultKind = "configuration-changed"
 	storeReturned             faultKind = "store-returns-from-copy"
 	requestCrashes            faultKind = "request-crashes-targets"
@@ -61,12 +62,16 @@
 		targetLinkFault(targetResponsesDropped, faultproxy.Faults{CutToClient: true}),
 		targetLinkFault(targetSlow, faultproxy.Faults{DelayMs: 300}),
 		targetLinkFault(targetRefuses, faultproxy.Faults{Refuse: true}),
+		{targetPauses, pauseTarget},
 		{targetResets, func(_ context.Context, s *system, random *rand.Rand) error {
-			pick(random, s.targets).link.Reset()
+			t := pick(random, s.targets)
+			defer t.faultSpans.start()()
+			t.link.Reset()
 			return nil
 		}},
 		{targetRejecting, func(ctx context.Context, s *system, random *rand.Rand) error {
 			t := pick(random, s.targets)
+			defer t.faultSpans.start()()
 			t.fake.SetRejecting(true)
 			defer t.fake.SetRejecting(false)
 			holdFault(ctx, random)
@@ -76,6 +81,7 @@
 		{requestCrashes, sendCrashingRequest},
 		{targetPartitionedFromHost, func(ctx context.Context, s *system, random *rand.Rand) error {
 			t, h := pick(random, s.targets), pick(random, s.hosts)
+			defer t.faultSpans.start()()
 			t.link.SetSourceFaults(h.Name, faultproxy.Faults{Cut: true})
 			defer t.link.SetSourceFaults(h.Name, faultproxy.Faults{})
 			holdFault(ctx, random)
@@ -90,6 +96,7 @@
 func targetLinkFault(kind faultKind, f faultproxy.Faults) fault {
 	return fault{kind, func(ctx context.Context, s *system, random *rand.Rand) error {
 		t := pick(random, s.targets)
+		defer t.faultSpans.start()()
 		if err := t.link.SetFaults(f); err != nil {
 			return Error.Wrap(err)
 		}
--- a/internal/soak/promise.go
+++ b/internal/soak/promise.go
@@ -6,6 +6,7 @@
 const (
 	CorrectResponse          verdict.Promise = "own-whole-answer"
 	NonIdempotentAtMostOnce  verdict.Promise = "non-idempotent-at-most-once"
+	AcceptedRequestAnswered  verdict.Promise = "accepted-request-is-answered"
 	RefusedNotExecuted       verdict.Promise = "refused-did-not-run"
 	ResponseByDeadline       verdict.Promise = "final-answer-in-time"
 	QuotaEnforced            verdict.Promise = "quota-in-every-window"
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -28,8 +28,12 @@
 	dataCentre ident.DataCentre
 	fake       *platformtest.Target
 	link       *faultproxy.Link
+	// faultSpans are the periods in which the target was at fault, other than by a pause.
+	faultSpans spans
 
 	mu sync.Mutex
+	// pausedUntil is the end of the current or the last pause of all runs.
+	pausedUntil time.Time
 	// leavingSince is when the target announced that it is leaving, or zero.
 	leavingSince time.Time
 	// leavingPeriods are the past periods in which it was leaving, as pairs of start
@@ -62,14 +66,14 @@
 func (t *target) serve(w http.ResponseWriter, r *http.Request) {
 	id := platformtest.RequestID(r)
 	if t.service != platformtest.ModelService {
-		if delayResponse(r) {
+		if t.delayResponse(r) {
 			_, _ = io.WriteString(w, serviceBody(id, r.URL.Path))
 		}
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := range eventsPerStream {
-		if !delayResponse(r) {
+		if !t.delayResponse(r) {
 			return
 		}
 		_, _ = io.WriteString(w, streamEvent(id, i))
@@ -77,10 +81,10 @@
 	}
 }
 
-// delayResponse waits for a random delay. It returns false if the caller disconnects
-// first.
-func delayResponse(r *http.Request) bool {
-	return periodic.Sleep(r.Context(), time.Duration(rand.Int64N(int64(maxResponseDelay))))
+// delayResponse waits for a random delay and for the end of a pause. It returns false if
+// the caller disconnects first.
+func (t *target) delayResponse(r *http.Request) bool {
+	return periodic.Sleep(r.Context(), time.Duration(rand.Int64N(int64(maxResponseDelay)))) && t.awaitPause(r.Context())
 }
 
 // serviceBody is the complete response of a plain service.
