--- a/internal/soak/call.go
+++ b/internal/soak/call.go
@@ -22,12 +22,22 @@
 
 // expectedBody returns the complete response body.
 func (c *call) expectedBody() string {
-	if c.request.Path == platformtest.PathStream {
+	if c.service() == platformtest.ModelService {
 		return streamBody(c.request.ID)
 	}
 	return serviceBody(c.request.ID, c.request.Path)
 }
 
+// service returns the service that serves the call.
+func (c *call) service() string {
+	switch c.request.Path {
+	case platformtest.PathStream, platformtest.PathResumable:
+		return platformtest.ModelService
+	default:
+		return platformtest.Service
+	}
+}
+
 func (c *call) String() string {
 	return fmt.Sprintf("%s %s %s through %s (life %d) from %s to %s: status %d, body %q, error %v",
 		c.request.ID, c.request.Method, c.request.Path, c.host.Name, c.incarnation, c.started.Format("15:04:05.000"),
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -57,7 +57,7 @@
 func (c *callers) make(random *rand.Rand, id string) *call {
 	issued := &call{host: c.pickHost(random)}
 	issued.request = platformtest.Request{ID: id, Method: http.MethodGet, HostName: platformtest.HostName, Deadline: deadline}
-	switch random.IntN(6) {
+	switch random.IntN(7) {
 	case 0:
 		issued.request.Method, issued.request.Path = http.MethodPost, platformtest.PathWrite
 	case 1:
@@ -67,6 +67,8 @@
 	case 4:
 		issued.version = c.system.currentVersion()
 		issued.request.Path = platformtest.VersionPath(issued.version)
+	case 5:
+		issued.request.Method, issued.request.Path, issued.request.Tokens = http.MethodPost, platformtest.PathResumable, promptTokens
 	default:
 		issued.request.Path = platformtest.PathRead
 	}
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -72,7 +72,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range eventsPerStream {
+	for i := platformtest.ResumeAfter(r); i < eventsPerStream; i++ {
 		if !t.delayResponse(r) {
 			return
 		}
