--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -13,6 +13,8 @@
 	FieldPool    = "pool"
 	FieldTeam    = "team"
 	FieldTarget  = "target"
+	// FieldVersion is the version of a target's software.
+	FieldVersion = "version"
 	// FieldDigest identifies the content of a request. All attempts with the same content
 	// have the same digest.
 	FieldDigest = "digest"
--- a/eventlog/request_logger.go
+++ b/eventlog/request_logger.go
@@ -103,7 +103,8 @@
 		entry.Str(FieldEvent, EventQuarantineRefused).Stringer(FieldDigest, s.Digest).
 			Int64(FieldRetryAfterMs, step.RetryAfter.Milliseconds()).Msg("Request refused because requests with its content crashed targets.")
 	case relay.StepPlaced:
-		addSchedulerInputs(entry, step).Str(FieldEvent, EventPlaced).Str(FieldTarget, string(step.Target)).Msg("Request placed.")
+		addSchedulerInputs(entry, step).Str(FieldEvent, EventPlaced).Str(FieldTarget, string(step.Target)).
+			Str(FieldVersion, step.Version).Msg("Request placed.")
 	case relay.StepShed:
 		addSchedulerInputs(entry, step).Str(FieldEvent, EventShed).Str(FieldReason, string(step.Reason)).
 			Int64(FieldWaitMs, step.Inputs.PredictedWait.Milliseconds()).
@@ -121,7 +122,7 @@
 			Str(FieldReason, string(step.RetryDenial)).Msg("Request is not retried.")
 	case relay.StepHedged:
 		addSchedulerInputs(entry, step).Str(FieldEvent, EventHedged).Str(FieldTarget, string(step.Target)).
-			Msg("Request is also sent to a second target because the first has stalled.")
+			Str(FieldVersion, step.Version).Msg("Request is also sent to a second target because the first has stalled.")
 	case relay.StepHedgeDenied:
 		entry.Str(FieldEvent, EventHedgeDenied).Str(FieldReason, string(step.RetryDenial)).
 			Msg("Target has stalled, and the request can't be sent to a second one.")
--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -140,6 +140,7 @@
 	s.logger.Info().Str(eventlog.FieldEvent, eventlog.EventTargetChanged).
 		Str(eventlog.FieldTarget, string(t.Name)).
 		Str(eventlog.FieldPool, string(t.Pool)).
+		Str(eventlog.FieldVersion, t.Version).
 		Str("address", t.Address).Str("state", state).Msg("Target changed.")
 }
 
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -140,7 +140,7 @@
 		if refusal != nil {
 			return refusal
 		}
-		x.recordStep(Step{Kind: StepPlaced, Target: r.target.Name, Inputs: r.inputs})
+		x.recordStep(Step{Kind: StepPlaced, Target: r.target.Name, Version: r.target.Version, Inputs: r.inputs})
 		retry, refusal := x.attempt(ctx, r)
 		if !retry {
 			return refusal
--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -226,7 +226,7 @@
 		h.x.recordStep(Step{Kind: StepHedgeDenied, RetryDenial: DeniedBudget})
 		return Dispatch{}, false
 	}
-	h.x.recordStep(Step{Kind: StepHedged, Target: second.target.Name, Inputs: second.inputs})
+	h.x.recordStep(Step{Kind: StepHedged, Target: second.target.Name, Version: second.target.Version, Inputs: second.inputs})
 	h.second = second
 	h.x.countDispatch(second)
 	return h.x.dispatch(second), true
--- a/relay/step.go
+++ b/relay/step.go
@@ -42,9 +42,11 @@
 // Step is one decision about a request with the data it was based on. Fields that do
 // not apply to the kind are zero.
 type Step struct {
-	At         time.Time
-	Kind       StepKind
-	Target     ident.Target
+	At     time.Time
+	Kind   StepKind
+	Target ident.Target
+	// Version is that of the target's software.
+	Version    string
 	Result     schedule.Result
 	Cause      string
 	Duration   time.Duration
--- a/route/target.go
+++ b/route/target.go
@@ -16,4 +16,7 @@
 	// StartUnixMs is when the process started in Unix milliseconds, or zero
 	// if unknown.
 	StartUnixMs int64
+	// Version is the version of the target's software, not of the weights that it serves.
+	// It is empty if the target states none.
+	Version string
 }
