Resume a stream within its response only at the version that began it

Cause: the scheduler knew no version; any target of the pool could get the remainder. Class: state that belongs to a process is taken to belong to its whole service.

The execution remembers the version of the target that brought the first forwarded event. The scheduler then gives the remainder, and a second run beside a silent one, only to targets of this version, and predicts its wait and its first event from them. If none is left, the stream ends at once (no-version) instead of waiting for its deadline. Before the first event any version may serve.

--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -16,6 +16,8 @@
 	Preempted Reason = "preempted"
 	// NoTarget: the pool has no usable target.
 	NoTarget Reason = "no-target"
+	// NoVersion: no target of the software version that began the stream is left.
+	NoVersion Reason = "no-version"
 	// Quarantined: the request's digest is suspected of crashing targets.
 	Quarantined Reason = "quarantined"
 	// DeadlineExceeded: the deadline passed before the response was complete.
@@ -63,7 +65,7 @@
 		return http.StatusTooManyRequests
 	case Infeasible, DeadlineExceeded:
 		return http.StatusGatewayTimeout
-	case Preempted, NoTarget, Draining, ClaimUnavailable, NotReady:
+	case Preempted, NoTarget, NoVersion, Draining, ClaimUnavailable, NotReady:
 		return http.StatusServiceUnavailable
 	case Quarantined, KeyConflict:
 		return http.StatusUnprocessableEntity
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -56,6 +56,10 @@
 	result     schedule.Result
 
 	delivery delivery
+	// version is the software version of the target that brought the first event, if
+	// versionKnown is set. Only targets of this version may serve the remainder.
+	version      string
+	versionKnown bool
 	// hedge supervises the current run; successor is the run that replaced the last one.
 	hedge     *hedge
 	successor *run
@@ -185,6 +189,8 @@
 		PromptBlocks:    x.call.PromptBlocks,
 		Retryable:       x.retryable() && x.dispatches+1 < x.route.MaxAttempts,
 		ExcludedTargets: x.excludedTargets,
+		RequiresVersion: x.versionKnown,
+		Version:         x.version,
 	}
 	if x.team != nil {
 		r.Team = x.team.Name
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -163,7 +163,7 @@
 
 func (x *execution) forwardBatch(r *run, response *Response, batch *eventBatch) error {
 	begun := x.delivery.headWritten
-	if err := x.recordBatch(batch); err != nil {
+	if err := x.recordBatch(r, batch); err != nil {
 		return err
 	}
 	x.relay.options.Dispatcher.recordFirstEvent(r.slot)
@@ -178,12 +178,15 @@
 
 // recordBatch records events that are about to be written. It returns errStalled if the
 // remainder of the stream comes from another run.
-func (x *execution) recordBatch(batch *eventBatch) error {
+func (x *execution) recordBatch(r *run, batch *eventBatch) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if err := x.hedge.recordProgress(); err != nil {
 		return err
 	}
+	if !x.versionKnown {
+		x.version, x.versionKnown = r.target.Version, true
+	}
 	d := &x.delivery
 	d.hasEventIDs = batch.hasIDs
 	if batch.hasIDs {
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -22,12 +22,12 @@
 		p.yieldingSince = time.Time{}
 	}
 	skipped := 0
-	for i := 0; i < len(p.queue.items) && free > 0 && skipped < maxSkipped; {
+	for i := 0; i < len(p.queue.items) && skipped < maxSkipped; {
 		w := p.queue.items[i]
-		if free <= s.reservedSlots(now, p, w, targets) || s.yieldsToPeers(now, p, w, free) {
+		if !w.request.RequiresVersion && free <= s.reservedSlots(now, p, w, targets) || free > 0 && s.yieldsToPeers(now, p, w, free) {
 			break
 		}
-		t := s.selectTarget(now, p, w, targets)
+		t := s.selectOfVersion(now, p, w, targets)
 		if t == nil {
 			skipped++
 			i++
@@ -35,7 +35,7 @@
 		}
 		p.queue.items = slices.Delete(p.queue.items, i, i+1)
 		actions = append(actions, s.dispatch(now, p, w, t))
-		free--
+		free = max(free-1, 0)
 		if t.health.probation {
 			targets = slices.DeleteFunc(targets, func(other *target) bool { return other == t })
 			free = freeSlots(now, targets)
--- a/schedule/inputs.go
+++ b/schedule/inputs.go
@@ -21,7 +21,7 @@
 }
 
 func (s *Scheduler) inputs(now time.Time, p *pool, w *queuedRequest) Inputs {
-	targets := p.usableTargets(now)
+	targets := p.candidates(now, w.request)
 	in := Inputs{
 		UsableTargets: len(targets),
 		FreeSlots:     freeSlots(now, targets),
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -96,9 +96,11 @@
 // usableTargets returns the targets that may get requests now. If there are none, it
 // falls back to those that responded within fallbackWindow, and to those that only other
 // hosts have ejected.
-func (p *pool) usableTargets(now time.Time) []*target {
-	list := make([]*target, 0, len(p.targets))
-	for _, t := range p.targets {
+func (p *pool) usableTargets(now time.Time) []*target { return usableOf(now, p.targets) }
+
+func usableOf(now time.Time, targets []*target) []*target {
+	list := make([]*target, 0, len(targets))
+	for _, t := range targets {
 		if t.available() && t.usable(now) {
 			list = append(list, t)
 		}
@@ -106,7 +108,7 @@
 	if len(list) > 0 {
 		return list
 	}
-	for _, t := range p.targets {
+	for _, t := range targets {
 		if t.available() && (!t.health.probation || now.Sub(t.lastResponseAt) < fallbackWindow) {
 			list = append(list, t)
 		}
@@ -199,11 +201,13 @@
 }
 
 // idleFirstEventTime predicts the time from dispatch to the first event on the fastest
-// target of the pool while that target is idle.
+// target of the pool that may serve the request while that target is idle.
 func (p *pool) idleFirstEventTime(r *Request) time.Duration {
 	fastest := 0.0
 	for _, t := range p.targets {
-		fastest = max(fastest, p.prefillRateOf(t))
+		if r.mayServe(t) {
+			fastest = max(fastest, p.prefillRateOf(t))
+		}
 	}
 	if fastest == 0 {
 		fastest = p.prefillRate
--- a/schedule/refusal.go
+++ b/schedule/refusal.go
@@ -29,6 +29,8 @@
 	kept := p.queue.items[:0]
 	for _, w := range p.queue.items {
 		switch {
+		case w.request.RequiresVersion && !p.hasCandidate(w.request):
+			actions = append(actions, s.refuse(now, p, w, ""))
 		case !now.Before(w.refuseAt):
 			actions = append(actions, s.refuse(now, p, w, "no slot was free in time"))
 		case !w.late && !now.Before(w.latestStart):
@@ -58,11 +60,11 @@
 // predictWait predicts how long a request waits for the requests ahead of it, while
 // more urgent requests that are yet to arrive also take slots.
 func (s *Scheduler) predictWait(now time.Time, p *pool, w *queuedRequest) time.Duration {
-	targets := p.usableTargets(now)
+	targets := p.candidates(now, w.request)
 	if len(targets) == 0 {
 		return 0
 	}
-	ahead := p.queue.position(w) + s.peersAhead(now, p.name, w)
+	ahead := p.scaleToCandidates(now, w.request, p.queue.position(w)+s.peersAhead(now, p.name, w), targets)
 	ahead -= max(0, freeSlots(now, targets)-s.reservedSlots(now, p, w, targets)-1)
 	if ahead <= 0 {
 		return 0
@@ -96,6 +98,9 @@
 	reason, retry := outcome.Shed, s.predictWait(now, p, w)
 	inputs := s.inputs(now, p, w)
 	inputs.PredictedWait = retry
+	if w.request.RequiresVersion && !p.hasCandidate(w.request) {
+		return s.versionRefusal(w, inputs)
+	}
 	if inputs.UsableTargets == 0 {
 		reason, message, retry = outcome.NoTarget, "no target of the pool is usable", noTargetRetryAfter
 	}
@@ -108,6 +113,17 @@
 	}
 }
 
+// versionRefusal returns the refusal of a request that no target may serve. A retry
+// wouldn't help its caller.
+func (s *Scheduler) versionRefusal(w *queuedRequest, inputs Inputs) *Refuse {
+	return &Refuse{
+		Request: w.request.ID,
+		Reason:  outcome.NoVersion,
+		Message: "no target of the version that began the stream is left",
+		Inputs:  inputs,
+	}
+}
+
 // retryAfter returns the retry delay of a refused request. It spreads retries over the
 // time after the predicted end of the queue, and leaves each caller time for its retry.
 func (s *Scheduler) retryAfter(now time.Time, w *queuedRequest, wait time.Duration) time.Duration {
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -33,6 +33,10 @@
 	// Retryable says that the request may be retried on another target if this one
 	// fails.
 	Retryable bool
+	// RequiresVersion says that only targets of the software version Version may serve
+	// the request.
+	RequiresVersion bool
+	Version         string
 	// ExcludedTargets lists the targets that have already failed this request.
 	ExcludedTargets []ident.Target
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -170,7 +170,7 @@
 		w.refuseAt = w.latestStart
 	}
 	w.late = !now.Before(w.latestStart)
-	if s.wouldExpire(now, p, w) || !p.hasAvailableTarget() {
+	if s.wouldExpire(now, p, w) || !p.hasCandidate(&r) {
 		s.pendingActions = append(s.pendingActions, s.refuse(now, p, w, "the queue is too long for this request"))
 		return
 	}
@@ -178,16 +178,6 @@
 	p.queue.add(w)
 }
 
-// hasAvailableTarget reports whether the pool has a target that is not draining.
-func (p *pool) hasAvailableTarget() bool {
-	for _, t := range p.targets {
-		if t.available() {
-			return true
-		}
-	}
-	return false
-}
-
 // leadTime predicts how long before its objective a request must be dispatched.
 func (p *pool) leadTime(r *Request) time.Duration {
 	if p.engine == nil {
