Keep the timeline when a limited reply holds no event

A host whose timeline reply says that the limit was reached, but holds no event, made the merge panic for the caller of the timeline: completeUntil took the last of no events. A reply of this version has at least one event when it says so; the reply of another version or a broken one need not.

Such a reply now limits nothing: the position on its host stays as it is, so nothing is lost, and no further page is promised, as it would be the same one.

--- a/operator/merge_timelines.go
+++ b/operator/merge_timelines.go
@@ -30,10 +30,11 @@
 }
 
 // completeUntil returns the time up to which the events of all hosts are complete:
-// the earliest end of the replies that were limited.
+// the earliest end of the replies that were limited. A reply without events has no end:
+// the position on its host stays as it is.
 func completeUntil(replies *hostReplies[timelineReply]) (horizon timeline.Timestamp, limited bool) {
 	for _, a := range replies.replies {
-		if !a.reply.LimitReached {
+		if !a.reply.LimitReached || len(a.reply.Events) == 0 {
 			continue
 		}
 		last := a.reply.Events[len(a.reply.Events)-1].Time
