Wait with periodic.Sleep where a wait was written out again

claim's sleep and its sweeper, the usage replicator, the command line's two polling loops, an entry's wait before a retry and standin.Sleep each had their own timer and select over the timer and the context. They use periodic.Sleep, which is the same select; what each of them adds (standin.Sleep's check of a context for a time of zero, claim's checks of the deadline and of a context that ends with the timer) stays. The poller of load reports uses periodic.Run.

--- a/claim/claim_attempt.go
+++ b/claim/claim_attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/storage"
 )
 
@@ -158,12 +159,5 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
 		return false
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
+	return periodic.Sleep(ctx, d) && ctx.Err() == nil
 }
--- a/claim/sweeper.go
+++ b/claim/sweeper.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/storage"
 )
 
@@ -33,15 +34,9 @@
 
 // Run sweeps until ctx ends.
 func (s *Sweeper) Run(ctx context.Context) error {
-	for {
-		timer := time.NewTimer(s.sweepNext(ctx))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return nil
-		case <-timer.C:
-		}
+	for periodic.Sleep(ctx, s.sweepNext(ctx)) {
 	}
+	return nil
 }
 
 // sweepNext sweeps the next page and returns the time until the following one. A page
--- a/cli/rollout.go
+++ b/cli/rollout.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/operator/api"
 	"github.com/cornelyard/cornelyard/operator/client"
 )
@@ -41,10 +42,8 @@
 		if len(last.Behind) == 0 {
 			return last
 		}
-		select {
-		case <-ctx.Done():
+		if !periodic.Sleep(ctx, rolloutPollInterval) {
 			return last
-		case <-time.After(rolloutPollInterval):
 		}
 	}
 }
--- a/cli/timeline.go
+++ b/cli/timeline.go
@@ -7,6 +7,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/operator/api"
 	"github.com/cornelyard/cornelyard/timeline"
 )
@@ -61,10 +62,8 @@
 		if err := reader.readAll(ctx); err != nil || !c.follow {
 			return ignoreInterrupt(ctx, err)
 		}
-		select {
-		case <-ctx.Done():
+		if !periodic.Sleep(ctx, followInterval) {
 			return nil
-		case <-time.After(followInterval):
 		}
 	}
 }
--- a/entry/run_execution.go
+++ b/entry/run_execution.go
@@ -9,6 +9,7 @@
 
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/pool"
 	"github.com/cornelyard/cornelyard/timeline"
@@ -99,14 +100,10 @@
 	if !x.entry.retries.allowRetry() {
 		return x.notRun(outcome.NoTarget, "targets could not be reached, and too many requests try again", noTargetRetryAfter)
 	}
-	timer := time.NewTimer(x.retryBackoff.NextBackOff())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-x.ctx.Done():
+	if !periodic.Sleep(x.ctx, x.retryBackoff.NextBackOff()) {
 		return x.stoppedBeforeRun()
 	}
+	return nil
 }
 
 func (x *execution) excludeTarget(name ident.Target) {
--- a/internal/standin/sleep.go
+++ b/internal/standin/sleep.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cornelyard/cornelyard/internal/periodic"
 )
 
 // Sleep waits for d. If ctx is done first, it returns the context's error.
@@ -10,12 +12,8 @@
 	if d <= 0 {
 		return ctx.Err()
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !periodic.Sleep(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/operator/usage_replicator.go
+++ b/operator/usage_replicator.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"time"
 
+	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/membership"
 )
 
@@ -11,14 +11,10 @@
 // ctx ends. Each host's usage is thus replicated on another host, and the failure
 // of a host loses at most what it counted since the last fetch.
 func (o *Operator) ReplicateUsage(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(o.options.UsageInterval):
-			o.replicateNext(ctx)
-		}
+	for periodic.Sleep(ctx, o.options.UsageInterval) {
+		o.replicateNext(ctx)
 	}
+	return nil
 }
 
 func (o *Operator) replicateNext(ctx context.Context) {
--- a/pool/load_poller.go
+++ b/pool/load_poller.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -17,18 +18,12 @@
 // pollLoads fetches the load reports of all targets that provide them until ctx
 // ends.
 func (o *owner) pollLoads(ctx context.Context) {
-	ticker := time.NewTicker(loadInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	// Run ends with ctx and returns no error.
+	_ = periodic.Run(ctx, loadInterval, func(time.Time) {
 		for _, target := range *o.loadTargets.Load() {
 			o.pollLoad(ctx, target)
 		}
-	}
+	})
 }
 
 func (o *owner) pollLoad(ctx context.Context, target settings.Target) {
