Ask hosts for their readiness in one place

dev and internal/testbed each had the same request for /readyz, to the letter. It is internal/readiness.Check now. Behaviour is unchanged; go test -race of dev, internal/testbed and cmd/... passes.

--- a/dev/instructions.go
+++ b/dev/instructions.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"time"
+
+	"github.com/cornelyard/cornelyard/internal/readiness"
 )
 
 // printInstructions waits until every host is ready and prints how to use the
@@ -40,7 +41,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for _, host := range s.hosts {
-		for !isReady(ctx, host.CallerAddress) {
+		for !readiness.Check(ctx, host.CallerAddress) {
 			select {
 			case <-ctx.Done():
 				return Error.New("host %s is not ready in time", host.Host)
@@ -50,16 +51,3 @@
 	}
 	return nil
 }
-
-func isReady(ctx context.Context, address string) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
-	if err != nil {
-		return false
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
--- a/internal/testbed/host.go
+++ b/internal/testbed/host.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"os"
 	"time"
 
 	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/chatclient"
+	"github.com/cornelyard/cornelyard/internal/readiness"
 )
 
 const pollInterval = 10 * time.Millisecond
@@ -47,18 +47,7 @@
 
 // WaitReady waits until the daemon reports ready.
 func (h *Host) WaitReady(ctx context.Context) error {
-	return waitUntil(ctx, h.Name+" is ready", func() bool {
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.CallerURL()+"/readyz", nil)
-		if err != nil {
-			return false
-		}
-		response, err := http.DefaultClient.Do(request)
-		if err != nil {
-			return false
-		}
-		_ = response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	})
+	return waitUntil(ctx, h.Name+" is ready", func() bool { return readiness.Check(ctx, h.Settings.CallerAddress) })
 }
 
 func (h *Host) writeSettings(path string) error {
