Give the two daemons one set of exit statuses

cmd/cornelyardd and cmd/cornelyard-gateway each declared the same exit statuses and a function that prints an error and exits. Both are in internal/exitstatus now; each command prints the same text as before, cornelyardd with its name. Behaviour is unchanged; go test -race of cmd/... passes.

--- a/cmd/cornelyard-gateway/main.go
+++ b/cmd/cornelyard-gateway/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,29 +12,24 @@
 
 	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/gateway"
+	"github.com/cornelyard/cornelyard/internal/exitstatus"
 	"github.com/cornelyard/cornelyard/platform"
 )
 
-// Exit statuses.
-const (
-	exitFailure  = 1
-	exitSettings = 2
-)
-
 func main() {
 	app := kingpin.New("cornelyard-gateway", "The request scheduler on the users' platform. SIGTERM is a graceful stop.")
 	path := app.Flag("settings", "The host's settings file (JSON).").Envar(platform.SettingsVariable).Required().String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	host, err := config.LoadGateway(*path)
 	if err != nil {
-		fail(exitSettings, err)
+		exitstatus.Fail(exitstatus.Settings, err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	g := gateway.New(gateway.Options{Config: *host})
 	go reloadOnSignal(ctx, g, *path)
 	if err := g.Run(ctx); err != nil {
-		fail(exitFailure, err)
+		exitstatus.Fail(exitstatus.Failure, err)
 	}
 }
 
@@ -52,8 +46,3 @@
 		}
 	}
 }
-
-func fail(status int, err error) {
-	fmt.Fprintln(os.Stderr, err)
-	os.Exit(status)
-}
--- a/cmd/cornelyardd/main.go
+++ b/cmd/cornelyardd/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,12 +11,7 @@
 
 	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/daemon"
-)
-
-// Exit statuses.
-const (
-	exitFailure  = 1
-	exitSettings = 2
+	"github.com/cornelyard/cornelyard/internal/exitstatus"
 )
 
 func main() {
@@ -26,10 +20,10 @@
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	host, err := config.Load(*path)
 	if err != nil {
-		fail(exitSettings, err)
+		exitstatus.Fail(exitstatus.Settings, "cornelyardd:", err)
 	}
 	if err := serve(*host); err != nil {
-		fail(exitFailure, err)
+		exitstatus.Fail(exitstatus.Failure, "cornelyardd:", err)
 	}
 }
 
@@ -42,8 +36,3 @@
 	}
 	return d.Run(ctx)
 }
-
-func fail(status int, err error) {
-	fmt.Fprintln(os.Stderr, "cornelyardd:", err)
-	os.Exit(status)
-}
