--- a/internal/standin/faultproxy/control.go
+++ b/internal/standin/faultproxy/control.go
@@ -18,7 +18,7 @@
 	router.POST("/links", p.postLink)
 	router.POST("/links/:name/faults", p.postFaults)
 	router.POST("/links/:name/reset", p.postReset)
-	router.POST("/sources", p.postSource)
+	router.POST("/sources", standin.Apply(p.RegisterSource))
 	return router
 }
 
@@ -71,12 +71,3 @@
 	}
 	return c.NoContent(http.StatusNoContent)
 }
-
-func (p *Proxy) postSource(c echo.Context) error {
-	var source Source
-	if err := c.Bind(&source); err != nil {
-		return err
-	}
-	p.RegisterSource(source)
-	return c.NoContent(http.StatusNoContent)
-}
