Split six long files of decisions and wiring by their jobs

The limit and the reports of an account, the arrivals and the schedulers of the load model, the checks and the commit of a change, the detector's heartbeats and pauses, and the building of a daemon's components have files of their own; the types heartbeat and heartbeatScope are in files named after them.

Declarations are moved as they were; only a comment for heartbeat is new. go test -race of quota, internal/loadmodel, schedule, settings, membership and daemon passes.

--- /dev/null
+++ b/internal/loadmodel/arrivals.go
@@ -0,0 +1,85 @@
+package loadmodel
+
+import (
+	"math"
+	"strconv"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/schedule"
+)
+
+// generateArrivals submits new requests and the retries that are due.
+func (m *model) generateArrivals() {
+	factor := 1.0
+	for _, b := range m.scenario.Bursts {
+		if m.now >= b.From && m.now < b.To {
+			factor *= b.Factor
+		}
+	}
+	for i := range m.scenario.Classes {
+		c := &m.scenario.Classes[i]
+		for range m.poisson(c.PerSecond * factor * step.Seconds()) {
+			r := &request{
+				class: c, submitted: m.now,
+				prompt: m.drawLength(c.Prompt, c.PromptSpread), output: m.drawLength(c.Output, c.OutputSpread),
+			}
+			r.estimatedOutput = max(1, int(float64(r.output)*math.Exp(estimateSpread*m.random.NormFloat64())))
+			m.submit(r)
+			m.report.Classes[c.Name].Arrived++
+			m.report.Classes[c.Name].MaxValue += c.Value
+		}
+	}
+	remaining := m.pendingRetries[:0]
+	for _, r := range m.pendingRetries {
+		if r.arrived > m.now {
+			remaining = append(remaining, r)
+			continue
+		}
+		m.submit(r)
+	}
+	m.pendingRetries = remaining
+}
+
+// poisson draws a number of arrivals. Its run time grows with the mean, which is far
+// below 1 here.
+func (m *model) poisson(mean float64) int {
+	limit, product, n := math.Exp(-mean), m.random.Float64(), 0
+	for product > limit {
+		product *= m.random.Float64()
+		n++
+	}
+	return n
+}
+
+// drawLength draws a length from a log-normal distribution.
+func (m *model) drawLength(mean int, spread float64) int {
+	return max(1, int(float64(mean)*math.Exp(spread*m.random.NormFloat64()-spread*spread/2)))
+}
+
+// submit submits a request to a random host.
+func (m *model) submit(r *request) {
+	m.requestCount++
+	r.id = ident.Request(strconv.Itoa(m.requestCount))
+	r.arrived = m.now
+	r.host = m.random.IntN(len(m.hosts))
+	r.prefillLeft, r.tokensLeft, r.firstEvent, r.lastEvent = float64(r.prompt), float64(r.output), 0, 0
+	m.active[r.id] = r
+	h := m.hosts[r.host]
+	h.changed = true
+	if m.scenario.Policy == LeastLocalRequests {
+		h.leastLocalEngine(m.engines).accept(r)
+		return
+	}
+	h.scheduler.Enqueue(clock(m.now), schedule.Request{
+		ID:           r.id,
+		Pool:         poolName,
+		Rank:         schedule.Rank{Route: r.class.Priority},
+		Arrived:      clock(m.now),
+		Objective:    clock(r.submitted + r.class.Objective),
+		Deadline:     clock(r.submitted + r.class.Deadline),
+		AbandonTime:  clock(r.abandonTime()),
+		PromptTokens: r.prompt,
+		OutputTokens: r.estimatedOutput,
+		Retryable:    r.class.Retryable,
+	})
+}
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -1,7 +1,6 @@
 package loadmodel
 
 import (
-	"math"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -96,82 +95,6 @@
 	}
 }
 
-// generateArrivals submits new requests and the retries that are due.
-func (m *model) generateArrivals() {
-	factor := 1.0
-	for _, b := range m.scenario.Bursts {
-		if m.now >= b.From && m.now < b.To {
-			factor *= b.Factor
-		}
-	}
-	for i := range m.scenario.Classes {
-		c := &m.scenario.Classes[i]
-		for range m.poisson(c.PerSecond * factor * step.Seconds()) {
-			r := &request{
-				class: c, submitted: m.now,
-				prompt: m.drawLength(c.Prompt, c.PromptSpread), output: m.drawLength(c.Output, c.OutputSpread),
-			}
-			r.estimatedOutput = max(1, int(float64(r.output)*math.Exp(estimateSpread*m.random.NormFloat64())))
-			m.submit(r)
-			m.report.Classes[c.Name].Arrived++
-			m.report.Classes[c.Name].MaxValue += c.Value
-		}
-	}
-	remaining := m.pendingRetries[:0]
-	for _, r := range m.pendingRetries {
-		if r.arrived > m.now {
-			remaining = append(remaining, r)
-			continue
-		}
-		m.submit(r)
-	}
-	m.pendingRetries = remaining
-}
-
-// poisson draws a number of arrivals. Its run time grows with the mean, which is far
-// below 1 here.
-func (m *model) poisson(mean float64) int {
-	limit, product, n := math.Exp(-mean), m.random.Float64(), 0
-	for product > limit {
-		product *= m.random.Float64()
-		n++
-	}
-	return n
-}
-
-// drawLength draws a length from a log-normal distribution.
-func (m *model) drawLength(mean int, spread float64) int {
-	return max(1, int(float64(mean)*math.Exp(spread*m.random.NormFloat64()-spread*spread/2)))
-}
-
-// submit submits a request to a random host.
-func (m *model) submit(r *request) {
-	m.requestCount++
-	r.id = ident.Request(strconv.Itoa(m.requestCount))
-	r.arrived = m.now
-	r.host = m.random.IntN(len(m.hosts))
-	r.prefillLeft, r.tokensLeft, r.firstEvent, r.lastEvent = float64(r.prompt), float64(r.output), 0, 0
-	m.active[r.id] = r
-	h := m.hosts[r.host]
-	h.changed = true
-	if m.scenario.Policy == LeastLocalRequests {
-		h.leastLocalEngine(m.engines).accept(r)
-		return
-	}
-	h.scheduler.Enqueue(clock(m.now), schedule.Request{
-		ID:           r.id,
-		Pool:         poolName,
-		Rank:         schedule.Rank{Route: r.class.Priority},
-		Arrived:      clock(m.now),
-		Objective:    clock(r.submitted + r.class.Objective),
-		Deadline:     clock(r.submitted + r.class.Deadline),
-		AbandonTime:  clock(r.abandonTime()),
-		PromptTokens: r.prompt,
-		OutputTokens: r.estimatedOutput,
-		Retryable:    r.class.Retryable,
-	})
-}
-
 // runEngines advances the engines by one step.
 func (m *model) runEngines() {
 	for _, e := range m.engines {
@@ -224,76 +147,3 @@
 		m.report.Classes[r.class.Name].Abandoned++
 	}
 }
-
-// runSchedulers exchanges state between the hosts and applies their decisions.
-func (m *model) runSchedulers() {
-	if m.scenario.Policy != Scheduled {
-		return
-	}
-	for _, h := range m.hosts {
-		h.publishState(m.now, m.scenario.MinPeerStateInterval)
-	}
-	m.exchangeAggregates()
-	for i, h := range m.hosts {
-		m.receivePeerStates(i, h)
-		if h.scheduler.Queued() == 0 && !h.changed {
-			continue
-		}
-		for _, action := range h.scheduler.Decide(clock(m.now)) {
-			h.changed = true
-			m.apply(action)
-		}
-	}
-}
-
-func (m *model) receivePeerStates(i int, h *host) {
-	for j, other := range m.hosts {
-		if i != j && h.dataCentre == other.dataCentre {
-			h.receiveState(m.now, m.scenario.PeerStateDelay, j, other)
-		}
-	}
-}
-
-// exchangeAggregates sends the aggregate state of each data centre to the hosts of the
-// others.
-func (m *model) exchangeAggregates() {
-	if m.scenario.AggregateInterval == 0 || m.now%m.scenario.AggregateInterval != 0 {
-		return
-	}
-	for dc := range m.scenario.dataCentres() {
-		sender := m.hosts[dc]
-		sum, count := sender.scheduler.AggregateState(clock(m.now))
-		for _, h := range m.hosts {
-			if h.dataCentre != sender.dataCentre {
-				h.scheduler.ApplyDataCentreState(clock(m.now), sender.dataCentre, count, sum)
-			}
-		}
-	}
-}
-
-func (m *model) apply(action schedule.Action) {
-	r := m.active[action.RequestID()]
-	if r == nil {
-		return
-	}
-	switch a := action.(type) {
-	case *schedule.Dispatch:
-		m.byName[a.Target.Name].accept(r)
-	case *schedule.Refuse:
-		delete(m.active, r.id)
-		m.handleRefusal(r, a.RetryAfter)
-	}
-}
-
-// handleRefusal schedules one retry if the deadline allows it.
-func (m *model) handleRefusal(r *request, after time.Duration) {
-	timeLeft := r.submitted + r.class.Deadline - m.now
-	if r.retry || after > timeLeft {
-		m.report.Classes[r.class.Name].Refused++
-		return
-	}
-	retried := *r
-	retried.retry, retried.engine = true, nil
-	retried.arrived = m.now + min(after, timeLeft/3)
-	m.pendingRetries = append(m.pendingRetries, &retried)
-}
--- /dev/null
+++ b/internal/loadmodel/schedulers.go
@@ -0,0 +1,80 @@
+package loadmodel
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/schedule"
+)
+
+// runSchedulers exchanges state between the hosts and applies their decisions.
+func (m *model) runSchedulers() {
+	if m.scenario.Policy != Scheduled {
+		return
+	}
+	for _, h := range m.hosts {
+		h.publishState(m.now, m.scenario.MinPeerStateInterval)
+	}
+	m.exchangeAggregates()
+	for i, h := range m.hosts {
+		m.receivePeerStates(i, h)
+		if h.scheduler.Queued() == 0 && !h.changed {
+			continue
+		}
+		for _, action := range h.scheduler.Decide(clock(m.now)) {
+			h.changed = true
+			m.apply(action)
+		}
+	}
+}
+
+func (m *model) receivePeerStates(i int, h *host) {
+	for j, other := range m.hosts {
+		if i != j && h.dataCentre == other.dataCentre {
+			h.receiveState(m.now, m.scenario.PeerStateDelay, j, other)
+		}
+	}
+}
+
+// exchangeAggregates sends the aggregate state of each data centre to the hosts of the
+// others.
+func (m *model) exchangeAggregates() {
+	if m.scenario.AggregateInterval == 0 || m.now%m.scenario.AggregateInterval != 0 {
+		return
+	}
+	for dc := range m.scenario.dataCentres() {
+		sender := m.hosts[dc]
+		sum, count := sender.scheduler.AggregateState(clock(m.now))
+		for _, h := range m.hosts {
+			if h.dataCentre != sender.dataCentre {
+				h.scheduler.ApplyDataCentreState(clock(m.now), sender.dataCentre, count, sum)
+			}
+		}
+	}
+}
+
+func (m *model) apply(action schedule.Action) {
+	r := m.active[action.RequestID()]
+	if r == nil {
+		return
+	}
+	switch a := action.(type) {
+	case *schedule.Dispatch:
+		m.byName[a.Target.Name].accept(r)
+	case *schedule.Refuse:
+		delete(m.active, r.id)
+		m.handleRefusal(r, a.RetryAfter)
+	}
+}
+
+// handleRefusal schedules one retry if the deadline allows it.
+func (m *model) handleRefusal(r *request, after time.Duration) {
+	timeLeft := r.submitted + r.class.Deadline - m.now
+	if r.retry || after > timeLeft {
+		m.report.Classes[r.class.Name].Refused++
+		return
+	}
+	retried := *r
+	retried.retry, retried.engine = true, nil
+	retried.arrived = m.now + min(after, timeLeft/3)
+	m.pendingRetries = append(m.pendingRetries, &retried)
+}
--- a/quota/account.go
+++ b/quota/account.go
@@ -74,9 +74,6 @@
 	return a
 }
 
-// halfWindowShare is the part of the limit that may be used within half a window.
-const halfWindowShare = 0.65
-
 // newAssumedAccount returns the account of a team on a host that started without
 // knowledge of earlier usage.
 func newAssumedAccount(started, now time.Time, l Limits, q route.Quota, as assumption) *account {
@@ -101,37 +98,6 @@
 	a.unknownUntil = started.Add(a.limits.Window)
 }
 
-// windowLimit returns what a quota allows in one window.
-func windowLimit(l Limits, q route.Quota) float64 {
-	quota := q.PerSecond*l.Window.Seconds() + q.Burst
-	return quota*(1+l.Overage) + allowanceShare*l.Allowance
-}
-
-// limit returns what may be used in the window that ends now. After a quota change it
-// moves linearly from the old limit to the new one over one window, because earlier
-// usage was admitted under the old limit.
-func (a *account) limit(now time.Time) float64 {
-	target := windowLimit(a.limits, a.quota)
-	if now.Before(a.unknownUntil) {
-		// The assumed usage leaves the window gradually. Only a part of what it frees
-		// may be used again.
-		known := 1 - a.unknownUntil.Sub(now).Seconds()/a.limits.Window.Seconds()
-		first := max(a.assumption.limit, a.assumption.used)
-		return target * (first - known*(first-a.assumption.limit))
-	}
-	rest := 1 - now.Sub(a.quotaChangedAt).Seconds()/a.limits.Window.Seconds()
-	if rest <= 0 || a.previousLimit <= target {
-		return target
-	}
-	return target + rest*(a.previousLimit-target)
-}
-
-func (a *account) setQuota(now time.Time, q route.Quota) {
-	a.previousLimit = a.limit(now)
-	a.quotaChangedAt = now
-	a.quota = q
-}
-
 // advance moves the account's windows to now. Each source that is stale now is
 // assumed to have used its hosts' equal share of the limit meanwhile.
 func (a *account) advance(now time.Time, stale []staleSource, hosts int) {
@@ -155,86 +121,6 @@
 	}
 }
 
-// addFrom counts usage of a source.
-func (a *account) addFrom(from source, amount float64) {
-	w := a.bySource[from]
-	if w == nil {
-		w = newWindow(a.updatedAt, a.limits.Window, 0, 0)
-		a.bySource[from] = w
-	}
-	w.advance(a.updatedAt)
-	w.add(amount)
-	a.add(amount)
-}
-
-// withinReachableShare reports whether the reachable hosts stay within their share of
-// the limit. It applies while sources are stale and for one window after a long
-// silence, so that the sides of a network partition together stay within the limit,
-// whatever they used before.
-func (a *account) withinReachableShare(cost, limit float64) bool {
-	if len(a.stale) == 0 {
-		return true
-	}
-	used, reachable := a.window.sum, a.hosts
-	for _, s := range a.stale {
-		reachable -= s.hosts
-		if w := a.bySource[s.source]; w != nil {
-			w.advance(a.updatedAt)
-			used -= w.sum
-		}
-	}
-	share := float64(reachable) / float64(a.hosts)
-	return used+cost <= share*limit
-}
-
-// mergeHost applies the total that another host reports. The total is lower than the
-// previous one if the host refunded usage in between.
-func (a *account) mergeHost(from source, usage Usage) {
-	previous, known := a.hostTotals[from]
-	a.hostTotals[from] = usage.Total
-	if !known && usage.WarmedUp {
-		// It is not known when the host admitted this total. What falls within the
-		// window was included when this account was opened.
-		return
-	}
-	// A host that has run for less than a window admitted its total within one.
-	a.dataCentreUsage += usage.Total - previous
-	a.addReported(from, usage.Total-previous)
-}
-
-// mergeDataCentre applies a reporter's total for the hosts of its data centre since
-// its start. The first total is only a baseline. Later increases are counted if this is
-// the reporter selected for the data centre.
-func (a *account) mergeDataCentre(dc ident.DataCentre, reporter ident.Host, total float64, counted bool) {
-	previous, known := a.dataCentreTotals[reporter]
-	a.dataCentreTotals[reporter] = total
-	if known && counted {
-		a.addReported(source{dataCentre: dc}, total-previous)
-	}
-}
-
-// addReported counts usage that a source reports in addition to its earlier reports.
-// What was assumed for the source while it was stale is deducted first.
-func (a *account) addReported(from source, amount float64) {
-	a.reported.add(amount)
-	if assumed := a.assumed[from]; assumed > 0 {
-		amount = max(0, amount-assumed)
-		delete(a.assumed, from)
-	}
-	a.addFrom(from, amount)
-}
-
-// resetHost notes that another host restarted and counts from zero again. Usage that
-// was assumed while it was stale does not cover what its new process admits.
-func (a *account) resetHost(from source) {
-	a.hostTotals[from] = 0
-	delete(a.assumed, from)
-}
-
-// resetReporter drops a reporter's baseline, because its totals start from zero again.
-// What was admitted in the meantime is reported by another host of its data centre.
-func (a *account) resetReporter(reporter ident.Host) { delete(a.dataCentreTotals, reporter) }
-
 // admit charges the cost of a request if it fits in the window.
 func (a *account) admit(now time.Time, cost float64) bool {
 	window, half := a.excess(now, cost)
@@ -251,14 +137,6 @@
 	return max(a.window.timeToFree(window), a.halfWindow.timeToFree(half))
 }
 
-// excess returns by how much a request of that cost would exceed the limits of the window
-// and of its second half, with the headroom for other hosts. It is not positive if it fits.
-func (a *account) excess(now time.Time, cost float64) (window, half float64) {
-	limit := a.limit(now)
-	required := cost + a.headroom(now, cost, limit)
-	return a.window.sum + required - limit, a.halfWindow.sum + required - halfWindowShare*limit
-}
-
 func (a *account) charge(cost float64) {
 	a.recentAdmitted += cost
 	a.add(cost)
