Split four long files of scheduling and sessions by their jobs

admission/running_events.go, peer/link.go and pool/client.go held several jobs. The slots and the estimates of running requests, a link's session, queue and dials, and the grants of a pool client have files of their own; the types reservation and acquireResult are in files named after them.

Declarations are moved as they were. go test -race of admission, peer, pool and daemon passes.

--- a/pool/tracked_request.go
+++ b/pool/tracked_request.go
@@ -24,12 +24,6 @@
 	forward *forwardPlan
 }
 
-// acquireResult is the result of Acquire.
-type acquireResult struct {
-	grant   *heldGrant
-	refusal *outcome.Refusal
-}
-
 // forwardPlan holds the data centres that a forwarded request has yet to try, and
 // the refusal to return if none of them accepts it.
 type forwardPlan struct {
