Give an owner's publications, unsynced entries and fallback periods types of their own

Behaviour is unchanged: intervals and the order of checks are as they were. go test -race of pool and daemon passes.

--- a/pool/client.go
+++ b/pool/client.go
@@ -23,9 +23,6 @@
 	// fallbackDelay is how long an owner must be unavailable before this host
 	// schedules its own requests.
 	fallbackDelay = 1500 * time.Millisecond
-	// fallbackDuration is how long this host schedules its own requests before it
-	// tries the owner again.
-	fallbackDuration = 5 * time.Second
 )
 
 // Client is the entry side of pools. It implements Admitter and peer.Handler.
--- a/pool/client_pool.go
+++ b/pool/client_pool.go
@@ -21,9 +21,8 @@
 	// unavailableSince is when the owner first could not be reached or responded
 	// that it does not own the pool; zero while it is available.
 	unavailableSince time.Time
-	// fallbackUntil is the end of the period in which this host schedules its own
-	// requests because the owner was unavailable.
-	fallbackUntil time.Time
+	// fallback is the latest fallback period.
+	fallback fallbackPeriod
 }
 
 func newClientPool(k key) *clientPool {
@@ -59,13 +58,13 @@
 // inFallback reports whether this host schedules its own requests. This starts
 // when the owner has been unavailable for fallbackDelay.
 func (p *clientPool) inFallback(now time.Time) bool {
-	if now.Before(p.fallbackUntil) {
+	if p.fallback.includes(now) {
 		return true
 	}
 	if p.unavailableSince.IsZero() || now.Sub(p.unavailableSince) < fallbackDelay {
 		return false
 	}
 	p.unavailableSince = time.Time{}
-	p.fallbackUntil = now.Add(fallbackDuration)
+	p.fallback = newFallbackPeriod(now)
 	return true
 }
--- a/pool/manager.go
+++ b/pool/manager.go
@@ -25,11 +25,10 @@
 	owners map[ident.Pool]*runningOwner
 	// crashes holds the crashes that owners published, by pool.
 	crashes map[ident.Pool]*quarantine.Tracker
-	// fallbackUntil holds the end of the fallback period, in which this host
-	// schedules its own requests, for pools that it does not own.
-	fallbackUntil map[ident.Pool]time.Time
-	stopped       bool
-	done          sync.WaitGroup
+	// fallbacks holds the latest fallback periods of pools that this host does not own.
+	fallbacks map[ident.Pool]fallbackPeriod
+	stopped   bool
+	done      sync.WaitGroup
 }
 
 // runningOwner is an owner whose goroutine is running.
@@ -41,11 +40,10 @@
 // NewManager returns a manager. It owns pools only while Run is running.
 func NewManager(o ManagerOptions) *Manager {
 	return &Manager{
-		options: o,
-		owners:  make(map[ident.Pool]*runningOwner),
-		crashes: make(map[ident.Pool]*quarantine.Tracker),
-
-		fallbackUntil: make(map[ident.Pool]time.Time),
+		options:   o,
+		owners:    make(map[ident.Pool]*runningOwner),
+		crashes:   make(map[ident.Pool]*quarantine.Tracker),
+		fallbacks: make(map[ident.Pool]fallbackPeriod),
 	}
 }
 
@@ -99,7 +97,7 @@
 ) {
 	k := key{dataCentre: m.options.DataCentre, pool: name}
 	isOwner := ownerOf(view, k) == m.options.Host
-	fallback := !isOwner && m.options.Now().Before(m.fallbackUntil[name])
+	fallback := !isOwner && m.fallbacks[name].includes(m.options.Now())
 	running, ok := m.owners[name]
 	if ok && (!isOwner && !fallback || running.fallback != fallback) {
 		m.stopOwner(name, running)
--- a/pool/manager_handler.go
+++ b/pool/manager_handler.go
@@ -81,7 +81,7 @@
 func (m *Manager) renewFallback(pool ident.Pool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.fallbackUntil[pool] = m.options.Now().Add(fallbackDuration)
+	m.fallbacks[pool] = newFallbackPeriod(m.options.Now())
 }
 
 func (m *Manager) offer(from ident.Host, pool string, e event) {
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,15 +22,6 @@
 	// pauseThreshold is the time without a decision from which the owner assumes
 	// that its process was paused, and rebuilds its state.
 	pauseThreshold = 2 * time.Second
-	// publishInterval is the time between two hints to another data centre, between
-	// two snapshots and between two lists of crashes.
-	publishInterval = 500 * time.Millisecond
-	// forwarderPublishInterval is the time between two hints to a data centre that
-	// forwards requests.
-	forwarderPublishInterval = 50 * time.Millisecond
-	// forwarderRetention is how long a data centre counts as forwarding after its
-	// last forwarded request.
-	forwarderRetention = 2 * time.Second
 )
 
 // owner schedules one pool of this data centre. Its scheduler is confined to the
@@ -50,49 +40,32 @@
 
 	metrics *ownerMetrics
 
-	// The fields down to allCrashesPublished are confined to the goroutine of run.
+	unsynced unsyncedEntries
+
+	// The fields from here on are confined to the goroutine of run.
 	scheduler    *admission.Scheduler
 	config       admission.Config
 	recovery     *recovery
 	ready        bool
 	epoch        uint64
 	lastDecision time.Time
-	// lastHintCheck is when hints were last checked for being due, lastSnapshot
-	// when the last snapshot was taken.
-	lastHintCheck time.Time
-	lastSnapshot  time.Time
-	// lastHint is when each data centre was last sent a hint, lastForward when it
-	// last forwarded a request to this one.
-	lastHint    map[ident.DataCentre]time.Time
-	lastForward map[ident.DataCentre]time.Time
+	publication  publication
 	// recordedStrikes holds the strike counts that were last recorded in the time
 	// line.
 	recordedStrikes map[quarantine.Digest]int
 	// crashes holds the known crashes of targets. It outlives the scheduler.
 	crashes *quarantine.Tracker
-	// crashesPublished is when changes of the crashes were last published,
-	// allCrashesPublished when all crashes were.
-	crashesPublished    time.Time
-	allCrashesPublished time.Time
-
-	mu sync.Mutex
-	// unsynced holds the entries whose events were dropped because the inbox was
-	// full.
-	unsynced map[ident.Host]struct{}
 }
 
 func newOwner(o ManagerOptions, k key, fallback bool) *owner {
 	created := &owner{
-		options:  o,
-		fallback: fallback,
-		metrics:  newOwnerMetrics(o.Scope, k.pool),
-		key:      k,
-		inbox:    make(chan event, inboxSize),
-		unsynced: make(map[ident.Host]struct{}),
-		crashes:  quarantine.NewTracker(),
-
-		lastHint:    make(map[ident.DataCentre]time.Time),
-		lastForward: make(map[ident.DataCentre]time.Time),
+		options:     o,
+		fallback:    fallback,
+		metrics:     newOwnerMetrics(o.Scope, k.pool),
+		key:         k,
+		inbox:       make(chan event, inboxSize),
+		crashes:     quarantine.NewTracker(),
+		publication: newPublication(),
 	}
 	created.loadTargets.Store(&[]settings.Target{})
 	return created
@@ -104,28 +77,8 @@
 	select {
 	case o.inbox <- e:
 	default:
-		o.markUnsynced(from)
-	}
-}
-
-func (o *owner) markUnsynced(host ident.Host) {
-	if host == "" {
-		return
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.unsynced[host] = struct{}{}
-}
-
-func (o *owner) drainUnsynced() []ident.Host {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	var hosts []ident.Host
-	for host := range o.unsynced {
-		hosts = append(hosts, host)
-		delete(o.unsynced, host)
+		o.unsynced.add(from)
 	}
-	return hosts
 }
 
 // run schedules the pool until ctx ends.
@@ -216,7 +169,7 @@
 		e.apply(o, now)
 	}
 	o.applyQueued(now)
-	for _, host := range o.drainUnsynced() {
+	for _, host := range o.unsynced.drain() {
 		o.requestReport(host)
 	}
 	o.decide(now)
