Remove the built programs in one place after a measurement

Each of the six measurements of the bench command deferred testbed.RemoveBinaries; main does so once, after the measurement has returned and its cluster is stopped.

--- a/bench/faults/command.go
+++ b/bench/faults/command.go
@@ -9,7 +9,6 @@
 
 	"github.com/cornelyard/cornelyard/bench/report"
 	"github.com/cornelyard/cornelyard/internal/faultrun"
-	"github.com/cornelyard/cornelyard/internal/testbed"
 )
 
 // Command is the faults command.
@@ -32,7 +31,6 @@
 
 // Run implements command.Command.
 func (c *Command) Run(ctx context.Context) (report.Report, error) {
-	defer testbed.RemoveBinaries()
 	result, err := faultrun.Run(ctx, c.options)
 	if err != nil {
 		return nil, err
--- a/bench/main.go
+++ b/bench/main.go
@@ -20,6 +20,7 @@
 	"github.com/cornelyard/cornelyard/bench/report"
 	"github.com/cornelyard/cornelyard/bench/slopes"
 	"github.com/cornelyard/cornelyard/bench/soak"
+	"github.com/cornelyard/cornelyard/internal/testbed"
 )
 
 func main() {
@@ -55,6 +56,7 @@
 	defer cancel()
 	var group run.Group
 	group.Add(func() error {
+		defer testbed.RemoveBinaries()
 		result, err := c.Run(ctx)
 		if err != nil {
 			return err
--- a/bench/overhead/command.go
+++ b/bench/overhead/command.go
@@ -36,7 +36,6 @@
 
 // Run implements command.Command.
 func (c *overheadCommand) Run(ctx context.Context) (report.Report, error) {
-	defer testbed.RemoveBinaries()
 	cluster, err := testbed.Start(ctx, c.options.spec())
 	defer cluster.Stop()
 	if err != nil {
--- a/bench/policy/command.go
+++ b/bench/policy/command.go
@@ -7,7 +7,6 @@
 
 	"github.com/cornelyard/cornelyard/bench/command"
 	"github.com/cornelyard/cornelyard/bench/report"
-	"github.com/cornelyard/cornelyard/internal/testbed"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -43,7 +42,6 @@
 
 // Run implements command.Command.
 func (c *policyCommand) Run(ctx context.Context) (report.Report, error) {
-	defer testbed.RemoveBinaries()
 	m := &measurement{
 		options: c.options,
 		shape:   shapes[c.options.shape],
--- a/bench/recovery/command.go
+++ b/bench/recovery/command.go
@@ -10,7 +10,6 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/cornelyard/cornelyard/bench/report"
-	"github.com/cornelyard/cornelyard/internal/testbed"
 )
 
 // Command is the recovery command.
@@ -31,7 +30,6 @@
 
 // Run implements command.Command.
 func (c *Command) Run(ctx context.Context) (report.Report, error) {
-	defer testbed.RemoveBinaries()
 	m, err := start(ctx)
 	defer m.cluster.Stop()
 	if err != nil {
--- a/bench/slopes/command.go
+++ b/bench/slopes/command.go
@@ -10,7 +10,6 @@
 
 	"github.com/cornelyard/cornelyard/bench/command"
 	"github.com/cornelyard/cornelyard/bench/report"
-	"github.com/cornelyard/cornelyard/internal/testbed"
 )
 
 type slopesCommand struct {
@@ -35,7 +34,6 @@
 
 // Run implements command.Command.
 func (c *slopesCommand) Run(ctx context.Context) (report.Report, error) {
-	defer testbed.RemoveBinaries()
 	result := &Report{
 		WindowSeconds:    c.options.window.Seconds(),
 		HeartbeatSeconds: c.options.heartbeat.Seconds(),
--- a/bench/soak/command.go
+++ b/bench/soak/command.go
@@ -8,7 +8,6 @@
 
 	"github.com/cornelyard/cornelyard/bench/report"
 	"github.com/cornelyard/cornelyard/internal/soak"
-	"github.com/cornelyard/cornelyard/internal/testbed"
 )
 
 // Command is the soak command.
@@ -36,7 +35,6 @@
 
 // Run implements command.Command.
 func (c *Command) Run(ctx context.Context) (report.Report, error) {
-	defer testbed.RemoveBinaries()
 	results := &soak.Summary{}
 	for range c.seeds {
 		result, err := soak.Run(ctx, c.options)
