Give the links of a mesh a table of their own

peer.Mesh held the map of links with its mutex beside the dialling, listening and counting. It is linkTable now, in a file of its own.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -58,13 +58,13 @@
 // sessions to dead members, and removes the links of hosts that are no longer members.
 func (d *dialler) maintainLinks(ctx context.Context, view *membership.View, now time.Time) time.Duration {
 	wait := maxDialCheckInterval
-	for _, l := range d.mesh.allLinks() {
+	for _, l := range d.mesh.links.all() {
 		member, known := view.Member(l.host)
 		if !known {
 			if l.hostRemoved() {
 				d.mesh.connectionTasks.Go(func() { l.deliver(func() { d.mesh.handlers.sessionDown(l.host) }) })
 			}
-			d.mesh.removeLink(l)
+			d.mesh.links.removeUnused(l)
 			continue
 		}
 		if member.State == membership.Dead {
@@ -79,7 +79,7 @@
 
 func (d *dialler) dialMember(ctx context.Context, member membership.Member, now time.Time) time.Duration {
 	m := d.mesh
-	l := m.link(member.Host)
+	l := m.links.findOrCreate(member.Host)
 	immediate := m.self < member.Host || l.hasDemand()
 	started, wait := l.tryBeginDial(now, immediate)
 	if started {
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -130,7 +130,7 @@
 // decideSession decides for both hosts whether the connection is kept, and notifies
 // the remote host if it is.
 func (m *Mesh) decideSession(s *session) error {
-	if err := m.link(s.host).decide(s, m.lastSessionNumber.Add(1)); err != nil {
+	if err := m.links.findOrCreate(s.host).decide(s, m.lastSessionNumber.Add(1)); err != nil {
 		return err
 	}
 	if err := writeMessage(s.stream, &peerpb.Welcome{Session: s.number}); err != nil {
@@ -147,7 +147,7 @@
 		return errDuplicate
 	}
 	s.number = welcome.GetSession()
-	return m.link(s.host).applyDecision(s)
+	return m.links.findOrCreate(s.host).applyDecision(s)
 }
 
 func muxConfig() *yamux.Config {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -37,8 +37,7 @@
 	// connectionTasks tracks the goroutines of dials, handshakes, sessions and calls.
 	connectionTasks sync.WaitGroup
 
-	mu    sync.Mutex
-	links map[ident.Host]*link
+	links *linkTable
 
 	listening     chan struct{}
 	listenAddress net.Addr
@@ -61,7 +60,7 @@
 		local:     make(chan *peerpb.Frame, localQueueFrames),
 		dialWake:  make(chan struct{}, 1),
 		dialSlots: make(chan struct{}, maxDials),
-		links:     make(map[ident.Host]*link),
+		links:     newLinkTable(),
 		listening: make(chan struct{}),
 	}, nil
 }
@@ -135,7 +134,7 @@
 // Connected implements membership.Sender.
 func (m *Mesh) Connected() []ident.Host {
 	var hosts []ident.Host
-	for _, l := range m.allLinks() {
+	for _, l := range m.links.all() {
 		if l.openSession() != nil {
 			hosts = append(hosts, l.host)
 		}
@@ -144,24 +143,10 @@
 	return hosts
 }
 
-// link returns the link to the host, and creates it if necessary.
-func (m *Mesh) link(host ident.Host) *link {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	l, ok := m.links[host]
-	if !ok {
-		l = newLink(host)
-		m.links[host] = l
-	}
-	return l
-}
-
 // linkForSend returns the link to a host and whether the host can be dialled. It
 // consults the membership view only if no session is open.
 func (m *Mesh) linkForSend(host ident.Host) (l *link, mayDial bool) {
-	m.mu.Lock()
-	l = m.links[host]
-	m.mu.Unlock()
+	l = m.links.find(host)
 	if l != nil && l.openSession() != nil {
 		return l, true
 	}
@@ -174,30 +159,9 @@
 	member, known := m.options.Members.View().Member(host)
 	mayDial = known && member.State != membership.Dead && member.PeerAddress != ""
 	if mayDial {
-		return m.link(host), true
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.links[host], false
-}
-
-// removeLink removes the link if it is unused.
-func (m *Mesh) removeLink(l *link) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.links[l.host] == l && l.tryRemove() {
-		delete(m.links, l.host)
-	}
-}
-
-func (m *Mesh) allLinks() []*link {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	all := make([]*link, 0, len(m.links))
-	for _, l := range m.links {
-		all = append(all, l)
+		return m.links.findOrCreate(host), true
 	}
-	return all
+	return m.links.find(host), false
 }
 
 func (m *Mesh) wakeDialler() {
--- a/peer/session.go
+++ b/peer/session.go
@@ -105,7 +105,7 @@
 	if s.previousDone != nil {
 		<-s.previousDone
 	}
-	l := s.mesh.link(s.host)
+	l := s.mesh.links.findOrCreate(s.host)
 	if s.framesLost {
 		l.deliver(func() { s.mesh.handlers.sessionDown(s.host) })
 	}
