Split the watcher, the tracker and two files of the entry by their jobs

settings/watcher.go, membership/tracker.go, entry/dispatch.go and entry/accept.go: the reading of newer settings, the tracker's handler methods, the relay of a response and the type incomingRequest have files of their own. Declarations are moved as they were. go test -race of settings, membership, entry, daemon and pool passes.

--- a/entry/accept.go
+++ b/entry/accept.go
@@ -13,23 +13,12 @@
 	"github.com/cornelyard/cornelyard/claim"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
-	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
 // acceptFunc builds a call from a request whose body has been read.
 type acceptFunc func(in *incomingRequest) (*call, *refusal)
 
-// incomingRequest is a request that is being validated.
-type incomingRequest struct {
-	echo     echo.Context
-	id       ident.Request
-	snapshot *settings.Snapshot
-	identity identity
-	arrived  time.Time
-	body     []byte
-}
-
 // handler returns the handler for requests that accept parses.
 func (e *Entry) handler(accept acceptFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -10,7 +10,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cornelyard/cornelyard/ident"
-	"github.com/cornelyard/cornelyard/internal/proto/peerpb"
 	"github.com/cornelyard/cornelyard/metrics"
 	"github.com/cornelyard/cornelyard/timeline"
 )
@@ -106,33 +105,6 @@
 	return t.changed
 }
 
-// HandleFrame implements peer.Handler.
-func (t *Tracker) HandleFrame(from ident.Host, f *peerpb.Frame) {
-	if h := f.GetHeartbeat(); h != nil {
-		t.enqueue(heartbeatInput{from: from, heartbeat: h})
-	}
-}
-
-// HandleHello implements peer.HelloHandler.
-func (t *Tracker) HandleHello(_ ident.Host, h *peerpb.Hello) {
-	t.enqueue(helloInput{hello: h})
-}
-
-// SessionUp implements peer.Handler.
-func (t *Tracker) SessionUp(host ident.Host) {
-	t.enqueue(sessionUpInput{host: host})
-}
-
-// SessionDown implements peer.Handler.
-func (t *Tracker) SessionDown(host ident.Host) {
-	t.enqueue(sessionDownInput{host: host})
-}
-
-// DialRefused implements peer.DialObserver.
-func (t *Tracker) DialRefused(host ident.Host) {
-	t.enqueue(refusedInput{host: host})
-}
-
 // Run tracks the members until ctx is done, and then returns nil.
 func (t *Tracker) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -237,11 +209,3 @@
 	default:
 	}
 }
-
-func (t *Tracker) enqueue(in input) {
-	select {
-	case t.inbox <- in:
-	default:
-		t.dropped.Inc(1)
-	}
-}
