Resume a stream at another host only at the version that began it

Cause: no host knew where a stream of another try had begun; the header Resumes was passed on unread. Class: state that belongs to a process is taken to belong to its whole service, here over several hosts.

A stream that is taken up goes to the pool and the version that began it. If that is not known for sure, or no target of the version is left, it is refused as not run before anything is sent.

--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -18,6 +18,7 @@
 	"github.com/cornelyard/cornelyard/roster"
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
+	"github.com/cornelyard/cornelyard/streamversion"
 )
 
 // clusterState is this host's view of the configuration, the targets and the other
@@ -28,6 +29,7 @@
 	exchange    *hoststate.Exchange
 	quotas      *quota.Limiter
 	retryBudget *retrybudget.Budget
+	streams     *streamversion.Tracker
 	peers       *peerMonitor
 	crashes     *crashRecords
 	logger      *log.Logger
@@ -67,6 +69,7 @@
 	s.table.Store(t)
 	s.logger.Info().Str(eventlog.FieldEvent, eventlog.EventTableApplied).Uint64(eventlog.FieldTableVersion, t.Version).
 		Int("teams", len(t.Teams)).Int("pools", len(t.Pools)).Msg("Configuration applied.")
+	s.streams.SetLongestTimeout(t.LongestTimeout())
 	s.applyConfiguration(time.Now())
 }
 
@@ -77,6 +80,7 @@
 	now := time.Now()
 	s.targetTracker.SetEntries(now, targets)
 	s.targetsLoaded.Store(true)
+	s.streams.ConfirmTargets(now)
 	s.refreshTargets(now)
 }
 
@@ -88,6 +92,7 @@
 	s.targetTracker.RecordStoreCall(now, responded)
 	if responded {
 		s.targetsConfirmed.set(now)
+		s.streams.ConfirmTargets(now)
 	}
 }
 
@@ -100,6 +105,7 @@
 	previous := s.targets
 	s.targets = s.targetTracker.Snapshot(now)
 	s.logTargetChanges(previous)
+	s.streams.SetTargets(now, s.targets.Targets)
 	s.applyConfiguration(now)
 	if wait := s.targetTracker.UntilExpiry(now); wait > 0 {
 		time.AfterFunc(wait, s.expireTargets)
@@ -204,6 +210,7 @@
 	s.exchange.SetPeers(peers)
 	s.quotas.SetPeers(now, peers.Direct(), peers.AggregatedCounts())
 	s.dispatcher.SetPeerCount(now, len(others))
+	s.streams.SetHosts(now)
 	s.retryBudget.SetHostCount(now, len(others)+1)
 	s.logger.Info().Int("others", len(others)).Msg("Set of hosts changed.")
 }
@@ -223,6 +230,7 @@
 		s.dispatcher.ApplyDataCentreState(now, m.AggregateOf, m.AggregatedHosts, m.Schedule)
 		return
 	}
+	s.streams.Merge(now, m.Host, m.Streams)
 	s.quotas.MergeHost(now, m.Host, m.Incarnation, m.TeamUsage)
 	s.dispatcher.ApplyPeerState(now, m.Host, m.Schedule)
 }
@@ -233,6 +241,7 @@
 		Host:      s.self.Host,
 		Schedule:  s.dispatcher.LocalState(now),
 		TeamUsage: s.quotas.HostUsage(now),
+		Streams:   s.streams.TakeReport(now),
 	}
 	if table := s.table.Load(); table != nil {
 		m.TableVersion = table.Version
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/cornelyard/cornelyard/retrybudget"
 	"github.com/cornelyard/cornelyard/roster"
 	"github.com/cornelyard/cornelyard/schedule"
+	"github.com/cornelyard/cornelyard/streamversion"
 	"github.com/cornelyard/cornelyard/target"
 )
 
@@ -87,6 +88,7 @@
 			Allowance: g.config.Quota.Allowance,
 		}),
 		retryBudget:   retrybudget.New(time.Now(), retryLimits(&g.config)),
+		streams:       streamversion.NewTracker(),
 		logger:        g.logs.For("knowledge"),
 		targetTracker: roster.NewTracker(),
 		peers:         newPeerMonitor(g.logs.For("peers")),
@@ -123,6 +125,7 @@
 		TargetClient: platform.NewTargetClient(g.transport),
 		Quotas:       g.state.quotas,
 		RetryBudget:  g.state.retryBudget,
+		Streams:      g.state.streams,
 		Observer: multiObserver{
 			eventlog.NewRequestLogger(g.logs.For("request")),
 			&requestMetrics{scope: g.metrics.Scope},
--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -40,6 +40,7 @@
 	}
 	state.Crashes = quarantine.Encode(now, m.Schedule.Crashes)
 	encodeSchedule(state, &m.Schedule)
+	encodeStreams(state, &m.Streams)
 	data, err := proto.Marshal(state)
 	return data, Error.Wrap(err)
 }
@@ -109,6 +110,7 @@
 			}
 		}
 	}
+	m.Streams = n.decodeStreams(state)
 	m.Schedule = schedule.State{
 		Loads:           decodeItems(state.GetLoads(), n.targets, (*hostpb.TargetLoad).GetTarget, decodeLoad),
 		Observed:        state.GetObserved(),
--- a/hoststate/message.go
+++ b/hoststate/message.go
@@ -4,6 +4,7 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/quota"
 	"github.com/cornelyard/cornelyard/schedule"
+	"github.com/cornelyard/cornelyard/streamversion"
 )
 
 // Message is the state of one host, or the aggregate of the hosts of a data centre.
@@ -22,4 +23,6 @@
 	Schedule        schedule.State
 	// TeamUsage is the quota usage that the host reports for each team.
 	TeamUsage map[ident.Team]quota.Usage
+	// Streams says where streams began. It is empty in an aggregate.
+	Streams streamversion.Report
 }
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -18,6 +18,8 @@
 	NoTarget Reason = "no-target"
 	// NoVersion: no target of the software version that began the stream is left.
 	NoVersion Reason = "no-version"
+	// VersionUnknown: it is not known for sure at which software version the stream began.
+	VersionUnknown Reason = "version-unknown"
 	// Quarantined: the request's digest is suspected of crashing targets.
 	Quarantined Reason = "quarantined"
 	// DeadlineExceeded: the deadline passed before the response was complete.
@@ -65,7 +67,7 @@
 		return http.StatusTooManyRequests
 	case Infeasible, DeadlineExceeded:
 		return http.StatusGatewayTimeout
-	case Preempted, NoTarget, NoVersion, Draining, ClaimUnavailable, NotReady:
+	case Preempted, NoTarget, NoVersion, VersionUnknown, Draining, ClaimUnavailable, NotReady:
 		return http.StatusServiceUnavailable
 	case Quarantined, KeyConflict:
 		return http.StatusUnprocessableEntity
--- a/relay/call.go
+++ b/relay/call.go
@@ -38,4 +38,7 @@
 	// response. It is valid if Resumes is set: the caller asks for the remainder.
 	ResumeAfter uint64
 	Resumes     bool
+	// FirstAttempt is the ID of the caller's attempt that brought the first event of the
+	// stream to be resumed, or empty if the caller does not name it.
+	FirstAttempt ident.Request
 }
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -104,6 +104,9 @@
 	if refusal := x.quarantineRefusal(); refusal != nil {
 		return refusal
 	}
+	if refusal := x.findOrigin(); refusal != nil {
+		return refusal
+	}
 	if team == nil {
 		x.recordStep(Step{Kind: StepAccepted})
 		return nil
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -18,6 +18,7 @@
 	"github.com/cornelyard/cornelyard/retrybudget"
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
+	"github.com/cornelyard/cornelyard/streamversion"
 	"github.com/cornelyard/cornelyard/target"
 )
 
@@ -152,6 +153,7 @@
 		TargetClient: f.client,
 		Quotas:       f.quotas,
 		RetryBudget:  newRetryBudget(),
+		Streams:      streamversion.NewTracker(),
 		Observer:     f.observer,
 	})
 	return f
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -166,6 +166,9 @@
 	if err := x.recordBatch(r, batch); err != nil {
 		return err
 	}
+	if !begun {
+		x.recordBegin(r)
+	}
 	x.relay.options.Dispatcher.recordFirstEvent(r.slot)
 	x.relay.options.Dispatcher.recordProgress(r.slot, batch.count)
 	if !begun {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/cornelyard/cornelyard/quota"
 	"github.com/cornelyard/cornelyard/retrybudget"
 	"github.com/cornelyard/cornelyard/route"
+	"github.com/cornelyard/cornelyard/streamversion"
 )
 
 // Options configures a Relay. All fields are required.
@@ -22,6 +23,7 @@
 	TargetClient TargetClient
 	Quotas       *quota.Limiter
 	RetryBudget  *retrybudget.Budget
+	Streams      *streamversion.Tracker
 	Observer     Observer
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
 )
@@ -22,6 +23,20 @@
 	requiresKey bool
 }
 
+// LongestTimeout returns the longest timeout of a route, or zero if a route has none.
+func (t *Table) LongestTimeout() time.Duration {
+	longest := time.Duration(0)
+	for _, routes := range t.routesByHost {
+		for _, r := range routes {
+			if r.Timeout == 0 {
+				return 0
+			}
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 // NewTable returns a configuration with its lookup indexes.
 func NewTable(version uint64, limits Limits, routes []*Route, pools []*Pool, teams []*Team) *Table {
 	t := &Table{
--- /dev/null
+++ b/streamversion/sole_version.go
@@ -0,0 +1,14 @@
+package streamversion
+
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+// SoleVersion says for how long a pool has had targets of one version only.
+type SoleVersion struct {
+	Pool    ident.Pool
+	Version string
+	Age     time.Duration
+}
