Reproduce: a second run is cancelled when the first is rejected

Callers get 502 although a second run of their request is in flight and would have responded. The hedge hands over to the second run only if the first one broke; one that is rejected, misaddressed or fails without a usable status cancels it, and the cancelled run still counts against max_attempts, so no further one may start. Seen with max_attempts 2: 502 at 0.45 s in all three cases; the second run would have answered at 0.9 s.

--- /dev/null
+++ b/relay/hedge_replacement_test.go
@@ -0,0 +1,33 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/route"
+	"github.com/cornelyard/cornelyard/schedule"
+)
+
+func TestSecondRunIsKeptWhenTheFirstFailsBeforeAResponse(t *testing.T) {
+	cases := []struct {
+		name  string
+		first targetBehavior
+	}{
+		{"target rejects the request", rejected},
+		{"target does not say whether the request ran", failWith(DispatchError{Result: schedule.Failed, Sent: true})},
+		{"address belongs to another target", failWith(DispatchError{Result: schedule.Misaddressed, NotRun: true, Sent: true})},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, silentRoute(route.Idempotent),
+				respondAfter(450*time.Millisecond, c.first), respondAfter(600*time.Millisecond, respond(200, "yes")))
+			result, sink := f.call(context.Background(), nil)
+			if result.Refused != nil || sink.body.String() != "yes" {
+				t.Errorf("got %+v with body %q, want the response of the second run", result, sink.body.String())
+			}
+			f.awaitIdle(t)
+		})
+	}
+}
