Go on with the second run however the first one failed

Callers got 502 although a second run of their request was in flight. Cause: the hedge handed over to it only if the first one broke or its error response could be retried; a first one that was rejected, misaddressed or answered without a usable status cancelled it. Class: a run is given up before its replacement is certain.

A second run in flight now replaces the first after any end of it that leaves the caller without its response. Evidence: TestSecondRunIsKeptWhenTheFirstFailsBeforeAResponse failed before in all three cases (502 at 0.45 s) and passes now, with the race detector.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -19,7 +19,7 @@
 	x.hedge = x.supervise(ctx, r)
 	err := x.exchange(r)
 	x.result = exchangeResult(ctx, err)
-	successor := x.hedge.end(x.result == schedule.Broken || x.result == schedule.Failed && errors.Is(err, errRetryableResponse))
+	successor := x.hedge.end(endedWithoutResponse(x.result, err))
 	x.recordStep(Step{Kind: StepAttemptEnded, Target: r.target.Name, Result: x.result, Duration: time.Since(r.started), Cause: errorText(err)})
 	if successor != nil {
 		x.excludeTarget(r.target.Name)
@@ -97,6 +97,12 @@
 	}
 }
 
+// endedWithoutResponse reports whether a run failed so that the caller still needs the
+// response, or the remainder of it, from another run.
+func endedWithoutResponse(result schedule.Result, err error) bool {
+	return result != schedule.Served && result != schedule.Abandoned && !errors.Is(err, errErrorResponse)
+}
+
 // exchange sends the request to the target, unless that was done already, and forwards the
 // response.
 func (x *execution) exchange(r *run) error {
