Look for a slot for a stream whose caller waits longer than expected

Callers got a cut stream, or 502, though other targets had free slots. Cause: a caller without an event for two seconds was taken to have left, also while its connection was open, and a request for a slot past that time is refused at once. Class: silence is taken for the end.

A caller that is still connected then is now expected to wait as long again, within its deadline. A caller that leaves cancels its request, as before. Evidence: TestStreamThatBreaksAfterALongSilenceGoesOnAtAFreeTarget failed before (cut, and 502, with 32 free slots) and passes now.

--- a/relay/execution.go
+++ b/relay/execution.go
@@ -223,7 +223,12 @@
 		return x.deadline
 	}
 	timeout := max(minAbandonTimeout, abandonLatencyFactor*x.route.LatencyObjective, abandonEventGapFactor*x.route.EventGapObjective)
-	if at := x.lastProgress().Add(timeout); at.Before(x.deadline) {
+	at := x.lastProgress().Add(timeout)
+	if now := time.Now(); at.Before(now) {
+		// The caller is still connected, so it waits longer than expected.
+		at = now.Add(timeout)
+	}
+	if at.Before(x.deadline) {
 		return at
 	}
 	return x.deadline
