Reproduce: a caller's pause is taken for silence of its target

The time in which the caller takes nothing counts as silence of the target. A second run is sent, charged to the retry budget and to max_attempts, and after 1.6 s it replaces the sound one. Seen: the caller pauses for 2 s, the second run breaks, and the stream is cut after one of two events.

--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -113,6 +113,8 @@
 	observer *recordingObserver
 	team     *route.Team
 	pools    map[ident.Pool]*route.Pool
+	// wrapSink, if not nil, changes how callers take the responses.
+	wrapSink func(Sink) Sink
 }
 
 // fixtureTargets is the number of targets of a fixture.
@@ -181,7 +183,15 @@
 		change(c)
 	}
 	sink := &recordingSink{}
-	return f.relay.Serve(ctx, c, sink), sink
+	return f.relay.Serve(ctx, c, f.sinkFor(sink)), sink
+}
+
+// sinkFor returns the sink that the relay writes to on behalf of a recording one.
+func (f *fixture) sinkFor(sink *recordingSink) Sink {
+	if f.wrapSink == nil {
+		return sink
+	}
+	return f.wrapSink(sink)
 }
 
 // newRetryBudget returns the budget of a host that has run for long.
