Count a caller's pause as no silence of its target

Callers that took nothing for a while got a cut stream although their target was sound and had sent everything. Cause: the stall timeout ran while events were written to the caller. Class: a time is measured from the wrong event.

The supervision of a run pauses during a write and starts again after it. Evidence: TestPauseOfACallerIsNotTakenForSilenceOfItsTarget failed before (two dispatches, cut after one of two events) and passes now.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -173,6 +173,8 @@
 			return err
 		}
 	}
+	x.hedge.pause()
+	defer x.hedge.resume()
 	return x.writeBody(batch.raw)
 }
 
--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -49,6 +49,8 @@
 	// value when a slot for a second run was asked for.
 	lastProgress time.Time
 	stalledSince time.Time
+	// paused is set while the caller has yet to take events that have arrived.
+	paused bool
 	// ended is set, and done closed, once the first run has ended.
 	ended bool
 	done  chan struct{}
@@ -111,6 +113,24 @@
 	return nil
 }
 
+// pause suspends the supervision while events are written to the caller.
+func (h *hedge) pause() {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	h.paused = true
+}
+
+// resume goes on with the supervision. The time of the pause is no silence of the target.
+func (h *hedge) resume() {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	h.paused = false
+	h.lastProgress = time.Now()
+	if h.timer != nil {
+		h.timer.Reset(h.eventTimeout)
+	}
+}
+
 // end ends the supervision. It returns the run that replaces the first one, or nil. If the
 // first run failed, a second one that has been sent replaces it.
 func (h *hedge) end(failed bool) *run {
@@ -200,7 +220,7 @@
 func (h *hedge) secondRequest(cancel context.CancelFunc) (schedule.Request, bool) {
 	h.x.mu.Lock()
 	defer h.x.mu.Unlock()
-	if h.ended || h.successor != nil || !h.x.mayHedge(h.first) {
+	if h.ended || h.paused || h.successor != nil || !h.x.mayHedge(h.first) {
 		return schedule.Request{}, false
 	}
 	h.cancelAcquire = cancel
@@ -219,7 +239,7 @@
 	h.x.mu.Lock()
 	defer h.x.mu.Unlock()
 	h.cancelAcquire = nil
-	if h.ended || h.lastProgress != h.stalledSince {
+	if h.ended || h.paused || h.lastProgress != h.stalledSince {
 		return Dispatch{}, false
 	}
 	if !h.x.relay.options.RetryBudget.AllowRetry(time.Now(), h.x.pool) {
