Reproduce: a slow first event is given up for an equally slow second run

A stream whose target takes longer to the first event than the stall timeout and the overlap together (1.5 s at an objective of 0.6 s) is given up for a second run that has shown no sign either and needs as long again. Seen: each target takes 2 s; the request ends at its deadline of 2.8 s with 504, although the first run would have responded at 2 s. Class: a run is given up before its replacement is certain. Not fixed: the time since the dispatch is no evidence of silence, but that the target has sent nothing at all, for other requests either, would be (target.lastResponseAt in schedule); without it a frozen target would be waited for.

--- a/relay/long_silence_test.go
+++ b/relay/long_silence_test.go
@@ -32,3 +32,15 @@
 		})
 	}
 }
+
+func TestSlowFirstEventIsNotGivenUpForAnEquallySlowSecondRun(t *testing.T) {
+	t.Parallel()
+	r := silentRoute(route.Stream)
+	r.LatencyObjective, r.Timeout = 600*time.Millisecond, 2800*time.Millisecond
+	f := newFixture(t, r, respondAfter(2*time.Second, streamWithPauses(0, wholeStream)))
+	result, sink := f.call(context.Background(), nil)
+	if result.Refused != nil || result.Truncated || sink.body.String() != wholeStream {
+		t.Errorf("got %+v with body %q, want the whole stream", result, sink.body.String())
+	}
+	f.awaitIdle(t)
+}
