Reproduce: a second run is cancelled by an error response of the first

The head of the first response cancels the second run, whatever its status. An error response is then not retried, because the cancelled run counts against max_attempts. The hand-over after errRetryableResponse that attempt provides for is never reached.

--- a/relay/hedge_replacement_test.go
+++ b/relay/hedge_replacement_test.go
@@ -31,3 +31,13 @@
 		})
 	}
 }
+
+func TestSecondRunIsKeptWhenTheFirstRespondsWithAnError(t *testing.T) {
+	f := newFixture(t, silentRoute(route.Idempotent),
+		respondAfter(450*time.Millisecond, respond(500, "no")), respondAfter(600*time.Millisecond, respond(200, "yes")))
+	result, sink := f.call(context.Background(), nil)
+	if result.Refused != nil || sink.body.String() != "yes" {
+		t.Errorf("got %+v with body %q, want the response of the second run", result, sink.body.String())
+	}
+	f.awaitIdle(t)
+}
