Keep a second run when the first responds with an error

Callers got the error response of a target although a second run of their request was in flight and would have answered. Cause: any head of the first response cancelled the second run. Class: a run is given up before its replacement is certain.

An error response no longer cancels the second run, and hands over to it without another charge to the retry budget.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -131,19 +131,24 @@
 	if response.Load >= 0 {
 		x.relay.options.Dispatcher.reportLoad(r.slot, response.Load)
 	}
-	if err := x.recordHead(r); err != nil {
+	if err := x.recordHead(r, response); err != nil {
 		return err
 	}
 	return x.forward(r, response)
 }
 
-// recordHead records that the head of the run's response has arrived.
-func (x *execution) recordHead(r *run) error {
+// recordHead records that the head of the run's response has arrived. It returns errStalled
+// if another run has replaced this one.
+func (x *execution) recordHead(r *run, response *Response) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.mayHaveRun = true
 	r.responded = true
 	x.countDispatch(r)
+	if !response.Stream && errorForStatus(response.Status) != nil {
+		// A second run may still have a better response.
+		return x.hedge.replaced()
+	}
 	return x.hedge.recordProgress()
 }
 
@@ -249,8 +254,12 @@
 }
 
 // mayRetryErrorResponse reports whether a request that a target responded to with an
-// error status is retried on another target. It charges the retry to the budget.
+// error status is retried on another target, unless a second run is in flight that replaces
+// it. It charges the retry to the budget.
 func (x *execution) mayRetryErrorResponse() bool {
+	if x.hedge.adoptSecond() {
+		return true
+	}
 	if !x.route.Retryable() || x.dispatches >= x.route.MaxAttempts {
 		return false
 	}
--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -102,8 +102,8 @@
 // run superfluous. It returns errStalled if a second run has replaced the first. x.mu must
 // be held.
 func (h *hedge) recordProgress() error {
-	if h.successor != nil {
-		return errStalled
+	if err := h.replaced(); err != nil {
+		return err
 	}
 	h.lastProgress = time.Now()
 	h.cancelSecond()
@@ -113,6 +113,25 @@
 	return nil
 }
 
+// replaced returns errStalled if a second run has replaced the first. x.mu must be held.
+func (h *hedge) replaced() error {
+	if h.successor != nil {
+		return errStalled
+	}
+	return nil
+}
+
+// adoptSecond makes a second run that is in flight the successor of the first, which has
+// responded with an error. It reports whether the first has a successor.
+func (h *hedge) adoptSecond() bool {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	if h.successor == nil {
+		h.successor, h.second = h.second, nil
+	}
+	return h.successor != nil
+}
+
 // pause suspends the supervision while events are written to the caller.
 func (h *hedge) pause() {
 	h.x.mu.Lock()
