--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -49,6 +49,8 @@
 	// value when a slot for a second run was asked for.
 	lastProgress time.Time
 	stalledSince time.Time
+	// paused is set while the caller has yet to take events that have arrived.
+	paused bool
 	// ended is set, and done closed, once the first run has ended.
 	ended bool
 	done  chan struct{}
@@ -100,8 +102,8 @@
 // run superfluous. It returns errStalled if a second run has replaced the first. x.mu must
 // be held.
 func (h *hedge) recordProgress() error {
-	if h.successor != nil {
-		return errStalled
+	if err := h.replaced(); err != nil {
+		return err
 	}
 	h.lastProgress = time.Now()
 	h.cancelSecond()
@@ -111,6 +113,43 @@
 	return nil
 }
 
+// replaced returns errStalled if a second run has replaced the first. x.mu must be held.
+func (h *hedge) replaced() error {
+	if h.successor != nil {
+		return errStalled
+	}
+	return nil
+}
+
+// adoptSecond makes a second run that is in flight the successor of the first, which has
+// responded with an error. It reports whether the first has a successor.
+func (h *hedge) adoptSecond() bool {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	if h.successor == nil {
+		h.successor, h.second = h.second, nil
+	}
+	return h.successor != nil
+}
+
+// pause suspends the supervision while events are written to the caller.
+func (h *hedge) pause() {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	h.paused = true
+}
+
+// resume goes on with the supervision. The time of the pause is no silence of the target.
+func (h *hedge) resume() {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	h.paused = false
+	h.lastProgress = time.Now()
+	if h.timer != nil {
+		h.timer.Reset(h.eventTimeout)
+	}
+}
+
 // end ends the supervision. It returns the run that replaces the first one, or nil. If the
 // first run failed, a second one that has been sent replaces it.
 func (h *hedge) end(failed bool) *run {
@@ -200,7 +239,7 @@
 func (h *hedge) secondRequest(cancel context.CancelFunc) (schedule.Request, bool) {
 	h.x.mu.Lock()
 	defer h.x.mu.Unlock()
-	if h.ended || h.successor != nil || !h.x.mayHedge(h.first) {
+	if h.ended || h.paused || h.successor != nil || !h.x.mayHedge(h.first) {
 		return schedule.Request{}, false
 	}
 	h.cancelAcquire = cancel
@@ -219,7 +258,7 @@
 	h.x.mu.Lock()
 	defer h.x.mu.Unlock()
 	h.cancelAcquire = nil
-	if h.ended || h.lastProgress != h.stalledSince {
+	if h.ended || h.paused || h.lastProgress != h.stalledSince {
 		return Dispatch{}, false
 	}
 	if !h.x.relay.options.RetryBudget.AllowRetry(time.Now(), h.x.pool) {
