Replace a stalled run only once the second one responds

What callers would have seen: on slow targets a request that its target had nearly served was given up for one that needed as long again, and ended at its deadline (found in review: first events after 2 s, the first run given up at 1.5 s, 504 at 2.8 s). Cause: of two silent runs of a stream one was given up after 0.3 s, the first if it had been silent for 1.3 s.

Now nothing but the head of the second response ends the first run. A second run that stalls too is dropped if the attempt limit allows another one.

TestSecondRunThatIsSilentTooReplacesOnlyALongSilentOne is now TestSecondRunReplacesTheFirstOnlyOnceItResponds with the same two cases and the same conditions.

--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -20,11 +20,6 @@
 	// minStallTimeout is the shortest stall timeout. Without it, a very short objective
 	// could double the load by hedging runs that are merely slow.
 	minStallTimeout = 300 * time.Millisecond
-	// maxOverlap is how long two targets may work on one stream.
-	maxOverlap = 300 * time.Millisecond
-	// minSilence is how long a run must have been silent to be given up for a second one
-	// that has been sent, but has not responded yet. Shorter pauses are common.
-	minSilence = 1300 * time.Millisecond
 )
 
 // errStalled is the cancellation cause of a run that was replaced because its target had
@@ -272,23 +267,39 @@
 }
 
 // awaitSecond waits until the second run responds, fails, or is cancelled because the
-// first one goes on. Of two runs of a stream, one is given up after maxOverlap.
+// first one goes on. One that stalls too makes room for another, if one is allowed.
 func (h *hedge) awaitSecond(second *run) {
-	var overlap <-chan time.Time
-	if h.x.route.Kind == route.Stream {
-		timer := time.NewTimer(maxOverlap)
-		defer timer.Stop()
-		overlap = timer.C
+	stalled := time.NewTimer(stallTimeout(firstEventFactor, h.x.route.LatencyObjective))
+	defer stalled.Stop()
+	for {
+		select {
+		case result := <-second.head:
+			second.head <- result
+			h.settle(second, result)
+			return
+		case <-h.done:
+			h.leave(second)
+			return
+		case <-stalled.C:
+			if h.dropStalled(second) {
+				return
+			}
+		}
 	}
-	select {
-	case result := <-second.head:
-		second.head <- result
-		h.settle(second, result)
-	case <-overlap:
-		h.endOverlap(second)
-	case <-h.done:
-		h.leave(second)
+}
+
+// dropStalled gives up a second run that has stalled, if another one is allowed. It returns
+// false if the second run goes on.
+func (h *hedge) dropStalled(second *run) bool {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	if h.second != second || !h.x.mayHedge(h.first) {
+		return false
 	}
+	h.failedTargets = append(h.failedTargets, second.target.Name)
+	h.cancelSecond()
+	go h.x.discard(second)
+	return true
 }
 
 // leave discards the second run after the end of the first, unless it is the successor.
@@ -324,23 +335,6 @@
 	go h.x.endFailed(second, err)
 }
 
-// endOverlap gives up one of two runs of a stream that are both silent.
-func (h *hedge) endOverlap(second *run) {
-	h.x.mu.Lock()
-	defer h.x.mu.Unlock()
-	switch {
-	case h.successor == second:
-		// The execution goes on with it.
-	case h.second != second:
-		go h.x.discard(second)
-	case time.Since(h.lastProgress) >= minSilence:
-		h.replaceFirst()
-	default:
-		h.cancelSecond()
-		go h.x.discard(second)
-	}
-}
-
 // replaceFirst makes the second run the successor of the first and cancels the first.
 // x.mu must be held.
 func (h *hedge) replaceFirst() {
--- a/relay/hedge_test.go
+++ b/relay/hedge_test.go
@@ -45,7 +45,7 @@
 	f.awaitIdle(t)
 }
 
-func TestSecondRunThatIsSilentTooReplacesOnlyALongSilentOne(t *testing.T) {
+func TestSecondRunReplacesTheFirstOnlyOnceItResponds(t *testing.T) {
 	late := respondAfter(600*time.Millisecond, respondStream(secondEvent, io.EOF))
 	cases := []struct {
 		name          string
@@ -53,8 +53,8 @@
 		first, second targetBehavior
 		replaced      bool
 	}{
-		{"first run is silent for a moment", 25 * time.Millisecond, streamWithPauses(silence, firstEvent, secondEvent), hang, false},
-		{"first run stays silent", 275 * time.Millisecond, streamWithPauses(time.Minute, firstEvent, secondEvent), late, true},
+		{"second run stays silent", 25 * time.Millisecond, streamWithPauses(silence, firstEvent, secondEvent), hang, false},
+		{"second run responds late", 275 * time.Millisecond, streamWithPauses(time.Minute, firstEvent, secondEvent), late, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -74,6 +74,17 @@
 	}
 }
 
+func TestSecondRunThatStallsMakesRoomForAThird(t *testing.T) {
+	r := silentRoute(route.Stream)
+	r.MaxAttempts = 3
+	f := newFixture(t, r, streamWithPauses(time.Minute, firstEvent, secondEvent), hang, respondStream(secondEvent, io.EOF))
+	result, sink := f.call(context.Background(), nil)
+	if result.Truncated || sink.body.String() != wholeStream {
+		t.Errorf("got %+v with body %q, want the whole stream", result, sink.body.String())
+	}
+	f.awaitIdle(t)
+}
+
 func TestHedgingKeepsToTheAttemptLimit(t *testing.T) {
 	f := newFixture(t, silentRoute(route.Stream), respondAfter(3*silence, streamWithPauses(0, wholeStream)))
 	result, sink := f.call(context.Background(), nil)
