Reproduce: a second run is given up for a first one that never responds

A stream whose target never responds gets 504 at its deadline, or its caller leaves. Where twice the latency objective and the overlap of 0.3 s together are less than 1.3 s (objectives under 0.5 s), a second run that has not responded within 0.3 s is cancelled; its attempt and its charge to the retry budget are spent, and with max_attempts 2 nothing else can replace the first. Seen: the second target responds after 0.4 s; 504 at the deadline of 3 s.

--- a/relay/long_silence_test.go
+++ b/relay/long_silence_test.go
@@ -44,3 +44,15 @@
 	}
 	f.awaitIdle(t)
 }
+
+func TestSecondRunIsNotGivenUpForAFirstOneThatNeverResponds(t *testing.T) {
+	t.Parallel()
+	r := silentRoute(route.Stream)
+	r.LatencyObjective, r.EventGapObjective, r.Timeout = 300*time.Millisecond, 250*time.Millisecond, 3*time.Second
+	f := newFixture(t, r, hang, respondAfter(400*time.Millisecond, streamWithPauses(0, wholeStream)))
+	result, sink := f.call(context.Background(), nil)
+	if result.Refused != nil || result.Truncated || sink.body.String() != wholeStream {
+		t.Errorf("got %+v with body %q, want the whole stream", result, sink.body.String())
+	}
+	f.awaitIdle(t)
+}
