Let two runs overlap until a stream has its first event

Callers of streams got 504, or left, in two cases: the target never responded and the second run, which would have, was cancelled after 0.3 s; or the target needed long for the first event and was given up for a second run that needed as long. Cause: the overlap of two runs was bounded before the stream had begun too, and when it ended one of two silent runs was given up without evidence which. Class: a run is given up before its replacement is certain.

The bound is for a stream that goes on at another target while the one before still works on it. Before the first event nothing goes on: both runs are whole ones of a request that may run again, as for plain requests, and the first to respond is taken. Remainders keep the bound.

--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -20,7 +20,7 @@
 	// minStallTimeout is the shortest stall timeout. Without it, a very short objective
 	// could double the load by hedging runs that are merely slow.
 	minStallTimeout = 300 * time.Millisecond
-	// maxOverlap is how long two targets may work on one stream.
+	// maxOverlap is how long two targets may work on the remainder of one stream.
 	maxOverlap = 300 * time.Millisecond
 	// minSilence is how long a run must have been silent to be given up for a second one
 	// that has been sent, but has not responded yet. Shorter pauses are common.
@@ -268,14 +268,16 @@
 	h.x.recordStep(Step{Kind: StepHedged, Target: second.target.Name, Version: second.target.Version, Inputs: second.inputs})
 	h.second = second
 	h.x.countDispatch(second)
+	second.resumes = h.x.resumes()
 	return h.x.dispatch(second), true
 }
 
 // awaitSecond waits until the second run responds, fails, or is cancelled because the
-// first one goes on. Of two runs of a stream, one is given up after maxOverlap.
+// first one goes on. Of two runs for the remainder of a stream, one is given up after
+// maxOverlap.
 func (h *hedge) awaitSecond(second *run) {
 	var overlap <-chan time.Time
-	if h.x.route.Kind == route.Stream {
+	if second.resumes {
 		timer := time.NewTimer(maxOverlap)
 		defer timer.Stop()
 		overlap = timer.C
--- a/relay/run.go
+++ b/relay/run.go
@@ -26,6 +26,8 @@
 	// counted is set once the run counts as a dispatch of the request, or as an
 	// unreachable target.
 	counted bool
+	// resumes says that a second run is asked for the remainder of a stream.
+	resumes bool
 	// responded is set once the head of the response has arrived.
 	responded bool
 }
