Move types to files named after them in fourteen packages

admission, daemon, logging, membership, peer, pool, quarantine, quota, routing, settings, storage, timeline and usage had files with up to seven types.

Declarations are moved as they were. go test -race of these packages and of their importers schedule, entry, cli, operator, claim and internal/loadmodel passes.

--- a/daemon/usage_metrics.go
+++ b/daemon/usage_metrics.go
@@ -6,7 +6,6 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/metrics"
 	"github.com/cornelyard/cornelyard/timeline"
@@ -27,12 +26,6 @@
 	dropped    uint64
 }
 
-// usageGroup holds the tags by which the metrics are grouped.
-type usageGroup struct {
-	tier ident.Tier
-	pool ident.Pool
-}
-
 func newUsageMetrics(scope tally.Scope, aggregator *usage.Aggregator, ring *timeline.Ring) *usageMetrics {
 	return &usageMetrics{
 		scope: scope, aggregator: aggregator, ring: ring, reported: make(map[usageGroup]usage.Counters),
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -14,17 +14,6 @@
 // hostKey is the log field that names the host.
 const hostKey = "host"
 
-// Options configures the loggers of one process.
-type Options struct {
-	// Level is debug, info, warn or error; empty means info.
-	Level string
-	// Output receives the lines; if nil, they go to the default output of the
-	// constructor.
-	Output io.Writer
-	// Host, if set, is added to every JSON line.
-	Host string
-}
-
 // Factory creates the component loggers of one process.
 type Factory struct {
 	level  log.Level
--- a/membership/tracker_handler.go
+++ b/membership/tracker_handler.go
@@ -39,3 +39,9 @@
 		t.dropped.Inc(1)
 	}
 }
+
+func (t *Tracker) reportNewerVersion(version uint64) {
+	if t.onSettingsVersion != nil && version > t.version.Load() {
+		t.onSettingsVersion(version)
+	}
+}
--- a/membership/view.go
+++ b/membership/view.go
@@ -15,14 +15,6 @@
 	Stale bool
 }
 
-// Source provides the current view.
-type Source interface {
-	// View returns the current view; it is never nil.
-	View() *View
-	// Changed returns a channel that is closed when the view is replaced.
-	Changed() <-chan struct{}
-}
-
 // Member returns the member with the given host name.
 func (v *View) Member(host ident.Host) (Member, bool) {
 	for _, m := range v.Members {
--- a/peer/caller.go
+++ b/peer/caller.go
@@ -11,6 +11,3 @@
 	// Call sends body to the method of the host and returns its reply.
 	Call(ctx context.Context, to ident.Host, method string, body []byte) ([]byte, error)
 }
-
-// Method serves one kind of unary call.
-type Method func(ctx context.Context, from ident.Host, body []byte) ([]byte, error)
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -18,16 +18,3 @@
 	// could not be reached.
 	SessionDown(host ident.Host)
 }
-
-// HelloHandler is a Handler that also receives the Hello message of each session,
-// before SessionUp.
-type HelloHandler interface {
-	HandleHello(from ident.Host, h *peerpb.Hello)
-}
-
-// DialObserver is a Handler that is also notified of refused connections. DialRefused
-// is called by the dialling goroutine, concurrently with the session calls.
-type DialObserver interface {
-	// DialRefused reports that no process listens at the host's peer address.
-	DialRefused(host ident.Host)
-}
--- a/pool/manager.go
+++ b/pool/manager.go
@@ -31,12 +31,6 @@
 	done      sync.WaitGroup
 }
 
-// runningOwner is an owner whose goroutine is running.
-type runningOwner struct {
-	*owner
-	stop context.CancelFunc
-}
-
 // NewManager returns a manager. It owns pools only while Run is running.
 func NewManager(o ManagerOptions) *Manager {
 	return &Manager{
--- a/pool/manager_options.go
+++ b/pool/manager_options.go
@@ -10,7 +10,6 @@
 	"github.com/cornelyard/cornelyard/membership"
 	"github.com/cornelyard/cornelyard/peer"
 	"github.com/cornelyard/cornelyard/settings"
-	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/timeline"
 	"github.com/cornelyard/cornelyard/usage"
 )
@@ -36,11 +35,3 @@
 	// Now returns the current time.
 	Now func() time.Time
 }
-
-// HostSource provides the latest host list.
-type HostSource interface {
-	// Entries returns the list, which the caller must not modify.
-	Entries() []storage.HostEntry
-	// Changed returns a channel that is closed when the list is replaced.
-	Changed() <-chan struct{}
-}
--- a/pool/tracked_request.go
+++ b/pool/tracked_request.go
@@ -1,12 +1,6 @@
 package pool
 
-import (
-	"time"
-
-	"github.com/cornelyard/cornelyard/admission"
-	"github.com/cornelyard/cornelyard/ident"
-	"github.com/cornelyard/cornelyard/outcome"
-)
+import "github.com/cornelyard/cornelyard/admission"
 
 // trackedRequest is a request at its entry, from Acquire to the end of its grant.
 // Its fields are guarded by the client's mutex.
@@ -23,12 +17,3 @@
 	// forward is set once the request is forwarded to other data centres.
 	forward *forwardPlan
 }
-
-// forwardPlan holds the data centres that a forwarded request has yet to try, and
-// the refusal to return if none of them accepts it.
-type forwardPlan struct {
-	remaining []ident.DataCentre
-	refusal   *outcome.Refusal
-	// since is when the current data centre was first tried.
-	since time.Time
-}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -10,9 +10,6 @@
 	confirmed bool
 }
 
-// verdicts holds the digests with strikes.
-type verdicts map[Digest]verdict
-
 // judge returns the verdicts that follow from the records, which are in the order of their
 // times. It confirms digests one after the other: those with the most strikes first and,
 // among these, those with the latest one. Each confirmation attributes crashes.
@@ -67,22 +64,3 @@
 	v.lastStrike = at
 	return v
 }
-
-// worst returns the verdict with the most strikes and, among these, the latest one.
-func (v verdicts) worst() verdict {
-	var worst verdict
-	for _, candidate := range v {
-		if candidate.strikes > worst.strikes ||
-			candidate.strikes == worst.strikes && candidate.lastStrike.After(worst.lastStrike) {
-			worst = candidate
-		}
-	}
-	return worst
-}
-
-func merge(confirmed, open verdicts) verdicts {
-	for digest, v := range open {
-		confirmed[digest] = v
-	}
-	return confirmed
-}
--- /dev/null
+++ b/quarantine/verdicts.go
@@ -0,0 +1,23 @@
+package quarantine
+
+// verdicts holds the digests with strikes.
+type verdicts map[Digest]verdict
+
+// worst returns the verdict with the most strikes and, among these, the latest one.
+func (v verdicts) worst() verdict {
+	var worst verdict
+	for _, candidate := range v {
+		if candidate.strikes > worst.strikes ||
+			candidate.strikes == worst.strikes && candidate.lastStrike.After(worst.lastStrike) {
+			worst = candidate
+		}
+	}
+	return worst
+}
+
+func merge(confirmed, open verdicts) verdicts {
+	for digest, v := range open {
+		confirmed[digest] = v
+	}
+	return confirmed
+}
--- /dev/null
+++ b/quota/source_state.go
@@ -0,0 +1,12 @@
+package quota
+
+import "time"
+
+// sourceState is what is known about a source.
+type sourceState struct {
+	// hosts is the number of hosts whose usage it covers.
+	hosts        int
+	lastReportAt time.Time
+	// limitedUntil is one window after the end of a long silence.
+	limitedUntil time.Time
+}
--- a/quota/usage.go
+++ b/quota/usage.go
@@ -1,7 +1,5 @@
 package quota
 
-import "time"
-
 // Usage is what one host reports to the others about a team.
 type Usage struct {
 	// Total is what was admitted since the reporting host's start.
@@ -15,9 +13,3 @@
 	// RecentHalf is the part of Window that was admitted in its second half.
 	RecentHalf float64
 }
-
-// cachedUsage is a report with the time of its arrival.
-type cachedUsage struct {
-	Usage
-	at time.Time
-}
--- a/routing/prefix_index.go
+++ b/routing/prefix_index.go
@@ -20,15 +20,6 @@
 	generation  uint64
 }
 
-// targetPrefixes is the part of the index for one target.
-type targetPrefixes struct {
-	lru     *list.List
-	entries map[uint64]*list.Element
-	// tokens is the result of the match with this generation.
-	generation uint64
-	tokens     int
-}
-
 // NewPrefixIndex returns an empty index; a block has blockTokens tokens.
 func NewPrefixIndex(blockTokens int) *PrefixIndex {
 	return &PrefixIndex{blockTokens: blockTokens, holders: make(map[uint64][]*Target)}
--- a/routing/router.go
+++ b/routing/router.go
@@ -11,13 +11,6 @@
 	selections uint64
 }
 
-// RouterOptions configures a Router.
-type RouterOptions struct {
-	Prefixes *PrefixIndex
-	Filters  []Filter
-	Score    Score
-}
-
 func NewRouter(o RouterOptions) *Router {
 	return &Router{prefixes: o.Prefixes, filters: o.Filters, score: o.Score}
 }
--- /dev/null
+++ b/routing/router_options.go
@@ -0,0 +1,8 @@
+package routing
+
+// RouterOptions configures a Router.
+type RouterOptions struct {
+	Prefixes *PrefixIndex
+	Filters  []Filter
+	Score    Score
+}
--- a/settings/snapshot.go
+++ b/settings/snapshot.go
@@ -23,12 +23,6 @@
 	targets map[poolLocation][]*Target
 }
 
-// poolLocation identifies the part of a pool in one data centre.
-type poolLocation struct {
-	pool ident.Pool
-	dc   ident.DataCentre
-}
-
 // NewSnapshot indexes the declarations, which must be valid.
 func NewSnapshot(version uint64, tiers []*Tier, pools []*Pool, targets []*Target, teams []*Team) *Snapshot {
 	s := newSnapshot(version, len(teams))
--- a/storage/hostwatch/watcher.go
+++ b/storage/hostwatch/watcher.go
@@ -8,19 +8,10 @@
 	"sync"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/storage"
 )
 
-// Options configures a Watcher. All fields are required.
-type Options struct {
-	List     storage.HostList
-	Interval time.Duration
-	Logger   *log.Logger
-}
-
 // Watcher polls the host list. It implements storage.HostList from its cache.
 type Watcher struct {
 	options Options
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -14,14 +14,6 @@
 	maxDetailBytes = 256
 )
 
-// RingOptions configures a Ring.
-type RingOptions struct {
-	Host  ident.Host
-	Clock *Clock
-	// Capacity is the number of events kept; zero means DefaultCapacity.
-	Capacity int
-}
-
 // Ring is a Recorder that keeps the latest events of one process in a ring
 // buffer. It is safe for concurrent use.
 type Ring struct {
--- a/usage/aggregator.go
+++ b/usage/aggregator.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/cornelyard/cornelyard/ident"
 )
 
 // maxRemoteReports bounds the number of reports kept from other processes. Beyond it,
@@ -26,18 +24,6 @@
 	foldedSums map[Key]*Counters
 }
 
-// Options identifies the process that counts.
-type Options struct {
-	Host        ident.Host
-	Incarnation uint64
-}
-
-// process identifies one incarnation of a host.
-type process struct {
-	host        ident.Host
-	incarnation uint64
-}
-
 // NewAggregator returns an aggregator without rows.
 func NewAggregator(o Options) *Aggregator {
 	return &Aggregator{
