--- a/bench/policy/measurement.go
+++ b/bench/policy/measurement.go
@@ -10,7 +10,6 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/standin/engine"
 	"github.com/cornelyard/cornelyard/internal/testbed"
-	"github.com/cornelyard/cornelyard/settings"
 )
 
 const (
@@ -26,16 +25,6 @@
 	report  *Report
 }
 
-// variant describes one cluster: a policy and, optionally, an engine that is absent or
-// is slowed down in the middle of the phase.
-type variant struct {
-	policy settings.Policy
-	name   string
-	loads  []float64
-	slowed ident.Target
-	absent ident.Target
-}
-
 func (m *measurement) run(ctx context.Context) error {
 	for _, v := range m.variants() {
 		if err := m.runVariant(ctx, v); err != nil {
@@ -46,21 +35,6 @@
 	return ctx.Err()
 }
 
-func (m *measurement) variants() []variant {
-	var all []variant
-	for _, policy := range m.options.policies {
-		all = append(all, variant{policy: settings.Policy(policy), loads: m.options.loads})
-	}
-	if m.options.slowLoad > 0 {
-		fastest := m.fastest()
-		loads := []float64{m.options.slowLoad}
-		all = append(all,
-			variant{policy: settings.PolicyPredictive, name: "slowed", loads: loads, slowed: fastest},
-			variant{policy: settings.PolicyPredictive, name: "absent", loads: loads, absent: fastest})
-	}
-	return all
-}
-
 // fastest returns the fastest engine of the first data centre.
 func (m *measurement) fastest() ident.Target {
 	engines := m.shape.engines()
@@ -124,23 +98,3 @@
 // settleTime is long enough for the engines to count the prefill of interrupted streams
 // as wasted: they keep such streams for the resume window.
 const settleTime = engine.DefaultResumeWindow + 500*time.Millisecond
-
-// prefill holds the prompt tokens that all engines computed, and those of them that were
-// wasted.
-type prefill struct {
-	computed int64
-	wasted   int64
-}
-
-func readPrefill(cluster *testbed.Cluster) (prefill, error) {
-	var sum prefill
-	for _, target := range cluster.Targets {
-		record, err := target.EngineRecord()
-		if err != nil {
-			return sum, err
-		}
-		sum.computed += record.PrefillTokens
-		sum.wasted += record.WastedPrefillTokens
-	}
-	return sum, nil
-}
--- a/bench/policy/shape.go
+++ b/bench/policy/shape.go
@@ -15,13 +15,6 @@
 	pools       []poolShape
 }
 
-// poolShape is one pool of a deployment.
-type poolShape struct {
-	name ident.Pool
-	// engines is the number of engines in each data centre.
-	engines int
-}
-
 // shapes holds the deployments by name.
 var shapes = map[string]shape{
 	"lankadhara": {dataCentres: 4, hosts: 7, pools: []poolShape{{"drafting", 3}, {"returns", 1}}},
@@ -43,14 +36,6 @@
 // speeds are the relative speeds of the kinds of engines.
 var speeds = []float64{1, 2, 4}
 
-// engineSpec is one engine of a shape.
-type engineSpec struct {
-	name       ident.Target
-	pool       ident.Pool
-	dataCentre ident.DataCentre
-	speed      float64
-}
-
 // engines returns the engines of all pools. A pool with a single engine per data centre
 // has engines of the fastest kind.
 func (s shape) engines() []engineSpec {
@@ -78,12 +63,6 @@
 	return ident.DataCentre(fmt.Sprintf("dc%d", index+1))
 }
 
-// rate returns the requests per second that the engine serves with all slots in use.
-func (e engineSpec) rate(meanPrompt, meanTokens float64) float64 {
-	step := baseGapMs / 1000 / e.speed * (1 + gapGrowth*(slots-1))
-	return 1 / (meanTokens*step/slots + meanPrompt/(basePrefillRate*e.speed))
-}
-
 // spec describes the cluster with the given policy and without the absent engine.
 func (s shape) spec(policy settings.Policy, absent ident.Target) testbed.Spec {
 	spec := testbed.Spec{Tiers: tiers}
@@ -110,10 +89,3 @@
 	}
 	return spec
 }
-
-func (e engineSpec) target() testbed.TargetSpec {
-	return testbed.EngineSpec(e.name, e.pool, e.dataCentre, slots,
-		"--decode-gap", fmt.Sprintf("%gms", baseGapMs/e.speed),
-		"--prefill-rate", fmt.Sprint(basePrefillRate*e.speed),
-		"--gap-growth", fmt.Sprint(gapGrowth))
-}
--- a/bench/policy/workload.go
+++ b/bench/policy/workload.go
@@ -31,12 +31,6 @@
 	deadlineFactor = 3
 )
 
-// team is a customer with its share of the calls.
-type team struct {
-	name  ident.Team
-	share float64
-}
-
 var teams = []team{{"large-1", 0.4}, {"large-2", 0.3}, {"small-1", 0.1}, {"small-2", 0.1}, {"small-3", 0.1}}
 
 const (
@@ -54,19 +48,6 @@
 	quietRate   = 0.75
 )
 
-// job describes one call of the workload.
-type job struct {
-	due      time.Duration
-	pool     ident.Pool
-	team     ident.Team
-	tier     ident.Tier
-	deadline time.Duration
-	host     int
-	prompt   string
-	// limit is the caller's limit on output tokens.
-	limit int
-}
-
 // workload generates jobs, the same ones for the same seed, shape, load and kind of
 // deadlines.
 type workload struct {
--- a/eventlog/reader.go
+++ b/eventlog/reader.go
@@ -3,10 +3,8 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"io"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -18,16 +16,6 @@
 // maxLineBytes bounds the length of a line that is read.
 const maxLineBytes = 1 << 20
 
-// Line is one parsed log line.
-type Line struct {
-	At      time.Time
-	Host    string
-	Event   string
-	Message string
-	// Fields holds the remaining fields.
-	Fields map[string]any
-}
-
 // Reader collects the log lines that concern one request: those about the request
 // itself, and state changes of the targets it was sent to, from around the time of
 // the request.
@@ -72,33 +60,6 @@
 	}
 }
 
-func parseLine(text []byte) (Line, bool) {
-	var fields map[string]any
-	if json.Unmarshal(text, &fields) != nil {
-		return Line{}, false
-	}
-	line := Line{Fields: fields}
-	line.Host = removeString(fields, FieldHost)
-	line.Event = removeString(fields, FieldEvent)
-	line.Message = removeString(fields, "message")
-	loggedAt := removeString(fields, "time")
-	at := removeString(fields, FieldAt)
-	if at == "" {
-		at = loggedAt
-	}
-	var err error
-	if line.At, err = time.Parse(time.RFC3339Nano, at); err != nil {
-		return Line{}, false
-	}
-	return line, true
-}
-
-func removeString(fields map[string]any, name string) string {
-	text, _ := fields[name].(string)
-	delete(fields, name)
-	return text
-}
-
 // Lines returns the collected lines in chronological order.
 func (r *Reader) Lines() []Line {
 	if len(r.requestLines) == 0 {
@@ -137,26 +98,3 @@
 	}
 	return first.Add(-targetLineMargin), last.Add(targetLineMargin)
 }
-
-// omittedFields are left out of Text because they don't help to follow a request.
-var omittedFields = []string{"level", "part", FieldRequest}
-
-// Text returns the line's fields as name=value pairs, sorted by name.
-func (l Line) Text() string {
-	names := make([]string, 0, len(l.Fields))
-	for name := range l.Fields {
-		if !slices.Contains(omittedFields, name) {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	var b strings.Builder
-	for _, name := range names {
-		value, err := json.Marshal(l.Fields[name])
-		if err != nil {
-			continue
-		}
-		b.WriteString(" " + name + "=" + string(value))
-	}
-	return strings.TrimPrefix(b.String(), " ")
-}
--- a/internal/loadmodel/host.go
+++ b/internal/loadmodel/host.go
@@ -25,12 +25,6 @@
 	nextEngine int
 }
 
-// sentState is a state that a host published at a point in time.
-type sentState struct {
-	at    time.Duration
-	state schedule.State
-}
-
 // publishState publishes the host's state after a change and at each heartbeat, at
 // intervals of at least minInterval.
 func (h *host) publishState(now, minInterval time.Duration) {
--- /dev/null
+++ b/internal/loadmodel/report.go
@@ -0,0 +1,29 @@
+package loadmodel
+
+// Report holds the outcomes of a run by class.
+type Report struct {
+	Classes map[string]*Outcome
+}
+
+// ValueRatio returns the earned value as a fraction of the maximum.
+func (r Report) ValueRatio() float64 {
+	earnedValue, maxValue := 0.0, 0.0
+	for _, o := range r.Classes {
+		earnedValue += o.EarnedValue
+		maxValue += o.MaxValue
+	}
+	return earnedValue / max(maxValue, 1)
+}
+
+// Total returns the request counts summed over all classes.
+func (r Report) Total() Outcome {
+	var sum Outcome
+	for _, o := range r.Classes {
+		sum.Arrived += o.Arrived
+		sum.OnTime += o.OnTime
+		sum.Late += o.Late
+		sum.Refused += o.Refused
+		sum.Abandoned += o.Abandoned
+	}
+	return sum
+}
--- a/internal/standin/engine/load_history.go
+++ b/internal/standin/engine/load_history.go
@@ -7,12 +7,6 @@
 	maxLoadSamples     = 4096
 )
 
-type loadSample struct {
-	at      time.Time
-	running int
-	waiting int
-}
-
 // loadHistory holds past load samples, oldest first.
 type loadHistory struct {
 	samples []loadSample
--- a/internal/standin/engine/run_record.go
+++ b/internal/standin/engine/run_record.go
@@ -2,17 +2,6 @@
 
 import "time"
 
-// RunState is the state of a run.
-type RunState string
-
-// States of a run.
-const (
-	RunWaiting   RunState = "waiting"
-	RunRunning   RunState = "running"
-	RunFinished  RunState = "finished"
-	RunCancelled RunState = "cancelled"
-)
-
 // RunRecord is the record of one received request. A request that is received twice
 // has two records.
 type RunRecord struct {
--- a/internal/standin/engine/step.go
+++ b/internal/standin/engine/step.go
@@ -5,12 +5,6 @@
 // prefillChunk is the maximum number of prompt tokens computed in one step.
 const prefillChunk = 512
 
-// prefillShare is the number of prompt tokens that a step computes for one run.
-type prefillShare struct {
-	run    *run
-	tokens int
-}
-
 // step is one pass over the batch. Each run that has finished its prefill gets a
 // token, and the prefill of the oldest other runs continues.
 type step struct {
--- a/internal/standin/platform/hostlist.go
+++ b/internal/standin/platform/host_list.go
@@ -7,12 +7,6 @@
 	"github.com/cornelyard/cornelyard/storage"
 )
 
-// hostVersion is a version of the host list and the time from which it is visible.
-type hostVersion struct {
-	visibleFrom time.Time
-	hosts       []storage.HostEntry
-}
-
 // hostList keeps the visible version and the later ones.
 type hostList struct {
 	mu       sync.Mutex
--- /dev/null
+++ b/internal/verdict/promise.go
@@ -0,0 +1,4 @@
+package verdict
+
+// Promise identifies a promise in reports.
+type Promise string
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -13,9 +13,6 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("verdict")
 
-// Promise identifies a promise in reports.
-type Promise string
-
 // Verdict counts the checks and violations of one promise.
 type Verdict struct {
 	Promise    Promise `json:"promise"`
