Make one of the signals that wake all who wait for a change

membership.Tracker, settings' replica, hostwatch.Watcher (twice), peer's link and the stand-in engine's run each closed a channel under their mutex and made the next one. They use broadcast.Signal now, which does just that.

--- a/internal/standin/engine/intake.go
+++ b/internal/standin/engine/intake.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelyard/cornelyard/internal/broadcast"
 )
 
 // receive queues a run for the request and returns it with the faults that apply.
@@ -22,7 +24,7 @@
 		length:  length,
 		limited: limited,
 		crashes: strings.Contains(prompt, e.options.CrashMarker),
-		changed: make(chan struct{}),
+		changed: broadcast.NewSignal(),
 		record: RunRecord{
 			State:        RunWaiting,
 			Received:     now,
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/cornelyard/cornelyard/internal/broadcast"
 )
 
 // run is the execution of one received request. The engine's mutex guards the fields
@@ -20,8 +22,8 @@
 	record      RunRecord
 	prefillLeft int
 	readers     int
-	// changed is closed and replaced when the number of tokens or the state changes.
-	changed chan struct{}
+	// changed notifies when the number of tokens or the state changes.
+	changed broadcast.Signal
 }
 
 func (r *run) active() bool {
@@ -29,12 +31,7 @@
 }
 
 func (r *run) progress() progress {
-	return progress{tokens: r.record.Tokens, state: r.record.State, changed: r.changed}
-}
-
-func (r *run) notify() {
-	close(r.changed)
-	r.changed = make(chan struct{})
+	return progress{tokens: r.record.Tokens, state: r.record.State, changed: r.changed.Next()}
 }
 
 // start moves the run into the batch. The last token of the prompt is always computed,
@@ -49,14 +46,14 @@
 // addToken adds a token and reports whether it was the last.
 func (r *run) addToken() bool {
 	r.record.Tokens++
-	r.notify()
+	r.changed.Notify()
 	return r.record.Tokens >= r.length
 }
 
 func (r *run) end(now time.Time, state RunState) {
 	r.record.State = state
 	r.record.Ended = now
-	r.notify()
+	r.changed.Notify()
 }
 
 func (r *run) usage() *usage {
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/broadcast"
 	"github.com/cornelyard/cornelyard/metrics"
 	"github.com/cornelyard/cornelyard/timeline"
 )
@@ -39,7 +40,7 @@
 
 	mu      sync.Mutex
 	view    *View
-	changed chan struct{}
+	changed broadcast.Signal
 
 	sender            Sender
 	onSettingsVersion func(version uint64)
@@ -59,7 +60,7 @@
 		inbox:         make(chan input, inboxSize),
 		sendNow:       make(chan struct{}, 1),
 		dropped:       o.Scope.Counter(metrics.MembershipInputsDropped),
-		changed:       make(chan struct{}),
+		changed:       broadcast.NewSignal(),
 		membersSentAt: make(map[ident.Host]time.Time),
 	}
 	t.version.Store(o.Self.SettingsVersion)
@@ -102,7 +103,7 @@
 func (t *Tracker) Changed() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.changed
+	return t.changed.Next()
 }
 
 // Run tracks the members until ctx is done, and then returns nil.
@@ -171,8 +172,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.view = t.detector.view(t.view.Version + 1)
-	close(t.changed)
-	t.changed = make(chan struct{})
+	t.changed.Notify()
 	t.updateGauges(t.view)
 }
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/broadcast"
 )
 
 // link is the connection state for one remote host: at most one session, the dials to
@@ -24,8 +25,8 @@
 	// waiters counts the calls that wait for a session.
 	waiters int
 	dials   dialState
-	// changed is closed when a session opens or a dial fails.
-	changed chan struct{}
+	// changed notifies when a session opens or a dial fails.
+	changed broadcast.Signal
 	// removed means that the mesh no longer uses the link.
 	removed bool
 }
@@ -35,7 +36,7 @@
 		host:    host,
 		pending: newOutbox(maxPendingBytes),
 		dials:   newDialState(),
-		changed: make(chan struct{}),
+		changed: broadcast.NewSignal(),
 	}
 }
 
@@ -77,7 +78,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waiters++
-	return l.openSessionLocked(), l.changed
+	return l.openSessionLocked(), l.changed.Next()
 }
 
 func (l *link) removeWaiter() {
@@ -85,8 +86,3 @@
 	defer l.mu.Unlock()
 	l.waiters--
 }
-
-func (l *link) notifyWaiters() {
-	close(l.changed)
-	l.changed = make(chan struct{})
-}
--- a/peer/link_dials.go
+++ b/peer/link_dials.go
@@ -22,7 +22,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.dials.failed(now)
-	l.notifyWaiters()
+	l.changed.Notify()
 	if l.openSessionLocked() != nil {
 		return false
 	}
--- a/peer/link_session.go
+++ b/peer/link_session.go
@@ -77,7 +77,7 @@
 	}
 	l.pending = newOutbox(maxPendingBytes)
 	l.dials.succeeded()
-	l.notifyWaiters()
+	l.changed.Notify()
 }
 
 // closeIfIdle closes an idle session to a member that was declared dead, so that both
--- a/settings/replica.go
+++ b/settings/replica.go
@@ -5,6 +5,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/cornelyard/cornelyard/internal/broadcast"
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
@@ -16,7 +17,7 @@
 	mu       sync.Mutex
 	state    *state
 	snapshot *Snapshot
-	changed  chan struct{}
+	changed  broadcast.Signal
 }
 
 func newReplica(recorder timeline.Recorder, logger *log.Logger) *replica {
@@ -24,7 +25,7 @@
 		recorder: recorder,
 		logger:   logger,
 		state:    emptyState(),
-		changed:  make(chan struct{}),
+		changed:  broadcast.NewSignal(),
 	}
 }
 
@@ -46,7 +47,7 @@
 func (r *replica) Changed() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.changed
+	return r.changed.Next()
 }
 
 // install puts the state into force if its version is newer.
@@ -71,8 +72,7 @@
 	previous = r.state
 	r.state = next
 	r.snapshot = snapshot
-	close(r.changed)
-	r.changed = make(chan struct{})
+	r.changed.Notify()
 	r.recorder.Record(timeline.Event{Kind: timeline.SettingsApplied, Version: next.version})
 	return previous, true
 }
--- a/storage/hostwatch/watcher.go
+++ b/storage/hostwatch/watcher.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/broadcast"
 	"github.com/cornelyard/cornelyard/storage"
 )
 
@@ -21,12 +22,12 @@
 
 	mu      sync.Mutex
 	entries []storage.HostEntry
-	changed chan struct{}
+	changed broadcast.Signal
 	err     error
-	// lastPoll is when the last poll ended, successfully or not. pollEnded is closed
-	// when the next one ends.
+	// lastPoll is when the last poll ended, successfully or not. pollEnded notifies
+	// when one ends.
 	lastPoll  time.Time
-	pollEnded chan struct{}
+	pollEnded broadcast.Signal
 }
 
 const (
@@ -44,9 +45,9 @@
 	return &Watcher{
 		options:   o,
 		pollNow:   make(chan struct{}, 1),
-		changed:   make(chan struct{}),
+		changed:   broadcast.NewSignal(),
 		err:       storage.ErrUnavailable,
-		pollEnded: make(chan struct{}),
+		pollEnded: broadcast.NewSignal(),
 	}
 }
 
@@ -72,7 +73,7 @@
 func (w *Watcher) EnsureFresh(ctx context.Context) {
 	w.mu.Lock()
 	stale := !w.lastPoll.IsZero() && time.Since(w.lastPoll) > maxPollAge
-	pollEnded := w.pollEnded
+	pollEnded := w.pollEnded.Next()
 	w.mu.Unlock()
 	if !stale {
 		return
@@ -99,14 +100,12 @@
 	}
 	w.err = err
 	w.lastPoll = time.Now()
-	close(w.pollEnded)
-	w.pollEnded = make(chan struct{})
+	w.pollEnded.Notify()
 	if err != nil || reflect.DeepEqual(entries, w.entries) {
 		return
 	}
 	w.entries = entries
-	close(w.changed)
-	w.changed = make(chan struct{})
+	w.changed.Notify()
 }
 
 func (w *Watcher) logTransition(err error) {
@@ -140,7 +139,7 @@
 func (w *Watcher) Changed() <-chan struct{} {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.changed
+	return w.changed.Next()
 }
 
 // Hosts implements storage.HostList. It returns the error of the last poll if that
