Name receivers after their types

comparison, rollout and hostReplies of cli and operator and Goal of bench/policy had the letters of earlier names.

--- a/bench/policy/goal.go
+++ b/bench/policy/goal.go
@@ -13,13 +13,13 @@
 }
 
 // String implements fmt.Stringer.
-func (t Goal) String() string {
+func (g Goal) String() string {
 	relation, verdict := "at least", "missed"
-	if t.AtMost {
+	if g.AtMost {
 		relation = "at most"
 	}
-	if t.Met {
+	if g.Met {
 		verdict = "met"
 	}
-	return fmt.Sprintf("%s: %.3f, %s %.3f: %s", t.Name, t.Value, relation, t.Limit, verdict)
+	return fmt.Sprintf("%s: %.3f, %s %.3f: %s", g.Name, g.Value, relation, g.Limit, verdict)
 }
--- a/bench/policy/report.go
+++ b/bench/policy/report.go
@@ -28,8 +28,8 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	for _, target := range r.Goals {
-		fmt.Fprintln(w, target)
+	for _, goal := range r.Goals {
+		fmt.Fprintln(w, goal)
 	}
 	return nil
 }
--- a/cli/comparison.go
+++ b/cli/comparison.go
@@ -20,8 +20,8 @@
 }
 
 // putsAndDeletes returns the content of the change to send.
-func (r *comparison) putsAndDeletes() (puts []settings.Document, deletes []string) {
-	for _, edit := range r.edits {
+func (c *comparison) putsAndDeletes() (puts []settings.Document, deletes []string) {
+	for _, edit := range c.edits {
 		if edit.Removes() {
 			deletes = append(deletes, edit.Path)
 			continue
@@ -33,16 +33,16 @@
 
 // reportKept prints which documents are not removed although the directory lacks
 // them.
-func (r *comparison) reportKept(s *Session) {
-	if len(r.kept) > 0 && !s.JSON() {
-		s.PrintErrf("not in %s and left alone; --prune removes them: %s\n", r.tree.root, strings.Join(r.kept, ", "))
+func (c *comparison) reportKept(s *Session) {
+	if len(c.kept) > 0 && !s.JSON() {
+		s.PrintErrf("not in %s and left alone; --prune removes them: %s\n", c.tree.root, strings.Join(c.kept, ", "))
 	}
 }
 
 // useFileNames replaces document paths by file names in the findings of a
 // refusal.
-func (r *comparison) useFileNames(refusal *api.Error) {
-	refusal.Findings = r.tree.withFileNames(refusal.Findings)
+func (c *comparison) useFileNames(refusal *api.Error) {
+	refusal.Findings = c.tree.withFileNames(refusal.Findings)
 	if len(refusal.Findings) > 0 {
 		refusal.Message = finding.List(refusal.Findings).Error()
 	}
--- a/cli/diff.go
+++ b/cli/diff.go
@@ -47,17 +47,17 @@
 	return nil
 }
 
-func (r *comparison) print(s *Session) error {
+func (c *comparison) print(s *Session) error {
 	if s.JSON() {
-		edits := append([]settings.Edit{}, r.edits...)
-		return s.WriteJSON(diffResult{Version: r.version, Edits: edits, Kept: r.kept})
+		edits := append([]settings.Edit{}, c.edits...)
+		return s.WriteJSON(diffResult{Version: c.version, Edits: edits, Kept: c.kept})
 	}
-	for _, edit := range r.edits {
+	for _, edit := range c.edits {
 		s.printDiff(edit)
 	}
-	if len(r.edits) == 0 {
-		s.Printf("no difference from version %d\n", r.version)
+	if len(c.edits) == 0 {
+		s.Printf("no difference from version %d\n", c.version)
 	}
-	r.reportKept(s)
+	c.reportKept(s)
 	return nil
 }
--- a/cli/rollout.go
+++ b/cli/rollout.go
@@ -60,15 +60,15 @@
 	return found
 }
 
-func (f *rollout) print(s *Session, version uint64) {
-	s.Printf("version %d is in force on %d hosts\n", version, len(f.InForce))
-	for _, host := range f.Behind {
+func (r *rollout) print(s *Session, version uint64) {
+	s.Printf("version %d is in force on %d hosts\n", version, len(r.InForce))
+	for _, host := range r.Behind {
 		s.PrintErrf("not in force on %s\n", host)
 	}
-	for _, host := range f.Unreachable {
+	for _, host := range r.Unreachable {
 		s.PrintErrf("not known of %s: %s\n", host.Host, host.Reason)
 	}
-	if f.Failure != "" {
-		s.PrintErrf("the status cannot be read: %s\n", f.Failure)
+	if r.Failure != "" {
+		s.PrintErrf("the status cannot be read: %s\n", r.Failure)
 	}
 }
--- a/operator/host_replies.go
+++ b/operator/host_replies.go
@@ -17,19 +17,19 @@
 	unreachable []api.Unreachable
 }
 
-func (g *hostReplies[Reply]) add(host ident.Host, reply Reply) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.replies = append(g.replies, hostReply[Reply]{host: host, reply: reply})
+func (r *hostReplies[Reply]) add(host ident.Host, reply Reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.replies = append(r.replies, hostReply[Reply]{host: host, reply: reply})
 }
 
-func (g *hostReplies[Reply]) addUnreachable(host ident.Host, err error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.unreachable = append(g.unreachable, api.Unreachable{Host: host, Reason: err.Error()})
+func (r *hostReplies[Reply]) addUnreachable(host ident.Host, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unreachable = append(r.unreachable, api.Unreachable{Host: host, Reason: err.Error()})
 }
 
-func (g *hostReplies[Reply]) sort() {
-	slices.SortFunc(g.replies, func(a, b hostReply[Reply]) int { return cmp.Compare(a.host, b.host) })
-	slices.SortFunc(g.unreachable, func(a, b api.Unreachable) int { return cmp.Compare(a.Host, b.Host) })
+func (r *hostReplies[Reply]) sort() {
+	slices.SortFunc(r.replies, func(a, b hostReply[Reply]) int { return cmp.Compare(a.host, b.host) })
+	slices.SortFunc(r.unreachable, func(a, b api.Unreachable) int { return cmp.Compare(a.Host, b.Host) })
 }
