--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/config"
+	"github.com/cornelyard/cornelyard/internal/tcptest"
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/target"
@@ -233,29 +234,16 @@
 // the connection.
 func scriptedTarget(t *testing.T, script string) settings.Target {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, script)
-			}()
+	address := tcptest.Serve(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
-	return settings.Target{Name: "filing-1", Address: listener.Addr().String()}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, script)
+	})
+	return settings.Target{Name: "filing-1", Address: address}
 }
 
 func closedTarget(t *testing.T) settings.Target {
--- a/internal/standin/faultproxy/proxy_test.go
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/cornelyard/cornelyard/internal/tcptest"
 )
 
 const (
@@ -21,21 +23,7 @@
 // echoServer starts a server that returns every line in upper case.
 func echoServer(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go echoLines(conn)
-		}
-	}()
-	return listener.Addr().String()
+	return tcptest.Serve(t, echoLines)
 }
 
 func echoLines(conn net.Conn) {
--- a/storage/restclient/client_test.go
+++ b/storage/restclient/client_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	standinplatform "github.com/cornelyard/cornelyard/internal/standin/platform"
+	"github.com/cornelyard/cornelyard/internal/tcptest"
 	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/storage/restclient"
 )
@@ -172,21 +173,7 @@
 // and closes the connection after reading the second.
 func closingServer(t *testing.T, received *atomic.Int64) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go respondOnce(conn, received)
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	return "http://" + tcptest.Serve(t, func(conn net.Conn) { respondOnce(conn, received) })
 }
 
 func respondOnce(conn net.Conn, received *atomic.Int64) {
