--- a/streamversion/outbox.go
+++ b/streamversion/outbox.go
@@ -1,7 +1,5 @@
 package streamversion
 
-import "slices"
-
 const (
 	// maxReported bounds the records in one report, so that it fits into a datagram beside
 	// the other state.
@@ -26,7 +24,7 @@
 func (o *outbox) add(r Record) {
 	o.waiting = append(o.waiting, waitingRecord{r, transmissions})
 	if excess := len(o.waiting) - maxWaiting; excess > 0 {
-		o.waiting = slices.Delete(o.waiting, 0, excess)
+		o.waiting = o.waiting[excess:]
 	}
 }
 
@@ -41,6 +39,6 @@
 			again = append(again, waitingRecord{w.record, w.left - 1})
 		}
 	}
-	o.waiting = append(slices.Delete(o.waiting, 0, count), again...)
+	o.waiting = append(o.waiting[count:], again...)
 	return taken
 }
--- a/streamversion/tracker.go
+++ b/streamversion/tracker.go
@@ -80,8 +80,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := Record{Key: NewKey(firstAttempt), Origin: Origin{Pool: began.Pool, Version: began.Version}}
-	t.records.expire(now, t.lifetime)
 	t.records.put(now, r.Key, r.Origin)
+	t.records.expire(now, t.lifetime)
 	t.addOwn(now, ownRecord{record: r, target: began.Name, process: began.StartUnixMs, at: now})
 	t.outbox.add(r)
 }
@@ -159,10 +159,10 @@
 		t.reportAgainSoon(now)
 	}
 	t.peerHeardAt[host] = now
-	t.records.expire(now, t.lifetime)
 	for _, record := range r.Records {
 		t.records.put(now, record.Key, record.Origin)
 	}
+	t.records.expire(now, t.lifetime)
 	for _, s := range r.SoleVersions {
 		if h := t.pools[s.Pool]; h != nil {
 			h.merge(now, s)
