Give no remainder of a stream to a target that may have started again

Cause: the version of a target was believed although this host had just seen its process end. Class: a name is taken for the process that bears it.

A target that crashed, or that could not be reached, gets no remainder for three seconds or until its entry names another process; if no other target of the version is left, the request is refused as not run with a Retry-After. A stream that begins at such a target is not resumed, and its origin is told as unsure.

Evidence: TestStreamDoesNotGoOnAtTargetThatMayHaveStartedAgain (three cases) and TestStreamOfTargetThatMayHaveStartedAgainIsNotResumed failed before (the remainder was sent to the target, or taken from it) and pass now.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -237,7 +237,7 @@
 // much of the response has been forwarded.
 func (x *execution) retryable() bool {
 	if x.delivery.headWritten {
-		return x.route.Resumable && x.delivery.hasEventIDs
+		return x.route.Resumable && x.delivery.hasEventIDs && !x.versionUnsure
 	}
 	return x.route.Retryable() || x.route.Resumable
 }
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -58,8 +58,10 @@
 	delivery delivery
 	// version is the software version of the target that brought the first event, if
 	// versionKnown is set. Only targets of this version may serve the remainder.
-	version      string
-	versionKnown bool
+	// With versionUnsure, no target may.
+	version       string
+	versionKnown  bool
+	versionUnsure bool
 	// hedge supervises the current run; successor is the run that replaced the last one.
 	hedge     *hedge
 	successor *run
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -189,6 +189,7 @@
 	}
 	if !x.versionKnown {
 		x.version, x.versionKnown = r.target.Version, true
+		x.versionUnsure = r.versionUnsure
 	}
 	d := &x.delivery
 	d.hasEventIDs = batch.hasIDs
--- a/relay/resumption.go
+++ b/relay/resumption.go
@@ -44,7 +44,7 @@
 	if x.route.Kind != route.Stream || !x.route.Resumable || first == "" {
 		return
 	}
-	x.relay.options.Streams.RecordBegin(time.Now(), first, r.target)
+	x.relay.options.Streams.RecordBegin(time.Now(), first, r.target, x.versionUnsure)
 	x.relay.options.Dispatcher.options.OnStateChange()
 }
 
--- a/relay/run.go
+++ b/relay/run.go
@@ -14,10 +14,12 @@
 // of the exchange.
 type run struct {
 	// slot identifies the slot to the scheduler.
-	slot    ident.Request
-	target  route.Target
-	inputs  schedule.Inputs
-	started time.Time
+	slot   ident.Request
+	target route.Target
+	// versionUnsure is set if the target may run another version than its entry says.
+	versionUnsure bool
+	inputs        schedule.Inputs
+	started       time.Time
 	// ctx is cancelled by cancel, or when the request's context is done.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -38,7 +40,7 @@
 
 // newRun returns a run with the slot that the scheduler assigned.
 func newRun(ctx context.Context, a *schedule.Dispatch) *run {
-	r := &run{slot: a.Request, target: a.Target, inputs: a.Inputs, started: time.Now(), head: make(chan headResult, 1)}
+	r := &run{slot: a.Request, target: a.Target, versionUnsure: a.VersionUnsure, inputs: a.Inputs, started: time.Now(), head: make(chan headResult, 1)}
 	r.ctx, r.cancel = context.WithCancelCause(ctx)
 	return r
 }
--- a/relay/stream_version_test.go
+++ b/relay/stream_version_test.go
@@ -129,3 +129,22 @@
 		t.Errorf("got %+v with body %q, want the whole stream", result, sink.body.String())
 	}
 }
+
+func TestStreamOfTargetThatMayHaveStartedAgainIsNotResumed(t *testing.T) {
+	f := newFixture(t, route.Route{Kind: route.Stream, Resumable: true, MaxAttempts: 2},
+		nil, respondStream(secondEvent, io.EOF))
+	only := versionedTargets("v1")
+	f.setTargets(only)
+	f.relay.options.Dispatcher.recordCrash(only.Targets["t1"])
+	f.client.behaviors[0] = func(ctx context.Context, d Dispatch) (*Response, error) {
+		f.setTargets(versionedTargets("v1", "v1"))
+		return respondStream(firstEvent, errors.New("reset"))(ctx, d)
+	}
+	result, sink := f.call(context.Background(), nil)
+	if !result.Truncated || sink.body.String() != firstEvent {
+		t.Errorf("got %+v with body %q, want a stream that ends after its first event", result, sink.body.String())
+	}
+	if _, known := f.relay.options.Streams.Find(time.Now(), "try-1", []route.WeightedPool{{Pool: "p", Weight: 1}}); known {
+		t.Error("the version that began the stream is taken for known")
+	}
+}
--- a/schedule/action.go
+++ b/schedule/action.go
@@ -19,6 +19,9 @@
 type Dispatch struct {
 	Request ident.Request
 	Target  route.Target
+	// VersionUnsure says that the target may run another software version than its entry
+	// says.
+	VersionUnsure bool
 	// QueueTime is how long the request waited in the queue.
 	QueueTime time.Duration
 	Inputs    Inputs
--- a/schedule/candidates.go
+++ b/schedule/candidates.go
@@ -2,14 +2,28 @@
 
 import "time"
 
-// mayServe reports whether the target has the software version that the request requires.
-func (r *Request) mayServe(t *target) bool { return !r.RequiresVersion || t.Version == r.Version }
+// mayServe reports whether the target is certain to have the software version that the
+// request requires.
+func (r *Request) mayServe(now time.Time, t *target) bool {
+	return !r.RequiresVersion || t.Version == r.Version && !t.mayHaveRestarted(now)
+}
 
 // hasCandidate reports whether the pool has a target that is not draining and, if the
 // request requires a version, has this version and has not failed the request.
-func (p *pool) hasCandidate(r *Request) bool {
+func (p *pool) hasCandidate(now time.Time, r *Request) bool {
+	for _, t := range p.targets {
+		if t.available() && r.mayServe(now, t) && !(r.RequiresVersion && excludes(r, t.Name)) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasVersion reports whether the pool has a target of the version that the request requires,
+// which may serve it once its entry is certain.
+func (p *pool) hasVersion(r *Request) bool {
 	for _, t := range p.targets {
-		if t.available() && r.mayServe(t) && !(r.RequiresVersion && excludes(r, t.Name)) {
+		if t.available() && t.Version == r.Version && !excludes(r, t.Name) {
 			return true
 		}
 	}
@@ -23,7 +37,7 @@
 	}
 	ofVersion := make([]*target, 0, len(p.targets))
 	for _, t := range p.targets {
-		if r.mayServe(t) {
+		if r.mayServe(now, t) {
 			ofVersion = append(ofVersion, t)
 		}
 	}
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -29,6 +29,7 @@
 	if t == nil || !t.available() {
 		return
 	}
+	t.lostAt = now
 	before := t.health
 	t.health.eject(now, unreachableEjection)
 	s.recordHealthChange(t, before, causeCrash)
@@ -42,6 +43,7 @@
 	if t == nil || !t.available() {
 		return
 	}
+	t.lostAt = now
 	s.unconfirmed = append(s.unconfirmed, s.crashOf(now, lost))
 	if excess := len(s.unconfirmed) - maxUnconfirmed; excess > 0 {
 		s.unconfirmed = slices.Delete(s.unconfirmed, 0, excess)
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -134,5 +134,11 @@
 	delete(s.queued, r.ID)
 	s.recordPrefixLocation(now, r, t.Name)
 	p.yieldingSince = time.Time{}
-	return &Dispatch{Request: r.ID, Target: t.Target, QueueTime: now.Sub(r.Arrived), Inputs: inputs}
+	return &Dispatch{
+		Request:       r.ID,
+		Target:        t.Target,
+		VersionUnsure: t.mayHaveRestarted(now),
+		QueueTime:     now.Sub(r.Arrived),
+		Inputs:        inputs,
+	}
 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -202,10 +202,10 @@
 
 // idleFirstEventTime predicts the time from dispatch to the first event on the fastest
 // target of the pool that may serve the request while that target is idle.
-func (p *pool) idleFirstEventTime(r *Request) time.Duration {
+func (p *pool) idleFirstEventTime(now time.Time, r *Request) time.Duration {
 	fastest := 0.0
 	for _, t := range p.targets {
-		if r.mayServe(t) {
+		if r.mayServe(now, t) {
 			fastest = max(fastest, p.prefillRateOf(t))
 		}
 	}
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -76,6 +76,9 @@
 	if result == Served || result == Failed || result == Rejected {
 		t.lastResponseAt = now
 	}
+	if result == Unreachable {
+		t.lostAt = now
+	}
 	if result == Served {
 		s.updateEstimates(now, r)
 		s.recordServed(now, r.request)
--- a/schedule/refusal.go
+++ b/schedule/refusal.go
@@ -29,7 +29,7 @@
 	kept := p.queue.items[:0]
 	for _, w := range p.queue.items {
 		switch {
-		case w.request.RequiresVersion && !p.hasCandidate(w.request):
+		case w.request.RequiresVersion && !p.hasCandidate(now, w.request):
 			actions = append(actions, s.refuse(now, p, w, ""))
 		case !now.Before(w.refuseAt):
 			actions = append(actions, s.refuse(now, p, w, "no slot was free in time"))
@@ -98,8 +98,8 @@
 	reason, retry := outcome.Shed, s.predictWait(now, p, w)
 	inputs := s.inputs(now, p, w)
 	inputs.PredictedWait = retry
-	if w.request.RequiresVersion && !p.hasCandidate(w.request) {
-		return s.versionRefusal(w, inputs)
+	if w.request.RequiresVersion && !p.hasCandidate(now, w.request) {
+		return s.versionRefusal(now, p, w, inputs)
 	}
 	if inputs.UsableTargets == 0 {
 		reason, message, retry = outcome.NoTarget, "no target of the pool is usable", noTargetRetryAfter
@@ -113,15 +113,19 @@
 	}
 }
 
-// versionRefusal returns the refusal of a request that no target may serve. A retry
-// wouldn't help its caller.
-func (s *Scheduler) versionRefusal(w *queuedRequest, inputs Inputs) *Refuse {
-	return &Refuse{
+// versionRefusal returns the refusal of a request that no target may serve. A retry helps
+// only if it may become certain that one has the version.
+func (s *Scheduler) versionRefusal(now time.Time, p *pool, w *queuedRequest, inputs Inputs) *Refuse {
+	refusal := &Refuse{
 		Request: w.request.ID,
 		Reason:  outcome.NoVersion,
-		Message: "no target of the version that began the stream is left",
+		Message: "no target is certain to have the version that began the stream",
 		Inputs:  inputs,
 	}
+	if p.hasVersion(w.request) {
+		refusal.RetryAfter = s.retryAfter(now, w, 0)
+	}
+	return refusal
 }
 
 // retryAfter returns the retry delay of a refused request. It spreads retries over the
--- /dev/null
+++ b/schedule/restarted_target_test.go
@@ -0,0 +1,55 @@
+package schedule
+
+import (
+	"testing"
+
+	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/route"
+)
+
+// remainder returns a request for the remainder of a stream that began at version "v1".
+func remainder(id string, ms int) Request {
+	r := request(id, ms, 0)
+	r.RequiresVersion, r.Version = true, "v1"
+	return r
+}
+
+// announce applies a target of version "v1" with a start time.
+func announce(s *Scheduler, ms int, t route.Target, startUnixMs int64) route.Target {
+	t.Version, t.StartUnixMs = "v1", startUnixMs
+	s.configureTarget(t.Name, t)
+	_ = s.Decide(at(ms))
+	return t
+}
+
+func TestStreamDoesNotGoOnAtTargetThatMayHaveStartedAgain(t *testing.T) {
+	losses := map[string]func(s *Scheduler, lost route.Target){
+		"crash": func(s *Scheduler, lost route.Target) { s.RecordCrash(at(10), lost) },
+		"no connection after a broken response": func(s *Scheduler, lost route.Target) {
+			s.RecordUnreachable(at(10), lost)
+		},
+		"no connection": func(s *Scheduler, lost route.Target) {
+			_ = runOn(t, s, 10, request("lost", 10, 0))
+			s.Finish(at(10), "lost", Unreachable)
+		},
+	}
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			s := newScheduler(4)
+			lost := announce(s, 0, s.targets["t0"].Target, 1)
+			lose(s, lost)
+			s.Enqueue(at(1000), remainder("early", 1000))
+			checkRefused(t, s, 1000, "early", outcome.NoVersion)
+			announce(s, 1100, lost, 2)
+			runOn(t, s, 1200, remainder("after its entry", 1200))
+		})
+	}
+}
+
+func TestTargetWhoseEntryStaysIsUsedForStreamsAgain(t *testing.T) {
+	s := newScheduler(4)
+	lost := announce(s, 0, s.targets["t0"].Target, 1)
+	s.RecordUnreachable(at(10), lost)
+	later := 3020
+	runOn(t, s, later, remainder("later", later))
+}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -122,6 +122,7 @@
 	if t.StartUnixMs != announced.StartUnixMs || t.Address != announced.Address {
 		t.health = health{}
 		t.speeds = Speeds{}
+		t.lostAt = time.Time{}
 		s.prefixes.removeTarget(name)
 	}
 	t.Target = announced
@@ -168,13 +169,13 @@
 		s.pendingActions = append(s.pendingActions, s.quarantineRefusal(now, p, w, until))
 		return
 	}
-	w.latestStart = r.Objective.Add(-p.leadTime(&r))
+	w.latestStart = r.Objective.Add(-p.leadTime(now, &r))
 	w.refuseAt = r.Arrived.Add(seconds(lateWaitRatio * r.AbandonTime.Sub(r.Arrived).Seconds()))
 	if w.refuseAt.Before(w.latestStart) {
 		w.refuseAt = w.latestStart
 	}
 	w.late = !now.Before(w.latestStart)
-	if s.wouldExpire(now, p, w) || !p.hasCandidate(&r) {
+	if s.wouldExpire(now, p, w) || !p.hasCandidate(now, &r) {
 		s.pendingActions = append(s.pendingActions, s.refuse(now, p, w, "the queue is too long for this request"))
 		return
 	}
@@ -183,11 +184,11 @@
 }
 
 // leadTime predicts how long before its objective a request must be dispatched.
-func (p *pool) leadTime(r *Request) time.Duration {
+func (p *pool) leadTime(now time.Time, r *Request) time.Duration {
 	if p.engine == nil {
 		return seconds(p.meanService)
 	}
-	return p.idleFirstEventTime(r)
+	return p.idleFirstEventTime(now, r)
 }
 
 // Cancel removes a request from the queue. It returns false if the request was not
--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -48,7 +48,7 @@
 
 // eligible reports whether a target may get the request at all.
 func (s *Scheduler) eligible(now time.Time, p *pool, w *queuedRequest, t *target) bool {
-	if t.freeSlots(now) <= 0 || excludes(w.request, t.Name) || !w.request.mayServe(t) || !p.fitsKVCache(w.request, t) {
+	if t.freeSlots(now) <= 0 || excludes(w.request, t.Name) || !w.request.mayServe(now, t) || !p.fitsKVCache(w.request, t) {
 		return false
 	}
 	return !t.health.probation || p.mayProbe(now, w.request)
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -44,6 +44,8 @@
 	peersMissing bool
 
 	health health
+	// lostAt is when this host last could not reach the target's process, or zero.
+	lostAt time.Time
 	// lastResponseAt is when the target last sent anything to this host.
 	lastResponseAt time.Time
 	// speeds holds what this host measured.
@@ -144,6 +146,14 @@
 	minEjectingHosts = 2
 )
 
+// restartDetection is how long the entry of a target that has started again may take to name
+// the new process.
+const restartDetection = 3 * time.Second
+
+// mayHaveRestarted reports whether the target may run another process than its entry says,
+// and so another software version.
+func (t *target) mayHaveRestarted(now time.Time) bool { return now.Sub(t.lostAt) < restartDetection }
+
 // available reports whether the target is announced and not draining.
 func (t *target) available() bool { return t.announced && !t.Draining }
 
--- a/streamversion/tracker.go
+++ b/streamversion/tracker.go
@@ -75,11 +75,12 @@
 }
 
 // RecordBegin records that a target brought the first event of a stream, or the first one
-// after its caller took it up. Resumable streams only need be recorded.
-func (t *Tracker) RecordBegin(now time.Time, firstAttempt ident.Request, began route.Target) {
+// after its caller took it up. Unsure says that the target may run another version than its
+// entry says. Resumable streams only need be recorded.
+func (t *Tracker) RecordBegin(now time.Time, firstAttempt ident.Request, began route.Target, unsure bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := Record{Key: NewKey(firstAttempt), Origin: Origin{Pool: began.Pool, Version: began.Version}}
+	r := Record{Key: NewKey(firstAttempt), Origin: Origin{Pool: began.Pool, Version: began.Version, Unsure: unsure}}
 	t.records.put(now, r.Key, r.Origin)
 	t.records.expire(now, t.lifetime)
 	t.addOwn(now, ownRecord{record: r, target: began.Name, process: began.StartUnixMs, at: now})
--- a/streamversion/tracker_test.go
+++ b/streamversion/tracker_test.go
@@ -57,12 +57,12 @@
 	for _, tracker := range []*Tracker{here, there} {
 		tracker.list(at(0), targetOf("a", "v1"), targetOf("b", "v2"))
 	}
-	here.RecordBegin(at(1), "s", targetOf("b", "v2"))
+	here.RecordBegin(at(1), "s", targetOf("b", "v2"), false)
 	expectFound(t, "before the report", there.found(at(1), "s"), "unknown")
 	there.Merge(at(1.1), "here", here.TakeReport(at(1.1)))
 	expectFound(t, "here", here.found(at(2), "s"), "v2")
 	expectFound(t, "there", there.found(at(2), "s"), "v2")
-	there.RecordBegin(at(5), "s", targetOf("b", "v2"))
+	there.RecordBegin(at(5), "s", targetOf("b", "v2"), false)
 	expectFound(t, "renewed", there.found(at(12), "s"), "v2")
 	expectFound(t, "not renewed", here.found(at(12), "s"), "unknown")
 	expectFound(t, "another stream", here.found(at(2), "other"), "unknown")
@@ -70,7 +70,7 @@
 
 func TestLostReportIsRepeatedOnce(t *testing.T) {
 	here, there := newTracker(), newTracker()
-	here.RecordBegin(at(1), "s", targetOf("a", "v1"))
+	here.RecordBegin(at(1), "s", targetOf("a", "v1"), false)
 	_ = here.TakeReport(at(1))
 	there.Merge(at(1.1), "here", here.TakeReport(at(1.1)))
 	expectFound(t, "there", there.found(at(2), "s"), "v1")
@@ -81,7 +81,7 @@
 
 func TestHostHeardAgainIsToldAllRecordsOfThisHost(t *testing.T) {
 	here, late := newTracker(), newTracker()
-	here.RecordBegin(at(1), "s", targetOf("a", "v1"))
+	here.RecordBegin(at(1), "s", targetOf("a", "v1"), false)
 	_, _ = here.TakeReport(at(1)), here.TakeReport(at(1.1))
 	here.Merge(at(3), "late", late.TakeReport(at(3)))
 	late.Merge(at(3.5), "here", here.TakeReport(at(3.5)))
@@ -136,7 +136,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			here, there := newTracker(), newTracker()
 			here.list(at(0), targetOf("a", "v1"), targetOf("b", "v2"))
-			here.RecordBegin(at(6), "s", targetOf("a", "v1"))
+			here.RecordBegin(at(6), "s", targetOf("a", "v1"), false)
 			restarted := targetOf("a", c.version)
 			restarted.StartUnixMs = c.born.UnixMilli()
 			here.list(at(9), restarted, targetOf("b", "v2"))
@@ -149,16 +149,16 @@
 
 func TestContradictingRecordsAreUnsure(t *testing.T) {
 	tracker := newTracker()
-	tracker.RecordBegin(at(1), "s", targetOf("a", "v1"))
-	tracker.RecordBegin(at(2), "s", targetOf("b", "v2"))
-	tracker.RecordBegin(at(3), "s", targetOf("a", "v1"))
+	tracker.RecordBegin(at(1), "s", targetOf("a", "v1"), false)
+	tracker.RecordBegin(at(2), "s", targetOf("b", "v2"), false)
+	tracker.RecordBegin(at(3), "s", targetOf("a", "v1"), false)
 	expectFound(t, "contradiction", tracker.found(at(4), "s"), "unknown")
 }
 
 func TestMemoryAndReportsAreBounded(t *testing.T) {
 	tracker := newTracker()
 	for n := range 2 * maxRecords {
-		tracker.RecordBegin(at(1), ident.Request(fmt.Sprint(n)), targetOf("a", "v1"))
+		tracker.RecordBegin(at(1), ident.Request(fmt.Sprint(n)), targetOf("a", "v1"), false)
 	}
 	if n := len(tracker.records.origins); n > maxRecords {
 		t.Errorf("%d origins are kept, want at most %d", n, maxRecords)
