Check attempts, forwarded timeouts and the retry budget in the soak

It now counts, from what the stand-in targets receive: the targets that run one request, the timeouts that targets are given, and the arrivals beyond the first of each request in every sliding window that begins or ends with one of them, over all hosts. Arrivals that a target rejects count. The retry window of the soak's hosts is 3 s instead of 10, so that a run covers several; ratio and allowance are as before.

--- a/bench/soak/command.go
+++ b/bench/soak/command.go
@@ -27,6 +27,8 @@
 	c.clause.Flag("targets", "Targets.").Default("6").IntVar(&c.options.Targets)
 	c.clause.Flag("callers", "Callers, each with one call at a time.").Default("24").IntVar(&c.options.Callers)
 	c.clause.Flag("faults", "Faults at once.").Default("2").IntVar(&c.options.Faults)
+	c.clause.Flag("host-faults", "Faults of hosts at once, in addition.").Default("0").IntVar(&c.options.HostFaults)
+	c.clause.Flag("storms", "Let targets fail most of their runs for short periods.").BoolVar(&c.options.Storms)
 	return c
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -29,7 +29,7 @@
 	result.Promises = []verdict.Verdict{
 		r.checkResponses(), r.checkNonIdempotent(received), r.checkRefusals(received), r.checkDeadlines(), r.checkQuota(received),
 		r.checkLeavingTargets(), r.checkConfigurationVersions(), r.checkGracefulShutdown(), r.checkHostExits(), r.checkRecovery(),
-		r.checkCrashingRequests(), r.checkAnswered(),
+		r.checkCrashingRequests(), r.checkAnswered(), r.checkAttempts(), r.checkForwardedTimeouts(), r.checkRetryBudget(),
 	}
 	return result
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -33,16 +33,20 @@
 // sendToTarget sends a request to the runner's target the given number of times.
 func (r *runner) sendToTarget(t *testing.T, id string, times int) {
 	t.Helper()
-	caller := platformtest.NewCaller(r.system.targets[0].fake.Address(), platformtest.Key)
-	defer caller.Close()
 	for range times {
-		reply := caller.Do(context.Background(), platformtest.Request{ID: id, Method: http.MethodPost, Path: "/", Deadline: time.Second})
-		if !reply.Succeeded() {
+		if reply := sendTo(r.system.targets[0], id); !reply.Succeeded() {
 			t.Fatalf("stand-in target replied %+v", reply)
 		}
 	}
 }
 
+// sendTo sends a request to a target once.
+func sendTo(to *target, id string) platformtest.Reply {
+	caller := platformtest.NewCaller(to.fake.Address(), platformtest.Key)
+	defer caller.Close()
+	return caller.Do(context.Background(), platformtest.Request{ID: id, Method: http.MethodPost, Path: "/", Deadline: time.Second})
+}
+
 func newCall(id, path string, status int, body string) *call {
 	return &call{
 		request: platformtest.Request{ID: id, Path: path},
--- a/internal/soak/crashing_request.go
+++ b/internal/soak/crashing_request.go
@@ -34,6 +34,7 @@
 	mu sync.Mutex
 	// hosts holds the host to which each attempt was sent, by request ID.
 	hosts   map[string]*host
+	sent    []time.Time
 	crashes []time.Time
 }
 
@@ -62,6 +63,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hosts[id] = h
+	c.sent = append(c.sent, time.Now())
+}
+
+// sentTimes returns when its attempts were sent.
+func (c *crashingRequest) sentTimes() []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]time.Time(nil), c.sent...)
 }
 
 // crash takes the target away for a time if the request is one that crashes targets.
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -24,6 +24,11 @@
 	quotaWindow    = 4 * time.Second
 	quotaOverage   = 0.1
 	quotaAllowance = 40
+	// retryRatio, retryAllowance and retryWindow are the retry budget of all hosts together.
+	// The window is short, so that a run covers several.
+	retryRatio     = 0.2
+	retryAllowance = 20
+	retryWindow    = 3 * time.Second
 	memoryMB       = 200
 )
 
@@ -68,7 +73,7 @@
 		CallerAddress: addresses[0], ReadinessAddress: addresses[1], PeerAddress: addresses[2],
 		MetricsAddress: addresses[3], StoreAddress: store.Address, MemoryMB: memoryMB,
 		StopTime:    settings.Duration(shutdownTimeout),
-		RetryBudget: config.RetryBudget{Ratio: 0.2, Allowance: 20, Window: settings.Duration(10 * time.Second)},
+		RetryBudget: config.RetryBudget{Ratio: retryRatio, Allowance: retryAllowance, Window: settings.Duration(retryWindow)},
 		Quota: config.Quota{
 			Window: settings.Duration(quotaWindow), Overage: quotaOverage, Allowance: quotaAllowance,
 		},
--- a/internal/soak/injector.go
+++ b/internal/soak/injector.go
@@ -20,9 +20,8 @@
 
 // run injects random faults one after another until ctx ends. It may be called
 // concurrently with different streams, each with its own sequence of faults.
-func (i *injector) run(ctx context.Context, stream int) {
+func (i *injector) run(ctx context.Context, stream int, all []fault) {
 	random := rand.New(rand.NewPCG(i.seed, 1<<32+uint64(stream)))
-	all := faults()
 	for ctx.Err() == nil {
 		f := pick(random, all)
 		err := f.inject(ctx, i.system, random)
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -16,6 +16,11 @@
 	Callers int
 	// Faults is the number of faults that are injected concurrently.
 	Faults int
+	// HostFaults is the number of host faults that are injected concurrently in addition.
+	HostFaults int
+	// Storms makes targets fail most of their runs for short periods, so that far more
+	// retries are wanted than allowed.
+	Storms bool
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/soak/promise.go
+++ b/internal/soak/promise.go
@@ -14,6 +14,9 @@
 	NoConfigurationRollback  verdict.Promise = "configuration-never-back"
 	GracefulShutdown         verdict.Promise = "planned-stop-breaks-nothing"
 	CrashingRequestContained verdict.Promise = "crashing-request-is-contained"
+	AttemptsWithinLimit      verdict.Promise = "attempts-within-limit"
+	TimeoutWithinCallers     verdict.Promise = "deadline-within-the-callers"
+	RetriesWithinBudget      verdict.Promise = "retries-within-budget"
 	NoUnexpectedExit         verdict.Promise = "hosts-end-only-when-told"
 	RecoversAfterFaults      verdict.Promise = "serves-after-the-faults"
 )
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -100,7 +100,13 @@
 	defer cancel()
 	var injecting sync.WaitGroup
 	for stream := range r.options.Faults {
-		injecting.Go(func() { r.injector.run(injectCtx, stream) })
+		injecting.Go(func() { r.injector.run(injectCtx, stream, faults()) })
+	}
+	for stream := range r.options.HostFaults {
+		injecting.Go(func() { r.injector.run(injectCtx, r.options.Faults+stream, hostFaults()) })
+	}
+	if r.options.Storms {
+		injecting.Go(func() { r.runStorms(injectCtx) })
 	}
 	injecting.Wait()
 	stopCalls()
@@ -110,6 +116,7 @@
 // clearFaults clears all faults that may still be in effect.
 func (r *runner) clearFaults() error {
 	r.system.store.SetDown(false)
+	r.system.setStormy(false)
 	for _, t := range r.system.targets {
 		t.fake.SetRejecting(false)
 		if err := t.link.SetFaults(faultproxy.Faults{}); err != nil {
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -29,6 +29,9 @@
 	// storeFaults are the periods in which the store was unavailable or stale for all hosts.
 	storeFaults spans
 
+	// storms are the periods in which all targets failed most of their runs.
+	storms spans
+
 	// crashing holds the history of each request that crashes targets, by path.
 	crashing sync.Map
 
@@ -91,9 +94,11 @@
 	}
 	t.fake = platformtest.NewTarget(name)
 	t.fake.SetHandler(func(w http.ResponseWriter, r *http.Request) {
-		if !t.crash(s, r) {
-			t.serve(w, r)
+		if t.crash(s, r) {
+			return
 		}
+		t.failInStorm(w)
+		t.serve(w, r)
 	})
 	link, err := s.addLink(name, t.fake.Address())
 	if err != nil {
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
@@ -28,7 +29,10 @@
 	dataCentre ident.DataCentre
 	fake       *platformtest.Target
 	link       *faultproxy.Link
-	// faultSpans are the periods in which the target was at fault, other than by a pause.
+	// stormy is set while the target fails most of its runs.
+	stormy atomic.Bool
+	// faultSpans are the periods in which the target was at fault, other than by a pause or in
+	// a storm.
 	faultSpans spans
 
 	mu sync.Mutex
