Show that bursts of retries nearly a window apart exceed the budget

The window's buckets forget a retry up to a tenth of the window before the window has passed. Two bursts 0.905 windows apart are both allowed in full: 82 retries where 52.2 are allowed.

--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -130,3 +130,16 @@
 		t.Error("no retry was allowed")
 	}
 }
+
+func TestBurstsNearlyAWindowApartStayWithinTheBudget(t *testing.T) {
+	b := New(start.Add(-time.Minute), testLimits)
+	b.SetHostCount(start.Add(-time.Minute), 1)
+	b.RecordRequest(start, "pool")
+	retries := 0
+	for _, offset := range []time.Duration{950 * time.Millisecond, 10 * time.Second} {
+		for b.AllowRetry(start.Add(offset), "pool") {
+			retries++
+		}
+	}
+	checkBudget(t, 1, retries)
+}
