Count retries for the whole window of the retry budget

Callers see nothing; targets received more repeats in a sliding window than the platform allows. Cause: the window is ten buckets, of which the current one is partial. A retry late in a bucket was forgotten 0.9 windows after it, and the part of the budget that it had used was free again. Fix: retries count over eleven buckets, so for at least the window and at most 1.1 of it. Requests count over ten as before, so for at most the window. Why it works: a bucket is dropped eleven bucket lengths after its start, so ten, the window, or more after each retry in it.

--- a/retrybudget/window.go
+++ b/retrybudget/window.go
@@ -2,12 +2,17 @@
 
 import "time"
 
-// window counts events over a sliding span of time, in buckets.
+// retryBuckets is the number of buckets over which retries count. As the current bucket is
+// partial, one more than the window has is needed for the whole window.
+const retryBuckets = windowBuckets + 1
+
+// window counts events over a sliding span of time, in buckets. Retries count for at least the
+// window, requests for at most the window.
 type window struct {
 	bucketLength time.Duration
 	bucketStart  time.Time
 	current      int
-	buckets      [windowBuckets]bucket
+	buckets      [retryBuckets]bucket
 }
 
 type bucket struct {
@@ -22,21 +27,25 @@
 	if w.bucketLength <= 0 {
 		return
 	}
-	if now.Sub(w.bucketStart) > windowBuckets*w.bucketLength {
-		w.buckets = [windowBuckets]bucket{}
+	if now.Sub(w.bucketStart) > retryBuckets*w.bucketLength {
+		w.buckets = [retryBuckets]bucket{}
 		w.bucketStart = now
 		return
 	}
 	for now.Sub(w.bucketStart) >= w.bucketLength {
 		w.bucketStart = w.bucketStart.Add(w.bucketLength)
-		w.current = (w.current + 1) % windowBuckets
+		w.current = (w.current + 1) % retryBuckets
 		w.buckets[w.current] = bucket{}
 	}
 }
 
+// sums returns the requests and the retries that count now.
 func (w *window) sums() (requests, retries float64) {
-	for _, b := range w.buckets {
-		requests += b.requests
+	oldest := (w.current + 1) % retryBuckets
+	for i, b := range w.buckets {
+		if i != oldest {
+			requests += b.requests
+		}
 		retries += b.retries
 	}
 	return requests, retries
