--- a/bench/soak/command.go
+++ b/bench/soak/command.go
@@ -29,6 +29,7 @@
 	c.clause.Flag("faults", "Faults at once.").Default("2").IntVar(&c.options.Faults)
 	c.clause.Flag("host-faults", "Faults of hosts at once, in addition.").Default("0").IntVar(&c.options.HostFaults)
 	c.clause.Flag("storms", "Let targets fail most of their runs for short periods.").BoolVar(&c.options.Storms)
+	c.clause.Flag("storm-callers", "Additional callers in these periods.").Default("0").IntVar(&c.options.StormCallers)
 	return c
 }
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/platform/platformtest"
 )
@@ -40,6 +42,18 @@
 	}
 }
 
+// runReads makes reads, which may be repeated, one after another until ctx ends.
+func (c *callers) runReads(ctx context.Context, name string) {
+	random := rand.New(rand.NewPCG(c.seed, xxhash.Sum64String(name)))
+	for n := 0; ctx.Err() == nil; n++ {
+		c.issue(&call{host: c.pickHost(random), request: platformtest.Request{
+			ID: fmt.Sprintf("%s-%d", name, n), Method: http.MethodGet, HostName: platformtest.HostName,
+			Path: platformtest.PathRead, Deadline: deadline,
+		}})
+		periodic.Sleep(ctx, callInterval)
+	}
+}
+
 // pickHost returns a random host that is in the load balancer's rotation, or any host
 // if there is none.
 func (c *callers) pickHost(random *rand.Rand) *host {
@@ -72,11 +86,16 @@
 	default:
 		issued.request.Path = platformtest.PathRead
 	}
+	c.issue(issued)
+	return issued
+}
+
+// issue makes a call and records it.
+func (c *callers) issue(issued *call) {
 	c.send(issued)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls = append(c.calls, issued)
-	return issued
 }
 
 func (c *callers) send(issued *call) {
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -27,7 +27,7 @@
 	// retryRatio, retryAllowance and retryWindow are the retry budget of all hosts together.
 	// The window is short, so that a run covers several.
 	retryRatio     = 0.2
-	retryAllowance = 20
+	retryAllowance = 52
 	retryWindow    = 3 * time.Second
 	memoryMB       = 200
 )
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -18,9 +18,10 @@
 	Faults int
 	// HostFaults is the number of host faults that are injected concurrently in addition.
 	HostFaults int
-	// Storms makes targets fail most of their runs for short periods, so that far more
-	// retries are wanted than allowed.
-	Storms bool
+	// Storms makes targets fail most of their runs for short periods, so that more retries
+	// are wanted than allowed. StormCallers is the number of additional callers in them.
+	Storms       bool
+	StormCallers int
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/soak/storm.go
+++ b/internal/soak/storm.go
@@ -2,38 +2,56 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cornelyard/cornelyard/internal/periodic"
 )
 
 const (
-	// stormFailureShare is the share of runs that fail in a storm.
-	stormFailureShare = 0.8
-	// stormRejectShare is the share of requests that are rejected in a storm.
-	stormRejectShare = 0.2
-	minStorm         = 100 * time.Millisecond
-	maxStorm         = time.Second
-	// maxCalm is the longest time between two storms. It is beyond the retry window, so that
-	// storms begin at any place of the window.
-	maxCalm = 4 * time.Second
+	// stormRejectShare is the share of requests that targets reject in a storm.
+	// stormFailureShare is the share of the others that fail: in most of them the target
+	// answers with an error, as broken responses make hosts eject targets.
+	stormRejectShare  = 0.8
+	stormFailureShare = 0.5
+	stormBrokenShare  = 0.1
+	minStorm          = 200 * time.Millisecond
+	maxStorm          = 500 * time.Millisecond
+	// minStormInterval and maxStormInterval are the shortest and the longest time from one
+	// storm to the next. They are about the retry window, at whose ends retries may pile up.
+	minStormInterval = retryWindow * 8 / 10
+	maxStormInterval = retryWindow * 11 / 10
 )
 
 // runStorms starts and ends storms on all targets until ctx ends.
 func (r *runner) runStorms(ctx context.Context) {
 	random := rand.New(rand.NewPCG(r.options.Seed, 1<<34))
-	for ctx.Err() == nil {
+	for storm := 0; ctx.Err() == nil; storm++ {
+		length := randomDuration(random, minStorm, maxStorm)
 		end := r.system.storms.start()
 		r.system.setStormy(true)
-		periodic.Sleep(ctx, randomDuration(random, minStorm, maxStorm))
+		r.burst(ctx, length, storm)
 		r.system.setStormy(false)
 		end()
-		periodic.Sleep(ctx, randomDuration(random, minStorm, maxCalm))
+		periodic.Sleep(ctx, randomDuration(random, minStormInterval, maxStormInterval)-length)
 	}
 }
 
+// burst lets additional callers read for the given time.
+func (r *runner) burst(ctx context.Context, length time.Duration, storm int) {
+	ctx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	var callers sync.WaitGroup
+	for caller := range r.options.StormCallers {
+		callers.Go(func() { r.callers.runReads(ctx, fmt.Sprintf("storm-%d-%d", storm, caller)) })
+	}
+	<-ctx.Done()
+	callers.Wait()
+}
+
 func randomDuration(random *rand.Rand, shortest, longest time.Duration) time.Duration {
 	return shortest + time.Duration(random.Int64N(int64(longest-shortest)))
 }
@@ -54,7 +72,7 @@
 	if !t.stormy.Load() || rand.Float64() >= stormFailureShare {
 		return
 	}
-	if rand.IntN(2) == 0 {
+	if rand.Float64() < stormBrokenShare {
 		// Makes net/http close the connection.
 		panic(http.ErrAbortHandler)
 	}
