Count a retry against the budget when it is dispatched

Callers see nothing; targets received more repeats in a sliding window than the platform allows. Cause: a retry was counted when it was allowed. One that waits for a slot arrives later, and after a window its part of the budget was given out again, so that both reached targets at once. TestReservedRetriesCountUntilTheyAreDispatchedAndForAWindowAfter shows the rule without a network. Fix: a retry is reserved when it is allowed, and counted when its run has a slot. A reservation counts for as long as it lasts. One that is refused, or replaced by a second run, is given back, which was charged before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -200,8 +200,8 @@
 	return false, outcome.Refuse(outcome.NoTarget, "all targets that were tried rejected the request or were unreachable", rejectedRetryAfter)
 }
 
-// retryDenial applies the route's attempt limit and the retry budget, which it charges
-// if the request is retried. A request that may have run is retried only if the route
+// retryDenial applies the route's attempt limit and the retry budget, in which it reserves
+// the retry if there is one. A request that may have run is retried only if the route
 // allows that.
 func (x *execution) retryDenial(err error) RetryDenial {
 	var dispatchErr *DispatchError
@@ -218,7 +218,7 @@
 		return DeniedUnreachable
 	case errors.As(err, &dispatchErr) && !dispatchErr.Sent:
 		return retryAllowed
-	case !x.relay.options.RetryBudget.AllowRetry(time.Now(), x.pool):
+	case !x.reserveRetry():
 		return DeniedBudget
 	default:
 		return retryAllowed
@@ -243,12 +243,12 @@
 }
 
 // mayRetryErrorResponse reports whether a request that a target responded to with an
-// error status is retried on another target. It charges the retry to the budget.
+// error status is retried on another target. It reserves the retry in the budget.
 func (x *execution) mayRetryErrorResponse() bool {
 	if !x.route.Retryable() || x.dispatches >= x.route.MaxAttempts {
 		return false
 	}
-	return x.relay.options.RetryBudget.AllowRetry(time.Now(), x.pool)
+	return x.reserveRetry()
 }
 
 // retryStepKind distinguishes a full retry from the resumption of a stream.
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -63,6 +63,8 @@
 	// hedge supervises the current run; successor is the run that replaced the last one.
 	hedge     *hedge
 	successor *run
+	// retryReserved is set while the retry budget has a retry reserved for the next run.
+	retryReserved bool
 
 	stepsMu sync.Mutex
 	steps   []Step
@@ -142,6 +144,7 @@
 
 // serve dispatches the request, with retries, until it has a final response.
 func (x *execution) serve(ctx context.Context) *outcome.Refusal {
+	defer x.releaseRetry()
 	for {
 		r, refusal := x.nextRun(ctx)
 		if refusal != nil {
@@ -159,6 +162,7 @@
 func (x *execution) nextRun(ctx context.Context) (*run, *outcome.Refusal) {
 	if r := x.successor; r != nil {
 		x.successor = nil
+		x.releaseRetry()
 		return r, nil
 	}
 	action, err := x.relay.options.Dispatcher.acquire(ctx, x.request())
@@ -169,6 +173,7 @@
 	case *schedule.Refuse:
 		return nil, x.schedulerRefusal(a)
 	case *schedule.Dispatch:
+		x.dispatchRetry()
 		x.queueTime += a.QueueTime
 		return newRun(ctx, a), nil
 	default:
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -68,7 +68,8 @@
 	b.window(now, pool).currentBucket().requests++
 }
 
-// AllowRetry reports whether the budget allows a retry, and counts it if so.
+// AllowRetry reports whether the budget allows a retry that is dispatched now, and counts it
+// if so.
 func (b *Budget) AllowRetry(now time.Time, pool ident.Pool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -80,10 +81,39 @@
 	return true
 }
 
+// ReserveRetry reports whether the budget allows a retry that is dispatched later, and reserves
+// it if so. The caller must then call DispatchReserved or ReleaseReserved once.
+func (b *Budget) ReserveRetry(now time.Time, pool ident.Pool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(now, pool)
+	if b.remaining(now, w) < 1 {
+		return false
+	}
+	w.reserved++
+	return true
+}
+
+// DispatchReserved counts a reserved retry that is dispatched now.
+func (b *Budget) DispatchReserved(now time.Time, pool ident.Pool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(now, pool)
+	w.release()
+	w.currentBucket().retries++
+}
+
+// ReleaseReserved gives back a reserved retry that is not dispatched.
+func (b *Budget) ReleaseReserved(now time.Time, pool ident.Pool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.window(now, pool).release()
+}
+
 // remaining returns the retries that the window still allows. b.mu must be held.
 func (b *Budget) remaining(now time.Time, w *window) float64 {
 	requests, retries := w.sums()
-	return usableShare*(b.limits.Ratio*requests+b.share.of(now, b.limits.Allowance)) - retries
+	return usableShare*(b.limits.Ratio*requests+b.share.of(now, b.limits.Allowance)) - retries - w.reserved
 }
 
 // Remaining returns the retries that are still allowed now, by pool.
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -143,3 +143,21 @@
 	}
 	checkBudget(t, 1, retries)
 }
+
+func TestReservedRetriesCountUntilTheyAreDispatchedAndForAWindowAfter(t *testing.T) {
+	b := newHosts(1)[0]
+	for b.ReserveRetry(start, "pool") {
+	}
+	later := start.Add(2 * testLimits.Window)
+	if b.AllowRetry(later, "pool") {
+		t.Error("a retry was allowed while all are reserved")
+	}
+	b.DispatchReserved(later, "pool")
+	if b.AllowRetry(later.Add(testLimits.Window), "pool") {
+		t.Error("a retry was allowed a window after a reserved one was dispatched")
+	}
+	b.ReleaseReserved(later, "pool")
+	if !b.AllowRetry(later, "pool") {
+		t.Error("no retry was allowed after a reserved one was released")
+	}
+}
--- a/retrybudget/window.go
+++ b/retrybudget/window.go
@@ -13,6 +13,8 @@
 	bucketStart  time.Time
 	current      int
 	buckets      [retryBuckets]bucket
+	// reserved is the number of retries that are allowed, but not dispatched yet.
+	reserved float64
 }
 
 type bucket struct {
@@ -50,3 +52,6 @@
 	}
 	return requests, retries
 }
+
+// release ends a reservation. There is none left if the counts have restarted since.
+func (w *window) release() { w.reserved = max(w.reserved-1, 0) }
