--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -161,3 +161,26 @@
 		t.Error("no retry was allowed after a reserved one was released")
 	}
 }
+
+func TestRestartsAfterABurstStayWithinTheBudget(t *testing.T) {
+	hosts := newHosts(6)
+	requests, retries := 0, 0
+	restart := start.Add(testLimits.Window)
+	for now := start; now.Before(restart.Add(testLimits.Window)); now = now.Add(loadInterval) {
+		for i := range hosts {
+			if now.Equal(restart) {
+				for hosts[i].AllowRetry(now, "pool") {
+					retries++
+				}
+				hosts[i] = New(now, testLimits)
+				hosts[i].SetHostCount(now, len(hosts))
+			}
+			hosts[i].RecordRequest(now, "pool")
+			requests++
+			for !now.Before(restart) && hosts[i].AllowRetry(now, "pool") {
+				retries++
+			}
+		}
+	}
+	checkBudget(t, requests/2, retries)
+}
