Leave a starting host the part of the retry budget that its predecessor cannot have used

Callers see nothing; targets received more repeats in a sliding window than the platform allows, once hosts restarted after a burst of retries. Cause: a new process counts from nothing. It had no part of the allowance for a window, but the same part of the ratio as the process before it, which may have used its part of the same window already. Fix: 0.25 of the ratio for the first window, and 0.75 instead of 0.8 of the budget later. A changed window counts as a start. Why it works: in any window, what the predecessor used is at most 0.75 of the share that requests before its end give, and what the processes after it use is at most 0.25 of what their own requests give. Less than 0.25 would allow a host that restarts each 2 s no retry at all, which TestRestartsOfHostsDoNotRenewTheAllowance rules out.

--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -11,7 +11,11 @@
 const windowBuckets = 10
 
 // usableShare is the part of the budget that is used. The rest is a safety margin.
-const usableShare = 0.8
+const usableShare = 0.75
+
+// startingShare is the part used in the first window of a process. An earlier process of the
+// host may have used usableShare of the same window's budget.
+const startingShare = 0.25
 
 // Limits is the retry budget of all hosts together.
 type Limits struct {
@@ -31,9 +35,9 @@
 	pools  map[ident.Pool]*window
 }
 
-// New returns the budget of a host that starts now. It has no part of the allowance for one
-// window, because an earlier process of the host may have used it, and until SetHostCount is
-// called.
+// New returns the budget of a host that starts now. For one window it has no part of the
+// allowance and only a small part of the ratio, because an earlier process of the host may have
+// used them. It has no part of the allowance until SetHostCount is called.
 func New(now time.Time, limits Limits) *Budget {
 	return &Budget{
 		limits: limits,
@@ -49,8 +53,8 @@
 	b.share.setHostCount(now, n)
 }
 
-// SetLimits replaces the limits. If the window length changes, the counts restart, and the
-// host has no part of the allowance for one window.
+// SetLimits replaces the limits. If the window length changes, the counts restart as
+// those of a host that starts now.
 func (b *Budget) SetLimits(now time.Time, l Limits) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -113,7 +117,11 @@
 // remaining returns the retries that the window still allows. b.mu must be held.
 func (b *Budget) remaining(now time.Time, w *window) float64 {
 	requests, retries := w.sums()
-	return usableShare*(b.limits.Ratio*requests+b.share.of(now, b.limits.Allowance)) - retries - w.reserved
+	usable := usableShare
+	if b.share.isStarting(now) {
+		usable = startingShare
+	}
+	return usable*(b.limits.Ratio*requests+b.share.of(now, b.limits.Allowance)) - retries - w.reserved
 }
 
 // Remaining returns the retries that are still allowed now, by pool.
--- a/retrybudget/share.go
+++ b/retrybudget/share.go
@@ -34,8 +34,11 @@
 
 // of returns the host's part of the allowance.
 func (s *share) of(now time.Time, allowance float64) float64 {
-	if s.hostCount == 0 || now.Sub(s.startedAt) < s.window {
+	if s.hostCount == 0 || s.isStarting(now) {
 		return 0
 	}
 	return allowance / float64(s.divisor(now))
 }
+
+// isStarting reports whether retries that the host did not count may still be in the window.
+func (s *share) isStarting(now time.Time) bool { return now.Sub(s.startedAt) < s.window }
