--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -16,6 +16,12 @@
 	Callers int
 	// Faults is the number of faults that are injected concurrently.
 	Faults int
+	// HostFaults is the number of host faults that are injected concurrently in addition.
+	HostFaults int
+	// Storms makes targets fail most of their runs for short periods, so that more retries
+	// are wanted than allowed. StormCallers is the number of additional callers in them.
+	Storms       bool
+	StormCallers int
 }
 
 func (o Options) withDefaults() Options {
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -130,3 +130,57 @@
 		t.Error("no retry was allowed")
 	}
 }
+
+func TestBurstsNearlyAWindowApartStayWithinTheBudget(t *testing.T) {
+	b := New(start.Add(-time.Minute), testLimits)
+	b.SetHostCount(start.Add(-time.Minute), 1)
+	b.RecordRequest(start, "pool")
+	retries := 0
+	for _, offset := range []time.Duration{950 * time.Millisecond, 10 * time.Second} {
+		for b.AllowRetry(start.Add(offset), "pool") {
+			retries++
+		}
+	}
+	checkBudget(t, 1, retries)
+}
+
+func TestReservedRetriesCountUntilTheyAreDispatchedAndForAWindowAfter(t *testing.T) {
+	b := newHosts(1)[0]
+	for b.ReserveRetry(start, "pool") {
+	}
+	later := start.Add(2 * testLimits.Window)
+	if b.AllowRetry(later, "pool") {
+		t.Error("a retry was allowed while all are reserved")
+	}
+	b.DispatchReserved(later, "pool")
+	if b.AllowRetry(later.Add(testLimits.Window), "pool") {
+		t.Error("a retry was allowed a window after a reserved one was dispatched")
+	}
+	b.ReleaseReserved(later, "pool")
+	if !b.AllowRetry(later, "pool") {
+		t.Error("no retry was allowed after a reserved one was released")
+	}
+}
+
+func TestRestartsAfterABurstStayWithinTheBudget(t *testing.T) {
+	hosts := newHosts(6)
+	requests, retries := 0, 0
+	restart := start.Add(testLimits.Window)
+	for now := start; now.Before(restart.Add(testLimits.Window)); now = now.Add(loadInterval) {
+		for i := range hosts {
+			if now.Equal(restart) {
+				for hosts[i].AllowRetry(now, "pool") {
+					retries++
+				}
+				hosts[i] = New(now, testLimits)
+				hosts[i].SetHostCount(now, len(hosts))
+			}
+			hosts[i].RecordRequest(now, "pool")
+			requests++
+			for !now.Before(restart) && hosts[i].AllowRetry(now, "pool") {
+				retries++
+			}
+		}
+	}
+	checkBudget(t, requests/2, retries)
+}
--- a/streamversion/tracker.go
+++ b/streamversion/tracker.go
@@ -75,13 +75,14 @@
 }
 
 // RecordBegin records that a target brought the first event of a stream, or the first one
-// after its caller took it up. Resumable streams only need be recorded.
-func (t *Tracker) RecordBegin(now time.Time, firstAttempt ident.Request, began route.Target) {
+// after its caller took it up. Unsure says that the target may run another version than its
+// entry says. Resumable streams only need be recorded.
+func (t *Tracker) RecordBegin(now time.Time, firstAttempt ident.Request, began route.Target, unsure bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := Record{Key: NewKey(firstAttempt), Origin: Origin{Pool: began.Pool, Version: began.Version}}
-	t.records.expire(now, t.lifetime)
+	r := Record{Key: NewKey(firstAttempt), Origin: Origin{Pool: began.Pool, Version: began.Version, Unsure: unsure}}
 	t.records.put(now, r.Key, r.Origin)
+	t.records.expire(now, t.lifetime)
 	t.addOwn(now, ownRecord{record: r, target: began.Name, process: began.StartUnixMs, at: now})
 	t.outbox.add(r)
 }
@@ -159,10 +160,10 @@
 		t.reportAgainSoon(now)
 	}
 	t.peerHeardAt[host] = now
-	t.records.expire(now, t.lifetime)
 	for _, record := range r.Records {
 		t.records.put(now, record.Key, record.Origin)
 	}
+	t.records.expire(now, t.lifetime)
 	for _, s := range r.SoleVersions {
 		if h := t.pools[s.Pool]; h != nil {
 			h.merge(now, s)
