Record why no second run can start once in a row

For a run that stays silent without a retry budget or a free slot each attempt at a second run recorded a denial, up to one in 0.3 s. They filled the 32 steps of the request, so the end of its run was missing in the log and the metrics (found in review). Evidence: TestEndOfALongSilentRunIsRecorded failed before and passes.

--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -55,6 +55,9 @@
 	cancelAcquire context.CancelFunc
 	// successor is the second run once it has replaced the first.
 	successor *run
+	// lastDenial is why the last second run could not start. Only the goroutine of the timer
+	// uses it.
+	lastDenial RetryDenial
 	// failedTargets holds the targets on which second runs have failed.
 	failedTargets []ident.Target
 }
@@ -224,11 +227,20 @@
 	case *schedule.Dispatch:
 		return newRun(h.ctx, a)
 	case *schedule.Refuse:
-		h.x.recordStep(Step{Kind: StepHedgeDenied, RetryDenial: DeniedNoSlot, Inputs: a.Inputs})
+		h.recordDenial(DeniedNoSlot, a.Inputs)
 	}
 	return nil
 }
 
+// recordDenial records why no second run can start, each reason in a row once.
+func (h *hedge) recordDenial(reason RetryDenial, inputs schedule.Inputs) {
+	if h.lastDenial == reason {
+		return
+	}
+	h.lastDenial = reason
+	h.x.recordStep(Step{Kind: StepHedgeDenied, RetryDenial: reason, Inputs: inputs})
+}
+
 // secondRequest returns the scheduler's view of a second run, and false if none may start.
 // Cancel ends the wait for its slot.
 func (h *hedge) secondRequest(cancel context.CancelFunc) (schedule.Request, bool) {
@@ -257,7 +269,7 @@
 		return Dispatch{}, false
 	}
 	if !h.x.relay.options.RetryBudget.AllowRetry(time.Now(), h.x.pool) {
-		h.x.recordStep(Step{Kind: StepHedgeDenied, RetryDenial: DeniedBudget})
+		h.recordDenial(DeniedBudget, schedule.Inputs{})
 		return Dispatch{}, false
 	}
 	h.x.recordStep(Step{Kind: StepHedged, Target: second.target.Name, Version: second.target.Version, Inputs: second.inputs})
