Ask the retry budget before the slot of a second run

A stalled run whose budget was exhausted took a slot for a moment at each stall timeout: others waited for it, and the demand and the prefix locations counted a request that was never sent (found in review). The budget now reserves the retry first, as for other retries. Evidence: TestStalledRunWithoutRetryBudgetAsksForNoSlot failed before (denied because of no-slot) and passes now.

--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -185,20 +185,28 @@
 // startSecond tries to replace the stalled run by a second one. It runs on a goroutine of
 // the timer.
 func (h *hedge) startSecond() {
-	second := h.acquireSecond()
+	defer h.rearm()
+	request, ctx, ok := h.reserveSecond()
+	if !ok {
+		return
+	}
+	second := h.acquireSecond(ctx, request)
 	if second == nil {
-		h.rearm()
+		h.releaseReserved()
 		return
 	}
 	d, ok := h.prepareSecond(second)
 	if !ok {
+		h.releaseReserved()
 		h.x.relay.options.Dispatcher.finish(second.slot, schedule.Abandoned)
-		h.rearm()
 		return
 	}
 	go h.x.send(second, d)
 	h.awaitSecond(second)
-	h.rearm()
+}
+
+func (h *hedge) releaseReserved() {
+	h.x.relay.options.RetryBudget.ReleaseReserved(time.Now(), h.x.pool)
 }
 
 // rearm starts the stall timeout again, unless the supervision has ended.
@@ -210,15 +218,37 @@
 	}
 }
 
-// acquireSecond acquires a slot for a second run. It returns nil if none is allowed, if
-// there is no slot, or if the first run goes on.
-func (h *hedge) acquireSecond() *run {
-	ctx, cancel := context.WithCancel(h.ctx)
-	defer cancel()
-	request, ok := h.secondRequest(cancel)
-	if !ok {
-		return nil
+// reserveSecond reserves a retry for a second run. It returns the scheduler's view of it and
+// the context of the wait for its slot, or false if none may start.
+func (h *hedge) reserveSecond() (schedule.Request, context.Context, bool) {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	if h.ended || h.paused || h.successor != nil || !h.x.mayHedge(h.first) {
+		return schedule.Request{}, nil, false
 	}
+	if !h.x.relay.options.RetryBudget.ReserveRetry(time.Now(), h.x.pool) {
+		h.recordDenial(DeniedBudget, schedule.Inputs{})
+		return schedule.Request{}, nil, false
+	}
+	ctx, cancel := context.WithCancel(h.ctx)
+	h.cancelAcquire = cancel
+	h.stalledSince = h.lastProgress
+	return h.secondRequest(), ctx, true
+}
+
+// secondRequest returns the scheduler's view of a second run. x.mu must be held.
+func (h *hedge) secondRequest() schedule.Request {
+	r := h.x.request()
+	r.ID = h.x.relay.newID()
+	// A target on probation would be no certain replacement.
+	r.Retryable = false
+	r.ExcludedTargets = append(append([]ident.Target{h.first.target.Name}, h.failedTargets...), h.x.excludedTargets...)
+	return r
+}
+
+// acquireSecond acquires a slot for a second run. It returns nil if there is none, or if the
+// first run goes on.
+func (h *hedge) acquireSecond(ctx context.Context, request schedule.Request) *run {
 	action, err := h.x.relay.options.Dispatcher.acquire(ctx, request)
 	if err != nil {
 		return nil
@@ -241,37 +271,17 @@
 	h.x.recordStep(Step{Kind: StepHedgeDenied, RetryDenial: reason, Inputs: inputs})
 }
 
-// secondRequest returns the scheduler's view of a second run, and false if none may start.
-// Cancel ends the wait for its slot.
-func (h *hedge) secondRequest(cancel context.CancelFunc) (schedule.Request, bool) {
-	h.x.mu.Lock()
-	defer h.x.mu.Unlock()
-	if h.ended || h.paused || h.successor != nil || !h.x.mayHedge(h.first) {
-		return schedule.Request{}, false
-	}
-	h.cancelAcquire = cancel
-	h.stalledSince = h.lastProgress
-	r := h.x.request()
-	r.ID = h.x.relay.newID()
-	// A target on probation would be no certain replacement.
-	r.Retryable = false
-	r.ExcludedTargets = append(append([]ident.Target{h.first.target.Name}, h.failedTargets...), h.x.excludedTargets...)
-	return r, true
-}
-
 // prepareSecond makes a run the second one. It returns false if the first run went on
-// meanwhile, or if the retry budget is exhausted.
+// meanwhile.
 func (h *hedge) prepareSecond(second *run) (Dispatch, bool) {
 	h.x.mu.Lock()
 	defer h.x.mu.Unlock()
+	h.cancelAcquire()
 	h.cancelAcquire = nil
 	if h.ended || h.paused || h.lastProgress != h.stalledSince {
 		return Dispatch{}, false
 	}
-	if !h.x.relay.options.RetryBudget.AllowRetry(time.Now(), h.x.pool) {
-		h.recordDenial(DeniedBudget, schedule.Inputs{})
-		return Dispatch{}, false
-	}
+	h.x.relay.options.RetryBudget.DispatchReserved(time.Now(), h.x.pool)
 	h.x.recordStep(Step{Kind: StepHedged, Target: second.target.Name, Version: second.target.Version, Inputs: second.inputs})
 	h.second = second
 	h.x.countDispatch(second)
--- a/relay/hedge_test.go
+++ b/relay/hedge_test.go
@@ -177,3 +177,15 @@
 		t.Error("the second run was not cancelled")
 	}
 }
+
+func TestStalledRunWithoutRetryBudgetAsksForNoSlot(t *testing.T) {
+	f := newFixture(t, silentRoute(route.Stream), streamWithPauses(silence, firstEvent, secondEvent))
+	f.exhaustBudget()
+	f.keepTargets(1)
+	f.call(context.Background(), nil)
+	for _, step := range f.observer.last.Steps {
+		if step.Kind == StepHedgeDenied && step.RetryDenial != DeniedBudget {
+			t.Errorf("a second run was denied because of %q, want no request for a slot", step.RetryDenial)
+		}
+	}
+}
