Keep a second run until the first has something to forward

A second run was cancelled as soon as the head of the first response arrived. If that one broke before its first event, the attempts were spent and callers got 502 although the second run would have served them (seen in review). The head is no progress any more; the first event, or the whole of a short response, is. So a long prompt behind an early head is not hedged by the shorter timeout for gaps either. Evidence: TestSecondRunIsKeptWhenTheFirstBreaksRightAfterItsHead failed before (502) and passes now.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -131,25 +131,21 @@
 	if response.Load >= 0 {
 		x.relay.options.Dispatcher.reportLoad(r.slot, response.Load)
 	}
-	if err := x.recordHead(r, response); err != nil {
+	if err := x.recordHead(r); err != nil {
 		return err
 	}
 	return x.forward(r, response)
 }
 
 // recordHead records that the head of the run's response has arrived. It returns errStalled
-// if another run has replaced this one.
-func (x *execution) recordHead(r *run, response *Response) error {
+// if another run has replaced this one. Only what can be forwarded counts as progress.
+func (x *execution) recordHead(r *run) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.mayHaveRun = true
 	r.responded = true
 	x.countDispatch(r)
-	if !response.Stream && errorForStatus(response.Status) != nil {
-		// A second run may still have a better response.
-		return x.hedge.replaced()
-	}
-	return x.hedge.recordProgress()
+	return x.hedge.replaced()
 }
 
 // recordFirstDispatch credits the retry budget at the first dispatch of a request.
--- a/relay/hedge_replacement_test.go
+++ b/relay/hedge_replacement_test.go
@@ -41,3 +41,17 @@
 	}
 	f.awaitIdle(t)
 }
+
+func TestSecondRunIsKeptWhenTheFirstBreaksRightAfterItsHead(t *testing.T) {
+	t.Parallel()
+	breaks := func(ctx context.Context, d Dispatch) (*Response, error) {
+		return streamWithPausesThenReset(100*time.Millisecond, ": head\n", "")(ctx, d)
+	}
+	f := newFixture(t, silentRoute(route.Stream),
+		respondAfter(450*time.Millisecond, breaks), respondAfter(600*time.Millisecond, streamWithPauses(0, wholeStream)))
+	result, sink := f.call(context.Background(), nil)
+	if result.Refused != nil || result.Truncated || sink.body.String() != wholeStream {
+		t.Errorf("got %+v with body %q, want the whole stream of the second run", result, sink.body.String())
+	}
+	f.awaitIdle(t)
+}
