--- a/internal/soak/host_fault.go
+++ b/internal/soak/host_fault.go
@@ -57,7 +57,7 @@
 		if err := act(ctx, s, h, random); err != nil {
 			return err
 		}
-		readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+		readyCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readyTimeout)
 		defer cancel()
 		h.waitReady(readyCtx)
 		return nil
