Soak: targets of two versions, and callers that take broken streams up

Targets of the model name their version in a comment line before each event. Callers take a resumable stream that broke off up at other hosts, as clients of the platform do.

--- a/internal/soak/call.go
+++ b/internal/soak/call.go
@@ -18,12 +18,14 @@
 	reply       platformtest.Reply
 	// version is the configuration version that declares the path, or zero.
 	version int
+	// takesUp is the call whose stream this one takes up, or nil.
+	takesUp *call
 }
 
 // expectedBody returns the complete response body.
 func (c *call) expectedBody() string {
 	if c.service() == platformtest.ModelService {
-		return streamBody(c.request.ID)
+		return streamBody(c.request.ID, c.request.LastEvent)
 	}
 	return serviceBody(c.request.ID, c.request.Path)
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -35,7 +35,7 @@
 func (c *callers) run(ctx context.Context, caller int) {
 	random := rand.New(rand.NewPCG(c.seed, uint64(caller)))
 	for n := 0; ctx.Err() == nil; n++ {
-		c.make(random, fmt.Sprintf("%d-%d-%d", c.seed, caller, n))
+		c.takeUp(ctx, random, c.make(random, fmt.Sprintf("%d-%d-%d", c.seed, caller, n)))
 		periodic.Sleep(ctx, callInterval)
 	}
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -31,6 +31,7 @@
 		r.checkLeavingTargets(), r.checkConfigurationVersions(), r.checkGracefulShutdown(), r.checkHostExits(), r.checkRecovery(),
 		r.checkCrashingRequests(), r.checkAnswered(),
 	}
+	result.Promises = append(result.Promises, r.checkStreamVersions(), r.checkTakenUpStreams())
 	return result
 }
 
@@ -50,9 +51,9 @@
 	for _, c := range r.callers.calls {
 		switch {
 		case c.reply.Succeeded():
-			v.Check(c.reply.Signed && c.reply.Body == c.expectedBody(), c.String)
+			v.Check(c.reply.Signed && withoutVersions(c.reply.Body) == c.expectedBody(), c.String)
 		case c.reply.Status == http.StatusOK:
-			v.Check(strings.HasPrefix(c.expectedBody(), c.reply.Body), c.String)
+			v.Check(strings.HasPrefix(c.expectedBody(), withoutVersions(c.reply.Body)), c.String)
 		}
 	}
 	return v
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -12,6 +12,8 @@
 	// between the two data centres.
 	Hosts   int
 	Targets int
+	// Versions is the number of software versions of the model's targets.
+	Versions int
 	// Callers is the number of callers, each with one call at a time.
 	Callers int
 	// Faults is the number of faults that are injected concurrently.
@@ -22,6 +24,7 @@
 	o.Duration = orDefault(o.Duration, 15*time.Second)
 	o.Hosts = orDefault(o.Hosts, 4)
 	o.Targets = orDefault(o.Targets, 6)
+	o.Versions = orDefault(o.Versions, 1)
 	o.Callers = orDefault(o.Callers, 24)
 	o.Faults = orDefault(o.Faults, 2)
 	return o
--- a/internal/soak/promise.go
+++ b/internal/soak/promise.go
@@ -15,5 +15,7 @@
 	GracefulShutdown         verdict.Promise = "planned-stop-breaks-nothing"
 	CrashingRequestContained verdict.Promise = "crashing-request-is-contained"
 	NoUnexpectedExit         verdict.Promise = "hosts-end-only-when-told"
+	OneVersionPerStream      verdict.Promise = "one-version-per-stream"
+	TakenUpStreamGoesOn      verdict.Promise = "taken-up-streams-go-on"
 	RecoversAfterFaults      verdict.Promise = "serves-after-the-faults"
 )
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -61,7 +61,7 @@
 	}
 	s := &system{dir: dir, store: platformtest.NewStore(), proxy: faultproxy.New(ctx)}
 	for i := range o.Targets {
-		if err := s.addTarget(i); err != nil {
+		if err := s.addTarget(i, o.Versions); err != nil {
 			return s, err
 		}
 	}
@@ -83,13 +83,14 @@
 }
 
 // addTarget starts a target; every third one serves the model.
-func (s *system) addTarget(i int) error {
+func (s *system) addTarget(i, versions int) error {
 	name := fmt.Sprintf("t-%d", i)
 	t := &target{name: name, service: platformtest.Service, dataCentre: dataCentreOf(i)}
 	if i%3 == 0 {
 		t.service = platformtest.ModelService
 	}
 	t.fake = platformtest.NewTarget(name)
+	t.fake.Version = softwareVersion(i, versions)
 	t.fake.SetHandler(func(w http.ResponseWriter, r *http.Request) {
 		if !t.crash(s, r) {
 			t.serve(w, r)
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -76,7 +76,7 @@
 		if !t.delayResponse(r) {
 			return
 		}
-		_, _ = io.WriteString(w, streamEvent(id, i))
+		_, _ = io.WriteString(w, versionComment(t.fake.Version)+streamEvent(id, i))
 		_ = http.NewResponseController(w).Flush()
 	}
 }
@@ -92,10 +92,10 @@
 
 func streamEvent(id string, i int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, id) }
 
-// streamBody is the complete response of a model.
-func streamBody(id string) string {
+// streamBody is the complete response of a model after an event.
+func streamBody(id string, after int) string {
 	body := ""
-	for i := range eventsPerStream {
+	for i := after; i < eventsPerStream; i++ {
 		body += streamEvent(id, i)
 	}
 	return body
