--- a/internal/soak/promise.go
+++ b/internal/soak/promise.go
@@ -18,5 +18,7 @@
 	TimeoutWithinCallers     verdict.Promise = "deadline-within-the-callers"
 	RetriesWithinBudget      verdict.Promise = "retries-within-budget"
 	NoUnexpectedExit         verdict.Promise = "hosts-end-only-when-told"
+	OneVersionPerStream      verdict.Promise = "one-version-per-stream"
+	TakenUpStreamGoesOn      verdict.Promise = "taken-up-streams-go-on"
 	RecoversAfterFaults      verdict.Promise = "serves-after-the-faults"
 )
