End a stream that sends no event within the size of one

A target that sent empty lines, comments or other lines that make up no event kept its request until the deadline: the caller of a stream got 504 after 1.5 s, no other target was asked, and the slot stayed taken.

Cause: sseReader bounds one event, and begins to count again with each empty line, so bytes that are no event were not bounded.

Now the bound holds for what arrives between two events with content. Comments that keep a connection alive stay far below 1 MB.

--- a/target/client.go
+++ b/target/client.go
@@ -30,7 +30,8 @@
 	// MaxBufferedBytes is the maximum body size of an engine response that is not
 	// streamed.
 	MaxBufferedBytes int64
-	// MaxEventBytes is the maximum size of one event of a stream.
+	// MaxEventBytes is the maximum size of one event of a stream, and of what may precede
+	// it without being an event, such as comments.
 	MaxEventBytes int
 	// MaxResumeAttempts is the maximum number of attempts to resume a stream after
 	// one interruption.
--- a/target/event_reader.go
+++ b/target/event_reader.go
@@ -11,7 +11,8 @@
 	events *sseReader
 }
 
-// NewEventReader returns a reader for events of at most maxBytes each.
+// NewEventReader returns a reader for events of at most maxBytes each, including the
+// comments before them.
 func NewEventReader(r io.Reader, maxBytes int) *EventReader {
 	return &EventReader{events: newSSEReader(r, maxBytes)}
 }
--- a/target/sse_event.go
+++ b/target/sse_event.go
@@ -15,3 +15,6 @@
 }
 
 func (e *sseEvent) isDone() bool { return string(e.data) == doneData }
+
+// hasContent is false for comments and for lines that are no part of an event.
+func (e *sseEvent) hasContent() bool { return len(e.data) > 0 || e.hasID }
--- a/target/sse_reader.go
+++ b/target/sse_reader.go
@@ -15,13 +15,16 @@
 	reader   *bufio.Reader
 	maxBytes int
 	current  sseEvent
+	// bytes counts what was read since the last event with content.
+	bytes int
 }
 
 func newSSEReader(r io.Reader, maxBytes int) *sseReader {
 	return &sseReader{reader: bufio.NewReaderSize(r, sseBufferBytes), maxBytes: maxBytes}
 }
 
-// next returns the next event, which is valid until the next call. It returns
+// next returns the next event, which is valid until the next call. It returns a *Failure
+// if maxBytes are exceeded before the end of an event with content. It returns
 // io.EOF if the stream ends at an event boundary, and io.ErrUnexpectedEOF or the
 // connection's error if it ends inside an event.
 func (r *sseReader) next() (*sseEvent, error) {
@@ -41,6 +44,9 @@
 			r.current.raw = r.current.raw[:0]
 			continue
 		}
+		if r.current.hasContent() {
+			r.bytes = 0
+		}
 		return &r.current, nil
 	}
 }
@@ -58,7 +64,8 @@
 	start := len(r.current.raw)
 	for {
 		part, err := r.reader.ReadSlice('\n')
-		if len(r.current.raw)+len(part) > r.maxBytes {
+		r.bytes += len(part)
+		if r.bytes > r.maxBytes {
 			return nil, newFailure(FailedProtocol, errTooLarge)
 		}
 		r.current.raw = append(r.current.raw, part...)
