Don't count comments of a stream as its events

Callers of a stream that may be resumed got it cut off (200, truncated) if the last bytes before the target's failure were a comment, and got nothing but comments until the deadline from a target that sent only these.

Cause: each block of lines counted as an event. A comment has no ID, so after one the stream had lost its position and was not resumed; it also counted as progress, so no second run was started, and before the first event it wrote the head, after which the request could not run again.

Comments, and lines that are no event, are now held until the event that follows and written with it, or at the end of the stream, so a complete body is forwarded byte by byte as before; what is held is bounded like an event.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -132,7 +132,7 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return x.endStream(response)
+			return x.endStream(response, &batch)
 		}
 		if err != nil {
 			return brokenError(err)
@@ -144,6 +144,9 @@
 			}
 			batch.add(event)
 		}
+		if batch.count == 0 {
+			continue
+		}
 		if err := x.forwardBatch(r, response, &batch); err != nil {
 			return err
 		}
@@ -151,13 +154,17 @@
 	}
 }
 
-// endStream completes a stream. If the stream had no event, it writes the head.
-func (x *execution) endStream(response *Response) error {
+// endStream completes a stream with the comments after its last event. If the stream had
+// no event, it writes the head.
+func (x *execution) endStream(response *Response, comments *eventBatch) error {
 	if !x.delivery.headWritten {
 		if err := x.writeHead(response, -1); err != nil {
 			return err
 		}
 	}
+	if err := x.writeBody(comments.raw); err != nil {
+		return err
+	}
 	return errorForStatus(response.Status)
 }
 
--- a/target/event_reader.go
+++ b/target/event_reader.go
@@ -24,6 +24,8 @@
 	// ID is the event's ID. It is valid if HasID is set.
 	ID    uint64
 	HasID bool
+	// HasContent is false for comments and for lines that are no part of an event.
+	HasContent bool
 }
 
 // Next returns the next event, which is valid until the next call. It returns
@@ -33,7 +35,7 @@
 	if err != nil {
 		return Event{}, err
 	}
-	return Event{Raw: event.raw, ID: event.id, HasID: event.hasID}, nil
+	return Event{Raw: event.raw, ID: event.id, HasID: event.hasID, HasContent: event.hasContent()}, nil
 }
 
 // Buffered reports whether a complete event can be read without blocking.
