Free the slot of a caller that does not read at its deadline

Callers were refused with 503 although the target was idle: a request whose caller had stopped reading kept its slot for up to 10 s after its deadline.

Cause: one write to a caller may block for 10 s whatever the deadline. The exchange with the target was cancelled in time, but the execution went on only when the write returned, and frees the slot after that.

The sink now gets the deadline with the head, and no write blocks more than 200 ms past it.

--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -91,7 +91,7 @@
 	body   bytes.Buffer
 }
 
-func (s *recordingSink) WriteHead(status int, _ http.Header, _ int64) error {
+func (s *recordingSink) WriteHead(status int, _ http.Header, _ int64, _ time.Time) error {
 	s.status = status
 	return nil
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -21,6 +21,8 @@
 	copyBufferBytes = 32 << 10
 	// maxBatchBytes is the size at which a batch of events is written.
 	maxBatchBytes = 32 << 10
+	// deliveryGracePeriod is added to the deadline for the delivery of what arrived before.
+	deliveryGracePeriod = 200 * time.Millisecond
 )
 
 var (
@@ -219,7 +221,7 @@
 	if err := x.recordHeadWritten(response.Status); err != nil {
 		return err
 	}
-	if err := x.sink.WriteHead(response.Status, response.Header, length); err != nil {
+	if err := x.sink.WriteHead(response.Status, response.Header, length, x.deadline.Add(deliveryGracePeriod)); err != nil {
 		return errSinkFailed
 	}
 	return nil
--- a/relay/slow_caller_test.go
+++ b/relay/slow_caller_test.go
@@ -15,8 +15,8 @@
 	pause time.Duration
 }
 
-func (s *pausingSink) WriteHead(status int, header http.Header, length int64) error {
-	return s.Sink.WriteHead(status, header, length)
+func (s *pausingSink) WriteHead(status int, header http.Header, length int64, deadline time.Time) error {
+	return s.Sink.WriteHead(status, header, length, deadline)
 }
 
 func (s *pausingSink) Write(p []byte) error {
