Bound the memory for all responses that are buffered together

A host whose targets send events or bodies without end could be killed for its memory: one event is bounded by 1 MB, one short body by 256 KB, but nothing bounded their sum, and the heap's limit only makes the collector work harder.

bytebudget bounds the sum; the first 64 KB of each response are free, so that ordinary ones pass while large ones use it up. A quarter of the heap is for responses. When it is used up, a body is forwarded as it arrives instead of being read first, and a stream with a larger event counts as broken and goes on at another target where it may.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -5,6 +5,7 @@
 
 	"github.com/cornelyard/cornelyard/claim"
 	"github.com/cornelyard/cornelyard/entry"
+	"github.com/cornelyard/cornelyard/internal/bytebudget"
 	"github.com/cornelyard/cornelyard/loadreport"
 	"github.com/cornelyard/cornelyard/membership"
 	"github.com/cornelyard/cornelyard/operator"
@@ -104,6 +105,7 @@
 	d.targets = target.NewClient(target.Options{
 		Recorder: d.ring,
 		Logger:   d.logs.For("target"),
+		Budget:   bytebudget.New(maxBufferedBytes, freeBufferedBytes),
 	})
 	d.claims = claim.New(claim.Options{
 		Table:       d.table,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,6 +33,10 @@
 	// settingsJitter is the fraction by which settingsInterval varies, so that
 	// hosts don't poll at the same time.
 	settingsJitter = 0.2
+	// maxBufferedBytes bounds the sum of the responses that are buffered, of which each may
+	// use freeBufferedBytes beyond that.
+	maxBufferedBytes  = 256 << 20
+	freeBufferedBytes = 64 << 10
 )
 
 // Daemon is an entry host with all its components.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/eventlog"
 	"github.com/cornelyard/cornelyard/hoststate"
+	"github.com/cornelyard/cornelyard/internal/bytebudget"
 	"github.com/cornelyard/cornelyard/logging"
 	"github.com/cornelyard/cornelyard/metrics"
 	"github.com/cornelyard/cornelyard/platform"
@@ -35,6 +36,10 @@
 	// heapFraction is the fraction of the process's memory that the Go heap may use. The
 	// remainder is for program text, stacks and socket buffers.
 	heapFraction = 0.6
+	// responseFraction is the fraction of the heap that buffered responses may use. Each may
+	// use freeResponseBytes beyond that, so that short ones always pass.
+	responseFraction  = 0.25
+	freeResponseBytes = 64 << 10
 )
 
 // Options configures a Gateway.
@@ -56,6 +61,8 @@
 	directory *platform.Directory
 	relay     *relay.Relay
 	ingress   *platform.Ingress
+	// responseBudget bounds the memory for responses.
+	responseBudget *bytebudget.Budget
 	// reloaded holds the settings of the last successful reload.
 	reloaded atomic.Pointer[config.Gateway]
 	// stopping is set once the host drains: callers are directed to other hosts.
@@ -65,11 +72,14 @@
 // New assembles a host. It opens no connections or listeners.
 func New(o Options) *Gateway {
 	c := o.Config
-	debug.SetMemoryLimit(int64(heapFraction * float64(c.MemoryMB) * (1 << 20)))
+	heapLimit := heapFraction * float64(c.MemoryMB) * (1 << 20)
+	debug.SetMemoryLimit(int64(heapLimit))
 	g := &Gateway{
 		config:  c,
 		logs:    logging.NewStructured(logging.Options{Level: c.LogLevel, Output: o.LogOutput, Host: string(c.Host)}),
 		metrics: metrics.New(),
+
+		responseBudget: bytebudget.New(int64(responseFraction*heapLimit), freeResponseBytes),
 	}
 	g.logger = g.logs.For("gateway")
 	g.reloaded.Store(&c)
@@ -126,6 +136,7 @@
 		Quotas:       g.state.quotas,
 		RetryBudget:  g.state.retryBudget,
 		Streams:      g.state.streams,
+		Budget:       g.responseBudget,
 		Observer: multiObserver{
 			eventlog.NewRequestLogger(g.logs.For("request")),
 			&requestMetrics{scope: g.metrics.Scope},
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/bytebudget"
 	"github.com/cornelyard/cornelyard/target"
 )
 
@@ -82,13 +83,17 @@
 	return x.forwardBuffered(response)
 }
 
-// forwardBuffered reads a short response in full before it writes it to the caller.
+// forwardBuffered reads a short response in full before it writes it to the caller, unless
+// there is no memory left for it.
 func (x *execution) forwardBuffered(response *Response) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
-	if err != nil {
+	reservation := x.relay.options.Budget.Reserve()
+	defer reservation.Release()
+	body, err := io.ReadAll(reservation.Reader(io.LimitReader(response.Body, maxBufferedBytes)))
+	exhausted := errors.Is(err, bytebudget.ErrExhausted)
+	if err != nil && !exhausted {
 		return brokenError(err)
 	}
-	if len(body) == maxBufferedBytes {
+	if exhausted || len(body) == maxBufferedBytes {
 		response.Body = io.NopCloser(io.MultiReader(bytes.NewReader(body), response.Body))
 		return x.forwardUnbuffered(response)
 	}
@@ -129,7 +134,8 @@
 // forwardStream writes complete events to the caller. Events that arrived together
 // are written together.
 func (x *execution) forwardStream(r *run, response *Response) error {
-	events := target.NewEventReader(response.Body, maxEventBytes)
+	events := target.NewEventReader(response.Body, maxEventBytes, x.relay.options.Budget)
+	defer events.Close()
 	var batch eventBatch
 	for {
 		event, err := events.Next()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/bytebudget"
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/quota"
 	"github.com/cornelyard/cornelyard/retrybudget"
@@ -15,7 +16,7 @@
 	"github.com/cornelyard/cornelyard/streamversion"
 )
 
-// Options configures a Relay. All fields are required.
+// Options configures a Relay. All fields but Budget are required.
 type Options struct {
 	// Table returns the configuration in force, or nil.
 	Table        func() *route.Table
@@ -25,6 +26,8 @@
 	RetryBudget  *retrybudget.Budget
 	Streams      *streamversion.Tracker
 	Observer     Observer
+	// Budget bounds the sum of the bytes that all responses buffer; nil means no limit.
+	Budget *bytebudget.Budget
 }
 
 // Relay forwards callers' requests to targets.
--- a/target/buffered_body.go
+++ b/target/buffered_body.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+
+	"github.com/cornelyard/cornelyard/internal/bytebudget"
 )
 
 // bufferedBody is an engine's response body that was read completely and validated
@@ -11,6 +14,8 @@
 type bufferedBody struct {
 	chunk    Chunk
 	consumed bool
+	// reservation is the memory of the body.
+	reservation *bytebudget.Reservation
 }
 
 func (w *bufferedBody) next() (Chunk, error) {
@@ -21,12 +26,25 @@
 	return w.chunk, nil
 }
 
-func (w *bufferedBody) close() {}
+func (w *bufferedBody) close() { w.reservation.Release() }
 
 // readBuffered reads an engine's complete JSON response and checks that it is valid
 // and carries the ID of the dispatch.
 func (c *Client) readBuffered(call Call, response *http.Response) (chunkReader, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.options.MaxBufferedBytes+1))
+	reservation := c.options.Budget.Reserve()
+	reader, err := c.parseBuffered(call, response, reservation)
+	if err != nil {
+		reservation.Release()
+		return nil, err
+	}
+	return reader, nil
+}
+
+func (c *Client) parseBuffered(call Call, response *http.Response, reservation *bytebudget.Reservation) (*bufferedBody, error) {
+	body, err := io.ReadAll(reservation.Reader(io.LimitReader(response.Body, c.options.MaxBufferedBytes+1)))
+	if errors.Is(err, bytebudget.ErrExhausted) {
+		return nil, newFailure(FailedProtocol, err)
+	}
 	if err != nil {
 		return nil, newFailure(FailedConnection, err)
 	}
@@ -46,7 +64,7 @@
 	if message.Usage != nil {
 		chunk.Tokens = message.Usage.CompletionTokens
 	}
-	return &bufferedBody{chunk: chunk}, nil
+	return &bufferedBody{chunk: chunk, reservation: reservation}, nil
 }
 
 // isSuccess distinguishes results from error documents, which carry no ID.
--- a/target/client.go
+++ b/target/client.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/bytebudget"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/timeline"
 )
@@ -33,6 +34,8 @@
 	// MaxEventBytes is the maximum size of one event of a stream, and of what may precede
 	// it without being an event, such as comments.
 	MaxEventBytes int
+	// Budget bounds the sum of the bytes that all responses buffer; nil means no limit.
+	Budget *bytebudget.Budget
 	// MaxResumeAttempts is the maximum number of attempts to resume a stream after
 	// one interruption.
 	MaxResumeAttempts uint
--- a/target/event_reader.go
+++ b/target/event_reader.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+
+	"github.com/cornelyard/cornelyard/internal/bytebudget"
 )
 
 // EventReader reads server-sent events from a stream. It returns only complete
@@ -12,11 +14,16 @@
 }
 
 // NewEventReader returns a reader for events of at most maxBytes each, including the
-// comments before them.
-func NewEventReader(r io.Reader, maxBytes int) *EventReader {
-	return &EventReader{events: newSSEReader(r, maxBytes)}
+// comments before them. Large ones are charged to the budget until Close; a nil budget has
+// no limit.
+func NewEventReader(r io.Reader, maxBytes int, budget *bytebudget.Budget) *EventReader {
+	return &EventReader{events: newSSEReader(r, maxBytes, budget)}
 }
 
+// Close gives the memory of the events back to the budget. It does not close the
+// underlying reader.
+func (e *EventReader) Close() { e.events.close() }
+
 // Event is one server-sent event.
 type Event struct {
 	// Raw is the event as received, including the empty line that terminates it.
--- a/target/sse_reader.go
+++ b/target/sse_reader.go
@@ -6,23 +6,39 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"github.com/cornelyard/cornelyard/internal/bytebudget"
 )
 
-const sseBufferBytes = 16 << 10
+const (
+	sseBufferBytes = 16 << 10
+	// eventCopies is how often an event is held: as received, its data, and in what is
+	// written to the caller.
+	eventCopies = 3
+)
 
 // sseReader splits a stream into server-sent events.
 type sseReader struct {
 	reader   *bufio.Reader
 	maxBytes int
 	current  sseEvent
+	// reservation is the memory that the current event may use.
+	reservation *bytebudget.Reservation
 	// bytes counts what was read since the last event with content.
 	bytes int
 }
 
-func newSSEReader(r io.Reader, maxBytes int) *sseReader {
-	return &sseReader{reader: bufio.NewReaderSize(r, sseBufferBytes), maxBytes: maxBytes}
+func newSSEReader(r io.Reader, maxBytes int, budget *bytebudget.Budget) *sseReader {
+	return &sseReader{
+		reader:      bufio.NewReaderSize(r, sseBufferBytes),
+		maxBytes:    maxBytes,
+		reservation: budget.Reserve(),
+	}
 }
 
+// close gives back the memory of the events. The last one must not be used any more.
+func (r *sseReader) close() { r.reservation.Release() }
+
 // next returns the next event, which is valid until the next call. It returns a *Failure
 // if maxBytes are exceeded before the end of an event with content. It returns
 // io.EOF if the stream ends at an event boundary, and io.ErrUnexpectedEOF or the
@@ -68,6 +84,9 @@
 		if r.bytes > r.maxBytes {
 			return nil, newFailure(FailedProtocol, errTooLarge)
 		}
+		if !r.reservation.Grow(eventCopies * int64(len(r.current.raw)+len(part))) {
+			return nil, newFailure(FailedProtocol, bytebudget.ErrExhausted)
+		}
 		r.current.raw = append(r.current.raw, part...)
 		if err == nil {
 			return bytes.TrimRight(r.current.raw[start:], "\r\n"), nil
--- a/target/sse_reader_test.go
+++ b/target/sse_reader_test.go
@@ -40,7 +40,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			source := &repeatingReader{unit: unit, limit: readLimit}
-			reader := newSSEReader(source, maxBytes)
+			reader := newSSEReader(source, maxBytes, nil)
 			var err error
 			for err == nil {
 				_, err = reader.next()
--- a/target/stream.go
+++ b/target/stream.go
@@ -39,10 +39,13 @@
 
 func (s *stream) attachBody(body io.ReadCloser) {
 	s.body = body
-	s.events = newSSEReader(body, s.client.options.MaxEventBytes)
+	s.events = newSSEReader(body, s.client.options.MaxEventBytes, s.client.options.Budget)
 }
 
-func (s *stream) close() { _ = s.body.Close() }
+func (s *stream) close() {
+	s.events.close()
+	_ = s.body.Close()
+}
 
 func (s *stream) next() (Chunk, error) {
 	if s.done {
@@ -78,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	_ = s.body.Close()
+	s.close()
 	s.attachBody(response.Body)
 	s.sequence.markResumed()
 	s.recordResume()
