Refuse a request whose body finds no memory instead of exceeding it

A host could be killed for its memory, with all requests that it held, when many callers sent large bodies at once: one body is bounded by the limit of the configuration (4 MB), their sum was not.

Three tenths of the heap are for bodies; the first 8 KB of each are free, so that ordinary requests pass beside large ones.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,9 +36,12 @@
 	// heapFraction is the fraction of the process's memory that the Go heap may use. The
 	// remainder is for program text, stacks and socket buffers.
 	heapFraction = 0.6
-	// responseFraction is the fraction of the heap that buffered responses may use. Each may
-	// use freeResponseBytes beyond that, so that short ones always pass.
+	// requestFraction and responseFraction are the fractions of the heap that the bodies of
+	// requests and buffered responses may use. Each may use freeRequestBytes or
+	// freeResponseBytes beyond that, so that short ones always pass.
+	requestFraction   = 0.3
 	responseFraction  = 0.25
+	freeRequestBytes  = 8 << 10
 	freeResponseBytes = 64 << 10
 )
 
@@ -61,7 +64,9 @@
 	directory *platform.Directory
 	relay     *relay.Relay
 	ingress   *platform.Ingress
-	// responseBudget bounds the memory for responses.
+	// requestBudget and responseBudget bound the memory for bodies of requests and for
+	// responses.
+	requestBudget  *bytebudget.Budget
 	responseBudget *bytebudget.Budget
 	// reloaded holds the settings of the last successful reload.
 	reloaded atomic.Pointer[config.Gateway]
@@ -79,6 +84,7 @@
 		logs:    logging.NewStructured(logging.Options{Level: c.LogLevel, Output: o.LogOutput, Host: string(c.Host)}),
 		metrics: metrics.New(),
 
+		requestBudget:  bytebudget.New(int64(requestFraction*heapLimit), freeRequestBytes),
 		responseBudget: bytebudget.New(int64(responseFraction*heapLimit), freeResponseBytes),
 	}
 	g.logger = g.logs.For("gateway")
@@ -142,7 +148,7 @@
 			&requestMetrics{scope: g.metrics.Scope},
 		},
 	})
-	g.ingress = platform.NewIngress(g.relay, g.state.table.Load, g.stopping.Load)
+	g.ingress = platform.NewIngress(g.relay, g.state.table.Load, g.stopping.Load, g.requestBudget)
 }
 
 func (g *Gateway) self() hoststate.Member {
