--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -66,6 +66,12 @@
 	FieldTruncated    = "broken_off"
 	FieldUntilMs      = "until_ms"
 	FieldDropped      = "dropped"
+
+	// FieldKind is the kind of buffers, FieldRefused how often they found no memory, and
+	// FieldBytes the memory that they use.
+	FieldKind    = "kind"
+	FieldRefused = "refused"
+	FieldBytes   = "bytes"
 )
 
 // Names of events.
@@ -101,4 +107,5 @@
 	EventStoreUnreachable  = "store-lost"
 	EventStoreReturned     = "store-rolled-back"
 	EventStoreReachable    = "store-back"
+	EventBuffersFull       = "buffers-full"
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,7 @@
 	// responses.
 	requestBudget  *bytebudget.Budget
 	responseBudget *bytebudget.Budget
+	buffers        []*bufferMonitor
 	// reloaded holds the settings of the last successful reload.
 	reloaded atomic.Pointer[config.Gateway]
 	// stopping is set once the host drains: callers are directed to other hosts.
@@ -89,6 +90,10 @@
 	}
 	g.logger = g.logs.For("gateway")
 	g.reloaded.Store(&c)
+	g.buffers = []*bufferMonitor{
+		{kind: bufferRequests, budget: g.requestBudget, logger: g.logs.For("buffers")},
+		{kind: bufferResponses, budget: g.responseBudget, logger: g.logs.For("buffers")},
+	}
 	g.buildState()
 	g.buildRelay()
 	g.directory = platform.NewDirectory(platform.NewStoreClient(c.StoreAddress, g.countStoreCall), g.state, g.logs.For("directory"))
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -36,6 +36,9 @@
 		pool.Gauge(metrics.GatewayTargetsUsable).Update(float64(load.Usable))
 		pool.Gauge(metrics.GatewaySlotsFree).Update(float64(load.Free))
 	}
+	for _, monitor := range g.buffers {
+		monitor.update(scope)
+	}
 	for pool, left := range state.retryBudget.Remaining(now) {
 		tags := map[string]string{metrics.TagPool: string(pool)}
 		scope.Tagged(tags).Gauge(metrics.GatewayRetriesLeft).Update(left)
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -46,6 +46,11 @@
 	// GatewayQuarantines the digests that were quarantined because of crashes.
 	GatewayTargetCrashes = "gateway_target_crashes"
 	GatewayQuarantines   = "gateway_quarantines"
+	// GatewayBufferedBytes is the memory for bodies of requests and for responses, without
+	// what is free for each, and GatewayBuffersRefused how often there was none left since
+	// the start. Both are by kind.
+	GatewayBufferedBytes  = "gateway_buffered_bytes"
+	GatewayBuffersRefused = "gateway_buffers_refused"
 	// GatewayLogLinesDropped is the number of log lines that were not written.
 	GatewayLogLinesDropped = "gateway_log_lines_dropped"
 )
