Bound the heads that load reports and stores may send

Bytes without end in the head of a load report, or from whatever listens at the store's address, were read up to 10 MB each, the default of net/http; an owner polls all targets of its pools, so a few in trouble could take the memory of a host.

Cause: the bodies were bounded, the heads were not. They are bounded by 64 KB now, as those of responses to requests.

--- a/loadreport/reader.go
+++ b/loadreport/reader.go
@@ -21,6 +21,9 @@
 // maxReportBytes limits the size of a report body.
 const maxReportBytes = 64 << 10
 
+// maxHeaderBytes limits the size of the head of a report.
+const maxHeaderBytes = 64 << 10
+
 // Error is the class of all errors returned by this package.
 var Error = errs.Class("loadreport")
 
@@ -42,6 +45,8 @@
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Reader{client: &http.Client{Transport: transport}, now: now}
 }
--- a/storage/restclient/call.go
+++ b/storage/restclient/call.go
@@ -16,6 +16,9 @@
 // maxResponseBytes limits the size of a response body.
 const maxResponseBytes = 64 << 20
 
+// maxResponseHeaderBytes limits the size of the head of a response.
+const maxResponseHeaderBytes = 64 << 10
+
 // call is one request to the platform.
 type call struct {
 	method string
--- a/storage/restclient/options.go
+++ b/storage/restclient/options.go
@@ -43,6 +43,8 @@
 			MaxIdleConnsPerHost: defaultMaxConnections,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 		CheckRedirect: doNotFollowRedirects,
 	}
