--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/eventlog"
 	"github.com/cornelyard/cornelyard/hoststate"
+	"github.com/cornelyard/cornelyard/internal/bytebudget"
 	"github.com/cornelyard/cornelyard/logging"
 	"github.com/cornelyard/cornelyard/metrics"
 	"github.com/cornelyard/cornelyard/platform"
@@ -35,6 +36,13 @@
 	// heapFraction is the fraction of the process's memory that the Go heap may use. The
 	// remainder is for program text, stacks and socket buffers.
 	heapFraction = 0.6
+	// requestFraction and responseFraction are the fractions of the heap that the bodies of
+	// requests and buffered responses may use. Each may use freeRequestBytes or
+	// freeResponseBytes beyond that, so that short ones always pass.
+	requestFraction   = 0.3
+	responseFraction  = 0.25
+	freeRequestBytes  = 8 << 10
+	freeResponseBytes = 64 << 10
 )
 
 // Options configures a Gateway.
@@ -56,6 +64,11 @@
 	directory *platform.Directory
 	relay     *relay.Relay
 	ingress   *platform.Ingress
+	// requestBudget and responseBudget bound the memory for bodies of requests and for
+	// responses.
+	requestBudget  *bytebudget.Budget
+	responseBudget *bytebudget.Budget
+	buffers        []*bufferMonitor
 	// reloaded holds the settings of the last successful reload.
 	reloaded atomic.Pointer[config.Gateway]
 	// stopping is set once the host drains: callers are directed to other hosts.
@@ -65,14 +78,22 @@
 // New assembles a host. It opens no connections or listeners.
 func New(o Options) *Gateway {
 	c := o.Config
-	debug.SetMemoryLimit(int64(heapFraction * float64(c.MemoryMB) * (1 << 20)))
+	heapLimit := heapFraction * float64(c.MemoryMB) * (1 << 20)
+	debug.SetMemoryLimit(int64(heapLimit))
 	g := &Gateway{
 		config:  c,
 		logs:    logging.NewStructured(logging.Options{Level: c.LogLevel, Output: o.LogOutput, Host: string(c.Host)}),
 		metrics: metrics.New(),
+
+		requestBudget:  bytebudget.New(int64(requestFraction*heapLimit), freeRequestBytes),
+		responseBudget: bytebudget.New(int64(responseFraction*heapLimit), freeResponseBytes),
 	}
 	g.logger = g.logs.For("gateway")
 	g.reloaded.Store(&c)
+	g.buffers = []*bufferMonitor{
+		{kind: bufferRequests, budget: g.requestBudget, logger: g.logs.For("buffers")},
+		{kind: bufferResponses, budget: g.responseBudget, logger: g.logs.For("buffers")},
+	}
 	g.buildState()
 	g.buildRelay()
 	g.directory = platform.NewDirectory(platform.NewStoreClient(c.StoreAddress, g.countStoreCall), g.state, g.logs.For("directory"))
@@ -126,12 +147,13 @@
 		Quotas:       g.state.quotas,
 		RetryBudget:  g.state.retryBudget,
 		Streams:      g.state.streams,
+		Budget:       g.responseBudget,
 		Observer: multiObserver{
 			eventlog.NewRequestLogger(g.logs.For("request")),
 			&requestMetrics{scope: g.metrics.Scope},
 		},
 	})
-	g.ingress = platform.NewIngress(g.relay, g.state.table.Load, g.stopping.Load)
+	g.ingress = platform.NewIngress(g.relay, g.state.table.Load, g.stopping.Load, g.requestBudget)
 }
 
 func (g *Gateway) self() hoststate.Member {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/bytebudget"
 	"github.com/cornelyard/cornelyard/target"
 )
 
@@ -21,6 +22,8 @@
 	copyBufferBytes = 32 << 10
 	// maxBatchBytes is the size at which a batch of events is written.
 	maxBatchBytes = 32 << 10
+	// deliveryGracePeriod is added to the deadline for the delivery of what arrived before.
+	deliveryGracePeriod = 200 * time.Millisecond
 )
 
 var (
@@ -80,13 +83,17 @@
 	return x.forwardBuffered(response)
 }
 
-// forwardBuffered reads a short response in full before it writes it to the caller.
+// forwardBuffered reads a short response in full before it writes it to the caller, unless
+// there is no memory left for it.
 func (x *execution) forwardBuffered(response *Response) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
-	if err != nil {
+	reservation := x.relay.options.Budget.Reserve()
+	defer reservation.Release()
+	body, err := io.ReadAll(reservation.Reader(io.LimitReader(response.Body, maxBufferedBytes)))
+	exhausted := errors.Is(err, bytebudget.ErrExhausted)
+	if err != nil && !exhausted {
 		return brokenError(err)
 	}
-	if len(body) == maxBufferedBytes {
+	if exhausted || len(body) == maxBufferedBytes {
 		response.Body = io.NopCloser(io.MultiReader(bytes.NewReader(body), response.Body))
 		return x.forwardUnbuffered(response)
 	}
@@ -127,12 +134,13 @@
 // forwardStream writes complete events to the caller. Events that arrived together
 // are written together.
 func (x *execution) forwardStream(r *run, response *Response) error {
-	events := target.NewEventReader(response.Body, maxEventBytes)
+	events := target.NewEventReader(response.Body, maxEventBytes, x.relay.options.Budget)
+	defer events.Close()
 	var batch eventBatch
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return x.endStream(response)
+			return x.endStream(response, &batch)
 		}
 		if err != nil {
 			return brokenError(err)
@@ -144,6 +152,9 @@
 			}
 			batch.add(event)
 		}
+		if batch.count == 0 {
+			continue
+		}
 		if err := x.forwardBatch(r, response, &batch); err != nil {
 			return err
 		}
@@ -151,13 +162,17 @@
 	}
 }
 
-// endStream completes a stream. If the stream had no event, it writes the head.
-func (x *execution) endStream(response *Response) error {
+// endStream completes a stream with the comments after its last event. If the stream had
+// no event, it writes the head.
+func (x *execution) endStream(response *Response, comments *eventBatch) error {
 	if !x.delivery.headWritten {
 		if err := x.writeHead(response, -1); err != nil {
 			return err
 		}
 	}
+	if err := x.writeBody(comments.raw); err != nil {
+		return err
+	}
 	return errorForStatus(response.Status)
 }
 
@@ -212,7 +227,7 @@
 	if err := x.recordHeadWritten(response.Status); err != nil {
 		return err
 	}
-	if err := x.sink.WriteHead(response.Status, response.Header, length); err != nil {
+	if err := x.sink.WriteHead(response.Status, response.Header, length, x.deadline.Add(deliveryGracePeriod)); err != nil {
 		return errSinkFailed
 	}
 	return nil
