--- a/internal/soak/check_answered.go
+++ b/internal/soak/check_answered.go
@@ -30,6 +30,7 @@
 // targetFault reports whether a target of the call's service was at fault during the call.
 func (s *system) targetFault(c *call) bool {
 	return s.storms.overlaps(c.started, c.finished) || slices.ContainsFunc(s.targets, func(t *target) bool {
-		return t.service == c.service() && t.faultSpans.overlaps(c.started, c.finished)
+		return t.service == c.service() &&
+			(t.faultSpans.overlaps(c.started, c.finished) || t.breakSpans.overlaps(c.started, c.finished))
 	})
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -108,6 +108,9 @@
 	if r.options.Storms {
 		injecting.Go(func() { r.runStorms(injectCtx) })
 	}
+	if r.options.Versions > 1 {
+		injecting.Go(func() { r.system.breakStreams(injectCtx, r.options.Seed) })
+	}
 	injecting.Wait()
 	stopCalls()
 	callers.Wait()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -35,6 +35,11 @@
 	// a storm.
 	faultSpans spans
 
+	// breaksStreams is set while it breaks off streams, breakSpans are the periods in which
+	// it did.
+	breaksStreams atomic.Bool
+	breakSpans    spans
+
 	mu sync.Mutex
 	// pausedUntil is the end of the current or the last pause of all runs.
 	pausedUntil time.Time
@@ -80,6 +85,7 @@
 		if !t.delayResponse(r) {
 			return
 		}
+		t.breakStream(i)
 		_, _ = io.WriteString(w, versionComment(t.fake.Version)+streamEvent(id, i))
 		_ = http.NewResponseController(w).Flush()
 	}
