Forget hosts that have been silent for long

The time at which each other host was last heard was kept for ever; hosts that are replaced have new names. Evidence: TestHostsThatAreGoneAreForgotten fails without the call (100 hosts remembered) and passes with it.

--- a/streamversion/tracker.go
+++ b/streamversion/tracker.go
@@ -1,6 +1,7 @@
 package streamversion
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -157,6 +158,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.peerHeardAt[host]) > peerTimeout {
+		t.forgetSilentPeers(now)
 		t.reportAgainSoon(now)
 	}
 	t.peerHeardAt[host] = now
@@ -171,6 +173,12 @@
 	}
 }
 
+// forgetSilentPeers drops the hosts that have been silent for so long that none of the
+// records they were told is left.
+func (t *Tracker) forgetSilentPeers(now time.Time) {
+	maps.DeleteFunc(t.peerHeardAt, func(_ ident.Host, at time.Time) bool { return now.Sub(at) > t.lifetime })
+}
+
 // TakeReport returns what to send to the other hosts. The caller must send it: each record
 // is returned only twice.
 func (t *Tracker) TakeReport(now time.Time) Report {
--- a/streamversion/tracker_test.go
+++ b/streamversion/tracker_test.go
@@ -171,3 +171,13 @@
 	}
 	expectFound(t, "the newest", tracker.found(at(1), ident.Request(fmt.Sprint(2*maxRecords-1))), "v1")
 }
+
+func TestHostsThatAreGoneAreForgotten(t *testing.T) {
+	tracker := newTracker()
+	for i := range 100 {
+		tracker.Merge(at(float64(i)*600), ident.Host(fmt.Sprintf("h%d", i)), Report{})
+	}
+	if n := len(tracker.peerHeardAt); n > 2 {
+		t.Errorf("%d hosts are remembered although all but the last have been silent for long", n)
+	}
+}
