--- a/relay/comment_test.go
+++ b/relay/comment_test.go
@@ -14,8 +14,7 @@
 
 const comment = ": alive\n\n"
 
-// TestStreamWithCommentsIsResumed guards against a comment that makes a stream lose its
-// position.
+// A comment must not make a stream lose its position.
 func TestStreamWithCommentsIsResumed(t *testing.T) {
 	f := newFixture(t, silentRoute(route.Stream),
 		respondStream(firstEvent+comment, errors.New("reset")), respondStream(secondEvent, io.EOF))
--- a/target/endless_response_test.go
+++ b/target/endless_response_test.go
@@ -16,8 +16,7 @@
 // closeLimit bounds the wait for an engine to see that its connection was closed.
 const closeLimit = 20 * time.Second
 
-// TestEndlessResponsesOfEnginesKeepToTheBudget guards against responses that are bounded one
-// by one, but not together.
+// Responses must be bounded together, not only one by one.
 func TestEndlessResponsesOfEnginesKeepToTheBudget(t *testing.T) {
 	for name, contentType := range map[string]string{"document": "application/json", "event": "text/event-stream"} {
 		t.Run(name, func(t *testing.T) {
--- a/target/sse_reader_test.go
+++ b/target/sse_reader_test.go
@@ -24,8 +24,7 @@
 	return len(p), nil
 }
 
-// TestStreamWithoutEventsIsNotReadOn guards against a stream that holds its slot until the
-// deadline with bytes that make up no event.
+// Bytes that make up no event must not hold a slot until the deadline.
 func TestStreamWithoutEventsIsNotReadOn(t *testing.T) {
 	const maxBytes, readLimit = 64 << 10, 8 << 20
 	for name, unit := range map[string]string{
--- a/test/soak_retries_test.go
+++ b/test/soak_retries_test.go
@@ -7,8 +7,7 @@
 	"github.com/cornelyard/cornelyard/internal/soak"
 )
 
-// TestSoakOfRestartingHostsThatWantManyRetries repeats the run in which restarts renewed the
-// retry budget. On the command line: go run ./bench soak with the options below as flags.
+// The options are flags of go run ./bench soak.
 func TestSoakOfRestartingHostsThatWantManyRetries(t *testing.T) {
 	if testing.Short() {
 		t.Skip("too long for -short")
