Log probes of targets, what is known against digests, and clearances

Lines target-probed, digest-suspected (crashes and strikes) and digest-cleared. No decision changes.

--- a/gateway/crash_records.go
+++ b/gateway/crash_records.go
@@ -13,7 +13,9 @@
 	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/metrics"
 	"github.com/cornelyard/cornelyard/quarantine"
+	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
+	"github.com/cornelyard/cornelyard/target"
 )
 
 const (
@@ -140,3 +142,26 @@
 			Msg("Digest is quarantined; requests with this content are refused.")
 	}
 }
+
+// logSuspicionEvents logs what is known against digests, and which of them were cleared.
+func (g *Gateway) logSuspicionEvents(events []schedule.SuspicionEvent) {
+	for _, e := range events {
+		if e.ServedBy != "" {
+			g.state.crashes.logger.Info().Str(eventlog.FieldEvent, eventlog.EventCleared).
+				Stringer(eventlog.FieldDigest, e.Digest).Str(eventlog.FieldTarget, string(e.ServedBy)).
+				Msg("Digest was served; the crashes before do not count against it.")
+			continue
+		}
+		g.state.crashes.logger.Info().Str(eventlog.FieldEvent, eventlog.EventSuspected).
+			Stringer(eventlog.FieldDigest, e.Digest).Int(eventlog.FieldCrashes, e.Crashes).Int(eventlog.FieldStrikes, e.Strikes).
+			Msg("Digest is a suspect; targets crashed while they ran it.")
+	}
+}
+
+// logProbe logs what a probe found of a target that broke off a request.
+func (g *Gateway) logProbe(digest quarantine.Digest, to route.Target, result target.ProbeResult) {
+	g.state.crashes.logger.Info().Str(eventlog.FieldEvent, eventlog.EventTargetProbed).
+		Str(eventlog.FieldTarget, string(to.Name)).Int64(eventlog.FieldProcess, to.StartUnixMs).
+		Stringer(eventlog.FieldDigest, digest).Stringer(eventlog.FieldResult, result).
+		Msg("Target that broke off a request was probed.")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,6 +122,8 @@
 		OnHealthEvents:     state.logHealthEvents,
 		OnCrashes:          g.logCrashes,
 		OnQuarantineEvents: g.logQuarantineEvents,
+		OnSuspicionEvents:  g.logSuspicionEvents,
+		OnProbe:            g.logProbe,
 	})
 	state.exchange = hoststate.New(hoststate.Options{
 		Self:           g.self(),
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -127,6 +127,19 @@
 	return v.strikes, v.lastStrike
 }
 
+// Implications returns the number of crashes in which the digest is implicated: it ran on the
+// target and was not cleared.
+func (t *Tracker) Implications(now time.Time, digest Digest) int {
+	t.expire(now)
+	count := 0
+	for _, r := range t.records {
+		if r.implicates(digest) {
+			count++
+		}
+	}
+	return count
+}
+
 // Suspects returns the digests that have strikes.
 func (t *Tracker) Suspects(now time.Time) []Digest {
 	return slices.Sorted(maps.Keys(t.currentVerdicts(now)))
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -69,7 +69,9 @@
 // checkForCrash finds out whether the target broke off the exchange because its process
 // ended. A request that crashes targets is recognized by that.
 func (x *execution) checkForCrash(ctx context.Context, to route.Target) {
-	switch x.relay.options.TargetClient.Probe(ctx, to) {
+	result := x.relay.options.TargetClient.Probe(ctx, to)
+	x.relay.options.Dispatcher.options.OnProbe(x.digest, to, result)
+	switch result {
 	case target.ProbeRefused:
 		x.relay.options.Dispatcher.recordCrash(to)
 	case target.ProbeFailed:
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
+	"github.com/cornelyard/cornelyard/target"
 )
 
 // peerExpiryInterval is the time between two checks for timed-out peers.
@@ -26,6 +27,10 @@
 	OnCrashes func([]quarantine.Crash)
 	// OnQuarantineEvents is called when digests are quarantined or released.
 	OnQuarantineEvents func([]schedule.QuarantineEvent)
+	// OnSuspicionEvents is called when what is known against digests has changed.
+	OnSuspicionEvents func([]schedule.SuspicionEvent)
+	// OnProbe is called with what a probe found of a target that broke off a request.
+	OnProbe func(digest quarantine.Digest, to route.Target, result target.ProbeResult)
 }
 
 // Dispatcher gives concurrent requests access to one scheduler and delivers the
@@ -257,6 +262,9 @@
 	if crashes := d.scheduler.TakeCrashEvents(); len(crashes) > 0 {
 		d.options.OnCrashes(crashes)
 	}
+	if events := d.scheduler.TakeSuspicionEvents(); len(events) > 0 {
+		d.options.OnSuspicionEvents(events)
+	}
 	if events := d.scheduler.TakeQuarantineEvents(); len(events) > 0 {
 		d.options.OnQuarantineEvents(events)
 	}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -137,6 +137,7 @@
 	d := NewDispatcher(DispatcherOptions{
 		Scheduler: scheduler, OnStateChange: func() {}, OnHealthEvents: func([]schedule.HealthEvent) {},
 		OnCrashes: func([]quarantine.Crash) {}, OnQuarantineEvents: func([]schedule.QuarantineEvent) {},
+		OnSuspicionEvents: func([]schedule.SuspicionEvent) {}, OnProbe: func(quarantine.Digest, route.Target, target.ProbeResult) {},
 	})
 	d.Configure(time.Now(), table.Pools, targetSnapshot(fixtureTargets))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/route"
@@ -123,6 +124,7 @@
 		return actions
 	}
 	s.crashesChanged = false
+	s.recordSuspicionChanges(now)
 	s.recordQuarantineChanges(now)
 	for _, p := range s.pools {
 		p.queue.items = slices.DeleteFunc(p.queue.items, func(w *queuedRequest) bool {
@@ -160,9 +162,10 @@
 	return s.crashes.CrashesSince(now, now.Add(-crashReportWindow))
 }
 
-// recordServed records that a run of a request was served.
-func (s *Scheduler) recordServed(now time.Time, r *Request) {
+// recordServed records that a run of a request was served by a target.
+func (s *Scheduler) recordServed(now time.Time, r *Request, by ident.Target) {
 	if s.crashes.RecordServed(now, r.Digest) {
+		s.suspicionEvents = append(s.suspicionEvents, SuspicionEvent{Digest: r.Digest, ServedBy: by})
 		s.crashesChanged = true
 		s.crashesUrgent = true
 	}
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -81,7 +81,7 @@
 	}
 	if result == Served {
 		s.updateEstimates(now, r)
-		s.recordServed(now, r.request)
+		s.recordServed(now, r.request, t.Name)
 	}
 	if !t.announced && t.running == 0 {
 		s.removeTarget(t)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -55,6 +55,9 @@
 	// quarantined holds the digests that were quarantined when events were last recorded.
 	quarantined      []quarantine.Digest
 	quarantineEvents []QuarantineEvent
+	// suspicions holds what was known against digests when events were last recorded.
+	suspicions      map[quarantine.Digest]SuspicionEvent
+	suspicionEvents []SuspicionEvent
 	// pendingActions holds refusals for the next call of Decide.
 	pendingActions []Action
 }
--- a/target/probe.go
+++ b/target/probe.go
@@ -20,6 +20,11 @@
 	ProbeFailed
 )
 
+// String returns the name of the result as it appears in logs.
+func (r ProbeResult) String() string {
+	return [...]string{"connected", "refused", "failed"}[r]
+}
+
 // probeTimeout bounds the time that a probe takes.
 const probeTimeout = 100 * time.Millisecond
 
