Recognize a crashing request by its team, path and body only

Callers who sent a crashing request again with another method or host name got 502 each time, and each variant crashed two more targets. The digest held method and host name, which a caller may change; the own interface left the team out and held the pool instead. Both interfaces now use ContentDigest.

A query stays part of the path: without it one crashing search would keep all searches of a team away.

--- a/entry/accept_common.go
+++ b/entry/accept_common.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -20,7 +21,7 @@
 		query:    request.URL.RawQuery,
 		body:     in.body,
 		arrived:  in.arrived,
-		digest:   contentDigest(string(pool), request.URL.EscapedPath(), request.URL.RawQuery, in.body),
+		digest:   quarantine.ContentDigest(in.identity.team, request.URL.RequestURI(), in.body),
 	}
 }
 
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -4,7 +4,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelyard/cornelyard/admission"
-	"github.com/cornelyard/cornelyard/quarantine"
 )
 
 const (
@@ -36,9 +35,3 @@
 	}
 	return hashes
 }
-
-// contentDigest returns a digest of the request's content, by which repetitions of
-// a request that crashes targets are recognized.
-func contentDigest(poolName, path, query string, body []byte) quarantine.Digest {
-	return quarantine.NewDigest(body, poolName, path, query)
-}
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -4,14 +4,21 @@
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelyard/cornelyard/ident"
 )
 
 // Digest identifies the content of a request. It is the same on all hosts and after a
 // restart. Zero means that the content is unknown.
 type Digest uint64
 
-// NewDigest returns the digest of a body and of the fields that distinguish it, such as
-// the team and the path.
+// ContentDigest returns the digest of a request: of its team, its path with the query, and
+// its body. A caller may send the same content again with another method, host name or ID.
+func ContentDigest(team ident.Team, uri string, body []byte) Digest {
+	return NewDigest(body, string(team), uri)
+}
+
+// NewDigest returns the digest of a body and of the fields that distinguish it.
 func NewDigest(body []byte, fields ...string) Digest {
 	d := xxhash.New()
 	for _, field := range fields {
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -102,7 +102,7 @@
 		return outcome.Refuse(outcome.Unauthorized, "unknown API key", 0)
 	}
 	x.team = team
-	x.digest = x.contentDigest()
+	x.digest = quarantine.ContentDigest(x.teamName(), x.call.RequestURI, x.call.Body)
 	x.deadline = requestDeadline(x.call, x.route)
 	x.pool = x.route.ChoosePool(randomFraction())
 	if refusal := x.quarantineRefusal(); refusal != nil {
@@ -138,12 +138,6 @@
 	return outcome.Refuse(outcome.Quarantined, schedule.QuarantineMessage, until.Sub(now))
 }
 
-// contentDigest returns the digest of the request, which is the same for each attempt of
-// the team to have the same content served.
-func (x *execution) contentDigest() quarantine.Digest {
-	return quarantine.NewDigest(x.call.Body, string(x.teamName()), x.call.Method, x.call.HostName, x.call.RequestURI)
-}
-
 // serve dispatches the request, with retries, until it has a final response.
 func (x *execution) serve(ctx context.Context) *outcome.Refusal {
 	defer x.releaseRetry()
