Permit trials of content by conditional writes to the platform's table

Nothing uses it yet. Package trial holds at most one run of a suspect content in flight over all hosts, and at most three until one is served, in a row for each content.

--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -11,9 +11,9 @@
 	Threshold = 2
 	// Duration is how long a digest is quarantined after its last strike.
 	Duration = 10 * time.Minute
-	// Retention is how long a crash counts. It is longer than Duration, so that one more
-	// crash quarantines a digest again.
-	Retention = time.Hour
+	// Retention is how long a crash counts after it happened, and after content that it
+	// quarantined was last asked for.
+	Retention = 24 * time.Hour
 	// maxCrashes bounds the crashes that are remembered, and maxRuns the runs of one of
 	// them.
 	maxCrashes = 128
--- /dev/null
+++ b/trial/ledger_test.go
@@ -0,0 +1,229 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quarantine"
+	"github.com/cornelyard/cornelyard/storage"
+)
+
+const (
+	digest = quarantine.Digest(7)
+	lease  = 2 * time.Second
+)
+
+// fixture is a set of hosts that share a table and a clock.
+type fixture struct {
+	t *testing.T
+	// elapsed is the time on the clock of all hosts, in nanoseconds.
+	elapsed atomic.Int64
+	table   *fakeTable
+	hosts   []*Ledger
+}
+
+func newFixture(t *testing.T, hosts int) *fixture {
+	f := &fixture{t: t, table: newFakeTable()}
+	for i := range hosts {
+		f.hosts = append(f.hosts, f.newHost(i))
+	}
+	return f
+}
+
+func (f *fixture) newHost(i int) *Ledger {
+	return NewLedger(Options{
+		Table: f.table, Host: ident.Host(fmt.Sprintf("h%d", i)), Now: f.now,
+		Logger: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
+	})
+}
+
+func (f *fixture) now() time.Time {
+	return time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC).Add(time.Duration(f.elapsed.Load()))
+}
+
+func (f *fixture) advance(d time.Duration) { f.elapsed.Add(int64(d)) }
+
+func (f *fixture) begin(host int) *Run {
+	f.t.Helper()
+	run, denial := f.hosts[host].Begin(f.t.Context(), digest, lease)
+	if denial != nil {
+		f.t.Fatalf("host %d: trial denied: %+v", host, *denial)
+	}
+	return run
+}
+
+func (f *fixture) checkDenied(host int, want Cause) {
+	f.t.Helper()
+	_, denial := f.hosts[host].Begin(f.t.Context(), digest, lease)
+	if denial == nil || denial.Cause != want || denial.RetryAfter <= 0 {
+		f.t.Fatalf("host %d: got denial %+v, want %s with a retry delay", host, denial, want)
+	}
+}
+
+// end ends a trial and waits until that is stored.
+func (f *fixture) end(run *Run, result Result) {
+	f.t.Helper()
+	run.End(result)
+	for wait := time.Now().Add(5 * time.Second); time.Now().Before(wait); time.Sleep(time.Millisecond) {
+		run.ledger.mu.Lock()
+		ended := !run.ledger.contentOf(digest).inFlight
+		run.ledger.mu.Unlock()
+		if ended {
+			return
+		}
+	}
+	f.t.Fatal("timed out waiting for the end of a trial")
+}
+
+func TestOneTrialIsInFlightOverAllHosts(t *testing.T) {
+	f := newFixture(t, 3)
+	run := f.begin(0)
+	if run.Number() != 1 {
+		t.Errorf("got trial number %d, want 1", run.Number())
+	}
+	for host := range f.hosts {
+		f.checkDenied(host, InProgress)
+	}
+	f.end(run, Inconclusive)
+	f.advance(refreshInterval)
+	next := f.begin(1)
+	if next.Number() != 2 {
+		t.Errorf("got trial number %d, want 2", next.Number())
+	}
+	f.checkDenied(2, InProgress)
+}
+
+func TestContentThatSurvivedATrialStartsAnew(t *testing.T) {
+	f := newFixture(t, 2)
+	f.end(f.begin(0), Inconclusive)
+	f.end(f.begin(1), Survived)
+	if len(f.table.rows) != 0 {
+		t.Errorf("%d rows are left, want none", len(f.table.rows))
+	}
+	if run := f.begin(0); run.Number() != 1 {
+		t.Errorf("got trial number %d, want 1", run.Number())
+	}
+}
+
+func TestCrashingContentGetsNoMoreThanThreeTrialsForGood(t *testing.T) {
+	f := newFixture(t, 4)
+	runs := 0
+	for minute := range 48 * 60 {
+		f.advance(time.Minute)
+		if minute%300 == 0 {
+			f.hosts[minute/300%len(f.hosts)] = f.newHost(minute)
+		}
+		if minute%60 == 0 {
+			if err := f.hosts[0].sweep(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		run, denial := f.hosts[minute%len(f.hosts)].Begin(t.Context(), digest, lease)
+		if denial == nil {
+			runs++
+			f.end(run, Crashed)
+			continue
+		}
+		if denial.Cause != Exhausted {
+			t.Fatalf("minute %d: got denial %+v, want %s", minute, *denial, Exhausted)
+		}
+	}
+	if runs > maxRuns {
+		t.Errorf("%d trials in two days, want at most %d", runs, maxRuns)
+	}
+}
+
+func TestSecondTrialAfterACrashWaits(t *testing.T) {
+	f := newFixture(t, 2)
+	f.end(f.begin(0), Crashed)
+	f.checkDenied(0, Exhausted)
+	f.checkDenied(1, Exhausted)
+	f.advance(appealDelay)
+	f.end(f.begin(1), Survived)
+}
+
+func TestInconclusiveTrialsAreForgotten(t *testing.T) {
+	f := newFixture(t, 2)
+	for n := range maxRuns {
+		f.end(f.begin(n%2), Inconclusive)
+	}
+	f.checkDenied(0, Exhausted)
+	f.checkDenied(1, Exhausted)
+	f.advance(restartDelay)
+	if run := f.begin(0); run.Number() != 1 {
+		t.Errorf("got trial number %d, want 1", run.Number())
+	}
+}
+
+func TestTrialThatReachedNoTargetDoesNotCount(t *testing.T) {
+	f := newFixture(t, 1)
+	for range 2 * maxRuns {
+		f.end(f.begin(0), Withdrawn)
+	}
+	if run := f.begin(0); run.Number() != 1 {
+		t.Errorf("got trial number %d, want 1", run.Number())
+	}
+}
+
+func TestTrialOfHostThatIsGoneEndsWithItsLease(t *testing.T) {
+	f := newFixture(t, 2)
+	f.begin(0)
+	f.checkDenied(1, InProgress)
+	f.advance(lease)
+	if run := f.begin(1); run.Number() != 2 {
+		t.Errorf("got trial number %d, want 2", run.Number())
+	}
+}
+
+func TestHostPermitsItselfOneTrialWhileTheTableIsAway(t *testing.T) {
+	f := newFixture(t, 1)
+	for _, err := range []error{storage.ErrUnavailable, storage.ErrUnknownOutcome} {
+		f.table.fail(err, false)
+		run := f.begin(0)
+		if run.Stored() {
+			t.Error("the trial counts as stored")
+		}
+		f.checkDenied(0, InProgress)
+		f.end(run, Inconclusive)
+	}
+}
+
+func TestLostConfirmationKeepsOtherHostsFromATrial(t *testing.T) {
+	f := newFixture(t, 2)
+	f.table.fail(storage.ErrUnknownOutcome, true)
+	f.begin(0)
+	f.table.fail(nil, false)
+	f.checkDenied(1, InProgress)
+}
+
+func TestEndOfTrialWhoseLeaseIsOverChangesNothing(t *testing.T) {
+	f := newFixture(t, 2)
+	late := f.begin(0)
+	f.checkDenied(1, InProgress)
+	f.advance(lease)
+	f.begin(1)
+	f.end(late, Survived)
+	if len(f.table.rows) != 1 {
+		t.Error("the end of the first trial removed the row of the second")
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	f := newFixture(t, 1)
+	for n := range 2 * maxContents {
+		run, denial := f.hosts[0].Begin(t.Context(), quarantine.Digest(n+1), lease)
+		if denial != nil {
+			t.Fatal(denial)
+		}
+		f.hosts[0].release(run.digest)
+	}
+	if n := len(f.hosts[0].contents); n > maxContents {
+		t.Errorf("%d contents in memory, want at most %d", n, maxContents)
+	}
+}
