Run content under which a target has crashed on one target at a time

Callers of a crashing request got 502 wave after wave while the targets of its service were away. Crashes under runs that overlap were one strike, and with six hosts every wave consists of such runs; so after three crashes all hosts sent it again together as soon as targets were back.

Content with a strike now runs only in trials: a host begins one by a conditional write to the store, so that one is in flight over all hosts, whether they hear each other or not, and at most three are made until one is served. The crash of a trial is always a strike, so the first one quarantines. Meanwhile others get 503 with a Retry-After, or 502 if their request was sent before. A trial goes to the least busy target, beside no other suspect, and is not hedged. While the store does not answer, a host permits itself one at a time.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -28,7 +28,10 @@
 	// the last one.
 	FieldStrikes = "strikes"
 	FieldAgeMs   = "age_ms"
-	FieldPeer    = "peer"
+	// FieldTrial is how many trials of a digest there were since it was last cleared, or zero
+	// if the store did not say.
+	FieldTrial = "trial"
+	FieldPeer  = "peer"
 	// FieldTableVersion is the version of the configuration in force.
 	FieldTableVersion = "table"
 	// FieldResult is the result of an exchange with a target.
@@ -88,9 +91,15 @@
 	EventTargetCrashed     = "target-crashed"
 	// EventTargetProbed is about a target that broke off a request, EventSuspected and
 	// EventCleared are about a digest that ran on crashed targets.
-	EventTargetProbed     = "target-probed"
-	EventSuspected        = "digest-suspected"
-	EventCleared          = "digest-cleared"
+	EventTargetProbed = "target-probed"
+	EventSuspected    = "digest-suspected"
+	EventCleared      = "digest-cleared"
+	// EventTrialBegun and EventTrialDenied are about a request, EventTrialEnded is about a
+	// digest.
+	EventTrialBegun  = "trial-begun"
+	EventTrialDenied = "trial-denied"
+	EventTrialEnded  = "trial-ended"
+
 	EventPlaced           = "request-placed"
 	EventShed             = "request-shed"
 	EventAttemptEnded     = "attempt-ended"
--- a/eventlog/request_logger.go
+++ b/eventlog/request_logger.go
@@ -102,6 +102,12 @@
 	case relay.StepQuarantined:
 		entry.Str(FieldEvent, EventQuarantineRefused).Stringer(FieldDigest, s.Digest).
 			Int64(FieldRetryAfterMs, step.RetryAfter.Milliseconds()).Msg("Request refused because requests with its content crashed targets.")
+	case relay.StepTrialBegun:
+		entry.Str(FieldEvent, EventTrialBegun).Stringer(FieldDigest, s.Digest).Str(FieldTarget, string(step.Target)).
+			Int(FieldTrial, step.TrialNumber).Msg("Request is the only run of its content, which may crash targets.")
+	case relay.StepTrialDenied:
+		entry.Str(FieldEvent, EventTrialDenied).Stringer(FieldDigest, s.Digest).Str(FieldCause, step.Cause).
+			Int64(FieldRetryAfterMs, step.RetryAfter.Milliseconds()).Msg("Request refused because its content may crash targets and no trial may begin.")
 	case relay.StepPlaced:
 		addSchedulerInputs(entry, step).Str(FieldEvent, EventPlaced).Str(FieldTarget, string(step.Target)).
 			Str(FieldVersion, step.Version).Msg("Request placed.")
--- a/gateway/crash_records.go
+++ b/gateway/crash_records.go
@@ -16,6 +16,7 @@
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 const (
@@ -79,7 +80,7 @@
 func lacksRuns(stored, known *quarantine.Crash) bool {
 	return slices.ContainsFunc(known.Runs, func(run quarantine.Run) bool {
 		return !slices.ContainsFunc(stored.Runs, func(other quarantine.Run) bool {
-			return other.Digest == run.Digest && other.Cleared == run.Cleared
+			return other.Digest == run.Digest && other.Cleared == run.Cleared && other.Trial == run.Trial
 		})
 	})
 }
@@ -165,3 +166,17 @@
 		Stringer(eventlog.FieldDigest, digest).Stringer(eventlog.FieldResult, result).
 		Msg("Target that broke off a request was probed.")
 }
+
+// sweepTrials deletes old rows of trials on the first of the hosts that reach each other,
+// until ctx is done.
+func (g *Gateway) sweepTrials(ctx context.Context) error {
+	return g.trials.Sweep(ctx, func() bool { return g.state.peers.activeBefore(time.Now(), g.config.Host) == 0 })
+}
+
+// logTrialEnd logs what a trial of content has shown.
+func (g *Gateway) logTrialEnd(digest quarantine.Digest, on ident.Target, result trial.Result) {
+	g.metrics.Scope.Tagged(map[string]string{metrics.TagResult: result.String()}).Counter(metrics.GatewayTrials).Inc(1)
+	g.state.crashes.logger.Info().Str(eventlog.FieldEvent, eventlog.EventTrialEnded).
+		Stringer(eventlog.FieldDigest, digest).Str(eventlog.FieldTarget, string(on)).
+		Stringer(eventlog.FieldResult, result).Msg("Trial of content that may crash targets has ended.")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/cornelyard/cornelyard/schedule"
 	"github.com/cornelyard/cornelyard/streamversion"
 	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 const (
@@ -62,6 +63,7 @@
 	state     *clusterState
 	transport *target.Transport
 	directory *platform.Directory
+	trials    *trial.Ledger
 	relay     *relay.Relay
 	ingress   *platform.Ingress
 	// requestBudget and responseBudget bound the memory for bodies of requests and for
@@ -94,9 +96,11 @@
 		{kind: bufferRequests, budget: g.requestBudget, logger: g.logs.For("buffers")},
 		{kind: bufferResponses, budget: g.responseBudget, logger: g.logs.For("buffers")},
 	}
+	store := platform.NewStoreClient(c.StoreAddress, g.countStoreCall)
+	g.trials = trial.NewLedger(trial.Options{Table: store.TrialTable(), Host: c.Host, Logger: g.logs.For("quarantine"), Now: time.Now})
 	g.buildState()
 	g.buildRelay()
-	g.directory = platform.NewDirectory(platform.NewStoreClient(c.StoreAddress, g.countStoreCall), g.state, g.logs.For("directory"))
+	g.directory = platform.NewDirectory(store, g.state, g.logs.For("directory"))
 	return g
 }
 
@@ -124,6 +128,7 @@
 		OnQuarantineEvents: g.logQuarantineEvents,
 		OnSuspicionEvents:  g.logSuspicionEvents,
 		OnProbe:            g.logProbe,
+		OnTrialEnd:         g.logTrialEnd,
 	})
 	state.exchange = hoststate.New(hoststate.Options{
 		Self:           g.self(),
@@ -149,6 +154,7 @@
 		Quotas:       g.state.quotas,
 		RetryBudget:  g.state.retryBudget,
 		Streams:      g.state.streams,
+		Trials:       g.trials,
 		Budget:       g.responseBudget,
 		Observer: multiObserver{
 			eventlog.NewRequestLogger(g.logs.For("request")),
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -46,6 +46,8 @@
 	// GatewayQuarantines the digests that were quarantined because of crashes.
 	GatewayTargetCrashes = "gateway_target_crashes"
 	GatewayQuarantines   = "gateway_quarantines"
+	// GatewayTrials counts the trials of content that may crash targets, by result.
+	GatewayTrials = "gateway_trials"
 	// GatewayBufferedBytes is the memory for bodies of requests and for responses, without
 	// what is free for each, and GatewayBuffersRefused how often there was none left since
 	// the start. Both are by kind.
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -22,6 +22,8 @@
 	VersionUnknown Reason = "version-unknown"
 	// Quarantined: the request's digest is suspected of crashing targets.
 	Quarantined Reason = "quarantined"
+	// OnTrial: another run shows whether requests with this content crash targets.
+	OnTrial Reason = "on-trial"
 	// DeadlineExceeded: the deadline passed before the response was complete.
 	DeadlineExceeded Reason = "deadline-exceeded"
 	// Unauthorized: the bearer token is missing or unknown.
@@ -67,7 +69,7 @@
 		return http.StatusTooManyRequests
 	case Infeasible, DeadlineExceeded:
 		return http.StatusGatewayTimeout
-	case Preempted, NoTarget, NoVersion, VersionUnknown, Draining, ClaimUnavailable, NotReady:
+	case Preempted, NoTarget, NoVersion, VersionUnknown, OnTrial, Draining, ClaimUnavailable, NotReady:
 		return http.StatusServiceUnavailable
 	case Quarantined, KeyConflict:
 		return http.StatusUnprocessableEntity
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -26,4 +26,6 @@
 	Duration time.Duration
 	// Cleared says that the digest was served since, or shortly before.
 	Cleared bool
+	// Trial says that the digest had no other run in flight, on any host.
+	Trial bool
 }
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -4,10 +4,11 @@
 // A digest identifies the content of a request, whichever attempt carries it. A crash is
 // the unplanned end of a target's process, with the digests that were running on it. Each
 // crash is a strike against each of them, unless their runs began before the previous strike.
-// Threshold strikes, with no run that was served
-// in between, quarantine a digest for Duration. A served run clears a digest of the crashes
-// before it. A crash that a quarantined digest took part in is attributed to it and is no
-// strike against the digests that ran beside it.
+// A digest with a strike is a suspect. It runs only in trials, of which one at a time is in
+// flight over all hosts (package trial); the crash of a trial is always another strike.
+// Threshold strikes, with no run that was served in between, quarantine a digest for Duration.
+// A served run clears a digest of the crashes before it. A crash that a quarantined digest
+// took part in is attributed to it and is no strike against the digests that ran beside it.
 //
 // Hosts exchange crashes, not verdicts. Merging is commutative, associative and idempotent,
 // so all hosts that know the same crashes reach the same verdicts, in whatever order and
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -34,8 +34,9 @@
 	known := r.run(run.Digest)
 	switch {
 	case known != nil:
-		changed = run.Cleared && !known.Cleared
+		changed = run.Cleared && !known.Cleared || run.Trial && !known.Trial
 		known.Cleared = known.Cleared || run.Cleared
+		known.Trial = known.Trial || run.Trial
 		known.Duration = max(known.Duration, run.Duration)
 		return changed
 	case run.Digest == 0, len(r.crash.Runs) >= maxRuns:
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -48,16 +48,17 @@
 			if run.Cleared || confirmed[run.Digest].confirmed {
 				continue
 			}
-			open[run.Digest] = open[run.Digest].withCrash(r.crash.At, run.Duration)
+			open[run.Digest] = open[run.Digest].withCrash(r.crash.At, run)
 		}
 	}
 	return open
 }
 
-// withCrash adds a crash. It is another strike only if the run began after the previous
-// one: targets that crash at the same time have a common cause, which is not a request.
-func (v verdict) withCrash(at time.Time, duration time.Duration) verdict {
-	if v.strikes > 0 && at.Add(-duration).Before(v.lastStrike) {
+// withCrash adds a crash. It is another strike only if the run was a trial, or began after
+// the previous strike: targets that crash at the same time may have a common cause, which is
+// not a request.
+func (v verdict) withCrash(at time.Time, run Run) verdict {
+	if v.strikes > 0 && !run.Trial && at.Add(-run.Duration).Before(v.lastStrike) {
 		return v
 	}
 	v.strikes++
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 // attempt sends the request to one target and forwards the response to the caller.
@@ -44,10 +45,17 @@
 		go x.endUnanswered(r, x.result)
 		return
 	}
-	if x.result == schedule.Broken {
-		x.checkForCrash(ctx, r.target)
+	x.endProbed(ctx, r, x.result)
+}
+
+// endProbed frees the slot of a run, after a probe of the target if that broke it off.
+func (x *execution) endProbed(ctx context.Context, r *run, result schedule.Result) {
+	probe := target.ProbeConnected
+	if result == schedule.Broken {
+		probe = x.checkForCrash(ctx, r.target)
 	}
-	x.relay.options.Dispatcher.finish(r.slot, x.result)
+	x.relay.options.Dispatcher.finish(r.slot, result)
+	x.endTrial(r, trialResult(result, probe))
 }
 
 // endUnanswered frees the slot of a run that had no response by its deadline. Its target
@@ -55,20 +63,17 @@
 func (x *execution) endUnanswered(r *run, result schedule.Result) {
 	x.checkForCrash(context.Background(), r.target)
 	x.relay.options.Dispatcher.finish(r.slot, result)
+	x.endTrial(r, trial.Inconclusive)
 }
 
 // endFailed frees the slot of a run that failed while the request goes on elsewhere.
 func (x *execution) endFailed(r *run, err error) {
-	result := exchangeResult(context.Background(), err)
-	if result == schedule.Broken {
-		x.checkForCrash(context.Background(), r.target)
-	}
-	x.relay.options.Dispatcher.finish(r.slot, result)
+	x.endProbed(context.Background(), r, exchangeResult(context.Background(), err))
 }
 
 // checkForCrash finds out whether the target broke off the exchange because its process
 // ended. A request that crashes targets is recognized by that.
-func (x *execution) checkForCrash(ctx context.Context, to route.Target) {
+func (x *execution) checkForCrash(ctx context.Context, to route.Target) target.ProbeResult {
 	result := x.relay.options.TargetClient.Probe(ctx, to)
 	x.relay.options.Dispatcher.options.OnProbe(x.digest, to, result)
 	switch result {
@@ -78,6 +83,7 @@
 		x.relay.options.Dispatcher.recordUnreachable(to)
 	case target.ProbeConnected:
 	}
+	return result
 }
 
 // exchangeResult classifies the end of an exchange for the target's health.
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 // peerExpiryInterval is the time between two checks for timed-out peers.
@@ -29,6 +30,8 @@
 	OnQuarantineEvents func([]schedule.QuarantineEvent)
 	// OnSuspicionEvents is called when what is known against digests has changed.
 	OnSuspicionEvents func([]schedule.SuspicionEvent)
+	// OnTrialEnd is called when a trial of content has ended.
+	OnTrialEnd func(digest quarantine.Digest, to ident.Target, result trial.Result)
 	// OnProbe is called with what a probe found of a target that broke off a request.
 	OnProbe func(digest quarantine.Digest, to route.Target, result target.ProbeResult)
 }
@@ -215,6 +218,20 @@
 	return d.scheduler.QuarantinedUntil(now, digest)
 }
 
+// isSuspect reports whether content may run only in a trial.
+func (d *Dispatcher) isSuspect(now time.Time, digest quarantine.Digest) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.IsSuspect(now, digest)
+}
+
+// recordTrial records that a running request is a trial of its content.
+func (d *Dispatcher) recordTrial(id ident.Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.RecordTrial(id)
+}
+
 // MergeCrashes merges crashes that were read from the store.
 func (d *Dispatcher) MergeCrashes(now time.Time, crashes []quarantine.Crash) {
 	d.update(now, func(s *schedule.Scheduler) { s.MergeCrashes(now, crashes) })
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -13,6 +13,7 @@
 	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 // minUnreachable is the number of unreachable targets that are tried for a request even if
@@ -67,6 +68,8 @@
 	successor *run
 	// retryReserved is set while the retry budget has a retry reserved for the next run.
 	retryReserved bool
+	// unusedTrial is a trial that was begun for this request and has reached no target.
+	unusedTrial *trial.Run
 
 	stepsMu sync.Mutex
 	steps   []Step
@@ -108,6 +111,9 @@
 	if refusal := x.quarantineRefusal(); refusal != nil {
 		return refusal
 	}
+	if refusal := x.trialDenialRefusal(); refusal != nil {
+		return refusal
+	}
 	if refusal := x.findOrigin(); refusal != nil {
 		return refusal
 	}
@@ -135,18 +141,25 @@
 		return nil
 	}
 	x.recordStep(Step{Kind: StepQuarantined, Reason: outcome.Quarantined, RetryAfter: until.Sub(now)})
+	if x.mayHaveRun {
+		return unknownOutcome(outcome.Quarantined, schedule.QuarantineMessage)
+	}
 	return outcome.Refuse(outcome.Quarantined, schedule.QuarantineMessage, until.Sub(now))
 }
 
 // serve dispatches the request, with retries, until it has a final response.
 func (x *execution) serve(ctx context.Context) *outcome.Refusal {
 	defer x.releaseRetry()
+	defer x.withdrawTrial()
 	for {
 		r, refusal := x.nextRun(ctx)
 		if refusal != nil {
 			return refusal
 		}
 		x.recordStep(Step{Kind: StepPlaced, Target: r.target.Name, Version: r.target.Version, Inputs: r.inputs})
+		if refusal := x.beginTrial(ctx, r); refusal != nil {
+			return refusal
+		}
 		retry, refusal := x.attempt(ctx, r)
 		if !retry {
 			return refusal
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -12,7 +12,10 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/tabletest"
 	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/quota"
 	"github.com/cornelyard/cornelyard/retrybudget"
@@ -20,6 +23,7 @@
 	"github.com/cornelyard/cornelyard/schedule"
 	"github.com/cornelyard/cornelyard/streamversion"
 	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 // targetBehavior is what a scripted target does with one dispatch.
@@ -110,6 +114,7 @@
 type fixture struct {
 	relay    *Relay
 	client   *scriptedClient
+	table    *tabletest.Table
 	quotas   *quota.Limiter
 	observer *recordingObserver
 	team     *route.Team
@@ -118,6 +123,9 @@
 	wrapSink func(Sink) Sink
 }
 
+// discardLogger drops its lines.
+var discardLogger = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+
 // fixtureTargets is the number of targets of a fixture.
 const fixtureTargets = 8
 
@@ -138,6 +146,7 @@
 		Scheduler: scheduler, OnStateChange: func() {}, OnHealthEvents: func([]schedule.HealthEvent) {},
 		OnCrashes: func([]quarantine.Crash) {}, OnQuarantineEvents: func([]schedule.QuarantineEvent) {},
 		OnSuspicionEvents: func([]schedule.SuspicionEvent) {}, OnProbe: func(quarantine.Digest, route.Target, target.ProbeResult) {},
+		OnTrialEnd: func(quarantine.Digest, ident.Target, trial.Result) {},
 	})
 	d.Configure(time.Now(), table.Pools, targetSnapshot(fixtureTargets))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -145,6 +154,7 @@
 	go func() { _ = d.Run(ctx) }()
 	f := &fixture{
 		client:   &scriptedClient{behaviors: behaviors},
+		table:    tabletest.New(),
 		quotas:   quota.NewLimiter(time.Now().Add(-time.Hour), quota.Limits{Window: 8 * time.Second}),
 		observer: &recordingObserver{},
 		team:     team,
@@ -157,6 +167,7 @@
 		Quotas:       f.quotas,
 		RetryBudget:  newRetryBudget(),
 		Streams:      streamversion.NewTracker(),
+		Trials:       trial.NewLedger(trial.Options{Table: f.table, Host: "h1", Logger: discardLogger, Now: time.Now}),
 		Observer:     f.observer,
 	})
 	return f
--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -81,7 +81,7 @@
 	if !r.counted {
 		used++
 	}
-	return x.retryable() && used < x.route.MaxAttempts
+	return x.retryable() && used < x.route.MaxAttempts && r.trial == nil
 }
 
 func (x *execution) eventGapObjective() time.Duration {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/cornelyard/cornelyard/retrybudget"
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/streamversion"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 // Options configures a Relay. All fields but Budget are required.
@@ -25,6 +26,7 @@
 	Quotas       *quota.Limiter
 	RetryBudget  *retrybudget.Budget
 	Streams      *streamversion.Tracker
+	Trials       *trial.Ledger
 	Observer     Observer
 	// Budget bounds the sum of the bytes that all responses buffer; nil means no limit.
 	Budget *bytebudget.Budget
--- a/relay/retry_denial.go
+++ b/relay/retry_denial.go
@@ -16,6 +16,8 @@
 	DeniedUnreachable RetryDenial = "unreachable-targets"
 	// DeniedBudget: the retry budget is exhausted.
 	DeniedBudget RetryDenial = "retry-budget"
+	// DeniedSuspect: the content may crash targets, so it runs on one target at a time.
+	DeniedSuspect RetryDenial = "suspect"
 	// DeniedNoSlot: no other target has a free slot in time.
 	DeniedNoSlot RetryDenial = "no-slot"
 )
--- a/relay/run.go
+++ b/relay/run.go
@@ -8,6 +8,7 @@
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 // run is one dispatch of a request to a target, from the assignment of a slot to the end
@@ -28,6 +29,8 @@
 	// counted is set once the run counts as a dispatch of the request, or as an
 	// unreachable target.
 	counted bool
+	// trial is set if the run is a trial of content that may crash targets.
+	trial *trial.Run
 	// responded is set once the head of the response has arrived.
 	responded bool
 }
--- a/relay/second_run.go
+++ b/relay/second_run.go
@@ -52,6 +52,10 @@
 	if h.ended || h.paused || h.successor != nil || !h.x.mayHedge(h.first) {
 		return schedule.Request{}, nil, false
 	}
+	if h.x.relay.options.Dispatcher.isSuspect(time.Now(), h.x.digest) {
+		h.recordDenial(DeniedSuspect, schedule.Inputs{})
+		return schedule.Request{}, nil, false
+	}
 	if !h.x.relay.options.RetryBudget.ReserveRetry(time.Now(), h.x.pool) {
 		h.recordDenial(DeniedBudget, schedule.Inputs{})
 		return schedule.Request{}, nil, false
--- a/relay/step.go
+++ b/relay/step.go
@@ -19,6 +19,10 @@
 	StepQuotaExceeded
 	// StepQuarantined: requests with this content crashed targets.
 	StepQuarantined
+	// StepTrialBegun: the run is a trial of content that may crash targets.
+	StepTrialBegun
+	// StepTrialDenied: the content may run in a trial only, and none may begin now.
+	StepTrialDenied
 	// StepPlaced: the scheduler assigned the request a slot of a target.
 	StepPlaced
 	// StepShed: the scheduler refused the request.
@@ -54,6 +58,9 @@
 	Quota      quota.Decision
 	Reason     outcome.Reason
 	RetryAfter time.Duration
+	// TrialNumber is how many trials of the content there were since it was last cleared, or
+	// zero if that is not known.
+	TrialNumber int
 	// RetryDenial is why a request is not retried.
 	RetryDenial RetryDenial
 }
--- /dev/null
+++ b/relay/trial.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/schedule"
+	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/trial"
+)
+
+const (
+	// trialLeaseMargin is how much longer than its request a trial may count as in flight.
+	trialLeaseMargin = time.Second
+	// onTrialMessage is sent to callers of content whose trial is in flight.
+	onTrialMessage = "another run of this content shows whether it crashes targets"
+)
+
+// beginTrial makes a run a trial if its content is a suspect. If no trial may begin, it frees
+// the slot and returns the refusal.
+func (x *execution) beginTrial(ctx context.Context, r *run) *outcome.Refusal {
+	dispatcher := x.relay.options.Dispatcher
+	if r.counted || !dispatcher.isSuspect(time.Now(), x.digest) {
+		return nil
+	}
+	if denial := x.acquireTrial(ctx); denial != nil {
+		dispatcher.finish(r.slot, schedule.Abandoned)
+		return x.trialRefusal(denial)
+	}
+	if refusal := x.quarantineRefusal(); refusal != nil {
+		dispatcher.finish(r.slot, schedule.Abandoned)
+		return refusal
+	}
+	r.trial, x.unusedTrial = x.unusedTrial, nil
+	x.recordStep(Step{Kind: StepTrialBegun, Target: r.target.Name, TrialNumber: r.trial.Number()})
+	dispatcher.recordTrial(r.slot)
+	return nil
+}
+
+// acquireTrial sets unusedTrial, or returns why no trial may begin.
+func (x *execution) acquireTrial(ctx context.Context) *trial.Denial {
+	if x.unusedTrial != nil {
+		return nil
+	}
+	run, denial := x.relay.options.Trials.Begin(ctx, x.digest, time.Until(x.deadline)+trialLeaseMargin)
+	x.unusedTrial = run
+	return denial
+}
+
+// withdrawTrial ends a trial with which no target was reached.
+func (x *execution) withdrawTrial() {
+	if x.unusedTrial != nil {
+		x.unusedTrial.End(trial.Withdrawn)
+	}
+}
+
+// trialDenialRefusal returns the refusal of a request whose content is known to be denied a
+// trial, or nil.
+func (x *execution) trialDenialRefusal() *outcome.Refusal {
+	if !x.relay.options.Dispatcher.isSuspect(time.Now(), x.digest) {
+		return nil
+	}
+	denial := x.relay.options.Trials.Denied(x.digest)
+	if denial == nil {
+		return nil
+	}
+	return x.trialRefusal(denial)
+}
+
+// trialRefusal returns the refusal of a request whose content may not begin a trial.
+func (x *execution) trialRefusal(denial *trial.Denial) *outcome.Refusal {
+	reason, message := outcome.OnTrial, onTrialMessage
+	if denial.Cause == trial.Exhausted {
+		reason, message = outcome.Quarantined, schedule.QuarantineMessage
+	}
+	x.recordStep(Step{Kind: StepTrialDenied, Reason: reason, Cause: string(denial.Cause), RetryAfter: denial.RetryAfter})
+	if x.mayHaveRun {
+		return unknownOutcome(reason, message)
+	}
+	return outcome.Refuse(reason, message, denial.RetryAfter)
+}
+
+// endTrial ends the trial of a run, if it is one. A trial that reached no target is kept for
+// the next run.
+func (x *execution) endTrial(r *run, result trial.Result) {
+	if r.trial == nil {
+		return
+	}
+	if result == trial.Withdrawn {
+		x.unusedTrial = r.trial
+		return
+	}
+	r.trial.End(result)
+	x.relay.options.Dispatcher.options.OnTrialEnd(x.digest, r.target.Name, result)
+}
+
+// trialResult returns what a run showed about its content.
+func trialResult(result schedule.Result, probe target.ProbeResult) trial.Result {
+	switch result {
+	case schedule.Served:
+		return trial.Survived
+	case schedule.Unreachable, schedule.Misaddressed:
+		return trial.Withdrawn
+	case schedule.Broken:
+		if probe == target.ProbeRefused {
+			return trial.Crashed
+		}
+	case schedule.Failed, schedule.Rejected, schedule.Abandoned:
+	}
+	return trial.Inconclusive
+}
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -60,7 +60,7 @@
 	}
 	for _, r := range s.running {
 		if r.target.Name == crashed.Name {
-			c.Runs = append(c.Runs, quarantine.Run{Digest: r.request.Digest, Duration: now.Sub(r.dispatchedAt)})
+			c.Runs = append(c.Runs, quarantine.Run{Digest: r.request.Digest, Duration: now.Sub(r.dispatchedAt), Trial: r.trial})
 		}
 	}
 	return c
@@ -111,6 +111,18 @@
 	return events
 }
 
+// IsSuspect reports whether content may run only in a trial.
+func (s *Scheduler) IsSuspect(now time.Time, digest quarantine.Digest) bool {
+	return s.crashes.IsSuspect(now, digest)
+}
+
+// RecordTrial records that a running request is a trial of its content.
+func (s *Scheduler) RecordTrial(id ident.Request) {
+	if r := s.running[id]; r != nil {
+		r.trial = true
+	}
+}
+
 // QuarantinedUntil returns the end of a digest's quarantine, and whether it is quarantined
 // now.
 func (s *Scheduler) QuarantinedUntil(now time.Time, digest quarantine.Digest) (time.Time, bool) {
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -125,8 +125,12 @@
 		prefill:      prefill,
 		prefillAhead: t.prefill + t.peers.PrefillTokens + prefill,
 		kv:           r.PromptTokens + r.OutputTokens,
+		suspect:      s.crashes.IsSuspect(now, r.Digest),
 	}
 	t.running++
+	if run.suspect {
+		t.suspects++
+	}
 	t.prefill += run.prefill
 	t.kv += run.kv
 	t.health.recordDispatch()
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -65,6 +65,9 @@
 	delete(s.running, id)
 	t := r.target
 	t.running--
+	if r.suspect {
+		t.suspects--
+	}
 	t.prefill -= r.prefill
 	t.kv -= r.kv
 	before := t.health
--- a/schedule/running_request.go
+++ b/schedule/running_request.go
@@ -17,6 +17,10 @@
 	prefillAhead int
 	kv           int
 	events       int
+	// suspect says that the content was a suspect at the dispatch, and trial that the run
+	// is the only one of its content over all hosts.
+	suspect bool
+	trial   bool
 	// firstEventAt and lastEventAt are the arrival times of the first and the last
 	// event.
 	firstEventAt time.Time
--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -11,6 +11,9 @@
 	// centre are only known in aggregate: this host knows an older state of those targets
 	// than they do.
 	aggregatedPenalty = 0.1
+	// suspectPenalty is the cost, in seconds, of each request that runs beside content that
+	// may crash the target.
+	suspectPenalty = 1.0
 	// kvReserve is the fraction of the KV cache that is kept free for responses that turn
 	// out longer than expected.
 	kvReserve = 0.08
@@ -23,10 +26,11 @@
 	r := w.request
 	limit := s.firstEventLimit(now, w)
 	needsFast, anyFinishes := p.needsFastTarget(now, r, targets)
+	suspect := s.crashes.IsSuspect(now, r.Digest)
 	var best *target
 	bestCost := 0.0
 	for _, t := range targets {
-		if !s.eligible(now, p, w, t) {
+		if !s.eligible(now, p, w, t) || suspect && t.suspects > 0 {
 			continue
 		}
 		if p.engine != nil && t.busySlots(now) > 0 && p.firstEventTime(t, s.prefixes.uncached(now, r, t.Name)) > limit {
@@ -36,6 +40,9 @@
 			continue
 		}
 		cost := s.cost(now, p, r, t)
+		if suspect {
+			cost += suspectPenalty * float64(t.busySlots(now))
+		}
 		if !needsFast && p.isFast(t) && t.freeSlots(now) <= fastSlotReserve {
 			cost += fastPenalty
 		}
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -26,8 +26,10 @@
 	isEngine bool
 
 	running int
-	prefill int
-	kv      int
+	// suspects is the number of running requests of this host whose content is a suspect.
+	suspects int
+	prefill  int
+	kv       int
 
 	// peers is the total of what the other hosts report about the target.
 	peers peerAggregate
--- a/trial/ledger_test.go
+++ b/trial/ledger_test.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/tabletest"
 	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/storage"
 )
@@ -24,12 +25,12 @@
 	t *testing.T
 	// elapsed is the time on the clock of all hosts, in nanoseconds.
 	elapsed atomic.Int64
-	table   *fakeTable
+	table   *tabletest.Table
 	hosts   []*Ledger
 }
 
 func newFixture(t *testing.T, hosts int) *fixture {
-	f := &fixture{t: t, table: newFakeTable()}
+	f := &fixture{t: t, table: tabletest.New()}
 	for i := range hosts {
 		f.hosts = append(f.hosts, f.newHost(i))
 	}
@@ -103,8 +104,8 @@
 	f := newFixture(t, 2)
 	f.end(f.begin(0), Inconclusive)
 	f.end(f.begin(1), Survived)
-	if len(f.table.rows) != 0 {
-		t.Errorf("%d rows are left, want none", len(f.table.rows))
+	if f.table.Len() != 0 {
+		t.Errorf("%d rows are left, want none", f.table.Len())
 	}
 	if run := f.begin(0); run.Number() != 1 {
 		t.Errorf("got trial number %d, want 1", run.Number())
@@ -184,7 +185,7 @@
 func TestHostPermitsItselfOneTrialWhileTheTableIsAway(t *testing.T) {
 	f := newFixture(t, 1)
 	for _, err := range []error{storage.ErrUnavailable, storage.ErrUnknownOutcome} {
-		f.table.fail(err, false)
+		f.table.Fail(err, false)
 		run := f.begin(0)
 		if run.Stored() {
 			t.Error("the trial counts as stored")
@@ -196,9 +197,9 @@
 
 func TestLostConfirmationKeepsOtherHostsFromATrial(t *testing.T) {
 	f := newFixture(t, 2)
-	f.table.fail(storage.ErrUnknownOutcome, true)
+	f.table.Fail(storage.ErrUnknownOutcome, true)
 	f.begin(0)
-	f.table.fail(nil, false)
+	f.table.Fail(nil, false)
 	f.checkDenied(1, InProgress)
 }
 
@@ -209,7 +210,7 @@
 	f.advance(lease)
 	f.begin(1)
 	f.end(late, Survived)
-	if len(f.table.rows) != 1 {
+	if f.table.Len() != 1 {
 		t.Error("the end of the first trial removed the row of the second")
 	}
 }
--- a/trial/result.go
+++ b/trial/result.go
@@ -16,4 +16,6 @@
 )
 
 // String returns the name of the result as it appears in logs.
-func (r Result) String() string { return [...]string{"inconclusive", "survived", "crashed", "withdrawn"}[r] }
+func (r Result) String() string {
+	return [...]string{"inconclusive", "survived", "crashed", "withdrawn"}[r]
+}
