Run suspect calls of the own interface on one target at a time

An owner marks the grant of a suspect, and the entry dispatches it only if it can begin a trial in the platform's table, like a gateway. Otherwise the grant is declined and the caller told that the call did not run and when to come back.

--- a/admission/action.go
+++ b/admission/action.go
@@ -15,6 +15,9 @@
 type Grant struct {
 	Request *Request
 	Target  ident.Target
+	// Trial says that the request's content is a suspect: the entry may dispatch it only if
+	// no other run of it is in flight.
+	Trial bool
 }
 
 // Refuse is the final response to a queued request.
--- a/admission/decline.go
+++ b/admission/decline.go
@@ -15,6 +15,8 @@
 	DeclineDraining DeclineCause = "leaving"
 	// DeclineClaim means that the idempotency key could not be claimed.
 	DeclineClaim DeclineCause = "claim"
+	// DeclineTrial means that the request's content is a suspect and may not run now.
+	DeclineTrial DeclineCause = "trial"
 	// DeclineCancelled means that the caller disconnected before the dispatch.
 	DeclineCancelled DeclineCause = "cancelled"
 )
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -27,5 +27,6 @@
 	r.chargedTokenSeconds = tokenSeconds(r.request.PromptTokens, q.length.Mean, r.expectedEnd.Sub(now))
 	team.tier.charge(now, team, r.chargedTokenSeconds)
 	s.prefixes.Add(target.Target, q.request.Prefix)
-	return &Grant{Request: &q.request, Target: target.Name}
+	r.trial = r.suspect
+	return &Grant{Request: &q.request, Target: target.Name, Trial: r.trial}
 }
--- a/admission/running_request.go
+++ b/admission/running_request.go
@@ -41,6 +41,8 @@
 	crashRecorded bool
 	// suspect says that the request is counted in its target's Suspects.
 	suspect bool
+	// trial says that the request was granted as the only run of its content.
+	trial bool
 
 	positions [runningKinds]int
 }
--- a/admission/suspects.go
+++ b/admission/suspects.go
@@ -32,7 +32,7 @@
 func runsOn(now time.Time, target *targetState) []quarantine.Run {
 	runs := make([]quarantine.Run, 0, len(target.running.items))
 	for _, r := range target.running.items {
-		runs = append(runs, quarantine.Run{Digest: r.request.Digest, Duration: now.Sub(r.granted)})
+		runs = append(runs, quarantine.Run{Digest: r.request.Digest, Duration: now.Sub(r.granted), Trial: r.trial})
 	}
 	return runs
 }
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -15,6 +15,7 @@
 	"github.com/cornelyard/cornelyard/storage/hostwatch"
 	"github.com/cornelyard/cornelyard/storage/restclient"
 	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 func (d *Daemon) buildPlatform() {
@@ -115,11 +116,12 @@
 		Alive:       d.mayBeRunning,
 		Logger:      d.logs.For("claim"),
 	})
+	d.trials = trial.NewLedger(trial.Options{Table: d.table, Host: d.config.Host, Logger: d.logs.For("trial"), Now: time.Now})
 	d.sweeper = claim.NewSweeper(claim.SweeperOptions{
 		Table:     d.table,
 		Objects:   d.objects,
 		Retention: d.config.Timing.ClaimRetention.Std(),
-		Enabled:   d.isClaimSweeper,
+		Enabled:   d.isSweeper,
 		Logger:    d.logs.For("claim"),
 		Now:       time.Now,
 	})
@@ -131,6 +133,7 @@
 		Admitter:       d.client,
 		Targets:        d.targets,
 		Claims:         d.claims,
+		Trials:         d.trials,
 		Recorder:       d.ring,
 		Limits:         d.config.Limits,
 		Timing:         d.config.Timing,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/cornelyard/cornelyard/storage/hostwatch"
 	"github.com/cornelyard/cornelyard/target"
 	"github.com/cornelyard/cornelyard/timeline"
+	"github.com/cornelyard/cornelyard/trial"
 	"github.com/cornelyard/cornelyard/usage"
 )
 
@@ -63,6 +64,7 @@
 	targets  *target.Client
 	claims   *claim.Manager
 	sweeper  *claim.Sweeper
+	trials   *trial.Ledger
 	entry    *entry.Entry
 	operator *operator.Operator
 }
@@ -108,9 +110,9 @@
 	return member.State != membership.Dead && member.Incarnation == incarnation
 }
 
-// isClaimSweeper reports whether this host removes expired claims on behalf of all
+// isSweeper reports whether this host removes old rows of the platform on behalf of all
 // hosts. The first by name of the hosts that are alive and not draining does.
-func (d *Daemon) isClaimSweeper() bool {
+func (d *Daemon) isSweeper() bool {
 	view := d.tracker.View()
 	for _, m := range view.Members {
 		if m.State == membership.Alive && !m.Leaving {
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -22,6 +22,7 @@
 	d.addActor(&group, d.manager.Run)
 	d.addActor(&group, d.claims.Run)
 	d.addActor(&group, d.sweeper.Run)
+	d.addActor(&group, d.sweepTrials)
 	d.addActor(&group, d.operator.Run)
 	d.addActor(&group, d.operator.ReplicateUsage)
 	d.addActor(&group, newUsageMetrics(d.metrics.Scope, d.usage, d.ring).run)
@@ -56,3 +57,6 @@
 	d.ring.Record(timeline.Event{Kind: timeline.DrainBegan})
 	d.tracker.SetLeaving()
 }
+
+// sweepTrials removes old rows of trials until ctx ends.
+func (d *Daemon) sweepTrials(ctx context.Context) error { return d.trials.Sweep(ctx, d.isSweeper) }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/cornelyard/cornelyard/pool"
 	"github.com/cornelyard/cornelyard/target"
 	"github.com/cornelyard/cornelyard/timeline"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 // dispatch sends a call to the target of one grant. Each grant is dispatched at
@@ -95,6 +96,7 @@
 	err := d.exchange()
 	tokens, prefill := d.progress.finish()
 	if err == nil {
+		d.x.endTrial(trial.Survived)
 		d.endGrant(outcome.Completed, "", tokens, prefill, false)
 		return completedResult()
 	}
--- a/entry/dispatch_failure.go
+++ b/entry/dispatch_failure.go
@@ -9,6 +9,7 @@
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 // handleFailure derives the outcome of a failed exchange from the latch.
@@ -23,11 +24,20 @@
 	}
 	refusal := d.refusalAfterSend(err, failure)
 	crashed := refusal.Reason == outcome.TargetFailed && failure != nil && failure.Kind == target.FailedConnection
+	d.x.endTrial(trialResult(crashed))
 	d.endGrant(refusal.Outcome, refusal.Reason, tokens, prefill, crashed)
 	d.cancelOnTarget()
 	return failedResult(refusal)
 }
 
+// trialResult returns what a failed run showed about its content.
+func trialResult(crashed bool) trial.Result {
+	if crashed {
+		return trial.Crashed
+	}
+	return trial.Inconclusive
+}
+
 // handleUnsent declines a grant for which no byte was sent.
 func (d *dispatch) handleUnsent(err error) grantResult {
 	if d.ctx.Err() != nil {
--- a/entry/execution.go
+++ b/entry/execution.go
@@ -11,6 +11,7 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 // execution runs one call until its outcome. It is independent of the caller's
@@ -37,7 +38,9 @@
 	attempts        int
 	retryBackoff    backoff.BackOff
 	claim           *claim.Claim
-	recorder        *responseRecorder
+	// trial is the trial that was begun for this call and has not ended, or nil.
+	trial    *trial.Run
+	recorder *responseRecorder
 }
 
 const (
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -35,6 +35,7 @@
 	target    settings.Target
 	expires   time.Time
 	preempted chan *outcome.Refusal
+	trial     bool
 
 	mu       sync.Mutex
 	reports  []admission.Progress
@@ -44,6 +45,7 @@
 
 func (g *fakeGrant) Target() settings.Target            { return g.target }
 func (g *fakeGrant) Expires() time.Time                 { return g.expires }
+func (g *fakeGrant) Trial() bool                        { return g.trial }
 func (g *fakeGrant) Preempted() <-chan *outcome.Refusal { return g.preempted }
 func (g *fakeGrant) Decline(cause admission.DeclineCause) {
 	g.update(func() { g.declines = append(g.declines, cause) })
@@ -80,6 +82,8 @@
 	lease   time.Duration
 	refusal *outcome.Refusal
 	block   bool
+	// trial makes the grants those of suspects.
+	trial bool
 
 	requests []admission.Request
 	grants   []*fakeGrant
@@ -103,6 +107,7 @@
 		target:    next,
 		expires:   time.Now().Add(a.lease),
 		preempted: make(chan *outcome.Refusal, 1),
+		trial:     a.trial,
 	}
 	a.grants = append(a.grants, grant)
 	return grant, nil
--- a/entry/options.go
+++ b/entry/options.go
@@ -14,6 +14,7 @@
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/target"
 	"github.com/cornelyard/cornelyard/timeline"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 const (
@@ -36,7 +37,9 @@
 	Admitter    pool.Admitter
 	Targets     *target.Client
 	// Claims may be nil, in which case non-idempotent requests are refused.
-	Claims   *claim.Manager
+	Claims *claim.Manager
+	// Trials permits the runs of suspects. If it is nil, every grant permits its run.
+	Trials   *trial.Ledger
 	Recorder timeline.Recorder
 	Limits   config.Limits
 	Timing   config.Timing
--- a/entry/run_execution.go
+++ b/entry/run_execution.go
@@ -13,6 +13,7 @@
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/pool"
 	"github.com/cornelyard/cornelyard/timeline"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 const (
@@ -37,6 +38,7 @@
 
 // serve acquires and uses grants until one results in an outcome.
 func (x *execution) serve() *refusal {
+	defer x.endTrial(trial.Withdrawn)
 	for {
 		x.attempts++
 		if x.attempts > maxAttempts {
@@ -77,6 +79,10 @@
 		grant.Decline(admission.DeclineCancelled)
 		return failedResult(x.stoppedBeforeRun())
 	}
+	if refusal := x.beginTrial(grant); refusal != nil {
+		grant.Decline(admission.DeclineTrial)
+		return failedResult(refusal)
+	}
 	if x.call.nonIdempotent && x.claim == nil {
 		if result, claimed := x.claimKey(); !claimed {
 			grant.Decline(admission.DeclineClaim)
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -16,6 +16,9 @@
 	// Expires returns the time, on the local monotonic clock, by which the dispatch
 	// must begin. The holder checks it immediately before the dispatch.
 	Expires() time.Time
+	// Trial reports whether the request may be dispatched only if no other run of its
+	// content is in flight on any host.
+	Trial() bool
 	// Preempted delivers a refusal if the running request must be stopped; the
 	// refusal is then the request's final response.
 	Preempted() <-chan *outcome.Refusal
--- a/pool/held_grant.go
+++ b/pool/held_grant.go
@@ -15,6 +15,7 @@
 	target    settings.Target
 	granted   time.Time
 	expires   time.Time
+	trial     bool
 	preempted chan *outcome.Refusal
 	tokens    int
 }
@@ -27,6 +28,9 @@
 // Expires implements Grant.
 func (g *heldGrant) Expires() time.Time { return g.expires }
 
+// Trial implements Grant.
+func (g *heldGrant) Trial() bool { return g.trial }
+
 // Preempted implements Grant.
 func (g *heldGrant) Preempted() <-chan *outcome.Refusal { return g.preempted }
 
--- a/pool/owner_actions.go
+++ b/pool/owner_actions.go
@@ -30,6 +30,7 @@
 		Id:      string(a.Request.ID),
 		Target:  string(a.Target),
 		LeaseMs: o.options.GrantLease.Milliseconds(),
+		Trial:   a.Trial,
 	}}})
 	if sent {
 		o.metrics.granted(now, a.Request)
--- a/timeline/kind.go
+++ b/timeline/kind.go
@@ -32,6 +32,7 @@
 	TargetFailed    Kind = "target-failed"    // a target crashed
 	StrikeRecorded  Kind = "strike"           // a digest is suspected of crashing a target
 	Quarantine      Kind = "quarantine"       // requests with a digest are refused from now on
+	TrialEnded      Kind = "trial-ended"      // the only run of a suspect digest ended; Detail has the digest and the result
 	DrainBegan      Kind = "drain-began"      // a graceful shutdown began
 	DrainEnded      Kind = "drain-ended"      // a graceful shutdown ended
 	AnswerRejected  Kind = "answer-rejected"  // an event with a wrong dispatch id was dropped
