Hold no crash against content if other targets ended at the same time

Callers of content that crashes nothing were refused for ten minutes, because it ran on targets when all of these died together twice. Counting crashes cannot tell a request that crashes its targets from a cause that takes several at once.

A crash is no strike if another target that did not run the content ended within a second of it. The trial is then inconclusive and another one may begin. The own interface reports them with the end of the call.

--- a/admission/crash_test.go
+++ b/admission/crash_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/quarantine"
 )
@@ -138,3 +139,33 @@
 	f := &crashFixture{t: t, scheduler: New(Options{Crashes: crashes}), now: epoch.Add(2 * time.Minute)}
 	f.expectQuarantined(true, 1)
 }
+
+func TestContentOnTargetsThatEndedTogetherIsNotQuarantined(t *testing.T) {
+	f := &crashFixture{t: t, scheduler: newTestScheduler(testConfig(1, 4)), now: epoch}
+	f.endAll(f.startAll(1), 1)
+	for _, r := range f.startAll(1) {
+		f.scheduler.End(f.now, End{
+			ID: r.ID, Outcome: outcome.Unknown, Reason: outcome.TargetFailed,
+			TargetCrashed: true, LostTargets: []ident.Target{"elsewhere"},
+		})
+	}
+	f.expectQuarantined(false, 1)
+	f.now = f.now.Add(time.Minute)
+	f.endAll(f.startAll(1), 1)
+	f.expectQuarantined(true, 1)
+}
+
+func TestGrantOfSuspectIsATrial(t *testing.T) {
+	f := &crashFixture{t: t, scheduler: newTestScheduler(testConfig(1, 4)), now: epoch}
+	f.endAll(f.startAll(1), 1)
+	for digest, want := range map[quarantine.Digest]bool{1: true, 2: false} {
+		r := testRequest(fmt.Sprint("r", digest), "shops", "desk")
+		r.Digest, r.Deadline = digest, f.now.Add(time.Hour)
+		f.scheduler.Enqueue(f.now, r)
+		for _, action := range f.scheduler.Decide(f.now) {
+			if grant, ok := action.(*Grant); !ok || grant.Trial != want {
+				t.Errorf("digest %d: got action %+v, want a grant with trial %v", digest, action, want)
+			}
+		}
+	}
+}
--- a/admission/end.go
+++ b/admission/end.go
@@ -22,6 +22,9 @@
 	// TargetCrashed says that the target's process failed while the request was
 	// running.
 	TargetCrashed bool
+	// LostTargets holds other targets, which did not run the request, that ended at the same
+	// time as the crashed one.
+	LostTargets []ident.Target
 	// TargetDraining says that the target refuses new work.
 	TargetDraining bool
 }
--- a/admission/running_events.go
+++ b/admission/running_events.go
@@ -50,6 +50,7 @@
 		return
 	}
 	if e.TargetCrashed {
+		s.recordLost(now, e.LostTargets)
 		s.handleTargetCrash(now, r)
 	}
 	if e.TargetDraining {
--- a/admission/suspects.go
+++ b/admission/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/quarantine"
 )
@@ -28,6 +29,13 @@
 	s.refuseQuarantined(now)
 }
 
+// recordLost records targets that ended at the same time as one that crashed.
+func (s *Scheduler) recordLost(now time.Time, lost []ident.Target) {
+	for _, name := range lost {
+		s.crashes.Merge(now, quarantine.Crash{Target: name, Process: now.UnixMilli(), At: now})
+	}
+}
+
 // runsOn returns the requests that run on the target.
 func runsOn(now time.Time, target *targetState) []quarantine.Run {
 	runs := make([]quarantine.Run, 0, len(target.running.items))
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -92,12 +92,13 @@
 
 func (d *dispatch) run() grantResult {
 	d.startedAt = time.Now()
+	d.x.observeTrial(d.ctx, d.grant)
 	d.progress = startProgress(d.x.call, d.grant, d.recordFirstToken)
 	err := d.exchange()
 	tokens, prefill := d.progress.finish()
 	if err == nil {
 		d.x.endTrial(trial.Survived)
-		d.endGrant(outcome.Completed, "", tokens, prefill, false)
+		d.grant.End(d.newEnd(outcome.Completed, "", tokens, prefill))
 		return completedResult()
 	}
 	return d.handleFailure(err, tokens, prefill)
@@ -127,21 +128,20 @@
 	return d.relay(response, d.forward)
 }
 
-func (d *dispatch) endGrant(result outcome.Outcome, reason outcome.Reason, tokens int, prefill time.Duration, crashed bool) {
+func (d *dispatch) newEnd(result outcome.Outcome, reason outcome.Reason, tokens int, prefill time.Duration) admission.End {
 	e := admission.End{
-		ID:            d.x.call.id,
-		Outcome:       result,
-		Reason:        reason,
-		PromptTokens:  d.x.call.promptTokens,
-		Tokens:        tokens,
-		Prefill:       prefill,
-		Total:         time.Since(d.startedAt),
-		TargetCrashed: crashed,
+		ID:           d.x.call.id,
+		Outcome:      result,
+		Reason:       reason,
+		PromptTokens: d.x.call.promptTokens,
+		Tokens:       tokens,
+		Prefill:      prefill,
+		Total:        time.Since(d.startedAt),
 	}
 	if d.usage != nil {
 		e.PromptTokens = d.usage.PromptTokens
 		e.CachedTokens = d.usage.Cached()
 		e.Tokens = max(tokens, d.usage.CompletionTokens)
 	}
-	d.grant.End(e)
+	return e
 }
--- a/entry/dispatch_failure.go
+++ b/entry/dispatch_failure.go
@@ -23,19 +23,31 @@
 		return d.handleDrainingTarget()
 	}
 	refusal := d.refusalAfterSend(err, failure)
-	crashed := refusal.Reason == outcome.TargetFailed && failure != nil && failure.Kind == target.FailedConnection
-	d.x.endTrial(trialResult(crashed))
-	d.endGrant(refusal.Outcome, refusal.Reason, tokens, prefill, crashed)
+	e := d.newEnd(refusal.Outcome, refusal.Reason, tokens, prefill)
+	e.TargetCrashed = refusal.Reason == outcome.TargetFailed && failure != nil && failure.Kind == target.FailedConnection
+	d.end(e)
 	d.cancelOnTarget()
 	return failedResult(refusal)
 }
 
-// trialResult returns what a failed run showed about its content.
-func trialResult(crashed bool) trial.Result {
-	if crashed {
-		return trial.Crashed
+// end returns the grant of a failed exchange. If a trial crashed its target, that waits for
+// other targets that ended at the same time.
+func (d *dispatch) end(e admission.End) {
+	run, witness := d.x.takeTrial()
+	if run == nil || !e.TargetCrashed {
+		d.x.storeTrialEnd(run, trial.Inconclusive)
+		d.grant.End(e)
+		return
 	}
-	return trial.Inconclusive
+	go func() {
+		result := trial.Crashed
+		for _, lost := range witness.Lost(context.WithoutCancel(d.ctx)) {
+			e.LostTargets = append(e.LostTargets, lost.Name)
+			result = trial.Inconclusive
+		}
+		d.x.storeTrialEnd(run, result)
+		d.grant.End(e)
+	}()
 }
 
 // handleUnsent declines a grant for which no byte was sent.
--- a/entry/execution.go
+++ b/entry/execution.go
@@ -40,6 +40,7 @@
 	claim           *claim.Claim
 	// trial is the trial that was begun for this call and has not ended, or nil.
 	trial    *trial.Run
+	witness  *trial.Witness
 	recorder *responseRecorder
 }
 
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/pool"
+	"github.com/cornelyard/cornelyard/settings"
+	"github.com/cornelyard/cornelyard/target"
 	"github.com/cornelyard/cornelyard/timeline"
 	"github.com/cornelyard/cornelyard/trial"
 )
@@ -30,12 +33,43 @@
 	return x.notRun(outcome.OnTrial, "another run of this content shows whether it crashes targets", denial.RetryAfter)
 }
 
+// observeTrial observes other targets during the trial on a grant's target, until ctx ends.
+func (x *execution) observeTrial(ctx context.Context, grant pool.Grant) {
+	if x.trial != nil {
+		on := grant.Target()
+		x.witness = trial.NewWitness(ctx, target.Probe, func() []trial.Observed { return x.otherTargets(on) })
+	}
+}
+
+// otherTargets returns the targets that a trial on the given one is compared with.
+func (x *execution) otherTargets(on settings.Target) []trial.Observed {
+	var others []trial.Observed
+	for _, t := range x.entry.options.Settings.Current().PoolTargets(x.call.pool, on.DataCentre) {
+		if t.Name != on.Name && !t.Leaving {
+			others = append(others, trial.Observed{Name: t.Name, Address: t.Address})
+		}
+	}
+	return others
+}
+
+// takeTrial returns the trial of the call, which the caller has to end, and its witness.
+func (x *execution) takeTrial() (*trial.Run, *trial.Witness) {
+	run, witness := x.trial, x.witness
+	x.trial, x.witness = nil, nil
+	return run, witness
+}
+
 // endTrial ends the trial of the call, if there is one.
 func (x *execution) endTrial(result trial.Result) {
-	if x.trial == nil {
+	run, _ := x.takeTrial()
+	x.storeTrialEnd(run, result)
+}
+
+// storeTrialEnd stores the end of a trial; nil stands for none.
+func (x *execution) storeTrialEnd(run *trial.Run, result trial.Result) {
+	if run == nil {
 		return
 	}
-	x.trial.End(result)
-	x.trial = nil
+	run.End(result)
 	x.record(timeline.Event{Kind: timeline.TrialEnded, Detail: x.call.digest.String() + " " + result.String()})
 }
--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -89,6 +89,8 @@
 	EventQuarantined       = "digest-quarantined"
 	EventReleased          = "digest-released"
 	EventTargetCrashed     = "target-crashed"
+	// EventTargetLost is about a target that ended at the same time as that of a trial.
+	EventTargetLost = "target-lost"
 	// EventTargetProbed is about a target that broke off a request, EventSuspected and
 	// EventCleared are about a digest that ran on crashed targets.
 	EventTargetProbed = "target-probed"
--- a/gateway/crash_records.go
+++ b/gateway/crash_records.go
@@ -63,7 +63,7 @@
 	defer r.mu.Unlock()
 	for _, c := range known {
 		stored, ok := r.stored[processOf(&c)]
-		if lacksRuns(&stored, &c) && (ok || hasStrike(&c)) {
+		if ok && lacksRuns(&stored, &c) || !ok && (hasStrike(&c) || len(c.Runs) == 0) {
 			missing = append(missing, c)
 		}
 	}
@@ -116,6 +116,10 @@
 // logCrashes logs the crashes of targets that this host detected.
 func (g *Gateway) logCrashes(crashes []quarantine.Crash) {
 	for _, c := range crashes {
+		if len(c.Runs) == 0 {
+			g.logLost(&c)
+			continue
+		}
 		g.metrics.Scope.Counter(metrics.GatewayTargetCrashes).Inc(1)
 		digests := make([]string, 0, len(c.Runs))
 		for _, run := range c.Runs {
@@ -127,6 +131,13 @@
 	}
 }
 
+// logLost logs a target that ended at the same time as that of a trial.
+func (g *Gateway) logLost(c *quarantine.Crash) {
+	g.state.crashes.logger.Warn().Str(eventlog.FieldEvent, eventlog.EventTargetLost).
+		Str(eventlog.FieldTarget, string(c.Target)).Int64(eventlog.FieldProcess, c.Process).
+		Msg("Target ended during a trial that it did not run; the crashes at this time have a common cause.")
+}
+
 // logQuarantineEvents logs the digests that were quarantined or released.
 func (g *Gateway) logQuarantineEvents(events []schedule.QuarantineEvent) {
 	for _, e := range events {
--- a/pool/progress_codec.go
+++ b/pool/progress_codec.go
@@ -43,6 +43,7 @@
 		TotalUs:       e.Total.Microseconds(),
 		TargetDied:    e.TargetCrashed,
 		TargetLeaving: e.TargetDraining,
+		LostTargets:   encodeTargets(e.LostTargets),
 	}
 }
 
@@ -58,5 +59,6 @@
 		Total:          time.Duration(e.GetTotalUs()) * time.Microsecond,
 		TargetCrashed:  e.GetTargetDied(),
 		TargetDraining: e.GetTargetLeaving(),
+		LostTargets:    decodeTargets(e.GetLostTargets()),
 	}
 }
--- a/pool/request_codec.go
+++ b/pool/request_codec.go
@@ -12,7 +12,7 @@
 // encodeRequest encodes times as durations relative to now, since clocks differ
 // between hosts.
 func encodeRequest(now time.Time, r *admission.Request) *peerpb.RequestInfo {
-	info := &peerpb.RequestInfo{
+	return &peerpb.RequestInfo{
 		Id:            string(r.ID),
 		Team:          string(r.Team),
 		Tier:          string(r.Tier),
@@ -24,16 +24,29 @@
 		Digest:        uint64(r.Digest),
 		NonIdempotent: r.NonIdempotent,
 		Forwarded:     r.Forwarded,
+		Avoid:         encodeTargets(r.ExcludedTargets),
 	}
-	for _, target := range r.ExcludedTargets {
-		info.Avoid = append(info.Avoid, string(target))
+}
+
+func encodeTargets(targets []ident.Target) []string {
+	var names []string
+	for _, target := range targets {
+		names = append(names, string(target))
 	}
-	return info
+	return names
+}
+
+func decodeTargets(names []string) []ident.Target {
+	var targets []ident.Target
+	for _, name := range names {
+		targets = append(targets, ident.Target(name))
+	}
+	return targets
 }
 
 // decodeRequest converts the durations to times on the local clock.
 func decodeRequest(now time.Time, from ident.Host, pool ident.Pool, info *peerpb.RequestInfo) admission.Request {
-	r := admission.Request{
+	return admission.Request{
 		ID:            ident.Request(info.GetId()),
 		Entry:         from,
 		Pool:          pool,
@@ -47,9 +60,7 @@
 		Digest:        quarantine.Digest(info.GetDigest()),
 		NonIdempotent: info.GetNonIdempotent(),
 		Forwarded:     info.GetForwarded(),
+
+		ExcludedTargets: decodeTargets(info.GetAvoid()),
 	}
-	for _, target := range info.GetAvoid() {
-		r.ExcludedTargets = append(r.ExcludedTargets, ident.Target(target))
-	}
-	return r
 }
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -15,7 +15,8 @@
 	Process int64
 	// At is when the crash was detected.
 	At time.Time
-	// Runs holds the requests that were running on the target, one for each digest.
+	// Runs holds the requests that were running on the target, one for each digest. It is
+	// empty if the crash is only known because the target was probed.
 	Runs []Run
 }
 
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -7,7 +7,8 @@
 // A digest with a strike is a suspect. It runs only in trials, of which one at a time is in
 // flight over all hosts (package trial); the crash of a trial is always another strike.
 // Threshold strikes, with no run that was served in between, quarantine a digest for Duration.
-// A served run clears a digest of the crashes before it. A crash that a quarantined digest
+// A crash is no strike if another target that did not run the digest ended at the same time:
+// both have a common cause then. A served run clears a digest of the crashes before it. A crash that a quarantined digest
 // took part in is attributed to it and is no strike against the digests that ran beside it.
 //
 // Hosts exchange crashes, not verdicts. Merging is commutative, associative and idempotent,
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -38,11 +38,11 @@
 // whether that is new; if so, verdicts may have changed.
 func (t *Tracker) Merge(now time.Time, c Crash) (changed bool) {
 	t.expire(now)
-	if now.Sub(c.At) >= Retention || len(c.Runs) == 0 {
+	if now.Sub(c.At) >= Retention {
 		return false
 	}
-	r := t.recordOf(&c)
-	if !r.add(&c) {
+	r, isNew := t.recordOf(&c)
+	if !r.add(&c) && !isNew {
 		return false
 	}
 	r.changedAt = now
@@ -56,15 +56,15 @@
 }
 
 // recordOf returns the record of a crash, creating it on first use.
-func (t *Tracker) recordOf(c *Crash) *record {
-	for _, r := range t.records {
-		if r.matches(c) {
-			return r
+func (t *Tracker) recordOf(c *Crash) (r *record, isNew bool) {
+	for _, known := range t.records {
+		if known.matches(c) {
+			return known, false
 		}
 	}
-	r := &record{crash: Crash{Target: c.Target, Process: c.Process, At: c.At}}
+	r = &record{crash: Crash{Target: c.Target, Process: c.Process, At: c.At}}
 	t.records = append(t.records, r)
-	return r
+	return r, true
 }
 
 // clearServed clears the digests of a crash that are known to have been served since, or
@@ -116,9 +116,11 @@
 	return until, now.Before(until)
 }
 
-// IsSuspect reports whether the digest has a strike.
+// IsSuspect reports whether the digest is implicated in a crash that is not attributed to
+// another one.
 func (t *Tracker) IsSuspect(now time.Time, digest Digest) bool {
-	return t.currentVerdicts(now)[digest].strikes > 0
+	_, implicated := t.currentVerdicts(now)[digest]
+	return implicated
 }
 
 // Strikes returns the number of strikes of a digest and the time of the last one.
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -164,3 +164,39 @@
 		t.Errorf("%d served digests in memory, want at most %d", n, 2*maxServed)
 	}
 }
+
+func trialCrash(target ident.Target, after time.Duration, digest Digest) Crash {
+	c := crash(target, after, digest)
+	c.Runs[0].Trial = true
+	return c
+}
+
+func TestCrashOfTrialIsAnotherStrike(t *testing.T) {
+	tracker := NewTracker()
+	// The run overlaps with the first crash by the hosts' clocks.
+	mergeAll(tracker, at(time.Second), crash("t1", 0, 1), trialCrash("t2", runTime/2, 1))
+	checkQuarantined(t, tracker, at(time.Second), 1)
+}
+
+func TestTargetsThatEndTogetherWithoutTheContentHaveACommonCause(t *testing.T) {
+	tracker := NewTracker()
+	mergeAll(tracker, at(10*time.Second), crash("t1", 0, 1), trialCrash("t2", 5*time.Second, 1))
+	checkQuarantined(t, tracker, at(10*time.Second), 1)
+	mergeAll(tracker, at(10*time.Second), crash("t3", 5*time.Second+commonCauseWindow))
+	checkQuarantined(t, tracker, at(10*time.Second))
+	if !tracker.IsSuspect(at(10*time.Second), 1) {
+		t.Error("the content is no suspect any more, want it to run in trials only")
+	}
+	mergeAll(tracker, at(20*time.Second), trialCrash("t4", 20*time.Second, 1))
+	checkQuarantined(t, tracker, at(20*time.Second), 1)
+}
+
+func TestTargetsCrashedByQuarantinedContentAreNoCommonCause(t *testing.T) {
+	tracker := NewTracker()
+	const first, second = 1, 2
+	mergeAll(tracker, at(time.Minute), crash("t1", 0, first), trialCrash("t2", 5*time.Second, first))
+	mergeAll(tracker, at(time.Minute), crash("t3", 20*time.Second, second), trialCrash("t4", 5*time.Second+100*time.Millisecond, second))
+	checkQuarantined(t, tracker, at(time.Minute))
+	mergeAll(tracker, at(time.Minute), trialCrash("t5", 40*time.Second, first), trialCrash("t6", 50*time.Second, second))
+	checkQuarantined(t, tracker, at(time.Minute), first, second)
+}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -48,12 +48,33 @@
 			if run.Cleared || confirmed[run.Digest].confirmed {
 				continue
 			}
-			open[run.Digest] = open[run.Digest].withCrash(r.crash.At, run)
+			v := open[run.Digest]
+			if !hasCommonCause(records, attributed, r, run.Digest) {
+				v = v.withCrash(r.crash.At, run)
+			}
+			open[run.Digest] = v
 		}
 	}
 	return open
 }
 
+// commonCauseWindow is the longest time between the ends of targets that have one cause.
+const commonCauseWindow = time.Second
+
+// hasCommonCause reports whether another target that did not run the digest ended at the same
+// time as the crashed one, for no reason that is known.
+func hasCommonCause(records []*record, attributed map[*record]bool, crashed *record, digest Digest) bool {
+	for _, other := range records {
+		if other.crash.Target == crashed.crash.Target || attributed[other] || other.run(digest) != nil {
+			continue
+		}
+		if other.crash.At.Sub(crashed.crash.At).Abs() <= commonCauseWindow {
+			return true
+		}
+	}
+	return false
+}
+
 // withCrash adds a crash. It is another strike only if the run was a trial, or began after
 // the previous strike: targets that crash at the same time may have a common cause, which is
 // not a request.
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -232,6 +232,27 @@
 	d.scheduler.RecordTrial(id)
 }
 
+// witnesses returns targets that a trial on the given one is compared with.
+func (d *Dispatcher) witnesses(on route.Target) []trial.Observed {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var observed []trial.Observed
+	for _, t := range d.scheduler.OtherTargets(on, trial.MaxWitnesses) {
+		observed = append(observed, trial.Observed{Name: t.Name, Address: t.Address})
+	}
+	return observed
+}
+
+// recordLost records targets that ended during a trial.
+func (d *Dispatcher) recordLost(lost []trial.Observed) {
+	now := time.Now()
+	d.update(now, func(s *schedule.Scheduler) {
+		for _, t := range lost {
+			s.RecordLost(now, t.Name)
+		}
+	})
+}
+
 // MergeCrashes merges crashes that were read from the store.
 func (d *Dispatcher) MergeCrashes(now time.Time, crashes []quarantine.Crash) {
 	d.update(now, func(s *schedule.Scheduler) { s.MergeCrashes(now, crashes) })
--- a/relay/run.go
+++ b/relay/run.go
@@ -31,6 +31,8 @@
 	counted bool
 	// trial is set if the run is a trial of content that may crash targets.
 	trial *trial.Run
+	// witness observes other targets during a trial.
+	witness *trial.Witness
 	// responded is set once the head of the response has arrived.
 	responded bool
 }
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 	"github.com/cornelyard/cornelyard/target"
 	"github.com/cornelyard/cornelyard/trial"
@@ -35,9 +36,15 @@
 	r.trial, x.unusedTrial = x.unusedTrial, nil
 	x.recordStep(Step{Kind: StepTrialBegun, Target: r.target.Name, TrialNumber: r.trial.Number()})
 	dispatcher.recordTrial(r.slot)
+	r.witness = trial.NewWitness(r.ctx, x.probeAddress, func() []trial.Observed { return dispatcher.witnesses(r.target) })
 	return nil
 }
 
+// probeAddress probes the target at an address.
+func (x *execution) probeAddress(ctx context.Context, address string) target.ProbeResult {
+	return x.relay.options.TargetClient.Probe(ctx, route.Target{Address: address})
+}
+
 // acquireTrial sets unusedTrial, or returns why no trial may begin.
 func (x *execution) acquireTrial(ctx context.Context) *trial.Denial {
 	if x.unusedTrial != nil {
@@ -87,10 +94,29 @@
 	if r.trial == nil {
 		return
 	}
-	if result == trial.Withdrawn {
+	switch result {
+	case trial.Withdrawn:
 		x.unusedTrial = r.trial
-		return
+	case trial.Crashed:
+		go x.judgeCrash(r)
+	case trial.Survived, trial.Inconclusive:
+		x.storeTrialEnd(r, result)
+	}
+}
+
+// judgeCrash ends a trial that crashed its target. It is inconclusive if other targets ended
+// at the same time.
+func (x *execution) judgeCrash(r *run) {
+	dispatcher := x.relay.options.Dispatcher
+	dispatcher.recordLost(r.witness.Lost(context.Background()))
+	result := trial.Inconclusive
+	if _, quarantined := dispatcher.quarantinedUntil(time.Now(), x.digest); quarantined {
+		result = trial.Crashed
 	}
+	x.storeTrialEnd(r, result)
+}
+
+func (x *execution) storeTrialEnd(r *run, result trial.Result) {
 	r.trial.End(result)
 	x.relay.options.Dispatcher.options.OnTrialEnd(x.digest, r.target.Name, result)
 }
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -111,6 +111,35 @@
 	return events
 }
 
+// OtherTargets returns up to n available targets of the pool of a target without itself, a
+// random choice.
+func (s *Scheduler) OtherTargets(than route.Target, n int) []route.Target {
+	p := s.poolOf(than.Pool)
+	var others []route.Target
+	first := int(s.random() * float64(len(p.targets)))
+	for i := range p.targets {
+		t := p.targets[(first+i)%len(p.targets)]
+		if t.available() && t.Name != than.Name && len(others) < n {
+			others = append(others, t.Target)
+		}
+	}
+	return others
+}
+
+// RecordLost records that a target's process ended without notice, and that this is known
+// from a probe only.
+func (s *Scheduler) RecordLost(now time.Time, name ident.Target) {
+	t := s.targets[name]
+	if t == nil || !t.available() {
+		return
+	}
+	lost := quarantine.Crash{Target: name, Process: t.StartUnixMs, At: now}
+	if lost.Process == 0 {
+		lost.Process = now.UnixMilli()
+	}
+	s.addCrash(now, lost)
+}
+
 // IsSuspect reports whether content may run only in a trial.
 func (s *Scheduler) IsSuspect(now time.Time, digest quarantine.Digest) bool {
 	return s.crashes.IsSuspect(now, digest)
--- a/trial/ledger.go
+++ b/trial/ledger.go
@@ -39,6 +39,9 @@
 type Ledger struct {
 	options Options
 
+	// background counts the writes that no request waits for.
+	background sync.WaitGroup
+
 	mu       sync.Mutex
 	contents map[quarantine.Digest]*content
 }
@@ -254,8 +257,13 @@
 	if !due {
 		return
 	}
-	go func() {
+	l.background.Go(func() {
 		written, err := l.write(context.Background(), endTimeout, digest, &row, revision)
+		var conflict *storage.ConflictError
+		if errors.As(err, &conflict) {
+			l.seeConflict(digest, conflict)
+			return
+		}
 		if err != nil {
 			l.options.Logger.Warn().Err(err).Stringer("digest", digest).Msg("Renewing the row of exhausted trials failed; trying again with the next request.")
 			return
@@ -265,7 +273,7 @@
 		if c := l.contentOf(digest); c.revision == revision {
 			c.row, c.revision = &row, written
 		}
-	}()
+	})
 }
 
 func (l *Ledger) dueForRenewal(digest quarantine.Digest) (row record, revision uint64, due bool) {
--- a/trial/ledger_test.go
+++ b/trial/ledger_test.go
@@ -71,15 +71,7 @@
 func (f *fixture) end(run *Run, result Result) {
 	f.t.Helper()
 	run.End(result)
-	for wait := time.Now().Add(5 * time.Second); time.Now().Before(wait); time.Sleep(time.Millisecond) {
-		run.ledger.mu.Lock()
-		ended := !run.ledger.contentOf(digest).inFlight
-		run.ledger.mu.Unlock()
-		if ended {
-			return
-		}
-	}
-	f.t.Fatal("timed out waiting for the end of a trial")
+	run.ledger.background.Wait()
 }
 
 func TestOneTrialIsInFlightOverAllHosts(t *testing.T) {
@@ -125,7 +117,9 @@
 				t.Fatal(err)
 			}
 		}
-		run, denial := f.hosts[minute%len(f.hosts)].Begin(t.Context(), digest, lease)
+		host := f.hosts[minute%len(f.hosts)]
+		run, denial := host.Begin(t.Context(), digest, lease)
+		host.background.Wait()
 		if denial == nil {
 			runs++
 			f.end(run, Crashed)
--- a/trial/run.go
+++ b/trial/run.go
@@ -31,13 +31,13 @@
 		r.ledger.release(r.digest)
 		return
 	}
-	go func() {
+	r.ledger.background.Go(func() {
 		defer r.ledger.release(r.digest)
 		if err := r.store(result); err != nil {
 			r.ledger.options.Logger.Warn().Err(err).Stringer("digest", r.digest).Stringer("result", result).
 				Msg("Storing the end of a trial failed; other hosts wait until it would have ended at the latest.")
 		}
-	}()
+	})
 }
 
 // store writes the end of the trial. Its row may have another revision than the write at
