Know contents on trial after all hosts restart, and for good

Callers of a crashing call crashed all targets again after the hosts of the own interface had restarted: 8 calls ran. Its crashes were in memory only; a gateway forgot them after a while. Each host now reads the rows of trials at its start and every hour and runs these contents in trials only, before it is ready.

--- a/daemon/readiness.go
+++ b/daemon/readiness.go
@@ -18,6 +18,9 @@
 	if err := d.settings.Ready(); err != nil {
 		return err
 	}
+	if !d.trials.Scanned() {
+		return Error.New("the contents on trial have not been read yet")
+	}
 	return d.checkJoined(time.Now())
 }
 
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -6,6 +6,7 @@
 	"github.com/oklog/run"
 
 	"github.com/cornelyard/cornelyard/timeline"
+	"github.com/cornelyard/cornelyard/trial"
 )
 
 // Run serves until ctx ends and then shuts down gracefully: in-flight requests
@@ -22,7 +23,7 @@
 	d.addActor(&group, d.manager.Run)
 	d.addActor(&group, d.claims.Run)
 	d.addActor(&group, d.sweeper.Run)
-	d.addActor(&group, d.sweepTrials)
+	d.addActor(&group, d.watchTrials)
 	d.addActor(&group, d.operator.Run)
 	d.addActor(&group, d.operator.ReplicateUsage)
 	d.addActor(&group, newUsageMetrics(d.metrics.Scope, d.usage, d.ring).run)
@@ -58,5 +59,7 @@
 	d.tracker.SetLeaving()
 }
 
-// sweepTrials removes old rows of trials until ctx ends.
-func (d *Daemon) sweepTrials(ctx context.Context) error { return d.trials.Sweep(ctx, d.isSweeper) }
+// watchTrials follows the contents on trial until ctx ends.
+func (d *Daemon) watchTrials(ctx context.Context) error {
+	return d.trials.Run(ctx, trial.ScanOptions{Sweeps: d.isSweeper, OnContents: d.manager.SetSuspects})
+}
--- a/gateway/crash_records.go
+++ b/gateway/crash_records.go
@@ -178,10 +178,13 @@
 		Msg("Target that broke off a request was probed.")
 }
 
-// sweepTrials deletes old rows of trials on the first of the hosts that reach each other,
-// until ctx is done.
-func (g *Gateway) sweepTrials(ctx context.Context) error {
-	return g.trials.Sweep(ctx, func() bool { return g.state.peers.activeBefore(time.Now(), g.config.Host) == 0 })
+// watchTrials follows the contents on trial until ctx is done. The first of the hosts that
+// reach each other deletes old ones.
+func (g *Gateway) watchTrials(ctx context.Context) error {
+	return g.trials.Run(ctx, trial.ScanOptions{
+		Sweeps:     func() bool { return g.state.peers.activeBefore(time.Now(), g.config.Host) == 0 },
+		OnContents: g.state.dispatcher.SetSuspects,
+	})
 }
 
 // logTrialEnd logs what a trial of content has shown.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -177,6 +177,9 @@
 	if g.stopping.Load() {
 		return Error.New("the host is stopping")
 	}
+	if !g.trials.Scanned() {
+		return Error.New("the contents on trial have not been read yet")
+	}
 	return g.state.ready()
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -43,7 +43,7 @@
 	addActor(&group, g.register)
 	addActor(&group, g.persistBusyTeams)
 	addActor(&group, g.saveCrashes)
-	addActor(&group, g.sweepTrials)
+	addActor(&group, g.watchTrials)
 	addActor(&group, g.reportGauges)
 	addActor(&group, g.state.peers.run)
 	addActor(&group, g.listener(g.config.ReadinessAddress, platform.ReadinessHandler(http.HandlerFunc(g.serveReadiness))))
--- a/pool/manager.go
+++ b/pool/manager.go
@@ -25,6 +25,8 @@
 	owners map[ident.Pool]*runningOwner
 	// crashes holds the crashes that owners published, by pool.
 	crashes map[ident.Pool]*quarantine.Tracker
+	// suspects holds the contents that the platform's table lists as on trial.
+	suspects []quarantine.Digest
 	// fallbacks holds the latest fallback periods of pools that this host does not own.
 	fallbacks map[ident.Pool]fallbackPeriod
 	stopped   bool
@@ -119,6 +121,7 @@
 	if known := m.crashes[k.pool]; known != nil {
 		o.offer("", crashEvent{crashes: known.Crashes(m.options.Now())})
 	}
+	o.offer("", suspectsEvent{digests: m.suspects})
 	m.done.Add(1)
 	go func() {
 		defer m.done.Done()
@@ -133,6 +136,17 @@
 	m.options.Logger.Info().Str("pool", string(name)).Msg("Stopped scheduling the pool on this host.")
 }
 
+// SetSuspects sets the contents that may run in trials only, beside those that are known
+// from crashes.
+func (m *Manager) SetSuspects(digests []quarantine.Digest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.suspects = digests
+	for _, o := range m.owners {
+		o.offer("", suspectsEvent{digests: digests})
+	}
+}
+
 func (m *Manager) stopAll() {
 	m.mu.Lock()
 	m.stopped = true
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -29,5 +30,11 @@
 	return Digest(d.Sum64())
 }
 
+// ParseDigest parses what String returns.
+func ParseDigest(text string) (Digest, error) {
+	n, err := strconv.ParseUint(text, 16, 64)
+	return Digest(n), Error.Wrap(err)
+}
+
 // String returns the digest as 16 hexadecimal digits, as it appears in logs.
 func (d Digest) String() string { return fmt.Sprintf("%016x", uint64(d)) }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -26,6 +26,8 @@
 	// records are in the order of their times.
 	records []*record
 	served  servedMemory
+	// listed holds the digests that SetSuspects has set and that were not served since.
+	listed map[Digest]struct{}
 	// verdicts follow from the records. They are out of date if stale is set.
 	verdicts verdicts
 	stale    bool
@@ -85,6 +87,7 @@
 		return false
 	}
 	t.served.add(now, digest)
+	delete(t.listed, digest)
 	for _, r := range t.records {
 		if r.implicates(digest) {
 			r.run(digest).Cleared = true
@@ -96,6 +99,15 @@
 	return changed
 }
 
+// SetSuspects sets digests that are suspects although their crashes may be unknown, until they
+// are served or set anew.
+func (t *Tracker) SetSuspects(digests []Digest) {
+	t.listed = make(map[Digest]struct{}, len(digests))
+	for _, digest := range digests {
+		t.listed[digest] = struct{}{}
+	}
+}
+
 // currentVerdicts returns the verdicts that follow from the records as they are now.
 func (t *Tracker) currentVerdicts(now time.Time) verdicts {
 	t.expire(now)
@@ -117,10 +129,11 @@
 }
 
 // IsSuspect reports whether the digest is implicated in a crash that is not attributed to
-// another one.
+// another one, or was set as a suspect.
 func (t *Tracker) IsSuspect(now time.Time, digest Digest) bool {
 	_, implicated := t.currentVerdicts(now)[digest]
-	return implicated
+	_, listed := t.listed[digest]
+	return implicated || listed
 }
 
 // Strikes returns the number of strikes of a digest and the time of the last one.
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -200,3 +200,12 @@
 	mergeAll(tracker, at(time.Minute), trialCrash("t5", 40*time.Second, first), trialCrash("t6", 50*time.Second, second))
 	checkQuarantined(t, tracker, at(time.Minute), first, second)
 }
+
+func TestListedContentIsASuspectUntilItIsServed(t *testing.T) {
+	tracker := NewTracker()
+	tracker.SetSuspects([]Digest{1, 2})
+	tracker.RecordServed(at(0), 1)
+	if tracker.IsSuspect(at(0), 1) || !tracker.IsSuspect(at(0), 2) || tracker.IsSuspect(at(0), 3) {
+		t.Error("want the listed content that was not served as the only suspect")
+	}
+}
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -218,6 +218,14 @@
 	return d.scheduler.QuarantinedUntil(now, digest)
 }
 
+// SetSuspects sets the contents that may run in trials only, beside those that are known
+// from crashes.
+func (d *Dispatcher) SetSuspects(digests []quarantine.Digest) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.SetSuspects(digests)
+}
+
 // isSuspect reports whether content may run only in a trial.
 func (d *Dispatcher) isSuspect(now time.Time, digest quarantine.Digest) bool {
 	d.mu.Lock()
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -140,6 +140,10 @@
 	s.addCrash(now, lost)
 }
 
+// SetSuspects sets the contents that may run in trials only, beside those that are known
+// from crashes.
+func (s *Scheduler) SetSuspects(digests []quarantine.Digest) { s.crashes.SetSuspects(digests) }
+
 // IsSuspect reports whether content may run only in a trial.
 func (s *Scheduler) IsSuspect(now time.Time, digest quarantine.Digest) bool {
 	return s.crashes.IsSuspect(now, digest)
--- a/test/crash_waves_test.go
+++ b/test/crash_waves_test.go
@@ -98,3 +98,30 @@
 	}
 	return count
 }
+
+func TestCrashingCallIsKnownAfterAllHostsRestart(t *testing.T) {
+	cluster := startCluster(t, crashWaveSpec())
+	for range 2 {
+		sendCrashingCalls(t, cluster)
+		restartStopped(t, cluster)
+		time.Sleep(crashWaveInterval)
+	}
+	for _, host := range cluster.Hosts {
+		if err := host.Kill(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, host := range cluster.Hosts {
+		if err := host.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, host := range cluster.Hosts {
+		if err := host.WaitReady(testContext(t)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if ran := sendCrashingCalls(t, cluster); ran > 0 {
+		t.Errorf("%d calls ran after the restart, want none", ran)
+	}
+}
--- a/trial/ledger.go
+++ b/trial/ledger.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -39,6 +40,7 @@
 type Ledger struct {
 	options Options
 
+	scanned atomic.Bool
 	// background counts the writes that no request waits for.
 	background sync.WaitGroup
 
--- a/trial/ledger_test.go
+++ b/trial/ledger_test.go
@@ -113,7 +113,8 @@
 			f.hosts[minute/300%len(f.hosts)] = f.newHost(minute)
 		}
 		if minute%60 == 0 {
-			if err := f.hosts[0].sweep(t.Context()); err != nil {
+			scan := ScanOptions{Sweeps: func() bool { return true }, OnContents: func([]quarantine.Digest) {}}
+			if err := f.hosts[0].scan(t.Context(), scan); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -222,3 +223,22 @@
 		t.Errorf("%d contents in memory, want at most %d", n, maxContents)
 	}
 }
+
+func TestScanReturnsContentsOnTrial(t *testing.T) {
+	f := newFixture(t, 2)
+	f.end(f.begin(0), Crashed)
+	var contents []quarantine.Digest
+	scan := ScanOptions{Sweeps: func() bool { return true }, OnContents: func(all []quarantine.Digest) { contents = all }}
+	for _, want := range []int{1, 0} {
+		if err := f.hosts[1].scan(t.Context(), scan); err != nil {
+			t.Fatal(err)
+		}
+		f.advance(quarantine.Retention + time.Minute)
+		if len(contents) != 1 || contents[0] != digest {
+			t.Errorf("got contents %v, want %s", contents, digest)
+		}
+		if n := f.table.Len(); n != want {
+			t.Errorf("%d rows are left, want %d", n, want)
+		}
+	}
+}
