Count a lost connection as a crash only if the target's process is gone

On the own interface content was refused for ten minutes after two connections that a living target had broken off: any lost connection was a strike. The circuit breaker still counts every lost connection.

--- a/admission/crash_test.go
+++ b/admission/crash_test.go
@@ -169,3 +169,14 @@
 		}
 	}
 }
+
+func TestLostConnectionIsNoStrikeWhileTheTargetLives(t *testing.T) {
+	f := &crashFixture{t: t, scheduler: newTestScheduler(testConfig(1, 4)), now: epoch}
+	for range 3 {
+		for _, r := range f.startAll(1) {
+			f.scheduler.End(f.now, End{ID: r.ID, Outcome: outcome.Unknown, Reason: outcome.TargetFailed, ConnectionLost: true})
+		}
+		f.now = f.now.Add(time.Minute)
+	}
+	f.expectQuarantined(false, 1)
+}
--- a/admission/end.go
+++ b/admission/end.go
@@ -19,9 +19,10 @@
 	Tokens       int
 	Prefill      time.Duration
 	Total        time.Duration
-	// TargetCrashed says that the target's process failed while the request was
-	// running.
-	TargetCrashed bool
+	// ConnectionLost says that the connection to the target broke while the request was
+	// running, and TargetCrashed that the target's process has ended.
+	ConnectionLost bool
+	TargetCrashed  bool
 	// LostTargets holds other targets, which did not run the request, that ended at the same
 	// time as the crashed one.
 	LostTargets []ident.Target
--- a/admission/running_events.go
+++ b/admission/running_events.go
@@ -49,6 +49,10 @@
 	if r == nil {
 		return
 	}
+	if e.ConnectionLost || e.TargetCrashed {
+		r.target.Breaker.RecordFailure(now)
+		s.prefixes.RemoveTarget(r.target.Target)
+	}
 	if e.TargetCrashed {
 		s.recordLost(now, e.LostTargets)
 		s.handleTargetCrash(now, r)
--- a/admission/suspects.go
+++ b/admission/suspects.go
@@ -13,8 +13,6 @@
 // again.
 func (s *Scheduler) handleTargetCrash(now time.Time, r *runningRequest) {
 	target := r.target
-	target.Breaker.RecordFailure(now)
-	s.prefixes.RemoveTarget(target.Target)
 	if r.crashRecorded {
 		return
 	}
--- a/pool/progress_codec.go
+++ b/pool/progress_codec.go
@@ -44,6 +44,8 @@
 		TargetDied:    e.TargetCrashed,
 		TargetLeaving: e.TargetDraining,
 		LostTargets:   encodeTargets(e.LostTargets),
+
+		ConnectionLost: e.ConnectionLost,
 	}
 }
 
@@ -57,6 +59,7 @@
 		Tokens:         int(e.GetTokens()),
 		Prefill:        time.Duration(e.GetPrefillUs()) * time.Microsecond,
 		Total:          time.Duration(e.GetTotalUs()) * time.Microsecond,
+		ConnectionLost: e.GetConnectionLost(),
 		TargetCrashed:  e.GetTargetDied(),
 		TargetDraining: e.GetTargetLeaving(),
 		LostTargets:    decodeTargets(e.GetLostTargets()),
