Recognize the crash of a target that is back before it is probed

A target that starts again at its address at once accepts the probe that follows a broken response, and its crash was no strike; so its content went on to crash others. Shown on the scheduler with entries that name the same process, another one, or none (the test failed to compile before, the case did not exist).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -82,6 +82,7 @@
 	case target.ProbeFailed:
 		x.relay.options.Dispatcher.recordUnreachable(to)
 	case target.ProbeConnected:
+		x.relay.options.Dispatcher.recordBrokenOff(to)
 	}
 	return result
 }
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -210,6 +210,13 @@
 	d.scheduler.RecordUnreachable(time.Now(), lost)
 }
 
+// recordBrokenOff records that a target broke off a request and accepts connections.
+func (d *Dispatcher) recordBrokenOff(from route.Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.RecordBrokenOff(time.Now(), from)
+}
+
 // quarantinedUntil returns the end of a digest's quarantine, and whether it is quarantined
 // now.
 func (d *Dispatcher) quarantinedUntil(now time.Time, digest quarantine.Digest) (time.Time, bool) {
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -45,7 +45,26 @@
 		return
 	}
 	t.lostAt = now
-	s.unconfirmed = append(s.unconfirmed, s.crashOf(now, lost))
+	s.addUnconfirmed(unconfirmedCrash{crash: s.crashOf(now, lost)})
+}
+
+// RecordBrokenOff records that a target broke off a request and accepts connections, maybe
+// with another process. That was a crash if the target's entry names another process now or
+// soon.
+func (s *Scheduler) RecordBrokenOff(now time.Time, from route.Target) {
+	t := s.targets[from.Name]
+	if t == nil || !t.available() || from.StartUnixMs == 0 {
+		return
+	}
+	if t.StartUnixMs != from.StartUnixMs {
+		s.addCrash(now, s.crashOf(now, from))
+		return
+	}
+	s.addUnconfirmed(unconfirmedCrash{crash: s.crashOf(now, from), accepts: true})
+}
+
+func (s *Scheduler) addUnconfirmed(c unconfirmedCrash) {
+	s.unconfirmed = append(s.unconfirmed, c)
 	if excess := len(s.unconfirmed) - maxUnconfirmed; excess > 0 {
 		s.unconfirmed = slices.Delete(s.unconfirmed, 0, excess)
 	}
@@ -77,18 +96,20 @@
 // confirmCrashes records the crashes of targets whose entry has disappeared since, or
 // names another process.
 func (s *Scheduler) confirmCrashes(now time.Time, snapshot *route.TargetSnapshot) {
-	s.unconfirmed = slices.DeleteFunc(s.unconfirmed, func(c quarantine.Crash) bool {
-		if now.Sub(c.At) > confirmationWindow {
+	s.unconfirmed = slices.DeleteFunc(s.unconfirmed, func(u unconfirmedCrash) bool {
+		if now.Sub(u.crash.At) > confirmationWindow {
 			return true
 		}
-		current, announced := snapshot.Targets[c.Target]
+		current, announced := snapshot.Targets[u.crash.Target]
 		switch {
 		case announced && current.Draining:
 			return true
-		case announced && (current.StartUnixMs == 0 || current.StartUnixMs == c.Process):
+		case announced && (current.StartUnixMs == 0 || current.StartUnixMs == u.crash.Process):
 			return false
+		case !announced && u.accepts:
+			return true
 		default:
-			s.addCrash(now, c)
+			s.addCrash(now, u.crash)
 			return true
 		}
 	})
--- a/schedule/crashes_test.go
+++ b/schedule/crashes_test.go
@@ -125,6 +125,38 @@
 	}
 }
 
+func TestTargetThatIsBackBeforeItsProbeHasCrashed(t *testing.T) {
+	for name, c := range map[string]struct {
+		change  func(*route.TargetSnapshot, ident.Target)
+		crashed bool
+	}{
+		"same process": {func(*route.TargetSnapshot, ident.Target) {}, false},
+		"no entry":     {func(s *route.TargetSnapshot, name ident.Target) { delete(s.Targets, name) }, false},
+		"another process": {func(s *route.TargetSnapshot, name ident.Target) {
+			next := s.Targets[name]
+			next.StartUnixMs = 99
+			s.Targets[name] = next
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, snapshot := newScheduler(4, 4), engines(4, 4)
+			for name, announced := range snapshot.Targets {
+				announced.StartUnixMs = 7
+				snapshot.Targets[name] = announced
+			}
+			s.Configure(at(0), pools(), snapshot)
+			target := runOn(t, s, 0, crashing("first", 0))
+			s.RecordBrokenOff(at(20), target)
+			s.Finish(at(20), "first", Broken)
+			c.change(snapshot, target.Name)
+			s.Configure(at(1000), pools(), snapshot)
+			if got := len(s.Crashes(at(1000))) == 1; got != c.crashed {
+				t.Errorf("crash recorded: %v, want %v", got, c.crashed)
+			}
+		})
+	}
+}
+
 func TestUnreachableTargetHasCrashedOnceItsEntryIsGone(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -49,8 +49,8 @@
 	crashes        *quarantine.Tracker
 	crashesChanged bool
 	crashesUrgent  bool
-	// unconfirmed holds the possible crashes of targets that can't be reached.
-	unconfirmed []quarantine.Crash
+	// unconfirmed holds possible crashes, which the entries of the targets may confirm.
+	unconfirmed []unconfirmedCrash
 	crashEvents []quarantine.Crash
 	// quarantined holds the digests that were quarantined when events were last recorded.
 	quarantined      []quarantine.Digest
