--- a/internal/soak/crashing_request.go
+++ b/internal/soak/crashing_request.go
@@ -18,8 +18,9 @@
 const (
 	// crashPathPrefix begins the paths of requests that crash the targets that run them.
 	crashPathPrefix = platformtest.PathRead + "crash-"
-	// crashedTime is how long a crashed target is away.
-	crashedTime = 600 * time.Millisecond
+	// shortAbsence and longAbsence are how long a crashed target is away.
+	shortAbsence = 600 * time.Millisecond
+	longAbsence  = 3300 * time.Millisecond
 	// resendInterval and resendTime are how often and how long a crashing request is sent.
 	resendInterval = 150 * time.Millisecond
 	resendTime     = 6 * time.Second
@@ -31,6 +32,10 @@
 
 // crashingRequest is the history of one request that crashes targets.
 type crashingRequest struct {
+	path string
+	// absence is how long the targets that it crashes are away.
+	absence time.Duration
+
 	mu sync.Mutex
 	// hosts holds the host to which each attempt was sent, by request ID.
 	hosts   map[string]*host
@@ -38,27 +43,41 @@
 	crashes []time.Time
 }
 
-// sendCrashingRequest sends a crashing request again and again, each time to a random host.
+// sendCrashingRequest sends a crashing request again and again, each time to a random host or
+// to all hosts at the same moment.
 func sendCrashingRequest(ctx context.Context, s *system, random *rand.Rand) error {
-	path := fmt.Sprintf("%s%d", crashPathPrefix, random.Uint64())
-	c := &crashingRequest{hosts: make(map[string]*host)}
-	s.crashing.Store(path, c)
+	c := &crashingRequest{
+		path:    fmt.Sprintf("%s%d", crashPathPrefix, random.Uint64()),
+		absence: pick(random, []time.Duration{shortAbsence, longAbsence}),
+		hosts:   make(map[string]*host),
+	}
+	s.crashing.Store(c.path, c)
 	for end := time.Now().Add(resendTime); time.Now().Before(end) && ctx.Err() == nil; {
-		h := pick(random, s.hosts)
-		request := platformtest.Request{
-			ID: fmt.Sprintf("crash-%d", random.Uint64()), Method: http.MethodGet, HostName: platformtest.HostName,
-			Path: path, Body: path, Deadline: deadline,
+		hosts := []*host{pick(random, s.hosts)}
+		if random.IntN(2) == 0 {
+			hosts = s.hosts
+		}
+		var group sync.WaitGroup
+		for _, h := range hosts {
+			id := fmt.Sprintf("crash-%d", random.Uint64())
+			group.Go(func() { c.send(ctx, h, id) })
 		}
-		c.recordSent(request.ID, h)
-		callCtx, cancel := context.WithTimeout(ctx, deadline+callTimeoutSlack)
-		// Whatever the reply is, the targets show what reached them.
-		_ = h.caller.Do(callCtx, request)
-		cancel()
+		group.Wait()
 		periodic.Sleep(ctx, resendInterval)
 	}
 	return nil
 }
 
+// send sends one attempt. Whatever its reply is, the targets show what reached them.
+func (c *crashingRequest) send(ctx context.Context, h *host, id string) {
+	c.recordSent(id, h)
+	ctx, cancel := context.WithTimeout(ctx, deadline+callTimeoutSlack)
+	defer cancel()
+	_ = h.caller.Do(ctx, platformtest.Request{
+		ID: id, Method: http.MethodGet, HostName: platformtest.HostName, Path: c.path, Body: c.path, Deadline: deadline,
+	})
+}
+
 func (c *crashingRequest) recordSent(id string, h *host) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -85,7 +104,7 @@
 	history.mu.Unlock()
 	end := t.faultSpans.start()
 	s.injectError(t.link.SetFaults(faultproxy.Faults{Refuse: true}))
-	time.AfterFunc(crashedTime, func() {
+	time.AfterFunc(history.absence, func() {
 		s.injectError(t.link.SetFaults(faultproxy.Faults{}))
 		end()
 	})
