--- a/internal/soak/crashing_request.go
+++ b/internal/soak/crashing_request.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,12 +19,14 @@
 const (
 	// crashPathPrefix begins the paths of requests that crash the targets that run them.
 	crashPathPrefix = platformtest.PathRead + "crash-"
+	// crashDelay is the time from the start of a run to the crash.
+	crashDelay = 20 * time.Millisecond
 	// shortAbsence and longAbsence are how long a crashed target is away.
 	shortAbsence = 600 * time.Millisecond
-	longAbsence  = 3300 * time.Millisecond
+	longAbsence  = 3500 * time.Millisecond
 	// resendInterval and resendTime are how often and how long a crashing request is sent.
 	resendInterval = 150 * time.Millisecond
-	resendTime     = 6 * time.Second
+	resendTime     = 9 * time.Second
 	// crashesBeforeBound is the number of crashes after which, propagationTime later, at
 	// most maxLateArrivals more may reach targets.
 	crashesBeforeBound = 3
@@ -44,7 +47,7 @@
 }
 
 // sendCrashingRequest sends a crashing request again and again, each time to a random host or
-// to all hosts at the same moment.
+// twice to all hosts at the same moment.
 func sendCrashingRequest(ctx context.Context, s *system, random *rand.Rand) error {
 	c := &crashingRequest{
 		path:    fmt.Sprintf("%s%d", crashPathPrefix, random.Uint64()),
@@ -55,7 +58,7 @@
 	for end := time.Now().Add(resendTime); time.Now().Before(end) && ctx.Err() == nil; {
 		hosts := []*host{pick(random, s.hosts)}
 		if random.IntN(2) == 0 {
-			hosts = s.hosts
+			hosts = slices.Concat(s.hosts, s.hosts)
 		}
 		var group sync.WaitGroup
 		for _, h := range hosts {
@@ -98,6 +101,7 @@
 	if !ok || !strings.HasPrefix(r.URL.Path, crashPathPrefix) {
 		return false
 	}
+	time.Sleep(crashDelay)
 	history := c.(*crashingRequest)
 	history.mu.Lock()
 	history.crashes = append(history.crashes, time.Now())
