--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -22,6 +22,10 @@
 	// started, in Unix milliseconds.
 	FieldDigests = "digests"
 	FieldProcess = "process"
+	// FieldLimit is the requests per second that a target takes from all hosts together,
+	// FieldLimitBefore what it stated before.
+	FieldLimit       = "limit"
+	FieldLimitBefore = "limit_before"
 	// FieldCrashes is the number of crashes in which a digest is implicated.
 	FieldCrashes = "crashes"
 	// FieldStrikes is the number of crashes held against a digest, FieldAgeMs the age of
@@ -89,6 +93,10 @@
 	EventQuarantined       = "digest-quarantined"
 	EventReleased          = "digest-released"
 	EventTargetCrashed     = "target-crashed"
+	// EventTargetLimited and EventTargetUnlimited are about a target that states a limit, or
+	// none any longer.
+	EventTargetLimited   = "target-limited"
+	EventTargetUnlimited = "target-unlimited"
 	// EventTargetLost is about a target that ended at the same time as that of a trial.
 	EventTargetLost = "target-lost"
 	// EventTargetProbed is about a target that broke off a request, EventSuspected and
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,6 +129,7 @@
 		OnSuspicionEvents:  g.logSuspicionEvents,
 		OnProbe:            g.logProbe,
 		OnTrialEnd:         g.logTrialEnd,
+		OnLimitEvents:      state.logLimitEvents,
 	})
 	state.exchange = hoststate.New(hoststate.Options{
 		Self:           g.self(),
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -137,9 +137,7 @@
 // receive records a response whose head has arrived and forwards it.
 func (x *execution) receive(r *run, response *Response) error {
 	defer func() { _ = response.Body.Close() }()
-	if response.Load >= 0 {
-		x.relay.options.Dispatcher.reportLoad(r.slot, response.Load)
-	}
+	x.relay.options.Dispatcher.reportResponse(r, response)
 	if err := x.recordHead(r); err != nil {
 		return err
 	}
@@ -182,6 +180,7 @@
 		x.countDispatch(r)
 		return
 	}
+	x.relay.options.Dispatcher.reportLimit(r.target, dispatchErr.Limit)
 	if dispatchErr.Sent {
 		x.countDispatch(r)
 	} else {
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/targetlimit"
 	"github.com/cornelyard/cornelyard/trial"
 )
 
@@ -30,6 +31,8 @@
 	OnQuarantineEvents func([]schedule.QuarantineEvent)
 	// OnSuspicionEvents is called when what is known against digests has changed.
 	OnSuspicionEvents func([]schedule.SuspicionEvent)
+	// OnLimitEvents is called when targets state, change or end a limit.
+	OnLimitEvents func([]schedule.LimitEvent)
 	// OnTrialEnd is called when a trial of content has ended.
 	OnTrialEnd func(digest quarantine.Digest, to ident.Target, result trial.Result)
 	// OnProbe is called with what a probe found of a target that broke off a request.
@@ -190,11 +193,30 @@
 	d.scheduler.RecordProgress(time.Now(), id, events)
 }
 
-// reportLoad records the load that a target reported with its response.
-func (d *Dispatcher) reportLoad(id ident.Request, load int) {
+// reportResponse records what a target said of itself with a response.
+func (d *Dispatcher) reportResponse(r *run, response *Response) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.scheduler.ReportLoad(time.Now(), id, load)
+	if response.Load >= 0 {
+		d.scheduler.ReportLoad(time.Now(), r.slot, response.Load)
+	}
+	d.recordLimit(r.target, response.Limit)
+}
+
+// reportLimit records what the response of a failed exchange said about the target's limit.
+func (d *Dispatcher) reportLimit(from route.Target, statement targetlimit.Statement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recordLimit(from, statement)
+}
+
+// recordLimit is reportLimit for callers that hold d.mu.
+func (d *Dispatcher) recordLimit(from route.Target, statement targetlimit.Statement) {
+	now := time.Now()
+	if d.scheduler.RecordLimit(now, from, statement) {
+		d.deliverDecisions(now)
+		d.options.OnStateChange()
+	}
 }
 
 // recordCrash records that a target's process has ended without notice.
@@ -315,6 +337,9 @@
 	if crashes := d.scheduler.TakeCrashEvents(); len(crashes) > 0 {
 		d.options.OnCrashes(crashes)
 	}
+	if events := d.scheduler.TakeLimitEvents(); len(events) > 0 {
+		d.options.OnLimitEvents(events)
+	}
 	if events := d.scheduler.TakeSuspicionEvents(); len(events) > 0 {
 		d.options.OnSuspicionEvents(events)
 	}
--- a/relay/target_client.go
+++ b/relay/target_client.go
@@ -10,6 +10,7 @@
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 	"github.com/cornelyard/cornelyard/target"
+	"github.com/cornelyard/cornelyard/targetlimit"
 )
 
 // TargetClient sends requests to targets.
@@ -48,6 +49,8 @@
 	// Load is the number of requests at the target that it reported with the
 	// response, or -1 if it reported none.
 	Load int
+	// Limit is what the response says about the target's limit.
+	Limit targetlimit.Statement
 	// Body ends with io.EOF only if it is complete.
 	Body io.ReadCloser
 }
@@ -59,7 +62,9 @@
 	NotRun bool
 	// Sent reports that the request reached a target.
 	Sent bool
-	Err  error
+	// Limit is what the target's response, if there was one, says about its limit.
+	Limit targetlimit.Statement
+	Err   error
 }
 
 // Error implements error.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -42,6 +42,7 @@
 	prefixLocations     []PrefixLocation
 	prefixLocationsSent int
 	healthEvents        []HealthEvent
+	limitEvents         []LimitEvent
 
 	// crashes holds the known crashes of targets. crashesChanged says that they changed
 	// since the queue was last checked for quarantined requests, crashesUrgent that this
@@ -128,6 +129,9 @@
 		t.lostAt = time.Time{}
 		s.prefixes.removeTarget(name)
 	}
+	before := t.limit.InForce()
+	t.limit.Forget(announced.StartUnixMs)
+	s.recordLimitChange(t, before)
 	t.Target = announced
 	t.announced = true
 	t.isEngine = s.pools[announced.Pool].engine != nil
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -5,6 +5,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/route"
+	"github.com/cornelyard/cornelyard/targetlimit"
 )
 
 const (
@@ -45,6 +46,9 @@
 	// peersMissing says that the state of some hosts is missing.
 	peersMissing bool
 
+	// limit is the newest known statement about the target's limit.
+	limit targetlimit.Observation
+
 	health health
 	// lostAt is when this host last could not reach the target's process, or zero.
 	lostAt time.Time
