Log which parts of a prompt a request shares with others

Requests under which targets crash, no two alike, could not be connected from the logs: the line request-ended named the digest of the whole content only.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -18,6 +18,8 @@
 	// FieldDigest identifies the content of a request. All attempts with the same content
 	// have the same digest.
 	FieldDigest = "digest"
+	// FieldParts holds the digests of the parts of a prompt that other requests may have too.
+	FieldParts = "parts"
 	// FieldDigests holds the digests that ran on a target, FieldProcess when its process
 	// started, in Unix milliseconds.
 	FieldDigests = "digests"
--- a/eventlog/request_logger.go
+++ b/eventlog/request_logger.go
@@ -6,6 +6,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/relay"
 )
 
@@ -176,6 +177,9 @@
 		Int64(FieldTotalMs, s.TotalTime.Milliseconds()).
 		Int(FieldStatus, s.Status).
 		Int(FieldEvents, s.Events)
+	if len(s.Parts) > 0 {
+		entry = entry.Strs(FieldParts, partTexts(s.Parts))
+	}
 	if s.Refusal != nil {
 		entry = entry.
 			Str(FieldOutcome, string(s.Refusal.Outcome)).
@@ -186,6 +190,18 @@
 	entry.Msg("Request ended.")
 }
 
+// maxParts bounds the parts in a line.
+const maxParts = 8
+
+// partTexts returns the digests of the first parts of a prompt as they appear in logs.
+func partTexts(parts []quarantine.Digest) []string {
+	texts := make([]string, 0, maxParts)
+	for _, part := range parts[:min(len(parts), maxParts)] {
+		texts = append(texts, part.String())
+	}
+	return texts
+}
+
 // maxFieldBytes bounds fields whose value comes from a caller or a target.
 const maxFieldBytes = 200
 
--- a/eventlog/request_logger_test.go
+++ b/eventlog/request_logger_test.go
@@ -11,6 +11,7 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/logging"
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/relay"
 	"github.com/cornelyard/cornelyard/schedule"
 )
@@ -70,6 +71,16 @@
 	}
 }
 
+func TestPartsOfPromptAreLogged(t *testing.T) {
+	s := failed("a-1")
+	s.Parts = []quarantine.Digest{1, 2}
+	got := lines(t, s)
+	parts, _ := got[len(got)-1][FieldParts].([]any)
+	if len(parts) != 2 || parts[0] != "0000000000000001" {
+		t.Errorf("got the parts %v, want two digests", parts)
+	}
+}
+
 func TestServedRequestsAreSampled(t *testing.T) {
 	var summaries []relay.Summary
 	for range 10 * servedSampleInterval {
--- /dev/null
+++ b/quarantine/content_test.go
@@ -0,0 +1,18 @@
+package quarantine
+
+import (
+	"slices"
+	"testing"
+)
+
+func TestLastPartOfPromptIsNoPartOfOthers(t *testing.T) {
+	for name, c := range map[string]struct{ parts, want []Digest }{
+		"no part":    {},
+		"one part":   {parts: []Digest{1}},
+		"many parts": {parts: []Digest{1, 2, 3}, want: []Digest{1, 2}},
+	} {
+		if got := NewContent(9, c.parts); got.Whole != 9 || !slices.Equal(got.Parts, c.want) {
+			t.Errorf("%s: got %+v, want the parts %v", name, got, c.want)
+		}
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -75,7 +75,7 @@
 // ended. A request that crashes targets is recognized by that.
 func (x *execution) checkForCrash(ctx context.Context, to route.Target) target.ProbeResult {
 	result := x.relay.options.TargetClient.Probe(ctx, to)
-	x.relay.options.Dispatcher.options.OnProbe(x.digest, to, result)
+	x.relay.options.Dispatcher.options.OnProbe(x.content.Whole, to, result)
 	switch result {
 	case target.ProbeRefused:
 		x.relay.options.Dispatcher.recordCrash(to)
--- a/relay/call.go
+++ b/relay/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/schedule"
 )
 
@@ -42,3 +43,12 @@
 	// stream to be resumed, or empty if the caller does not name it.
 	FirstAttempt ident.Request
 }
+
+// promptParts identifies the blocks of the prompt.
+func (c *Call) promptParts() []quarantine.Digest {
+	parts := make([]quarantine.Digest, 0, len(c.PromptBlocks))
+	for _, block := range c.PromptBlocks {
+		parts = append(parts, quarantine.Digest(block.Hash))
+	}
+	return parts
+}
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -34,7 +34,7 @@
 	table    *route.Table
 	route    *route.Route
 	team     *route.Team
-	digest   quarantine.Digest
+	content  quarantine.Content
 	pool     ident.Pool
 	deadline time.Time
 	// cost is the request's cost in units of the team's quota. charged is set once
@@ -105,7 +105,7 @@
 		return outcome.Refuse(outcome.Unauthorized, "unknown API key", 0)
 	}
 	x.team = team
-	x.digest = quarantine.ContentDigest(x.teamName(), x.call.RequestURI, x.call.Body)
+	x.content = quarantine.NewContent(quarantine.ContentDigest(x.teamName(), x.call.RequestURI, x.call.Body), x.call.promptParts())
 	x.deadline = requestDeadline(x.call, x.route)
 	x.pool = x.route.ChoosePool(randomFraction())
 	if refusal := x.quarantineRefusal(); refusal != nil {
@@ -136,7 +136,7 @@
 // Such a request is not charged to the quota.
 func (x *execution) quarantineRefusal() *outcome.Refusal {
 	now := time.Now()
-	until, quarantined := x.relay.options.Dispatcher.quarantinedUntil(now, x.digest)
+	until, quarantined := x.relay.options.Dispatcher.quarantinedUntil(now, x.content.Whole)
 	if !quarantined {
 		return nil
 	}
@@ -195,7 +195,7 @@
 	r := schedule.Request{
 		ID:              x.id,
 		Pool:            x.pool,
-		Digest:          x.digest,
+		Digest:          x.content.Whole,
 		Rank:            schedule.Rank{Route: x.route.Priority},
 		Arrived:         time.Now(),
 		Objective:       x.objective(),
--- a/relay/observer.go
+++ b/relay/observer.go
@@ -28,6 +28,8 @@
 	// Digest identifies the content of the request. It is zero if no team was
 	// authenticated.
 	Digest quarantine.Digest
+	// Parts identifies the parts of the prompt that other requests may have too.
+	Parts []quarantine.Digest
 	// TableVersion is the version of the configuration that was applied.
 	TableVersion uint64
 	// QuotaCost is the request's cost in units of the team's quota.
@@ -60,7 +62,8 @@
 		Request:    x.call.ID,
 		Pool:       x.pool,
 		Team:       x.teamName(),
-		Digest:     x.digest,
+		Digest:     x.content.Whole,
+		Parts:      x.content.Parts,
 		Target:     x.target,
 		Dispatches: x.dispatches,
 		Result:     x.result,
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -22,7 +22,7 @@
 // the slot and returns the refusal.
 func (x *execution) beginTrial(ctx context.Context, r *run) *outcome.Refusal {
 	dispatcher := x.relay.options.Dispatcher
-	if r.counted || !dispatcher.isSuspect(time.Now(), x.digest) {
+	if r.counted || !dispatcher.isSuspect(time.Now(), x.content.Whole) {
 		return nil
 	}
 	if denial := x.acquireTrial(ctx); denial != nil {
@@ -50,7 +50,7 @@
 	if x.unusedTrial != nil {
 		return nil
 	}
-	run, denial := x.relay.options.Trials.Begin(ctx, x.digest, time.Until(x.deadline)+trialLeaseMargin)
+	run, denial := x.relay.options.Trials.Begin(ctx, x.content.Whole, time.Until(x.deadline)+trialLeaseMargin)
 	x.unusedTrial = run
 	return denial
 }
@@ -65,10 +65,10 @@
 // trialDenialRefusal returns the refusal of a request whose content is known to be denied a
 // trial, or nil.
 func (x *execution) trialDenialRefusal() *outcome.Refusal {
-	if !x.relay.options.Dispatcher.isSuspect(time.Now(), x.digest) {
+	if !x.relay.options.Dispatcher.isSuspect(time.Now(), x.content.Whole) {
 		return nil
 	}
-	denial := x.relay.options.Trials.Denied(x.digest)
+	denial := x.relay.options.Trials.Denied(x.content.Whole)
 	if denial == nil {
 		return nil
 	}
@@ -110,7 +110,7 @@
 	dispatcher := x.relay.options.Dispatcher
 	dispatcher.recordLost(r.witness.Lost(context.Background()))
 	result := trial.Inconclusive
-	if _, quarantined := dispatcher.quarantinedUntil(time.Now(), x.digest); quarantined {
+	if _, quarantined := dispatcher.quarantinedUntil(time.Now(), x.content.Whole); quarantined {
 		result = trial.Crashed
 	}
 	x.storeTrialEnd(r, result)
@@ -118,7 +118,7 @@
 
 func (x *execution) storeTrialEnd(r *run, result trial.Result) {
 	r.trial.End(result)
-	x.relay.options.Dispatcher.options.OnTrialEnd(x.digest, r.target.Name, result)
+	x.relay.options.Dispatcher.options.OnTrialEnd(x.content.Whole, r.target.Name, result)
 }
 
 // trialResult returns what a run showed about its content.
