--- a/admission/action.go
+++ b/admission/action.go
@@ -5,6 +5,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 )
 
 // Action is a decision for the pool owner to carry out: a *Grant, *Refuse,
@@ -15,9 +16,9 @@
 type Grant struct {
 	Request *Request
 	Target  ident.Target
-	// Trial says that the request's content is a suspect: the entry may dispatch it only if
-	// no other run of it is in flight.
-	Trial bool
+	// Suspects holds the digests of the request's content that may crash targets: the entry
+	// may dispatch it only if no other run with any of them is in flight.
+	Suspects []quarantine.Digest
 }
 
 // Refuse is the final response to a queued request.
--- a/admission/crash_test.go
+++ b/admission/crash_test.go
@@ -26,12 +26,12 @@
 	for _, digest := range digests {
 		f.count++
 		r := testRequest(fmt.Sprint(f.count), "shops", "desk")
-		r.Digest, r.Deadline = digest, f.now.Add(time.Hour)
+		r.Content.Whole, r.Deadline = digest, f.now.Add(time.Hour)
 		f.scheduler.Enqueue(f.now, r)
 	}
 	for _, action := range f.scheduler.Decide(f.now) {
 		if grant, ok := action.(*Grant); ok {
-			started[grant.Request.Digest] = *grant.Request
+			started[grant.Request.Content.Whole] = *grant.Request
 		}
 	}
 	return started
@@ -65,7 +65,7 @@
 func (f *crashFixture) expectQuarantined(want bool, digests ...quarantine.Digest) {
 	f.t.Helper()
 	for _, digest := range digests {
-		if _, got := f.scheduler.crashes.QuarantinedUntil(f.now, digest); got != want {
+		if _, got := f.scheduler.crashes.QuarantinedUntil(f.now, quarantine.Content{Whole: digest}); got != want {
 			f.t.Errorf("digest %d: quarantined = %v, want %v", digest, got, want)
 		}
 	}
@@ -77,7 +77,7 @@
 	f.expectQuarantined(false, 1, 2, 3)
 	f.endAll(f.startAll(1), 1)
 	f.expectQuarantined(true, 1)
-	f.scheduler.Enqueue(f.now, Request{ID: "again", Tier: "desk", Digest: 1, Deadline: f.now.Add(time.Hour)})
+	f.scheduler.Enqueue(f.now, Request{ID: "again", Tier: "desk", Content: quarantine.Content{Whole: 1}, Deadline: f.now.Add(time.Hour)})
 	if got := describe(f.scheduler.Decide(f.now)); !slices.Equal(got, []string{"refuse again quarantined"}) {
 		t.Errorf("got %v, want the quarantined digest refused", got)
 	}
@@ -160,10 +160,10 @@
 	f.endAll(f.startAll(1), 1)
 	for digest, want := range map[quarantine.Digest]bool{1: true, 2: false} {
 		r := testRequest(fmt.Sprint("r", digest), "shops", "desk")
-		r.Digest, r.Deadline = digest, f.now.Add(time.Hour)
+		r.Content.Whole, r.Deadline = digest, f.now.Add(time.Hour)
 		f.scheduler.Enqueue(f.now, r)
 		for _, action := range f.scheduler.Decide(f.now) {
-			if grant, ok := action.(*Grant); !ok || grant.Trial != want {
+			if grant, ok := action.(*Grant); !ok || (len(grant.Suspects) > 0) != want {
 				t.Errorf("digest %d: got action %+v, want a grant with trial %v", digest, action, want)
 			}
 		}
--- a/admission/enqueue.go
+++ b/admission/enqueue.go
@@ -46,7 +46,7 @@
 	r := &q.request
 	q.length = s.lengths.Estimate(r.Team, r.MaxTokens, 0)
 	q.work.Length = q.length
-	q.work.Suspect = s.crashes.IsSuspect(now, r.Digest)
+	q.work.Suspect = s.crashes.IsSuspect(now, r.Content)
 	q.uncalibratedCost = s.expectedSeconds(now, r.PromptTokens, q.length.Mean)
 	q.cost = q.uncalibratedCost * s.calibration.factor()
 	s.meanPromptTokens += meanPromptWeight * (float64(r.PromptTokens) - s.meanPromptTokens)
@@ -70,7 +70,7 @@
 // whether it did.
 func (s *Scheduler) refuseOnArrival(now time.Time, q *queuedRequest) bool {
 	r := &q.request
-	until, quarantined := s.crashes.QuarantinedUntil(now, r.Digest)
+	until, quarantined := s.crashes.QuarantinedUntil(now, r.Content)
 	switch {
 	case quarantined:
 		s.queueRefusal(q, outcome.Quarantined, "requests like this one crashed targets", until.Sub(now))
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -27,6 +27,7 @@
 	r.chargedTokenSeconds = tokenSeconds(r.request.PromptTokens, q.length.Mean, r.expectedEnd.Sub(now))
 	team.tier.charge(now, team, r.chargedTokenSeconds)
 	s.prefixes.Add(target.Target, q.request.Prefix)
-	r.trial = r.suspect
-	return &Grant{Request: &q.request, Target: target.Name, Trial: r.trial}
+	suspects := s.crashes.SuspectsIn(now, q.request.Content)
+	r.trial = len(suspects) > 0
+	return &Grant{Request: &q.request, Target: target.Name, Suspects: suspects}
 }
--- a/admission/observations.go
+++ b/admission/observations.go
@@ -73,7 +73,7 @@
 		return
 	}
 	r.target.Breaker.RecordSuccess()
-	if s.crashes.RecordServed(now, r.request.Digest) {
+	if len(s.crashes.RecordServed(now, r.request.Content)) > 0 {
 		s.updateSuspects(now)
 	}
 	if r.uncalibratedCost > 0 {
--- a/admission/property_test.go
+++ b/admission/property_test.go
@@ -197,7 +197,7 @@
 	r.MaxTokens = rapid.IntRange(0, 1000).Draw(t, "max tokens")
 	r.NonIdempotent = rapid.Bool().Draw(t, "non-idempotent")
 	r.Forwarded = rapid.Bool().Draw(t, "forwarded")
-	r.Digest = quarantine.Digest(rapid.IntRange(0, 30).Draw(t, "digest"))
+	r.Content.Whole = quarantine.Digest(rapid.IntRange(0, 30).Draw(t, "digest"))
 	ref.enqueue(r)
 	ref.decide(t)
 }
--- a/admission/request.go
+++ b/admission/request.go
@@ -23,8 +23,9 @@
 	MaxTokens int
 	// Prefix holds chained hashes of the prompt's leading blocks of
 	// PrefixBlockTokens tokens, shortest prefix first.
-	Prefix        []uint64
-	Digest        quarantine.Digest
+	Prefix []uint64
+	// Content identifies what the request consists of.
+	Content       quarantine.Content
 	NonIdempotent bool
 	// Forwarded says that the request came from another data centre. It is not
 	// forwarded again.
--- a/admission/simulation_test.go
+++ b/admission/simulation_test.go
@@ -437,7 +437,7 @@
 			PromptTokens: prompt,
 			MaxTokens:    limit,
 			Prefix:       prefix,
-			Digest:       quarantine.Digest(n + 1),
+			Content:      quarantine.Content{Whole: quarantine.Digest(n + 1)},
 		},
 	}
 }
--- a/admission/suspects.go
+++ b/admission/suspects.go
@@ -38,7 +38,7 @@
 func runsOn(now time.Time, target *targetState) []quarantine.Run {
 	runs := make([]quarantine.Run, 0, len(target.running.items))
 	for _, r := range target.running.items {
-		runs = append(runs, quarantine.Run{Digest: r.request.Digest, Duration: now.Sub(r.granted), Trial: r.trial})
+		runs = append(runs, r.request.Content.Runs(now.Sub(r.granted), r.trial)...)
 	}
 	return runs
 }
@@ -46,7 +46,7 @@
 // markSuspect counts a running request among its target's suspects if its
 // digest has a strike.
 func (s *Scheduler) markSuspect(now time.Time, r *runningRequest) {
-	if !r.suspect && s.crashes.IsSuspect(now, r.request.Digest) {
+	if !r.suspect && s.crashes.IsSuspect(now, r.request.Content) {
 		r.suspect = true
 		r.target.Suspects++
 	}
@@ -59,7 +59,7 @@
 		s.markSuspect(now, r)
 	}
 	for _, q := range s.queue {
-		q.work.Suspect = s.crashes.IsSuspect(now, q.request.Digest)
+		q.work.Suspect = s.crashes.IsSuspect(now, q.request.Content)
 	}
 }
 
@@ -67,7 +67,7 @@
 // quarantined.
 func (s *Scheduler) refuseQuarantined(now time.Time) {
 	for _, q := range s.queuedByArrival() {
-		if until, quarantined := s.crashes.QuarantinedUntil(now, q.request.Digest); quarantined {
+		if until, quarantined := s.crashes.QuarantinedUntil(now, q.request.Content); quarantined {
 			s.queueRefusal(q, outcome.Quarantined, "requests like this one crashed targets", until.Sub(now))
 		}
 	}
--- a/entry/accept_common.go
+++ b/entry/accept_common.go
@@ -21,7 +21,7 @@
 		query:    request.URL.RawQuery,
 		body:     in.body,
 		arrived:  in.arrived,
-		digest:   quarantine.ContentDigest(in.identity.team, request.URL.RequestURI(), in.body),
+		content:  quarantine.Content{Whole: quarantine.ContentDigest(in.identity.team, request.URL.RequestURI(), in.body)},
 	}
 }
 
--- a/entry/accept_engine.go
+++ b/entry/accept_engine.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -32,6 +33,7 @@
 	c.promptTokens = g.promptTokens
 	c.maxTokens = g.maxTokens
 	c.prefix = g.prefix
+	c.content = quarantine.NewContent(c.content.Whole, g.parts)
 	c.header = http.Header{"Content-Type": {contentTypeJSON}}
 	return c, in.checkIdempotency(c)
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -33,7 +33,7 @@
 	promptTokens int
 	maxTokens    int
 	prefix       []uint64
-	digest       quarantine.Digest
+	content      quarantine.Content
 }
 
 func (c *call) admissionRequest(host ident.Host, excluded []ident.Target) admission.Request {
@@ -48,7 +48,7 @@
 		PromptTokens:    c.promptTokens,
 		MaxTokens:       c.maxTokens,
 		Prefix:          c.prefix,
-		Digest:          c.digest,
+		Content:         c.content,
 		NonIdempotent:   c.nonIdempotent,
 		ExcludedTargets: excluded,
 	}
--- a/entry/chat_request.go
+++ b/entry/chat_request.go
@@ -46,7 +46,12 @@
 	if invalid != nil {
 		return nil, invalid
 	}
-	return newGenerationRequest(r.Model, prompt, maxTokens, r.N, r.Stream)
+	g, invalid := newGenerationRequest(r.Model, prompt, maxTokens, r.N, r.Stream)
+	if invalid != nil {
+		return nil, invalid
+	}
+	g.parts = messageParts(r.Model, r.Messages)
+	return g, nil
 }
 
 // chatPrompt returns an approximation of the prompt; the engine's chat template
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -14,6 +14,7 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/pool"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/target"
 	"github.com/cornelyard/cornelyard/timeline"
@@ -35,7 +36,7 @@
 	target    settings.Target
 	expires   time.Time
 	preempted chan *outcome.Refusal
-	trial     bool
+	suspects  []quarantine.Digest
 
 	mu       sync.Mutex
 	reports  []admission.Progress
@@ -45,7 +46,7 @@
 
 func (g *fakeGrant) Target() settings.Target            { return g.target }
 func (g *fakeGrant) Expires() time.Time                 { return g.expires }
-func (g *fakeGrant) Trial() bool                        { return g.trial }
+func (g *fakeGrant) Suspects() []quarantine.Digest      { return g.suspects }
 func (g *fakeGrant) Preempted() <-chan *outcome.Refusal { return g.preempted }
 func (g *fakeGrant) Decline(cause admission.DeclineCause) {
 	g.update(func() { g.declines = append(g.declines, cause) })
@@ -82,8 +83,8 @@
 	lease   time.Duration
 	refusal *outcome.Refusal
 	block   bool
-	// trial makes the grants those of suspects.
-	trial bool
+	// suspects are those of the grants.
+	suspects []quarantine.Digest
 
 	requests []admission.Request
 	grants   []*fakeGrant
@@ -107,7 +108,7 @@
 		target:    next,
 		expires:   time.Now().Add(a.lease),
 		preempted: make(chan *outcome.Refusal, 1),
-		trial:     a.trial,
+		suspects:  a.suspects,
 	}
 	a.grants = append(a.grants, grant)
 	return grant, nil
--- a/entry/generation_request.go
+++ b/entry/generation_request.go
@@ -1,5 +1,7 @@
 package entry
 
+import "github.com/cornelyard/cornelyard/quarantine"
+
 // generationRequest holds what the scheduler needs to know of a request to an
 // engine.
 type generationRequest struct {
@@ -10,6 +12,8 @@
 	// no limit.
 	maxTokens int
 	prefix    []uint64
+	// parts identifies the parts of the prompt, in order.
+	parts []quarantine.Digest
 }
 
 // maxChoices is the largest number of choices per request.
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -6,6 +6,7 @@
 
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/pool"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/target"
 	"github.com/cornelyard/cornelyard/timeline"
@@ -18,11 +19,12 @@
 // beginTrial begins a trial if the grant requires one. It returns the refusal if none may
 // begin.
 func (x *execution) beginTrial(grant pool.Grant) *refusal {
-	if !grant.Trial() || x.trial != nil || x.entry.options.Trials == nil {
+	suspects := grant.Suspects()
+	if len(suspects) == 0 || x.trial != nil || x.entry.options.Trials == nil {
 		return nil
 	}
 	lease := time.Until(x.call.identity.deadline) + trialLeaseMargin
-	run, denial := x.entry.options.Trials.Begin(x.ctx, x.call.digest, lease)
+	run, denial := x.entry.options.Trials.Begin(x.ctx, suspects, lease)
 	x.trial = run
 	if denial == nil {
 		return nil
@@ -70,6 +72,15 @@
 	if run == nil {
 		return
 	}
-	run.End(result)
-	x.record(timeline.Event{Kind: timeline.TrialEnded, Detail: x.call.digest.String() + " " + result.String()})
+	run.EndConvicting(result, x.convicted(run))
+	x.record(timeline.Event{Kind: timeline.TrialEnded, Detail: x.call.content.Whole.String() + " " + result.String()})
+}
+
+// convicted returns the suspects of a trial that are convicted if it crashed its target. Which
+// part of a prompt it was is decided by the owner of the pool, unless there is only one suspect.
+func (x *execution) convicted(run *trial.Run) []quarantine.Digest {
+	if suspects := run.Suspects(); len(suspects) == 1 {
+		return suspects
+	}
+	return []quarantine.Digest{x.call.content.Whole}
 }
--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -31,8 +31,8 @@
 func TestSuspectCallIsRefusedWhileItRunsAtAnotherHost(t *testing.T) {
 	table := tabletest.New()
 	f := newFixture(t, func(o *Options) { o.Trials = newLedger(table, "host-1") }, scriptedTarget(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
-	f.admitter.trial = true
-	if _, denial := newLedger(table, "host-2").Begin(t.Context(), suspectDigest(), time.Minute); denial != nil {
+	f.admitter.suspects = []quarantine.Digest{suspectDigest()}
+	if _, denial := newLedger(table, "host-2").Begin(t.Context(), []quarantine.Digest{suspectDigest()}, time.Minute); denial != nil {
 		t.Fatal(denial)
 	}
 	response, body := do(t, f.request("POST", suspectPath, "x"))
@@ -59,13 +59,13 @@
 		t.Run(name, func(t *testing.T) {
 			table := tabletest.New()
 			f := newFixture(t, func(o *Options) { o.Trials = newLedger(table, "host-1") }, c.target)
-			f.admitter.trial = true
+			f.admitter.suspects = []quarantine.Digest{suspectDigest()}
 			do(t, f.request("POST", suspectPath, "x"))
 			f.entry.executions.Wait()
 			other := newLedger(table, "host-2")
 			var denial *trial.Denial
 			for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-				if _, denial = other.Begin(t.Context(), suspectDigest(), time.Second); denial == nil || denial.Cause != trial.InProgress {
+				if _, denial = other.Begin(t.Context(), []quarantine.Digest{suspectDigest()}, time.Second); denial == nil || denial.Cause != trial.InProgress {
 					break
 				}
 			}
--- a/pool/client_handler.go
+++ b/pool/client_handler.go
@@ -99,7 +99,7 @@
 		target:    target,
 		granted:   now,
 		expires:   now.Add(time.Duration(g.GetLeaseMs()) * time.Millisecond),
-		trial:     g.GetTrial(),
+		suspects:  t.suspects(g),
 		preempted: make(chan *outcome.Refusal, 1),
 	}
 	t.result <- acquireResult{grant: t.grant}
--- a/pool/grant.go
+++ b/pool/grant.go
@@ -5,6 +5,7 @@
 
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -16,9 +17,10 @@
 	// Expires returns the time, on the local monotonic clock, by which the dispatch
 	// must begin. The holder checks it immediately before the dispatch.
 	Expires() time.Time
-	// Trial reports whether the request may be dispatched only if no other run of its
-	// content is in flight on any host.
-	Trial() bool
+	// Suspects returns the digests of the request's content that may crash targets. If there
+	// are any, it may be dispatched only if no other run with any of them is in flight on
+	// any host.
+	Suspects() []quarantine.Digest
 	// Preempted delivers a refusal if the running request must be stopped; the
 	// refusal is then the request's final response.
 	Preempted() <-chan *outcome.Refusal
--- a/pool/held_grant.go
+++ b/pool/held_grant.go
@@ -5,6 +5,7 @@
 
 	"github.com/cornelyard/cornelyard/admission"
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -15,7 +16,7 @@
 	target    settings.Target
 	granted   time.Time
 	expires   time.Time
-	trial     bool
+	suspects  []quarantine.Digest
 	preempted chan *outcome.Refusal
 	tokens    int
 }
@@ -28,8 +29,8 @@
 // Expires implements Grant.
 func (g *heldGrant) Expires() time.Time { return g.expires }
 
-// Trial implements Grant.
-func (g *heldGrant) Trial() bool { return g.trial }
+// Suspects implements Grant.
+func (g *heldGrant) Suspects() []quarantine.Digest { return g.suspects }
 
 // Preempted implements Grant.
 func (g *heldGrant) Preempted() <-chan *outcome.Refusal { return g.preempted }
--- a/pool/owner_actions.go
+++ b/pool/owner_actions.go
@@ -26,11 +26,12 @@
 func (o *owner) grant(now time.Time, a *admission.Grant) {
 	o.recordRequest(timeline.Granted, a.Request, a.Target, "")
 	sent := o.send(a.Request.Entry, &peerpb.Frame{Body: &peerpb.Frame_Grant{Grant: &peerpb.Grant{
-		Pool:    string(o.key.pool),
-		Id:      string(a.Request.ID),
-		Target:  string(a.Target),
-		LeaseMs: o.options.GrantLease.Milliseconds(),
-		Trial:   a.Trial,
+		Pool:     string(o.key.pool),
+		Id:       string(a.Request.ID),
+		Target:   string(a.Target),
+		LeaseMs:  o.options.GrantLease.Milliseconds(),
+		Trial:    len(a.Suspects) > 0,
+		Suspects: encodeDigests(a.Suspects),
 	}}})
 	if sent {
 		o.metrics.granted(now, a.Request)
--- a/pool/owner_record.go
+++ b/pool/owner_record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -73,6 +74,7 @@
 // recordStrikes records the digests that have more strikes than in the last call.
 func (o *owner) recordStrikes(now time.Time) {
 	counts := make(map[quarantine.Digest]int)
+	quarantined := o.crashes.Quarantined(now)
 	for _, digest := range o.crashes.Suspects(now) {
 		count, _ := o.crashes.Strikes(now, digest)
 		counts[digest] = count
@@ -81,7 +83,7 @@
 		}
 		detail := fmt.Sprintf("digest %s, %d in all", digest, count)
 		o.record(timeline.Event{Kind: timeline.StrikeRecorded, Detail: detail})
-		if _, quarantined := o.crashes.QuarantinedUntil(now, digest); quarantined {
+		if slices.Contains(quarantined, digest) {
 			o.record(timeline.Event{Kind: timeline.Quarantine, Detail: detail})
 		}
 	}
--- a/pool/owner_test.go
+++ b/pool/owner_test.go
@@ -59,7 +59,7 @@
 	}}.apply(o, now)
 	now = now.Add(time.Minute)
 	o.rebuild(now)
-	o.scheduler.Enqueue(now, admission.Request{ID: "again", Tier: "filing", Digest: 1, Deadline: now.Add(time.Hour)})
+	o.scheduler.Enqueue(now, admission.Request{ID: "again", Tier: "filing", Content: quarantine.Content{Whole: 1}, Deadline: now.Add(time.Hour)})
 	actions := o.scheduler.Decide(now)
 	if len(actions) != 1 {
 		t.Fatalf("got actions %v, want one refusal", actions)
--- a/pool/request_codec.go
+++ b/pool/request_codec.go
@@ -21,13 +21,30 @@
 		PromptTokens:  int32(r.PromptTokens),
 		MaxTokens:     int32(r.MaxTokens),
 		Prefix:        r.Prefix,
-		Digest:        uint64(r.Digest),
+		Digest:        uint64(r.Content.Whole),
+		Parts:         encodeDigests(r.Content.Parts),
 		NonIdempotent: r.NonIdempotent,
 		Forwarded:     r.Forwarded,
 		Avoid:         encodeTargets(r.ExcludedTargets),
 	}
 }
 
+func encodeDigests(digests []quarantine.Digest) []uint64 {
+	var encoded []uint64
+	for _, digest := range digests {
+		encoded = append(encoded, uint64(digest))
+	}
+	return encoded
+}
+
+func decodeDigests(encoded []uint64) []quarantine.Digest {
+	var digests []quarantine.Digest
+	for _, digest := range encoded {
+		digests = append(digests, quarantine.Digest(digest))
+	}
+	return digests
+}
+
 func encodeTargets(targets []ident.Target) []string {
 	var names []string
 	for _, target := range targets {
@@ -57,7 +74,7 @@
 		PromptTokens:  int(info.GetPromptTokens()),
 		MaxTokens:     int(info.GetMaxTokens()),
 		Prefix:        info.GetPrefix(),
-		Digest:        quarantine.Digest(info.GetDigest()),
+		Content:       quarantine.Content{Whole: quarantine.Digest(info.GetDigest()), Parts: decodeDigests(info.GetParts())},
 		NonIdempotent: info.GetNonIdempotent(),
 		Forwarded:     info.GetForwarded(),
 
--- a/quarantine/codec.go
+++ b/quarantine/codec.go
@@ -19,7 +19,8 @@
 		report := &crashpb.Crash{Target: string(c.Target), ProcessMs: c.Process, AgeMs: now.Sub(c.At).Milliseconds()}
 		for _, run := range c.Runs {
 			report.Runs = append(report.Runs, &crashpb.Run{
-				Digest: uint64(run.Digest), DurationMs: run.Duration.Milliseconds(), Cleared: run.Cleared, Trial: run.Trial,
+				Digest: uint64(run.Digest), Part: run.Part,
+				DurationMs: run.Duration.Milliseconds(), Cleared: run.Cleared, Trial: run.Trial,
 			})
 		}
 		encoded = append(encoded, report)
@@ -41,7 +42,8 @@
 		}
 		for _, run := range report.GetRuns() {
 			c.Runs = append(c.Runs, Run{
-				Digest: Digest(run.GetDigest()), Duration: milliseconds(run.GetDurationMs()), Cleared: run.GetCleared(), Trial: run.GetTrial(),
+				Digest: Digest(run.GetDigest()), Part: run.GetPart(),
+				Duration: milliseconds(run.GetDurationMs()), Cleared: run.GetCleared(), Trial: run.GetTrial(),
 			})
 		}
 		crashes = append(crashes, c)
--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -1,5 +1,7 @@
 package quarantine
 
+import "time"
+
 // Content identifies what a request consists of, as a whole and in parts.
 type Content struct {
 	// Whole identifies the whole content. Zero means that it is unknown.
@@ -20,3 +22,21 @@
 	}
 	return Content{Whole: whole, Parts: parts[:min(len(parts)-1, maxParts)]}
 }
+
+// digests returns all that identifies the content, the whole first.
+func (c Content) digests() []Digest {
+	digests := make([]Digest, 0, 1+len(c.Parts))
+	if c.Whole != 0 {
+		digests = append(digests, c.Whole)
+	}
+	return append(digests, c.Parts...)
+}
+
+// Runs returns the runs of a request's content and its parts.
+func (c Content) Runs(duration time.Duration, trial bool) []Run {
+	var runs []Run
+	for i, digest := range c.digests() {
+		runs = append(runs, Run{Digest: digest, Part: i > 0 || c.Whole == 0, Duration: duration, Trial: trial})
+	}
+	return runs
+}
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -15,18 +15,21 @@
 	Process int64
 	// At is when the crash was detected.
 	At time.Time
-	// Runs holds the requests that were running on the target, one for each digest. It is
-	// empty if the crash is only known because the target was probed.
+	// Runs holds what was running on the target, one for each digest. It is empty if the
+	// crash is only known because the target was probed.
 	Runs []Run
 }
 
-// Run is a request that was running on a target when it crashed.
+// Run is a request, or a part of its prompt, that was running on a target when it crashed.
 type Run struct {
 	Digest Digest
+	// Part says that the digest identifies a part of a prompt.
+	Part bool
 	// Duration is the time from its dispatch to the crash.
 	Duration time.Duration
 	// Cleared says that the digest was served since, or shortly before.
 	Cleared bool
-	// Trial says that the digest had no other run in flight, on any host.
+	// Trial says that the request was the only one in flight with any of its suspects, on
+	// any host.
 	Trial bool
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -34,6 +34,7 @@
 	known := r.run(run.Digest)
 	switch {
 	case known != nil:
+		known.Part = known.Part && run.Part
 		changed = run.Cleared && !known.Cleared || run.Trial && !known.Trial
 		known.Cleared = known.Cleared || run.Cleared
 		known.Trial = known.Trial || run.Trial
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -17,7 +17,7 @@
 	// maxCrashes bounds the crashes that are remembered, and maxRuns the runs of one of
 	// them.
 	maxCrashes = 128
-	maxRuns    = 64
+	maxRuns    = 256
 )
 
 // Tracker holds the known crashes and the verdicts that follow from them. It is not safe
@@ -25,16 +25,23 @@
 type Tracker struct {
 	// records are in the order of their times.
 	records []*record
-	served  servedMemory
+	// served and servedParts hold when whole contents and parts were served.
+	served      servedMemory
+	servedParts servedMemory
 	// listed holds the digests that SetSuspects has set and that were not served since.
 	listed map[Digest]struct{}
-	// verdicts follow from the records. They are out of date if stale is set.
-	verdicts verdicts
-	stale    bool
+	// judgement follows from the records. It is out of date if stale is set.
+	judgement judgement
+	stale     bool
 }
 
 // NewTracker returns a tracker that knows of no crash.
-func NewTracker() *Tracker { return &Tracker{} }
+func NewTracker() *Tracker {
+	return &Tracker{
+		served:      servedMemory{retention: servedRetention},
+		servedParts: servedMemory{retention: partRetention},
+	}
+}
 
 // Merge adds what another part of the system, or this host, knows of a crash. It reports
 // whether that is new; if so, verdicts may have changed.
@@ -74,29 +81,41 @@
 func (t *Tracker) clearServed(r *record) {
 	for i := range r.crash.Runs {
 		run := &r.crash.Runs[i]
-		if t.served.lastServed(run.Digest).After(r.crash.At.Add(-servedRetention)) {
+		if t.served.clears(run.Digest, r.crash.At) || t.servedParts.clears(run.Digest, r.crash.At) {
 			run.Cleared = true
 		}
 	}
 }
 
-// RecordServed records that a run of the digest was served, which clears it of the crashes
-// so far. It reports whether there were any.
-func (t *Tracker) RecordServed(now time.Time, digest Digest) (changed bool) {
-	if digest == 0 {
-		return false
+// RecordServed records that a run of the content was served, which clears it and its parts of
+// the crashes so far. It returns the digests that were implicated in any.
+func (t *Tracker) RecordServed(now time.Time, c Content) (cleared []Digest) {
+	if c.Whole != 0 {
+		t.served.add(now, c.Whole)
+	}
+	for _, part := range c.Parts {
+		t.servedParts.add(now, part)
+	}
+	implicated := t.current(now).implicated
+	for _, digest := range c.digests() {
+		delete(t.listed, digest)
+		if implicated[digest] {
+			t.clear(now, digest)
+			cleared = append(cleared, digest)
+		}
 	}
-	t.served.add(now, digest)
-	delete(t.listed, digest)
+	return cleared
+}
+
+// clear clears a digest of all known crashes.
+func (t *Tracker) clear(now time.Time, digest Digest) {
 	for _, r := range t.records {
 		if r.implicates(digest) {
 			r.run(digest).Cleared = true
 			r.changedAt = now
-			changed = true
 		}
 	}
-	t.stale = t.stale || changed
-	return changed
+	t.stale = true
 }
 
 // SetSuspects sets digests that are suspects although their crashes may be unknown, until they
@@ -108,37 +127,73 @@
 	}
 }
 
-// currentVerdicts returns the verdicts that follow from the records as they are now.
-func (t *Tracker) currentVerdicts(now time.Time) verdicts {
+// current returns what follows from the records as they are now.
+func (t *Tracker) current(now time.Time) *judgement {
 	t.expire(now)
 	if t.stale {
-		t.verdicts, t.stale = judge(t.records), false
+		t.judgement, t.stale = judge(t.records), false
 	}
-	return t.verdicts
+	return &t.judgement
 }
 
-// QuarantinedUntil returns the end of the digest's quarantine, and whether it is
-// quarantined now.
-func (t *Tracker) QuarantinedUntil(now time.Time, digest Digest) (time.Time, bool) {
-	v := t.currentVerdicts(now)[digest]
-	if !v.confirmed {
+// QuarantinedUntil returns the end of the quarantine of requests with the content, and
+// whether they are quarantined now.
+func (t *Tracker) QuarantinedUntil(now time.Time, c Content) (time.Time, bool) {
+	v, confirmed := t.current(now).confirmedIn(c)
+	if !confirmed {
 		return time.Time{}, false
 	}
 	until := v.lastStrike.Add(Duration)
 	return until, now.Before(until)
 }
 
-// IsSuspect reports whether the digest is implicated in a crash that is not attributed to
-// another one, or was set as a suspect.
-func (t *Tracker) IsSuspect(now time.Time, digest Digest) bool {
-	_, implicated := t.currentVerdicts(now)[digest]
-	_, listed := t.listed[digest]
-	return implicated || listed
+// SuspectsIn returns the digests of the content that are implicated in a crash that is not
+// attributed to another one, or that were set as suspects.
+func (t *Tracker) SuspectsIn(now time.Time, c Content) []Digest {
+	verdicts := t.current(now).verdicts
+	if len(verdicts) == 0 && len(t.listed) == 0 {
+		return nil
+	}
+	var suspects []Digest
+	for _, digest := range c.digests() {
+		_, implicated := verdicts[digest]
+		_, listed := t.listed[digest]
+		if implicated || listed {
+			suspects = append(suspects, digest)
+		}
+	}
+	return suspects
+}
+
+// IsSuspect reports whether the content has any suspect.
+func (t *Tracker) IsSuspect(now time.Time, c Content) bool { return len(t.SuspectsIn(now, c)) > 0 }
+
+// ConvictedIn returns the digests of the content that are confirmed to crash targets by
+// themselves.
+func (t *Tracker) ConvictedIn(now time.Time, c Content) []Digest {
+	j := t.current(now)
+	return slices.DeleteFunc(c.digests(), func(digest Digest) bool {
+		v := j.verdicts[digest]
+		return !v.confirmed || len(j.groups[v.group]) > 1
+	})
+}
+
+// TrialDelay returns how long to wait before a trial of the digests: another target that ran
+// none of them has crashed, so a crash of the trial's target would prove nothing yet.
+func (t *Tracker) TrialDelay(now time.Time, digests []Digest) time.Duration {
+	delay := time.Duration(0)
+	for _, r := range t.current(now).unexplained {
+		ranOne := slices.ContainsFunc(digests, func(digest Digest) bool { return r.run(digest) != nil })
+		if !ranOne {
+			delay = max(delay, commonCauseWindow-now.Sub(r.crash.At))
+		}
+	}
+	return delay
 }
 
 // Strikes returns the number of strikes of a digest and the time of the last one.
 func (t *Tracker) Strikes(now time.Time, digest Digest) (count int, last time.Time) {
-	v := t.currentVerdicts(now)[digest]
+	v := t.current(now).verdicts[digest]
 	return v.strikes, v.lastStrike
 }
 
@@ -157,14 +212,15 @@
 
 // Suspects returns the digests that have strikes.
 func (t *Tracker) Suspects(now time.Time) []Digest {
-	return slices.Sorted(maps.Keys(t.currentVerdicts(now)))
+	return slices.Sorted(maps.Keys(t.current(now).verdicts))
 }
 
-// Quarantined returns the digests that are quarantined now.
+// Quarantined returns the digests that are quarantined now, by themselves or in a group.
 func (t *Tracker) Quarantined(now time.Time) []Digest {
+	verdicts := t.current(now).verdicts
 	return slices.DeleteFunc(t.Suspects(now), func(digest Digest) bool {
-		_, quarantined := t.QuarantinedUntil(now, digest)
-		return !quarantined
+		v := verdicts[digest]
+		return !v.confirmed || !now.Before(v.lastStrike.Add(Duration))
 	})
 }
 
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -44,13 +44,13 @@
 	checkQuarantined(t, tracker, at(0))
 	mergeAll(tracker, at(time.Second), crash("t2", time.Second, 1, 4))
 	checkQuarantined(t, tracker, at(time.Second), 1)
-	if tracker.IsSuspect(at(time.Second), 2) || tracker.IsSuspect(at(time.Second), 4) {
+	if tracker.IsSuspect(at(time.Second), Content{Whole: 2}) || tracker.IsSuspect(at(time.Second), Content{Whole: 4}) {
 		t.Error("digests beside the quarantined one are suspects, want its crashes attributed to it")
 	}
 	checkQuarantined(t, tracker, at(time.Second+Duration))
 	mergeAll(tracker, at(20*time.Minute), crash("t3", 20*time.Minute, 1))
 	checkQuarantined(t, tracker, at(20*time.Minute), 1)
-	if tracker.IsSuspect(at(20*time.Minute+Retention), 1) {
+	if tracker.IsSuspect(at(20*time.Minute+Retention), Content{Whole: 1}) {
 		t.Error("a digest is a suspect after its crashes were forgotten")
 	}
 }
@@ -79,7 +79,7 @@
 	tracker := NewTracker()
 	mergeAll(tracker, at(time.Second), crash("t1", 0, 1), crash("t2", time.Second, 1))
 	checkQuarantined(t, tracker, at(time.Second), 1)
-	if !tracker.RecordServed(at(2*time.Second), 1) {
+	if len(tracker.RecordServed(at(2*time.Second), Content{Whole: 1})) == 0 {
 		t.Error("a served run of a quarantined digest changed nothing")
 	}
 	checkQuarantined(t, tracker, at(2*time.Second))
@@ -91,7 +91,7 @@
 
 func TestContentServedShortlyBeforeCrashIsNoSuspect(t *testing.T) {
 	tracker := NewTracker()
-	tracker.RecordServed(at(0), 1)
+	tracker.RecordServed(at(0), Content{Whole: 1})
 	mergeAll(tracker, at(5*time.Second), crash("t1", 4*time.Second, 1, 2), crash("t2", 5*time.Second, 1, 2))
 	checkQuarantined(t, tracker, at(5*time.Second), 2)
 }
@@ -101,7 +101,7 @@
 	crashes := []Crash{crash("t1", 0, 1), crash("t2", time.Second, 1)}
 	mergeAll(served, at(time.Second), crashes...)
 	mergeAll(other, at(time.Second), crashes...)
-	served.RecordServed(at(2*time.Second), 1)
+	served.RecordServed(at(2*time.Second), Content{Whole: 1})
 	mergeAll(other, at(3*time.Second), served.Crashes(at(3*time.Second))...)
 	checkQuarantined(t, other, at(3*time.Second))
 	// An older report does not undo it.
@@ -151,11 +151,11 @@
 	for i := range 10 * maxCrashes {
 		now := at(time.Duration(i) * time.Second)
 		digest := Digest(i + 1)
-		tracker.RecordServed(now, digest+1_000_000)
+		tracker.RecordServed(now, Content{Whole: digest + 1_000_000})
 		tracker.Merge(now, crash(ident.Target(digest.String()), now.Sub(epoch), digest))
 	}
 	for i := range 3 * maxServed {
-		tracker.RecordServed(at(time.Hour), Digest(i+1))
+		tracker.RecordServed(at(time.Hour), Content{Whole: Digest(i + 1)})
 	}
 	if n := len(tracker.records); n > maxCrashes {
 		t.Errorf("%d crashes in memory, want at most %d", n, maxCrashes)
@@ -184,7 +184,7 @@
 	checkQuarantined(t, tracker, at(10*time.Second), 1)
 	mergeAll(tracker, at(10*time.Second), crash("t3", 5*time.Second+commonCauseWindow))
 	checkQuarantined(t, tracker, at(10*time.Second))
-	if !tracker.IsSuspect(at(10*time.Second), 1) {
+	if !tracker.IsSuspect(at(10*time.Second), Content{Whole: 1}) {
 		t.Error("the content is no suspect any more, want it to run in trials only")
 	}
 	mergeAll(tracker, at(20*time.Second), trialCrash("t4", 20*time.Second, 1))
@@ -204,8 +204,8 @@
 func TestListedContentIsASuspectUntilItIsServed(t *testing.T) {
 	tracker := NewTracker()
 	tracker.SetSuspects([]Digest{1, 2})
-	tracker.RecordServed(at(0), 1)
-	if tracker.IsSuspect(at(0), 1) || !tracker.IsSuspect(at(0), 2) || tracker.IsSuspect(at(0), 3) {
+	tracker.RecordServed(at(0), Content{Whole: 1})
+	if tracker.IsSuspect(at(0), Content{Whole: 1}) || !tracker.IsSuspect(at(0), Content{Whole: 2}) || tracker.IsSuspect(at(0), Content{Whole: 3}) {
 		t.Error("want the listed content that was not served as the only suspect")
 	}
 }
--- a/quarantine/verdicts.go
+++ b/quarantine/verdicts.go
@@ -15,9 +15,13 @@
 	return worst
 }
 
-func merge(confirmed, open verdicts) verdicts {
-	for digest, v := range open {
-		confirmed[digest] = v
+// tied returns the verdicts that tie with one of them.
+func (v verdicts) tied(with verdict) verdicts {
+	tied := make(verdicts)
+	for digest, candidate := range v {
+		if candidate.ties(with) {
+			tied[digest] = candidate
+		}
 	}
-	return confirmed
+	return tied
 }
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -239,12 +239,12 @@
 	d.scheduler.RecordBrokenOff(time.Now(), from)
 }
 
-// quarantinedUntil returns the end of a digest's quarantine, and whether it is quarantined
+// quarantinedUntil returns the end of the quarantine of content, and whether it is quarantined
 // now.
-func (d *Dispatcher) quarantinedUntil(now time.Time, digest quarantine.Digest) (time.Time, bool) {
+func (d *Dispatcher) quarantinedUntil(now time.Time, c quarantine.Content) (time.Time, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.scheduler.QuarantinedUntil(now, digest)
+	return d.scheduler.QuarantinedUntil(now, c)
 }
 
 // SetSuspects sets the contents that may run in trials only, beside those that are known
@@ -255,11 +255,25 @@
 	d.scheduler.SetSuspects(digests)
 }
 
-// isSuspect reports whether content may run only in a trial.
-func (d *Dispatcher) isSuspect(now time.Time, digest quarantine.Digest) bool {
+// suspectsIn returns the digests because of which content may run only in a trial.
+func (d *Dispatcher) suspectsIn(now time.Time, c quarantine.Content) []quarantine.Digest {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.scheduler.IsSuspect(now, digest)
+	return d.scheduler.SuspectsIn(now, c)
+}
+
+// convictedIn returns the digests of content that are known to crash targets by themselves.
+func (d *Dispatcher) convictedIn(now time.Time, c quarantine.Content) []quarantine.Digest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.ConvictedIn(now, c)
+}
+
+// trialDelay returns how long to wait before a trial of the digests.
+func (d *Dispatcher) trialDelay(now time.Time, digests []quarantine.Digest) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.TrialDelay(now, digests)
 }
 
 // recordTrial records that a running request is a trial of its content.
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -136,7 +136,7 @@
 // Such a request is not charged to the quota.
 func (x *execution) quarantineRefusal() *outcome.Refusal {
 	now := time.Now()
-	until, quarantined := x.relay.options.Dispatcher.quarantinedUntil(now, x.content.Whole)
+	until, quarantined := x.relay.options.Dispatcher.quarantinedUntil(now, x.content)
 	if !quarantined {
 		return nil
 	}
@@ -195,7 +195,7 @@
 	r := schedule.Request{
 		ID:              x.id,
 		Pool:            x.pool,
-		Digest:          x.content.Whole,
+		Content:         x.content,
 		Rank:            schedule.Rank{Route: x.route.Priority},
 		Arrived:         time.Now(),
 		Objective:       x.objective(),
--- a/relay/second_run.go
+++ b/relay/second_run.go
@@ -52,7 +52,7 @@
 	if h.ended || h.paused || h.successor != nil || !h.x.mayHedge(h.first) {
 		return schedule.Request{}, nil, false
 	}
-	if h.x.relay.options.Dispatcher.isSuspect(time.Now(), h.x.content.Whole) {
+	if len(h.x.relay.options.Dispatcher.suspectsIn(time.Now(), h.x.content)) > 0 {
 		h.recordDenial(DeniedSuspect, schedule.Inputs{})
 		return schedule.Request{}, nil, false
 	}
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/outcome"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 	"github.com/cornelyard/cornelyard/target"
@@ -22,10 +23,11 @@
 // the slot and returns the refusal.
 func (x *execution) beginTrial(ctx context.Context, r *run) *outcome.Refusal {
 	dispatcher := x.relay.options.Dispatcher
-	if r.counted || !dispatcher.isSuspect(time.Now(), x.content.Whole) {
+	suspects := dispatcher.suspectsIn(time.Now(), x.content)
+	if r.counted || len(suspects) == 0 {
 		return nil
 	}
-	if denial := x.acquireTrial(ctx); denial != nil {
+	if denial := x.acquireTrial(ctx, suspects); denial != nil {
 		dispatcher.finish(r.slot, schedule.Abandoned)
 		return x.trialRefusal(denial)
 	}
@@ -46,11 +48,14 @@
 }
 
 // acquireTrial sets unusedTrial, or returns why no trial may begin.
-func (x *execution) acquireTrial(ctx context.Context) *trial.Denial {
+func (x *execution) acquireTrial(ctx context.Context, suspects []quarantine.Digest) *trial.Denial {
 	if x.unusedTrial != nil {
 		return nil
 	}
-	run, denial := x.relay.options.Trials.Begin(ctx, x.content.Whole, time.Until(x.deadline)+trialLeaseMargin)
+	if delay := x.relay.options.Dispatcher.trialDelay(time.Now(), suspects); delay > 0 {
+		return &trial.Denial{Cause: trial.InProgress, RetryAfter: delay}
+	}
+	run, denial := x.relay.options.Trials.Begin(ctx, suspects, time.Until(x.deadline)+trialLeaseMargin)
 	x.unusedTrial = run
 	return denial
 }
@@ -65,10 +70,11 @@
 // trialDenialRefusal returns the refusal of a request whose content is known to be denied a
 // trial, or nil.
 func (x *execution) trialDenialRefusal() *outcome.Refusal {
-	if !x.relay.options.Dispatcher.isSuspect(time.Now(), x.content.Whole) {
+	suspects := x.relay.options.Dispatcher.suspectsIn(time.Now(), x.content)
+	if len(suspects) == 0 {
 		return nil
 	}
-	denial := x.relay.options.Trials.Denied(x.content.Whole)
+	denial := x.relay.options.Trials.Denied(suspects)
 	if denial == nil {
 		return nil
 	}
@@ -110,14 +116,14 @@
 	dispatcher := x.relay.options.Dispatcher
 	dispatcher.recordLost(r.witness.Lost(context.Background()))
 	result := trial.Inconclusive
-	if _, quarantined := dispatcher.quarantinedUntil(time.Now(), x.content.Whole); quarantined {
+	if _, quarantined := dispatcher.quarantinedUntil(time.Now(), x.content); quarantined {
 		result = trial.Crashed
 	}
 	x.storeTrialEnd(r, result)
 }
 
 func (x *execution) storeTrialEnd(r *run, result trial.Result) {
-	r.trial.End(result)
+	r.trial.EndConvicting(result, x.relay.options.Dispatcher.convictedIn(time.Now(), x.content))
 	x.relay.options.Dispatcher.options.OnTrialEnd(x.content.Whole, r.target.Name, result)
 }
 
--- a/relay/trial_test.go
+++ b/relay/trial_test.go
@@ -32,7 +32,7 @@
 func TestSuspectIsRefusedWhileItRunsAtAnotherHost(t *testing.T) {
 	f := newFixture(t, route.Route{Kind: route.NonIdempotent}, respond(200, "yes"))
 	f.suspect()
-	if _, denial := f.otherHost().Begin(t.Context(), fixtureDigest(), time.Minute); denial != nil {
+	if _, denial := f.otherHost().Begin(t.Context(), []quarantine.Digest{fixtureDigest()}, time.Minute); denial != nil {
 		t.Fatal(denial)
 	}
 	for range 2 {
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -15,6 +15,8 @@
 	// something became known of it. Hosts that miss all of these states read it in the
 	// store.
 	crashReportWindow = 3 * time.Second
+	// maxReportedRuns bounds the runs in one state, which must fit a datagram.
+	maxReportedRuns = 320
 	// confirmationWindow is how long a target that can't be reached may take to lose its
 	// entry for the loss to count as a crash.
 	confirmationWindow = 10 * time.Second
@@ -79,7 +81,7 @@
 	}
 	for _, r := range s.running {
 		if r.target.Name == crashed.Name {
-			c.Runs = append(c.Runs, quarantine.Run{Digest: r.request.Digest, Duration: now.Sub(r.dispatchedAt), Trial: r.trial})
+			c.Runs = append(c.Runs, r.request.Content.Runs(now.Sub(r.dispatchedAt), r.trial)...)
 		}
 	}
 	return c
@@ -165,9 +167,19 @@
 // from crashes.
 func (s *Scheduler) SetSuspects(digests []quarantine.Digest) { s.crashes.SetSuspects(digests) }
 
-// IsSuspect reports whether content may run only in a trial.
-func (s *Scheduler) IsSuspect(now time.Time, digest quarantine.Digest) bool {
-	return s.crashes.IsSuspect(now, digest)
+// SuspectsIn returns the digests because of which content may run only in a trial.
+func (s *Scheduler) SuspectsIn(now time.Time, c quarantine.Content) []quarantine.Digest {
+	return s.crashes.SuspectsIn(now, c)
+}
+
+// ConvictedIn returns the digests of content that are known to crash targets by themselves.
+func (s *Scheduler) ConvictedIn(now time.Time, c quarantine.Content) []quarantine.Digest {
+	return s.crashes.ConvictedIn(now, c)
+}
+
+// TrialDelay returns how long to wait before a trial of the digests.
+func (s *Scheduler) TrialDelay(now time.Time, digests []quarantine.Digest) time.Duration {
+	return s.crashes.TrialDelay(now, digests)
 }
 
 // RecordTrial records that a running request is a trial of its content.
@@ -177,10 +189,10 @@
 	}
 }
 
-// QuarantinedUntil returns the end of a digest's quarantine, and whether it is quarantined
+// QuarantinedUntil returns the end of the quarantine of content, and whether it is quarantined
 // now.
-func (s *Scheduler) QuarantinedUntil(now time.Time, digest quarantine.Digest) (time.Time, bool) {
-	return s.crashes.QuarantinedUntil(now, digest)
+func (s *Scheduler) QuarantinedUntil(now time.Time, c quarantine.Content) (time.Time, bool) {
+	return s.crashes.QuarantinedUntil(now, c)
 }
 
 // refuseQuarantined refuses the queued requests whose digest has been quarantined since
@@ -194,7 +206,7 @@
 	s.recordQuarantineChanges(now)
 	for _, p := range s.pools {
 		p.queue.items = slices.DeleteFunc(p.queue.items, func(w *queuedRequest) bool {
-			until, quarantined := s.crashes.QuarantinedUntil(now, w.request.Digest)
+			until, quarantined := s.crashes.QuarantinedUntil(now, w.request.Content)
 			if quarantined {
 				actions = append(actions, s.quarantineRefusal(now, p, w, until))
 			}
@@ -225,13 +237,26 @@
 		return nil
 	}
 	s.crashesUrgent = false
-	return s.crashes.CrashesSince(now, now.Add(-crashReportWindow))
+	return newestCrashes(s.crashes.CrashesSince(now, now.Add(-crashReportWindow)))
+}
+
+// newestCrashes returns the newest crashes with at most maxReportedRuns runs together, and at
+// least one.
+func newestCrashes(crashes []quarantine.Crash) []quarantine.Crash {
+	runs := 0
+	for i := len(crashes) - 1; i >= 0; i-- {
+		runs += len(crashes[i].Runs)
+		if runs > maxReportedRuns && i < len(crashes)-1 {
+			return crashes[i+1:]
+		}
+	}
+	return crashes
 }
 
 // recordServed records that a run of a request was served by a target.
 func (s *Scheduler) recordServed(now time.Time, r *Request, by ident.Target) {
-	if s.crashes.RecordServed(now, r.Digest) {
-		s.suspicionEvents = append(s.suspicionEvents, SuspicionEvent{Digest: r.Digest, ServedBy: by})
+	for _, digest := range s.crashes.RecordServed(now, r.Content) {
+		s.suspicionEvents = append(s.suspicionEvents, SuspicionEvent{Digest: digest, ServedBy: by})
 		s.crashesChanged = true
 		s.crashesUrgent = true
 	}
--- a/schedule/crashes_test.go
+++ b/schedule/crashes_test.go
@@ -13,7 +13,7 @@
 // crashing returns a request whose content crashes targets.
 func crashing(id string, ms int) Request {
 	r := request(id, ms, 0)
-	r.Digest = 1
+	r.Content.Whole = 1
 	return r
 }
 
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -125,7 +125,7 @@
 		prefill:      prefill,
 		prefillAhead: t.prefill + t.peers.PrefillTokens + prefill,
 		kv:           r.PromptTokens + r.OutputTokens,
-		suspect:      s.crashes.IsSuspect(now, r.Digest),
+		suspect:      s.crashes.IsSuspect(now, r.Content),
 	}
 	t.running++
 	if run.suspect {
--- a/schedule/quarantine_event.go
+++ b/schedule/quarantine_event.go
@@ -35,10 +35,9 @@
 		if slices.Contains(before, digest) {
 			continue
 		}
-		until, _ := s.crashes.QuarantinedUntil(now, digest)
 		strikes, last := s.crashes.Strikes(now, digest)
 		s.quarantineEvents = append(s.quarantineEvents, QuarantineEvent{
-			Digest: digest, Started: true, Until: until, Strikes: strikes, LastStrike: last,
+			Digest: digest, Started: true, Until: last.Add(quarantine.Duration), Strikes: strikes, LastStrike: last,
 		})
 	}
 	for _, digest := range before {
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -12,9 +12,9 @@
 	ID   ident.Request
 	Pool ident.Pool
 	Team ident.Team
-	// Digest identifies the content of the request.
-	Digest quarantine.Digest
-	Rank   Rank
+	// Content identifies what the request consists of.
+	Content quarantine.Content
+	Rank    Rank
 	// Arrived is when the request reached this host.
 	Arrived time.Time
 	// Objective is the time by which the response, or its first event, is on time.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -172,7 +172,7 @@
 	}
 	s.sequence++
 	w := &queuedRequest{request: &r, sequence: s.sequence}
-	if until, quarantined := s.crashes.QuarantinedUntil(now, r.Digest); quarantined {
+	if until, quarantined := s.crashes.QuarantinedUntil(now, r.Content); quarantined {
 		s.pendingActions = append(s.pendingActions, s.quarantineRefusal(now, p, w, until))
 		return
 	}
--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -26,7 +26,7 @@
 	r := w.request
 	limit := s.firstEventLimit(now, w)
 	needsFast, anyFinishes := p.needsFastTarget(now, r, targets)
-	suspect := s.crashes.IsSuspect(now, r.Digest)
+	suspect := s.crashes.IsSuspect(now, r.Content)
 	var best *target
 	bestCost := 0.0
 	for _, t := range targets {
--- a/trial/content.go
+++ b/trial/content.go
@@ -39,8 +39,16 @@
 	c.row, c.revision, c.readAt = row, revision, now
 }
 
-// denial returns why no trial may begin according to the row, or nil.
+// denial returns why no trial may begin as far as this host knows, or nil.
 func (c *content) denial(now time.Time) *Denial {
+	if c.inFlight {
+		return &Denial{Cause: InProgress, RetryAfter: inProgressRetryAfter}
+	}
+	return c.rowDenial(now)
+}
+
+// rowDenial returns why no trial may begin according to the row, or nil.
+func (c *content) rowDenial(now time.Time) *Denial {
 	if c.row == nil {
 		return nil
 	}
--- a/trial/denial.go
+++ b/trial/denial.go
@@ -19,3 +19,11 @@
 	// RetryAfter is when to ask again.
 	RetryAfter time.Duration
 }
+
+// longer returns the one of two denials that lasts longer; nil stands for none.
+func longer(a, b *Denial) *Denial {
+	if a == nil || b != nil && b.RetryAfter > a.RetryAfter {
+		return b
+	}
+	return a
+}
--- a/trial/ledger.go
+++ b/trial/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,44 +54,55 @@
 	return &Ledger{options: o, contents: make(map[quarantine.Digest]*content)}
 }
 
-// Begin begins a trial that lasts at most the given time, or says why none may begin. The
-// caller must end the Run.
-func (l *Ledger) Begin(ctx context.Context, digest quarantine.Digest, lease time.Duration) (*Run, *Denial) {
-	l.refresh(ctx, digest)
-	if denial := l.reserve(digest); denial != nil {
-		l.renew(digest, denial)
+// Begin begins a trial of a request with the given suspects that lasts at most the given time,
+// or says why none may begin. The caller must end the Run.
+func (l *Ledger) Begin(ctx context.Context, suspects []quarantine.Digest, lease time.Duration) (*Run, *Denial) {
+	l.refresh(ctx, suspects)
+	if denial := l.reserve(suspects); denial != nil {
+		l.renew(suspects, denial)
 		return nil, denial
 	}
-	run, denial := l.claim(ctx, digest, lease)
+	run, denial := l.claim(ctx, suspects, lease)
 	if denial != nil {
-		l.release(digest)
+		l.release(suspects)
 	}
 	return run, denial
 }
 
-// Denied returns why no trial of the content may begin as far as this host knows without
-// asking the table, or nil.
-func (l *Ledger) Denied(digest quarantine.Digest) *Denial {
+// Denied returns why no trial of a request with the given suspects may begin as far as this
+// host knows without asking the table, or nil.
+func (l *Ledger) Denied(suspects []quarantine.Digest) *Denial {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.contents[digest]
-	switch {
-	case c == nil:
-		return nil
-	case c.inFlight:
-		return &Denial{Cause: InProgress, RetryAfter: inProgressRetryAfter}
-	default:
-		return c.denial(l.options.Now())
-	}
+	return l.denial(suspects)
 }
 
-// refresh reads the row again if a trial of another host was in flight when it was last read.
-func (l *Ledger) refresh(ctx context.Context, digest quarantine.Digest) {
-	if !l.dueForRefresh(digest) {
-		return
+// denial is Denied for callers that hold l.mu. Of several denials it returns the one that lasts
+// longest.
+func (l *Ledger) denial(suspects []quarantine.Digest) *Denial {
+	var longest *Denial
+	for _, digest := range suspects {
+		if c := l.contents[digest]; c != nil {
+			longest = longer(longest, c.denial(l.options.Now()))
+		}
 	}
+	return longest
+}
+
+// refresh reads the rows again of which a trial of another host was in flight when they were
+// last read.
+func (l *Ledger) refresh(ctx context.Context, suspects []quarantine.Digest) {
 	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
 	defer cancel()
+	for _, digest := range suspects {
+		if l.dueForRefresh(digest) {
+			l.read(ctx, digest)
+		}
+	}
+}
+
+// read reads the row of a suspect.
+func (l *Ledger) read(ctx context.Context, digest quarantine.Digest) {
 	current, err := l.options.Table.Get(ctx, rowKey(digest))
 	switch {
 	case errors.Is(err, storage.ErrNotFound):
@@ -124,25 +136,25 @@
 	return row
 }
 
-// reserve keeps other requests of this host from beginning a trial of the content.
-func (l *Ledger) reserve(digest quarantine.Digest) *Denial {
+// reserve keeps other requests of this host from beginning a trial with any of the suspects.
+func (l *Ledger) reserve(suspects []quarantine.Digest) *Denial {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.contentOf(digest)
-	if c.inFlight {
-		return &Denial{Cause: InProgress, RetryAfter: inProgressRetryAfter}
-	}
-	if denial := c.denial(l.options.Now()); denial != nil {
+	if denial := l.denial(suspects); denial != nil {
 		return denial
 	}
-	c.inFlight = true
+	for _, digest := range suspects {
+		l.contentOf(digest).inFlight = true
+	}
 	return nil
 }
 
-func (l *Ledger) release(digest quarantine.Digest) {
+func (l *Ledger) release(suspects []quarantine.Digest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.contentOf(digest).inFlight = false
+	for _, digest := range suspects {
+		l.contentOf(digest).inFlight = false
+	}
 }
 
 // contentOf returns what is known of a content. It forgets others that are not in flight
@@ -164,82 +176,125 @@
 	return c
 }
 
-// maxClaimWrites is how often a trial is claimed anew after the row turned out to be another
-// one than was known.
+// maxClaimWrites is how often a trial is claimed after rows turned out to be others than were
+// known.
 const maxClaimWrites = 2
 
-// claim writes the row of a trial.
-func (l *Ledger) claim(ctx context.Context, digest quarantine.Digest, lease time.Duration) (*Run, *Denial) {
-	run := &Run{ledger: l, digest: digest, token: uuid.NewString()}
+// claim writes the rows of a trial.
+func (l *Ledger) claim(ctx context.Context, suspects []quarantine.Digest, lease time.Duration) (*Run, *Denial) {
+	run := &Run{ledger: l, suspects: suspects, token: uuid.NewString()}
 	for range maxClaimWrites {
-		row, revision := l.nextRow(digest, run.token, lease)
-		written, err := l.write(ctx, beginTimeout, digest, &row, revision)
+		changes := l.nextRows(suspects, run.token, lease)
+		written, err := l.write(ctx, beginTimeout, changes)
 		var conflict *storage.ConflictError
 		switch {
 		case err == nil:
-			l.see(digest, &row, written)
-			run.row, run.stored = row, true
+			l.seeWritten(changes, written)
+			run.changes, run.stored = changes, true
 			return run, nil
 		case !errors.As(err, &conflict):
-			l.options.Logger.Warn().Err(err).Stringer("digest", digest).
+			l.options.Logger.Warn().Err(err).Stringer("digest", suspects[0]).
 				Msg("Beginning a trial in the table failed; this host permits it by itself.")
 			return run, nil
 		}
-		if denial := l.seeConflict(digest, conflict); denial != nil {
+		if denial := l.seeConflict(suspects, conflict); denial != nil {
 			return nil, denial
 		}
 	}
 	return nil, &Denial{Cause: InProgress, RetryAfter: inProgressRetryAfter}
 }
 
-func (l *Ledger) nextRow(digest quarantine.Digest, token string, lease time.Duration) (record, uint64) {
+// nextRows returns the rows of the next trial with the suspects.
+func (l *Ledger) nextRows(suspects []quarantine.Digest, token string, lease time.Duration) []rowChange {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.contentOf(digest)
-	return c.next(l.options.Host, token, lease), c.revision
+	changes := make([]rowChange, 0, len(suspects))
+	for _, digest := range suspects {
+		c := l.contentOf(digest)
+		row := c.next(l.options.Host, token, lease)
+		changes = append(changes, rowChange{digest: digest, row: &row, revision: c.revision})
+	}
+	return changes
 }
 
-// see stores the known row of a content.
+// see stores the known row of a suspect.
 func (l *Ledger) see(digest quarantine.Digest, row *record, revision uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.contentOf(digest).see(l.options.Now(), row, revision)
 }
 
-// seeConflict stores the row that another host wrote, and returns why it permits no trial,
-// or nil.
-func (l *Ledger) seeConflict(digest quarantine.Digest, conflict *storage.ConflictError) *Denial {
-	var row *record
-	revision := uint64(0)
-	for _, current := range conflict.Rows {
-		if current.Key != rowKey(digest) || current.Revision == 0 {
-			continue
+// seeWritten stores rows that were written with a revision.
+func (l *Ledger) seeWritten(changes []rowChange, revision uint64) {
+	for _, c := range changes {
+		if c.row == nil {
+			l.see(c.digest, nil, 0)
+		} else {
+			l.see(c.digest, c.row, revision)
 		}
-		decoded := l.decode(current)
-		row, revision = &decoded, current.Revision
 	}
+}
+
+// seeConflict stores the rows that other hosts wrote, and returns why they permit no trial,
+// or nil.
+func (l *Ledger) seeConflict(suspects []quarantine.Digest, conflict *storage.ConflictError) *Denial {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.contentOf(digest)
-	c.see(l.options.Now(), row, revision)
-	return c.denial(l.options.Now())
+	var longest *Denial
+	for _, digest := range suspects {
+		c := l.contentOf(digest)
+		if current, conflicts := conflictingRow(conflict, digest); conflicts {
+			l.seeCurrent(c, current)
+		}
+		longest = longer(longest, c.rowDenial(l.options.Now()))
+	}
+	return longest
 }
 
-// write writes a content's row if it has the revision, and returns the new one. A nil row
-// removes it.
-func (l *Ledger) write(ctx context.Context, timeout time.Duration, digest quarantine.Digest, row *record, revision uint64) (uint64, error) {
+// seeCurrent stores the row that the table has now; one of revision zero does not exist.
+func (l *Ledger) seeCurrent(c *content, current storage.Row) {
+	if current.Revision == 0 {
+		c.see(l.options.Now(), nil, 0)
+		return
+	}
+	row := l.decode(current)
+	c.see(l.options.Now(), &row, current.Revision)
+}
+
+// conflictingRow returns the current row of a suspect if it is another one than was known.
+func conflictingRow(conflict *storage.ConflictError, digest quarantine.Digest) (storage.Row, bool) {
+	i := slices.IndexFunc(conflict.Rows, func(r storage.Row) bool { return r.Key == rowKey(digest) })
+	if i < 0 {
+		return storage.Row{}, false
+	}
+	return conflict.Rows[i], true
+}
+
+// rowChange replaces the row of a suspect if that has the revision. A nil row removes it.
+type rowChange struct {
+	digest   quarantine.Digest
+	row      *record
+	revision uint64
+}
+
+// write applies all changes, or none, and returns the new revision.
+func (l *Ledger) write(ctx context.Context, timeout time.Duration, changes []rowChange) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	t := storage.Transaction{Checks: []storage.Check{{Key: rowKey(digest), Revision: revision}}}
-	if row == nil {
-		t.Deletes = []string{rowKey(digest)}
-		return l.options.Table.Commit(ctx, t)
-	}
-	value, err := row.encode(l.options.Now())
-	if err != nil {
-		return 0, err
+	var t storage.Transaction
+	for _, c := range changes {
+		key := rowKey(c.digest)
+		t.Checks = append(t.Checks, storage.Check{Key: key, Revision: c.revision})
+		if c.row == nil {
+			t.Deletes = append(t.Deletes, key)
+			continue
+		}
+		value, err := c.row.encode(l.options.Now())
+		if err != nil {
+			return 0, err
+		}
+		t.Puts = append(t.Puts, storage.Put{Key: key, Value: value})
 	}
-	t.Puts = []storage.Put{{Key: rowKey(digest), Value: value}}
 	return l.options.Table.Commit(ctx, t)
 }
 
@@ -249,41 +304,44 @@
 // again, so that it is not swept.
 const renewInterval = quarantine.Retention / 4
 
-// renew writes the row of content of which no more trials are permitted again if it has
+// renew writes the rows of suspects of which no more trials are permitted again if they have
 // become old.
-func (l *Ledger) renew(digest quarantine.Digest, denial *Denial) {
+func (l *Ledger) renew(suspects []quarantine.Digest, denial *Denial) {
 	if denial.Cause != Exhausted {
 		return
 	}
-	row, revision, due := l.dueForRenewal(digest)
-	if !due {
+	for _, digest := range suspects {
+		if change, due := l.dueForRenewal(digest); due {
+			l.background.Go(func() { l.renewRow(change) })
+		}
+	}
+}
+
+func (l *Ledger) renewRow(change rowChange) {
+	written, err := l.write(context.Background(), endTimeout, []rowChange{change})
+	var conflict *storage.ConflictError
+	if errors.As(err, &conflict) {
+		l.seeConflict([]quarantine.Digest{change.digest}, conflict)
 		return
 	}
-	l.background.Go(func() {
-		written, err := l.write(context.Background(), endTimeout, digest, &row, revision)
-		var conflict *storage.ConflictError
-		if errors.As(err, &conflict) {
-			l.seeConflict(digest, conflict)
-			return
-		}
-		if err != nil {
-			l.options.Logger.Warn().Err(err).Stringer("digest", digest).Msg("Renewing the row of exhausted trials failed; trying again with the next request.")
-			return
-		}
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		if c := l.contentOf(digest); c.revision == revision {
-			c.row, c.revision = &row, written
-		}
-	})
+	if err != nil {
+		l.options.Logger.Warn().Err(err).Stringer("digest", change.digest).Msg("Renewing the row of exhausted trials failed; trying again with the next request.")
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.contentOf(change.digest); c.revision == change.revision {
+		c.row, c.revision = change.row, written
+	}
 }
 
-func (l *Ledger) dueForRenewal(digest quarantine.Digest) (row record, revision uint64, due bool) {
+func (l *Ledger) dueForRenewal(digest quarantine.Digest) (change rowChange, due bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.contentOf(digest)
 	if c.row == nil || l.options.Now().UnixMilli()-c.row.AtMs < renewInterval.Milliseconds() {
-		return record{}, 0, false
+		return rowChange{}, false
 	}
-	return *c.row, c.revision, true
+	row := *c.row
+	return rowChange{digest: digest, row: &row, revision: c.revision}, true
 }
--- a/trial/ledger_test.go
+++ b/trial/ledger_test.go
@@ -52,7 +52,7 @@
 
 func (f *fixture) begin(host int) *Run {
 	f.t.Helper()
-	run, denial := f.hosts[host].Begin(f.t.Context(), digest, lease)
+	run, denial := f.hosts[host].Begin(f.t.Context(), []quarantine.Digest{digest}, lease)
 	if denial != nil {
 		f.t.Fatalf("host %d: trial denied: %+v", host, *denial)
 	}
@@ -61,7 +61,7 @@
 
 func (f *fixture) checkDenied(host int, want Cause) {
 	f.t.Helper()
-	_, denial := f.hosts[host].Begin(f.t.Context(), digest, lease)
+	_, denial := f.hosts[host].Begin(f.t.Context(), []quarantine.Digest{digest}, lease)
 	if denial == nil || denial.Cause != want || denial.RetryAfter <= 0 {
 		f.t.Fatalf("host %d: got denial %+v, want %s with a retry delay", host, denial, want)
 	}
@@ -119,7 +119,7 @@
 			}
 		}
 		host := f.hosts[minute%len(f.hosts)]
-		run, denial := host.Begin(t.Context(), digest, lease)
+		run, denial := host.Begin(t.Context(), []quarantine.Digest{digest}, lease)
 		host.background.Wait()
 		if denial == nil {
 			runs++
@@ -213,11 +213,11 @@
 func TestMemoryIsBounded(t *testing.T) {
 	f := newFixture(t, 1)
 	for n := range 2 * maxContents {
-		run, denial := f.hosts[0].Begin(t.Context(), quarantine.Digest(n+1), lease)
+		run, denial := f.hosts[0].Begin(t.Context(), []quarantine.Digest{quarantine.Digest(n + 1)}, lease)
 		if denial != nil {
 			t.Fatal(denial)
 		}
-		f.hosts[0].release(run.digest)
+		f.hosts[0].release(run.suspects)
 	}
 	if n := len(f.hosts[0].contents); n > maxContents {
 		t.Errorf("%d contents in memory, want at most %d", n, maxContents)
@@ -242,3 +242,40 @@
 		}
 	}
 }
+
+func TestTrialsWithACommonSuspectAreNotInFlightTogether(t *testing.T) {
+	f := newFixture(t, 2)
+	run, denial := f.hosts[0].Begin(t.Context(), []quarantine.Digest{1, 2}, lease)
+	if denial != nil {
+		t.Fatal(denial)
+	}
+	if _, denial := f.hosts[1].Begin(t.Context(), []quarantine.Digest{2, 3}, lease); denial == nil || denial.Cause != InProgress {
+		t.Errorf("got denial %+v, want %s", denial, InProgress)
+	}
+	other, denial := f.hosts[1].Begin(t.Context(), []quarantine.Digest{3}, lease)
+	if denial != nil {
+		t.Fatalf("a trial without a common suspect: denied: %+v", denial)
+	}
+	f.end(run, Inconclusive)
+	f.end(other, Survived)
+	f.advance(refreshInterval)
+	if _, denial := f.hosts[1].Begin(t.Context(), []quarantine.Digest{2, 3}, lease); denial != nil {
+		t.Errorf("after the end: denied: %+v", denial)
+	}
+}
+
+func TestSuspectBesideAConvictedOneHasFurtherTrials(t *testing.T) {
+	f := newFixture(t, 2)
+	run, denial := f.hosts[0].Begin(t.Context(), []quarantine.Digest{1, 2}, lease)
+	if denial != nil {
+		t.Fatal(denial)
+	}
+	run.EndConvicting(Crashed, []quarantine.Digest{1})
+	f.hosts[0].background.Wait()
+	if _, denial := f.hosts[1].Begin(t.Context(), []quarantine.Digest{2}, lease); denial != nil {
+		t.Errorf("denied: %+v", denial)
+	}
+	if _, denial := f.hosts[1].Begin(t.Context(), []quarantine.Digest{1}, lease); denial == nil || denial.Cause != Exhausted {
+		t.Errorf("got denial %+v, want %s", denial, Exhausted)
+	}
+}
--- a/trial/run.go
+++ b/trial/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/storage"
@@ -10,59 +11,92 @@
 
 // Run is a trial in flight.
 type Run struct {
-	ledger *Ledger
-	digest quarantine.Digest
-	token  string
-	// row is what was written, if stored is set. Otherwise the table did not answer.
-	row    record
-	stored bool
+	ledger   *Ledger
+	suspects []quarantine.Digest
+	token    string
+	// changes holds the rows that were written, if stored is set. Otherwise the table did
+	// not answer.
+	changes []rowChange
+	stored  bool
 }
 
-// Stored reports whether the table holds the trial, so that no other host has one in flight.
+// Suspects returns the digests that are on trial.
+func (r *Run) Suspects() []quarantine.Digest { return r.suspects }
+
+// Stored reports whether the table holds the trial, so that no other host has one in flight
+// with any of its suspects.
 func (r *Run) Stored() bool { return r.stored }
 
-// Number returns how many trials there were since the content was last cleared, including
-// this one, or zero if the table did not answer.
-func (r *Run) Number() int { return r.row.Runs }
+// Number returns how many trials there were, including this one, of the suspect that had most
+// of them since it was last cleared, or zero if the table did not answer.
+func (r *Run) Number() int {
+	number := 0
+	for _, c := range r.changes {
+		number = max(number, c.row.Runs)
+	}
+	return number
+}
 
 // End records what the trial showed. It does not wait for the table.
-func (r *Run) End(result Result) {
+func (r *Run) End(result Result) { r.EndConvicting(result, r.suspects) }
+
+// EndConvicting is like End for a trial that crashed its target if that convicts only some of
+// its suspects. The others may have further trials.
+func (r *Run) EndConvicting(result Result, convicted []quarantine.Digest) {
 	if !r.stored {
-		r.ledger.release(r.digest)
+		r.ledger.release(r.suspects)
 		return
 	}
 	r.ledger.background.Go(func() {
-		defer r.ledger.release(r.digest)
-		if err := r.store(result); err != nil {
-			r.ledger.options.Logger.Warn().Err(err).Stringer("digest", r.digest).Stringer("result", result).
+		defer r.ledger.release(r.suspects)
+		if err := r.store(result, convicted); err != nil {
+			r.ledger.options.Logger.Warn().Err(err).Stringer("digest", r.suspects[0]).Stringer("result", result).
 				Msg("Storing the end of a trial failed; other hosts wait until it would have ended at the latest.")
 		}
 	})
 }
 
-// store writes the end of the trial. Its row may have another revision than the write at
+// store writes the end of the trial. Its rows may have other revisions than the write at
 // its beginning returned.
-func (r *Run) store(result Result) error {
-	err := r.replace(result, r.ledger.revisionOf(r.digest))
+func (r *Run) store(result Result, convicted []quarantine.Digest) error {
+	changes := make([]rowChange, 0, len(r.changes))
+	for _, c := range r.changes {
+		ended := endedRow(*c.row, result, slices.Contains(convicted, c.digest))
+		changes = append(changes, rowChange{digest: c.digest, row: ended, revision: r.ledger.revisionOf(c.digest)})
+	}
+	err := r.ledger.replace(changes)
 	var conflict *storage.ConflictError
 	if !errors.As(err, &conflict) {
 		return err
 	}
-	for _, current := range conflict.Rows {
-		if row, err := decodeRecord(current.Value); err == nil && row.Token == r.token {
-			return r.replace(result, current.Revision)
+	changes = slices.DeleteFunc(changes, func(c rowChange) bool { return r.isLost(conflict, c) })
+	for i := range changes {
+		if current, conflicts := conflictingRow(conflict, changes[i].digest); conflicts {
+			changes[i].revision = current.Revision
 		}
 	}
-	// The lease of this trial is over, and another one has begun.
-	r.ledger.seeConflict(r.digest, conflict)
-	return nil
+	r.ledger.seeConflict(r.suspects, conflict)
+	if len(changes) == 0 {
+		return nil
+	}
+	return r.ledger.replace(changes)
+}
+
+// isLost reports whether the lease of this trial is over for a suspect and another one has
+// begun.
+func (r *Run) isLost(conflict *storage.ConflictError, c rowChange) bool {
+	current, conflicts := conflictingRow(conflict, c.digest)
+	if !conflicts {
+		return false
+	}
+	row, err := decodeRecord(current.Value)
+	return err != nil || row.Token != r.token
 }
 
-// endedRow returns the row of the ended trial, or nil if none is needed.
-func (r *Run) endedRow(result Result) *record {
-	row := r.row
+// endedRow returns the row of an ended trial, or nil if none is needed.
+func endedRow(row record, result Result, convicted bool) *record {
 	row.Ended = true
-	row.Crashed = row.Crashed || result == Crashed
+	row.Crashed = row.Crashed || result == Crashed && convicted
 	if result == Withdrawn {
 		row.Runs--
 	}
@@ -72,17 +106,13 @@
 	return &row
 }
 
-// replace replaces the row of the given revision by that of the ended trial.
-func (r *Run) replace(result Result, revision uint64) error {
-	ended := r.endedRow(result)
-	written, err := r.ledger.write(context.Background(), endTimeout, r.digest, ended, revision)
+// replace replaces rows by those of an ended trial.
+func (l *Ledger) replace(changes []rowChange) error {
+	written, err := l.write(context.Background(), endTimeout, changes)
 	if err != nil {
 		return err
 	}
-	if ended == nil {
-		written = 0
-	}
-	r.ledger.see(r.digest, ended, written)
+	l.seeWritten(changes, written)
 	return nil
 }
 
