Do not take a response without length or chunks for complete if its target has ended

What callers saw: a stream that ends with its connection at the end of an event, because its target crashed, passed for complete; and the run counted as served, which clears the content and all parts of its prompt of crashes.

Cause: such a body ends with io.EOF whether the target closed the connection or its process ended. Change: at the end of one the target is probed, unless it has announced that it leaves; if no process listens there, the body counts as cut.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -138,6 +138,9 @@
 func (x *execution) receive(r *run, response *Response) error {
 	defer func() { _ = response.Body.Close() }()
 	x.relay.options.Dispatcher.reportResponse(r, response)
+	if response.Unframed {
+		response.Body = &unframedBody{ReadCloser: response.Body, targetEnded: func() bool { return x.targetEnded(r) }}
+	}
 	if err := x.recordHead(r); err != nil {
 		return err
 	}
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -294,6 +294,13 @@
 	return observed
 }
 
+// isLeaving reports whether a target has announced that it will end.
+func (d *Dispatcher) isLeaving(name ident.Target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.IsLeaving(name)
+}
+
 // recordLost records targets that ended during a trial.
 func (d *Dispatcher) recordLost(lost []trial.Observed) {
 	now := time.Now()
--- a/relay/target_client.go
+++ b/relay/target_client.go
@@ -44,6 +44,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
+	// Unframed says that the body has neither a length nor chunks and ends with its
+	// connection.
+	Unframed bool
 	// Stream reports whether the body consists of server-sent events.
 	Stream bool
 	// Load is the number of requests at the target that it reported with the
@@ -51,7 +54,7 @@
 	Load int
 	// Limit is what the response says about the target's limit.
 	Limit targetlimit.Statement
-	// Body ends with io.EOF only if it is complete.
+	// Body ends with io.EOF only if it is complete, or Unframed is set.
 	Body io.ReadCloser
 }
 
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -149,6 +149,12 @@
 	return others
 }
 
+// IsLeaving reports whether a target is draining, or has no entry any more.
+func (s *Scheduler) IsLeaving(name ident.Target) bool {
+	t := s.targets[name]
+	return t == nil || !t.available()
+}
+
 // RecordLost records that a target's process ended without notice, and that this is known
 // from a probe only.
 func (s *Scheduler) RecordLost(now time.Time, name ident.Target) {
