--- a/internal/soak/crashing_request.go
+++ b/internal/soak/crashing_request.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -27,15 +26,23 @@
 	// resendInterval and resendTime are how often and how long a crashing request is sent.
 	resendInterval = 150 * time.Millisecond
 	resendTime     = 9 * time.Second
+	// crashingPartPrefix begins the names of parts of prompts that crash the targets that run
+	// requests with them.
+	crashingPartPrefix = "crash-part-"
 	// crashesBeforeBound is the number of crashes after which, propagationTime later, at
-	// most maxLateArrivals more may reach targets.
-	crashesBeforeBound = 3
-	maxLateArrivals    = 3
+	// most maxLateArrivals more may reach targets, and partCrashesBeforeBound the same for a
+	// part of a prompt.
+	crashesBeforeBound     = 3
+	partCrashesBeforeBound = 5
+	maxLateArrivals        = 3
 )
 
-// crashingRequest is the history of one request that crashes targets.
+// crashingRequest is the history of one request that crashes targets, or of one part of a
+// prompt of which no two requests are alike.
 type crashingRequest struct {
-	path string
+	// name is the path of the request or the name of the part.
+	name   string
+	isPart bool
 	// absence is how long the targets that it crashes are away.
 	absence time.Duration
 
@@ -50,11 +57,15 @@
 // twice to all hosts at the same moment.
 func sendCrashingRequest(ctx context.Context, s *system, random *rand.Rand) error {
 	c := &crashingRequest{
-		path:    fmt.Sprintf("%s%d", crashPathPrefix, random.Uint64()),
+		name:    fmt.Sprintf("%s%d", crashPathPrefix, random.Uint64()),
+		isPart:  random.IntN(2) == 0,
 		absence: pick(random, []time.Duration{shortAbsence, longAbsence}),
 		hosts:   make(map[string]*host),
 	}
-	s.crashing.Store(c.path, c)
+	if c.isPart {
+		c.name = fmt.Sprintf("%s%d", crashingPartPrefix, random.Uint64())
+	}
+	s.crashing.Store(c.name, c)
 	for end := time.Now().Add(resendTime); time.Now().Before(end) && ctx.Err() == nil; {
 		hosts := []*host{pick(random, s.hosts)}
 		if random.IntN(2) == 0 {
@@ -76,9 +87,14 @@
 	c.recordSent(id, h)
 	ctx, cancel := context.WithTimeout(ctx, deadline+callTimeoutSlack)
 	defer cancel()
-	_ = h.caller.Do(ctx, platformtest.Request{
-		ID: id, Method: http.MethodGet, HostName: platformtest.HostName, Path: c.path, Body: c.path, Deadline: deadline,
-	})
+	r := platformtest.Request{
+		ID: id, Method: http.MethodGet, HostName: platformtest.HostName, Path: c.name, Body: c.name, Deadline: deadline,
+	}
+	if c.isPart {
+		r.Path, r.Body = platformtest.PathRead+id, id
+		r.PromptParts = []string{"common", c.name, id}
+	}
+	_ = h.caller.Do(ctx, r)
 }
 
 func (c *crashingRequest) recordSent(id string, h *host) {
@@ -97,12 +113,11 @@
 
 // crash takes the target away for a time if the request is one that crashes targets.
 func (t *target) crash(s *system, r *http.Request) (crashed bool) {
-	c, ok := s.crashing.Load(r.URL.Path)
-	if !ok || !strings.HasPrefix(r.URL.Path, crashPathPrefix) {
+	history := s.crashingRequestOf(r)
+	if history == nil {
 		return false
 	}
 	time.Sleep(crashDelay)
-	history := c.(*crashingRequest)
 	history.mu.Lock()
 	history.crashes = append(history.crashes, time.Now())
 	history.mu.Unlock()
@@ -115,30 +130,48 @@
 	return true
 }
 
+// crashingRequestOf returns the history to which a request belongs that crashes targets, or nil.
+func (s *system) crashingRequestOf(r *http.Request) *crashingRequest {
+	for _, name := range append(platformtest.PromptParts(r), r.URL.Path) {
+		if c, ok := s.crashing.Load(name); ok {
+			return c.(*crashingRequest)
+		}
+	}
+	return nil
+}
+
 // checkCrashingRequests checks that few attempts of a crashing request reach targets once it
 // has crashed some. It leaves out attempts through hosts with a fault.
 func (r *runner) checkCrashingRequests() verdict.Verdict {
 	v := verdict.Verdict{Promise: CrashingRequestContained}
 	arrivals := r.system.receivedTimes()
-	r.system.crashing.Range(func(path, value any) bool {
+	r.system.crashing.Range(func(name, value any) bool {
 		c := value.(*crashingRequest)
 		late := c.lateArrivals(arrivals)
 		v.Check(late <= maxLateArrivals, func() string {
 			return fmt.Sprintf("%d attempts of %s reached targets later than %s after crash %d, want at most %d",
-				late, path, propagationTime, crashesBeforeBound, maxLateArrivals)
+				late, name, propagationTime, c.crashesBeforeBound(), maxLateArrivals)
 		})
 		return true
 	})
 	return v
 }
 
+// crashesBeforeBound returns the number of crashes from which on late arrivals count.
+func (c *crashingRequest) crashesBeforeBound() int {
+	if c.isPart {
+		return partCrashesBeforeBound
+	}
+	return crashesBeforeBound
+}
+
 func (c *crashingRequest) lateArrivals(arrivals map[string][]time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.crashes) < crashesBeforeBound {
+	if len(c.crashes) < c.crashesBeforeBound() {
 		return 0
 	}
-	bound := c.crashes[crashesBeforeBound-1].Add(propagationTime)
+	bound := c.crashes[c.crashesBeforeBound()-1].Add(propagationTime)
 	late := 0
 	for id, h := range c.hosts {
 		for _, at := range arrivals[id] {
