--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,11 +52,14 @@
 	Config config.Gateway
 	// LogOutput receives the log lines; nil means standard output.
 	LogOutput io.Writer
+	// DialTarget connects to targets; nil means over TCP.
+	DialTarget target.DialFunc
 }
 
 // Gateway is one host with all its components.
 type Gateway struct {
 	config    config.Gateway
+	dial      target.DialFunc
 	logs      *logging.StructuredFactory
 	logger    *log.Logger
 	metrics   metrics.Metrics
@@ -84,6 +87,7 @@
 	debug.SetMemoryLimit(int64(heapLimit))
 	g := &Gateway{
 		config:  c,
+		dial:    o.DialTarget,
 		logs:    logging.NewStructured(logging.Options{Level: c.LogLevel, Output: o.LogOutput, Host: string(c.Host)}),
 		metrics: metrics.New(),
 
@@ -144,6 +148,7 @@
 
 func (g *Gateway) buildRelay() {
 	g.transport = target.NewTransport(target.TransportOptions{
+		Dial:                g.dial,
 		DialTimeout:         targetDialTimeout,
 		IdleTimeout:         targetIdleTimeout,
 		UnresponsiveTimeout: unresponsiveTargetTimeout,
@@ -151,7 +156,7 @@
 	g.relay = relay.New(relay.Options{
 		Table:        g.state.table.Load,
 		Dispatcher:   g.state.dispatcher,
-		TargetClient: platform.NewTargetClient(g.transport),
+		TargetClient: platform.NewTargetClient(g.transport, g.dial),
 		Quotas:       g.state.quotas,
 		RetryBudget:  g.state.retryBudget,
 		Streams:      g.state.streams,
--- a/target/probe.go
+++ b/target/probe.go
@@ -30,8 +30,14 @@
 
 // Probe connects to an address, IP:port, and closes the connection.
 func Probe(ctx context.Context, address string) ProbeResult {
-	dialer := net.Dialer{Timeout: probeTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	return ProbeWith(ctx, (&net.Dialer{}).DialContext, address)
+}
+
+// ProbeWith is like Probe, with another way to connect.
+func ProbeWith(ctx context.Context, dial DialFunc, address string) ProbeResult {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := dial(ctx, "tcp", address)
 	switch {
 	case err == nil:
 		// Nothing was sent, so a failure to close loses nothing.
--- a/target/transport.go
+++ b/target/transport.go
@@ -16,8 +16,13 @@
 	maxHeaderBytes      = 64 << 10
 )
 
+// DialFunc connects to an address, IP:port.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // TransportOptions configures a Transport. Zero values select the defaults.
 type TransportOptions struct {
+	// Dial replaces the connections over TCP; DialTimeout bounds it too.
+	Dial DialFunc
 	// DialTimeout is the limit for establishing a connection.
 	DialTimeout time.Duration
 	// IdleTimeout is how long an idle connection is kept open.
@@ -98,15 +103,14 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = idleConnTimeout
 	}
-	dialer := &net.Dialer{Timeout: o.DialTimeout}
-	if o.UnresponsiveTimeout > 0 {
-		dialer = tcpsilence.Dialer(o.DialTimeout, o.UnresponsiveTimeout)
-	}
+	dial := o.dialFunc()
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
+			defer cancel()
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -119,3 +123,14 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
+
+func (o *TransportOptions) dialFunc() DialFunc {
+	switch {
+	case o.Dial != nil:
+		return o.Dial
+	case o.UnresponsiveTimeout > 0:
+		return tcpsilence.Dialer(o.DialTimeout, o.UnresponsiveTimeout).DialContext
+	default:
+		return (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	}
+}
