Pass requests on to another host while no target is reached

What callers saw: hosts that had lost their links to the targets, and nothing else, served 10 of 292 first attempts; the other hosts 417 of 437.

Cause: a host that reaches no target ejects them all and sheds what comes. It did not tell its own loss from the targets', and no request had another way. The class: a host judges targets by its own links alone.

Change: a host that hears from no target of a pool connects to three of them; if two rounds reach none it is cut off. It says so in its state, and passes new and queued requests on, whole, to a host that is not, which serves them as its own.

--- a/eventlog/request_logger.go
+++ b/eventlog/request_logger.go
@@ -130,6 +130,9 @@
 	case relay.StepHedged:
 		addSchedulerInputs(entry, step).Str(FieldEvent, EventHedged).Str(FieldTarget, string(step.Target)).
 			Str(FieldVersion, step.Version).Msg("Request is also sent to a second target because the first has stalled.")
+	case relay.StepPassedOn:
+		entry.Str(FieldEvent, EventPassedOn).Str(FieldPeer, string(step.Host)).Str(FieldCause, truncate(step.Cause)).
+			Msg("Request is passed on to another host.")
 	case relay.StepHedgeDenied:
 		entry.Str(FieldEvent, EventHedgeDenied).Str(FieldReason, string(step.RetryDenial)).
 			Msg("Target has stalled, and the request can't be sent to a second one.")
--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -24,7 +24,9 @@
 // clusterState is this host's view of the configuration, the targets and the other
 // hosts. It passes each change on to the components that depend on it.
 type clusterState struct {
-	self        hoststate.Member
+	self hoststate.Member
+	// stopping is set once the host drains.
+	stopping    *atomic.Bool
 	dispatcher  *relay.Dispatcher
 	exchange    *hoststate.Exchange
 	quotas      *quota.Limiter
@@ -210,6 +212,7 @@
 	s.exchange.SetPeers(peers)
 	s.quotas.SetPeers(now, peers.Direct(), peers.AggregatedCounts())
 	s.dispatcher.SetPeerCount(now, len(others))
+	s.dispatcher.SetDistantHosts(peers.Aggregated())
 	s.streams.SetHosts(now)
 	s.retryBudget.SetHostCount(now, len(others)+1)
 	s.logger.Info().Int("others", len(others)).Msg("Set of hosts changed.")
@@ -243,12 +246,24 @@
 		TeamUsage: s.quotas.HostUsage(now),
 		Streams:   s.streams.TakeReport(now),
 	}
+	m.Schedule.Stopping = s.stopping.Load()
 	if table := s.table.Load(); table != nil {
 		m.TableVersion = table.Version
 	}
 	return m
 }
 
+// member returns a registered host.
+func (s *clusterState) member(host ident.Host) (hoststate.Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(s.members, func(m hoststate.Member) bool { return m.Host == host })
+	if i < 0 {
+		return hoststate.Member{}, false
+	}
+	return s.members[i], true
+}
+
 // aggregateState returns the aggregate of the states of the hosts of this data centre.
 func (s *clusterState) aggregateState(now time.Time) hoststate.Message {
 	aggregate, hosts := s.dispatcher.AggregateState(now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
 	"github.com/cornelyard/cornelyard/config"
@@ -34,6 +35,10 @@
 	// unresponsiveTargetTimeout is how long sent bytes may stay unacknowledged by a target,
 	// or unsent because it reads nothing. It outlasts the pauses of a target that goes on.
 	unresponsiveTargetTimeout = 30 * time.Second
+	// peerDialTimeout bounds the time to connect to another host, and
+	// unresponsivePeerTimeout is the corresponding timeout of its connections.
+	peerDialTimeout         = 300 * time.Millisecond
+	unresponsivePeerTimeout = 3 * time.Second
 	// heapFraction is the fraction of the process's memory that the Go heap may use. The
 	// remainder is for program text, stacks and socket buffers.
 	heapFraction = 0.6
@@ -58,17 +63,24 @@
 
 // Gateway is one host with all its components.
 type Gateway struct {
-	config    config.Gateway
-	dial      target.DialFunc
-	logs      *logging.StructuredFactory
-	logger    *log.Logger
-	metrics   metrics.Metrics
-	state     *clusterState
-	transport *target.Transport
-	directory *platform.Directory
-	trials    *trial.Ledger
-	relay     *relay.Relay
-	ingress   *platform.Ingress
+	config config.Gateway
+	dial   target.DialFunc
+	// targetClient sends requests to targets and probes them.
+	targetClient *platform.TargetClient
+	logs         *logging.StructuredFactory
+	logger       *log.Logger
+	metrics      metrics.Metrics
+	state        *clusterState
+	transport    *target.Transport
+	// peerTransport connects to other hosts, peerServer serves what they pass on, and key is
+	// what they send along.
+	peerTransport *target.Transport
+	peerServer    *http.Server
+	key           string
+	directory     *platform.Directory
+	trials        *trial.Ledger
+	relay         *relay.Relay
+	ingress       *platform.Ingress
 	// requestBudget and responseBudget bound the memory for bodies of requests and for
 	// responses.
 	requestBudget  *bytebudget.Budget
@@ -88,6 +100,7 @@
 	g := &Gateway{
 		config:  c,
 		dial:    o.DialTarget,
+		key:     uuid.NewString(),
 		logs:    logging.NewStructured(logging.Options{Level: c.LogLevel, Output: o.LogOutput, Host: string(c.Host)}),
 		metrics: metrics.New(),
 
@@ -110,7 +123,8 @@
 
 func (g *Gateway) buildState() {
 	state := &clusterState{
-		self: g.self(),
+		self:     g.self(),
+		stopping: &g.stopping,
 		quotas: quota.NewLimiter(time.Now(), quota.Limits{
 			Window:    g.config.Quota.Window.Std(),
 			Overage:   g.config.Quota.Overage,
@@ -153,10 +167,17 @@
 		IdleTimeout:         targetIdleTimeout,
 		UnresponsiveTimeout: unresponsiveTargetTimeout,
 	})
+	g.targetClient = platform.NewTargetClient(g.transport, g.dial)
+	g.peerTransport = target.NewTransport(target.TransportOptions{
+		DialTimeout:         peerDialTimeout,
+		IdleTimeout:         targetIdleTimeout,
+		UnresponsiveTimeout: unresponsivePeerTimeout,
+	})
 	g.relay = relay.New(relay.Options{
+		PeerClient:   platform.NewPeerClient(g.peerTransport, g.state.member),
 		Table:        g.state.table.Load,
 		Dispatcher:   g.state.dispatcher,
-		TargetClient: platform.NewTargetClient(g.transport, g.dial),
+		TargetClient: g.targetClient,
 		Quotas:       g.state.quotas,
 		RetryBudget:  g.state.retryBudget,
 		Streams:      g.state.streams,
@@ -168,6 +189,13 @@
 		},
 	})
 	g.ingress = platform.NewIngress(g.relay, g.state.table.Load, g.stopping.Load, g.requestBudget)
+	g.peerServer = &http.Server{
+		Addr:              g.config.PeerAddress,
+		Handler:           platform.NewPeerIngress(g.ingress, g.key),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
 }
 
 func (g *Gateway) self() hoststate.Member {
@@ -175,6 +203,7 @@
 		Host:       g.config.Host,
 		DataCentre: g.config.DataCentre,
 		Address:    g.config.PeerAddress,
+		Key:        g.key,
 	}
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -46,11 +46,14 @@
 	addActor(&group, g.watchTrials)
 	addActor(&group, g.reportGauges)
 	addActor(&group, g.state.peers.run)
+	addActor(&group, g.watchLinks)
+	addActor(&group, g.servePeers)
 	addActor(&group, g.listener(g.config.ReadinessAddress, platform.ReadinessHandler(http.HandlerFunc(g.serveReadiness))))
 	addActor(&group, g.serveMetrics)
 	g.addIngress(ctx, &group)
 	err := group.Run()
 	g.transport.Close()
+	g.peerTransport.Close()
 	g.logger.Info().Str(eventlog.FieldEvent, eventlog.EventStopped).
 		AnErr(eventlog.FieldCause, err).Uint64(eventlog.FieldDropped, g.logs.Dropped()).Msg("Host has stopped.")
 	return errors.Join(err, g.metrics.Closer.Close(), g.logs.Close())
@@ -80,6 +83,19 @@
 	}
 }
 
+// servePeers serves the requests that other hosts pass on, until ctx is done.
+func (g *Gateway) servePeers(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = g.peerServer.Close() })
+	defer stop()
+	err := g.peerServer.ListenAndServe()
+	if !errors.Is(err, http.ErrServerClosed) {
+		return Error.Wrap(err)
+	}
+	// The end of this actor would end the host, which may still drain.
+	<-ctx.Done()
+	return nil
+}
+
 // serveMetrics serves the metrics. If that fails, the host continues to serve callers.
 func (g *Gateway) serveMetrics(ctx context.Context) error {
 	if err := g.listener(g.config.MetricsAddress, g.metrics.Handler)(ctx); err != nil {
@@ -127,9 +143,9 @@
 	time.Sleep(min(balancerDetectionTime, time.Until(end)))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
+	if err := errors.Join(server.Shutdown(ctx), g.peerServer.Shutdown(ctx)); err != nil {
 		g.logger.Warn().Int("requests", g.relay.InFlight()).Msg("Draining timed out; closing the connections of the remaining requests.")
-		return Error.Wrap(server.Close())
+		return Error.Wrap(errors.Join(server.Close(), g.peerServer.Close()))
 	}
 	return nil
 }
--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -47,6 +47,10 @@
 
 func encodeSchedule(state *hostpb.HostState, s *schedule.State) {
 	state.Observed = s.Observed
+	state.Stopping = s.Stopping
+	for _, pool := range s.CutOff {
+		state.CutOff = append(state.CutOff, hashName(pool))
+	}
 	for _, l := range s.Loads {
 		state.Loads = append(state.Loads, &hostpb.TargetLoad{
 			Target:        hashName(l.Target),
@@ -119,6 +123,8 @@
 		Backlogs:        decodeItems(state.GetBacklogs(), n.pools, (*hostpb.Backlog).GetPool, decodeBacklog),
 		PrefixLocations: decodeItems(state.GetPlacements(), n.targets, (*hostpb.Placement).GetTarget, decodePlacement),
 		Crashes:         quarantine.Decode(now, state.GetCrashes()),
+		CutOff:          n.decodePools(state.GetCutOff()),
+		Stopping:        state.GetStopping(),
 	}
 	return m
 }
@@ -137,6 +143,17 @@
 	return decoded
 }
 
+// decodePools returns the pools whose name hashes are in the index.
+func (n *NameIndex) decodePools(hashes []uint32) []ident.Pool {
+	var pools []ident.Pool
+	for _, hash := range hashes {
+		if pool, ok := n.pools[hash]; ok {
+			pools = append(pools, pool)
+		}
+	}
+	return pools
+}
+
 func decodeLoad(target ident.Target, l *hostpb.TargetLoad) schedule.TargetLoad {
 	return schedule.TargetLoad{
 		Target:        target,
--- a/hoststate/peer_set.go
+++ b/hoststate/peer_set.go
@@ -49,6 +49,15 @@
 	return names
 }
 
+// Aggregated returns the names of the hosts of which only aggregates are exchanged.
+func (p *PeerSet) Aggregated() []ident.Host {
+	names := make([]ident.Host, 0, len(p.aggregated))
+	for _, m := range p.aggregated {
+		names = append(names, m.Host)
+	}
+	return names
+}
+
 // AggregatedCounts returns the number of aggregated hosts in each data centre.
 func (p *PeerSet) AggregatedCounts() map[ident.DataCentre]int {
 	counts := make(map[ident.DataCentre]int)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -159,9 +159,10 @@
 }
 
 // recordFirstDispatch credits the retry budget at the first dispatch of a request.
-// Later dispatches are retries, which are charged to the budget.
+// Later dispatches are retries, which are charged to the budget. A request that another host
+// passed on may have been credited there.
 func (x *execution) recordFirstDispatch() {
-	if x.dispatches == 0 && x.unreachableTargets == 0 {
+	if x.dispatches == 0 && x.unreachableTargets == 0 && !x.call.PassedOn {
 		x.relay.options.RetryBudget.RecordRequest(time.Now(), x.pool)
 	}
 }
--- a/relay/call.go
+++ b/relay/call.go
@@ -22,6 +22,8 @@
 	// Header holds the caller's header fields that may be forwarded to the target.
 	Header http.Header
 	Body   []byte
+	// PassedOn says that another host has passed the request on to this one.
+	PassedOn bool
 	// Key is the caller's API key. It is not forwarded to the target.
 	Key string
 
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -125,6 +125,34 @@
 	}
 }
 
+// SetDistantHosts sets the other hosts that send this one no state of their own.
+func (d *Dispatcher) SetDistantHosts(hosts []ident.Host) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.SetDistantHosts(hosts)
+}
+
+// SilentPools returns the pools of which this host may reach no target, and those of which it
+// is known to reach none.
+func (d *Dispatcher) SilentPools(now time.Time) []ident.Pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append(d.scheduler.SilentPools(now), d.scheduler.CutOffPools()...)
+}
+
+// ProbeCandidates returns up to n available targets of a pool, a random choice.
+func (d *Dispatcher) ProbeCandidates(pool ident.Pool, n int) []route.Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.ProbeCandidates(pool, n)
+}
+
+// SetCutOff sets whether this host reaches no target of a pool.
+func (d *Dispatcher) SetCutOff(now time.Time, pool ident.Pool, cutOff bool) (changed bool) {
+	d.update(now, func(s *schedule.Scheduler) { changed = s.SetCutOff(now, pool, cutOff) })
+	return changed
+}
+
 // AggregateState returns the aggregate state of this host and its direct peers, and
 // the number of these hosts.
 func (d *Dispatcher) AggregateState(now time.Time) (schedule.State, int) {
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -42,6 +42,8 @@
 	cost            float64
 	charged         bool
 	excludedTargets []ident.Target
+	// divertedTo is set to the hosts to choose from if the request is passed on.
+	divertedTo []ident.Host
 
 	// mu guards dispatches, unreachableTargets, mayHaveRun, delivery and the hedge while an
 	// exchange is in progress.
@@ -156,6 +158,9 @@
 		if refusal != nil {
 			return refusal
 		}
+		if x.divertedTo != nil {
+			return x.passOn(ctx, x.divertedTo)
+		}
 		x.recordStep(Step{Kind: StepPlaced, Target: r.target.Name, Version: r.target.Version, Inputs: r.inputs})
 		if refusal := x.beginTrial(ctx, r); refusal != nil {
 			return refusal
@@ -167,7 +172,8 @@
 	}
 }
 
-// nextRun returns the run that replaced the last one, or waits for a slot for a new one.
+// nextRun returns the run that replaced the last one, or waits for a slot for a new one. It
+// sets divertedTo instead if the request is to be passed on to another host.
 func (x *execution) nextRun(ctx context.Context) (*run, *outcome.Refusal) {
 	if r := x.successor; r != nil {
 		x.successor = nil
@@ -181,6 +187,9 @@
 	switch a := action.(type) {
 	case *schedule.Refuse:
 		return nil, x.schedulerRefusal(a)
+	case *schedule.Divert:
+		x.divertedTo = a.Hosts
+		return nil, nil
 	case *schedule.Dispatch:
 		x.dispatchRetry()
 		x.queueTime += a.QueueTime
@@ -208,6 +217,7 @@
 		ExcludedTargets: x.excludedTargets,
 		RequiresVersion: x.versionKnown,
 		Version:         x.version,
+		MayPassOn:       x.mayPassOn(),
 	}
 	if x.team != nil {
 		r.Team = x.team.Name
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,17 +17,19 @@
 	"github.com/cornelyard/cornelyard/trial"
 )
 
-// Options configures a Relay. All fields but Budget are required.
+// Options configures a Relay. All fields but Budget and PeerClient are required.
 type Options struct {
 	// Table returns the configuration in force, or nil.
 	Table        func() *route.Table
 	Dispatcher   *Dispatcher
 	TargetClient TargetClient
-	Quotas       *quota.Limiter
-	RetryBudget  *retrybudget.Budget
-	Streams      *streamversion.Tracker
-	Trials       *trial.Ledger
-	Observer     Observer
+	// PeerClient passes requests on. It is required if the scheduler diverts any.
+	PeerClient  PeerClient
+	Quotas      *quota.Limiter
+	RetryBudget *retrybudget.Budget
+	Streams     *streamversion.Tracker
+	Trials      *trial.Ledger
+	Observer    Observer
 	// Budget bounds the sum of the bytes that all responses buffer; nil means no limit.
 	Budget *bytebudget.Budget
 }
--- a/relay/second_run.go
+++ b/relay/second_run.go
@@ -72,6 +72,7 @@
 	r.ID = h.x.relay.newID()
 	// A target on probation would be no certain replacement.
 	r.Retryable = false
+	r.MayPassOn = false
 	r.ExcludedTargets = append(append([]ident.Target{h.first.target.Name}, h.failedTargets...), h.x.excludedTargets...)
 	return r
 }
--- a/relay/step.go
+++ b/relay/step.go
@@ -38,6 +38,8 @@
 	// StepHedged: the target of the current exchange has stalled, and a second exchange
 	// was begun beside it.
 	StepHedged
+	// StepPassedOn: the request was sent to another host.
+	StepPassedOn
 	// StepHedgeDenied: the target of the current exchange has stalled, and no second
 	// exchange can be begun.
 	StepHedgeDenied
@@ -49,6 +51,8 @@
 	At     time.Time
 	Kind   StepKind
 	Target ident.Target
+	// Host is the other host to which a request is passed on.
+	Host ident.Host
 	// Version is that of the target's software.
 	Version    string
 	Result     schedule.Result
--- a/relay/target_client.go
+++ b/relay/target_client.go
@@ -44,6 +44,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
+	// NotRun says that the status states that the request has not run.
+	NotRun bool
 	// Unframed says that the body has neither a length nor chunks and ends with its
 	// connection.
 	Unframed bool
--- a/schedule/health_event.go
+++ b/schedule/health_event.go
@@ -24,6 +24,8 @@
 	causeUnresponsive = "silence"
 	causeOutlier      = "outlier"
 	causeCrash        = "crash"
+	// causeReachable: this host reaches the pool again.
+	causeReachable = "reachable"
 )
 
 // TakeHealthEvents returns the events since the last call.
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -163,7 +163,7 @@
 // each prefix location is returned only twice, and observations only at intervals or
 // after an urgent change.
 func (s *Scheduler) LocalState(now time.Time) State {
-	state := State{PrefixLocations: s.takePrefixLocations()}
+	state := State{PrefixLocations: s.takePrefixLocations(), CutOff: s.CutOffPools()}
 	for _, t := range s.targets {
 		if t.running > 0 {
 			state.Loads = append(state.Loads, t.load())
@@ -200,7 +200,10 @@
 func (s *Scheduler) observations(now time.Time) []Observation {
 	var list []Observation
 	for _, t := range s.targets {
-		if observation := t.observation(now); observation.significant() {
+		observation := t.observation(now)
+		// What this host can't reach, others may.
+		observation.Ejected = observation.Ejected && !s.pools[t.Pool].cutOff
+		if observation.significant() {
 			list = append(list, observation)
 		}
 	}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -38,6 +38,10 @@
 	// retryableArrivedAt is when the last retryable request arrived; only such requests
 	// are used as probes while they keep arriving.
 	retryableArrivedAt time.Time
+	// cutOff says that this host reaches no target of the pool, and unreachableAt is when it
+	// last failed to connect to one.
+	cutOff        bool
+	unreachableAt time.Time
 	// yieldingSince is when the host began to leave free slots to other hosts, or zero.
 	yieldingSince time.Time
 	// peersRunning is the number of requests that the other hosts ran on the targets at
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -37,6 +37,8 @@
 	// the request.
 	RequiresVersion bool
 	Version         string
+	// MayPassOn says that another host may serve the request.
+	MayPassOn bool
 	// ExcludedTargets lists the targets that have already failed this request.
 	ExcludedTargets []ident.Target
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -59,6 +59,8 @@
 	// suspicions holds what was known against digests when events were last recorded.
 	suspicions      map[quarantine.Digest]SuspicionEvent
 	suspicionEvents []SuspicionEvent
+	// distantHosts holds the other hosts that send this one no state of their own.
+	distantHosts []ident.Host
 	// pendingActions holds refusals for the next call of Decide.
 	pendingActions []Action
 }
@@ -176,6 +178,10 @@
 		s.pendingActions = append(s.pendingActions, s.quarantineRefusal(now, p, w, until))
 		return
 	}
+	if d := s.divert(now, p, &r); d != nil {
+		s.pendingActions = append(s.pendingActions, d)
+		return
+	}
 	w.latestStart = r.Objective.Add(-p.leadTime(now, &r))
 	w.refuseAt = r.Arrived.Add(seconds(lateWaitRatio * r.AbandonTime.Sub(r.Arrived).Seconds()))
 	if w.refuseAt.Before(w.latestStart) {
@@ -228,6 +234,7 @@
 		if len(p.queue.items) == 0 {
 			continue
 		}
+		actions = s.divertQueued(now, p, actions)
 		actions = s.refuseExpired(now, p, actions)
 		actions = s.dispatchQueued(now, p, actions)
 	}
--- a/schedule/state.go
+++ b/schedule/state.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "github.com/cornelyard/cornelyard/quarantine"
+import (
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quarantine"
+)
 
 // State is the scheduling state that one host sends to the others, or the aggregate of
 // the hosts of a data centre.
@@ -16,6 +19,10 @@
 	Backlogs []Backlog
 	// Crashes holds the crashes of which something became known a short time ago.
 	Crashes []quarantine.Crash
+	// CutOff holds the pools of which the host reaches no target.
+	CutOff []ident.Pool
+	// Stopping says that the host takes no requests from others.
+	Stopping bool
 	// PrefixLocations holds the newest locations, oldest first.
 	PrefixLocations []PrefixLocation
 }
