Share the limit that a target states among the hosts

Cause: since the statement was read and logged, but no decision knew it.

Change: hosts that hear each other agree on a few keepers of each limited target, whose paced rates add up to the limit; the other hosts send it nothing. Waits, refusals and Retry-After count what the rates allow.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -28,6 +28,11 @@
 	// FieldLimitBefore what it stated before.
 	FieldLimit       = "limit"
 	FieldLimitBefore = "limit_before"
+	// FieldRate is the part of a limit that this host uses. It depends on FieldHeardHosts, the
+	// hosts that hear each other, of FieldHosts.
+	FieldRate       = "rate"
+	FieldHeardHosts = "heard_hosts"
+	FieldHosts      = "hosts"
 	// FieldCrashes is the number of crashes in which a digest is implicated.
 	FieldCrashes = "crashes"
 	// FieldStrikes is the number of crashes held against a digest, FieldAgeMs the age of
@@ -59,10 +64,12 @@
 	// The following fields are the inputs of a scheduling decision.
 
 	FieldUsableTargets = "usable_targets"
-	FieldFreeSlots     = "free_slots"
-	FieldQueued        = "queued"
-	FieldAhead         = "ahead"
-	FieldPeers         = "peers"
+	// FieldLimitedTargets is the number of targets that state limits.
+	FieldLimitedTargets = "limited_targets"
+	FieldFreeSlots      = "free_slots"
+	FieldQueued         = "queued"
+	FieldAhead          = "ahead"
+	FieldPeers          = "peers"
 	// FieldPeerStateAgeMs is the age of the oldest peer state that was used.
 	FieldPeerStateAgeMs = "news_age_ms"
 	FieldWaitMs         = "wait_ms"
@@ -99,6 +106,8 @@
 	// none any longer.
 	EventTargetLimited   = "target-limited"
 	EventTargetUnlimited = "target-unlimited"
+	// EventLimitRate says that this host has got a part of a target's limit, or lost it.
+	EventLimitRate = "limit-rate"
 	// EventTargetLost is about a target that ended at the same time as that of a trial.
 	EventTargetLost = "target-lost"
 	// EventTargetProbed is about a target that broke off a request, EventSuspected and
--- a/eventlog/request_logger.go
+++ b/eventlog/request_logger.go
@@ -160,6 +160,7 @@
 	in := &step.Inputs
 	return entry.
 		Int(FieldUsableTargets, in.UsableTargets).
+		Int(FieldLimitedTargets, in.LimitedTargets).
 		Int(FieldFreeSlots, in.FreeSlots).
 		Int(FieldQueued, in.Queued).
 		Int(FieldAhead, in.Ahead).
--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -24,9 +24,7 @@
 // clusterState is this host's view of the configuration, the targets and the other
 // hosts. It passes each change on to the components that depend on it.
 type clusterState struct {
-	self hoststate.Member
-	// stopping is set once the host drains.
-	stopping    *atomic.Bool
+	self        hoststate.Member
 	dispatcher  *relay.Dispatcher
 	exchange    *hoststate.Exchange
 	quotas      *quota.Limiter
@@ -211,7 +209,7 @@
 	peers := hoststate.NewPeerSet(s.self, others)
 	s.exchange.SetPeers(peers)
 	s.quotas.SetPeers(now, peers.Direct(), peers.AggregatedCounts())
-	s.dispatcher.SetPeerCount(now, len(others))
+	s.dispatcher.SetPeers(now, dataCentresOf(others))
 	s.dispatcher.SetDistantHosts(peers.Aggregated())
 	s.streams.SetHosts(now)
 	s.retryBudget.SetHostCount(now, len(others)+1)
@@ -246,7 +244,6 @@
 		TeamUsage: s.quotas.HostUsage(now),
 		Streams:   s.streams.TakeReport(now),
 	}
-	m.Schedule.Stopping = s.stopping.Load()
 	if table := s.table.Load(); table != nil {
 		m.TableVersion = table.Version
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,8 +123,7 @@
 
 func (g *Gateway) buildState() {
 	state := &clusterState{
-		self:     g.self(),
-		stopping: &g.stopping,
+		self: g.self(),
 		quotas: quota.NewLimiter(time.Now(), quota.Limits{
 			Window:    g.config.Quota.Window.Std(),
 			Overage:   g.config.Quota.Overage,
@@ -137,7 +136,7 @@
 		peers:         newPeerMonitor(g.logs.For("peers")),
 		crashes:       &crashRecords{logger: g.logs.For("quarantine")},
 	}
-	scheduler := schedule.New(schedule.Options{DataCentre: g.config.DataCentre})
+	scheduler := schedule.New(schedule.Options{Host: g.config.Host, DataCentre: g.config.DataCentre})
 	state.dispatcher = relay.NewDispatcher(relay.DispatcherOptions{
 		Scheduler:          scheduler,
 		OnStateChange:      func() { state.exchange.TriggerSend() },
@@ -148,6 +147,7 @@
 		OnProbe:            g.logProbe,
 		OnTrialEnd:         g.logTrialEnd,
 		OnLimitEvents:      state.logLimitEvents,
+		OnRateEvents:       state.logRateEvents,
 	})
 	state.exchange = hoststate.New(hoststate.Options{
 		Self:           g.self(),
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -34,6 +34,8 @@
 		pool.Gauge(metrics.GatewayRunning).Update(float64(load.Running))
 		pool.Gauge(metrics.GatewayTargets).Update(float64(load.Targets))
 		pool.Gauge(metrics.GatewayTargetsUsable).Update(float64(load.Usable))
+		pool.Gauge(metrics.GatewayTargetsLimited).Update(float64(load.Limited))
+		pool.Gauge(metrics.GatewayLimitRate).Update(load.LimitRate)
 		pool.Gauge(metrics.GatewaySlotsFree).Update(float64(load.Free))
 	}
 	for _, monitor := range g.buffers {
--- a/gateway/limit_log.go
+++ b/gateway/limit_log.go
@@ -21,3 +21,13 @@
 		entry.Str(eventlog.FieldEvent, eventlog.EventTargetUnlimited).Msg("Target states no limit any longer.")
 	}
 }
+
+// logRateEvents logs the targets of whose limits this host uses a part, or no longer.
+func (s *clusterState) logRateEvents(events []schedule.RateEvent) {
+	for _, e := range events {
+		s.logger.Info().Str(eventlog.FieldEvent, eventlog.EventLimitRate).Str(eventlog.FieldTarget, string(e.Target)).
+			Float64(eventlog.FieldRate, e.Rate).Float64(eventlog.FieldLimit, e.PerSecond).
+			Int(eventlog.FieldHeardHosts, e.HeardHosts).Int(eventlog.FieldHosts, e.Hosts).
+			Msg("This host's part of a target's limit changed.")
+	}
+}
--- a/gateway/member_tracker.go
+++ b/gateway/member_tracker.go
@@ -57,3 +57,12 @@
 func othersThan(self ident.Host, members []hoststate.Member) []hoststate.Member {
 	return slices.DeleteFunc(slices.Clone(members), func(m hoststate.Member) bool { return m.Host == self })
 }
+
+// dataCentresOf returns the data centre of each member.
+func dataCentresOf(members []hoststate.Member) map[ident.Host]ident.DataCentre {
+	dataCentres := make(map[ident.Host]ident.DataCentre, len(members))
+	for _, m := range members {
+		dataCentres[m.Host] = m.DataCentre
+	}
+	return dataCentres
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -137,6 +137,7 @@
 // has detected that, and then waits for the requests in flight.
 func (g *Gateway) drain(server *http.Server) error {
 	g.stopping.Store(true)
+	g.state.dispatcher.SetLeaving(time.Now())
 	end := time.Now().Add(g.stopTimeout() - shutdownReserve)
 	g.logger.Info().Str(eventlog.FieldEvent, eventlog.EventStopping).
 		Int("requests", g.relay.InFlight()).Msg("Draining the host.")
--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -39,6 +39,8 @@
 		})
 	}
 	state.Crashes = quarantine.Encode(now, m.Schedule.Crashes)
+	state.Limits = encodeLimits(now, m.Schedule.Limits)
+	state.Leaving = m.Schedule.Leaving
 	encodeSchedule(state, &m.Schedule)
 	encodeStreams(state, &m.Streams)
 	data, err := proto.Marshal(state)
@@ -47,7 +49,6 @@
 
 func encodeSchedule(state *hostpb.HostState, s *schedule.State) {
 	state.Observed = s.Observed
-	state.Stopping = s.Stopping
 	for _, pool := range s.CutOff {
 		state.CutOff = append(state.CutOff, hashName(pool))
 	}
@@ -124,7 +125,8 @@
 		PrefixLocations: decodeItems(state.GetPlacements(), n.targets, (*hostpb.Placement).GetTarget, decodePlacement),
 		Crashes:         quarantine.Decode(now, state.GetCrashes()),
 		CutOff:          n.decodePools(state.GetCutOff()),
-		Stopping:        state.GetStopping(),
+		Limits:          decodeItems(state.GetLimits(), n.targets, (*hostpb.TargetLimit).GetTarget, limitDecoder(now)),
+		Leaving:         state.GetLeaving(),
 	}
 	return m
 }
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -70,10 +70,10 @@
 		h := &host{
 			name:           ident.Host(strconv.Itoa(i)),
 			dataCentre:     s.dataCentreOf(i),
-			scheduler:      schedule.New(schedule.Options{Random: m.random.Float64, DataCentre: s.dataCentreOf(i)}),
+			scheduler:      schedule.New(schedule.Options{Random: m.random.Float64, Host: ident.Host(strconv.Itoa(i)), DataCentre: s.dataCentreOf(i)}),
 			receivedCounts: make([]int, s.Hosts),
 		}
-		h.scheduler.SetPeerCount(clock(0), s.Hosts-1)
+		h.scheduler.SetPeers(clock(0), m.othersThan(i))
 		h.scheduler.Configure(clock(0), pools, roster)
 		m.hosts = append(m.hosts, h)
 	}
@@ -83,6 +83,17 @@
 	return m
 }
 
+// othersThan returns the data centres of all hosts but one.
+func (m *model) othersThan(self int) map[ident.Host]ident.DataCentre {
+	others := make(map[ident.Host]ident.DataCentre)
+	for i := range m.scenario.Hosts {
+		if i != self {
+			others[ident.Host(strconv.Itoa(i))] = m.scenario.dataCentreOf(i)
+		}
+	}
+	return others
+}
+
 // clock converts simulated time to wall-clock time.
 func clock(at time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(warmUp + at) }
 
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -46,6 +46,10 @@
 	// GatewayQuarantines the digests that were quarantined because of crashes.
 	GatewayTargetCrashes = "gateway_target_crashes"
 	GatewayQuarantines   = "gateway_quarantines"
+	// GatewayTargetsLimited is the number of targets that state limits, and GatewayLimitRate
+	// the requests per second that this host may send them, by pool.
+	GatewayTargetsLimited = "gateway_targets_limited"
+	GatewayLimitRate      = "gateway_limit_rate"
 	// GatewayTrials counts the trials of content that may crash targets, by result.
 	GatewayTrials = "gateway_trials"
 	// GatewayBufferedBytes is the memory for bodies of requests and for responses, without
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -16,6 +16,8 @@
 	Preempted Reason = "preempted"
 	// NoTarget: the pool has no usable target.
 	NoTarget Reason = "no-target"
+	// TargetsLimited: the targets take no more requests per second.
+	TargetsLimited Reason = "targets-limited"
 	// NoVersion: no target of the software version that began the stream is left.
 	NoVersion Reason = "no-version"
 	// VersionUnknown: it is not known for sure at which software version the stream began.
@@ -69,7 +71,7 @@
 		return http.StatusTooManyRequests
 	case Infeasible, DeadlineExceeded:
 		return http.StatusGatewayTimeout
-	case Preempted, NoTarget, NoVersion, VersionUnknown, OnTrial, Draining, ClaimUnavailable, NotReady:
+	case Preempted, NoTarget, TargetsLimited, NoVersion, VersionUnknown, OnTrial, Draining, ClaimUnavailable, NotReady:
 		return http.StatusServiceUnavailable
 	case Quarantined, KeyConflict:
 		return http.StatusUnprocessableEntity
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -33,6 +33,8 @@
 	OnSuspicionEvents func([]schedule.SuspicionEvent)
 	// OnLimitEvents is called when targets state, change or end a limit.
 	OnLimitEvents func([]schedule.LimitEvent)
+	// OnRateEvents is called when this host gets a part of a target's limit, or loses it.
+	OnRateEvents func([]schedule.RateEvent)
 	// OnTrialEnd is called when a trial of content has ended.
 	OnTrialEnd func(digest quarantine.Digest, to ident.Target, result trial.Result)
 	// OnProbe is called with what a probe found of a target that broke off a request.
@@ -99,9 +101,14 @@
 	d.update(now, func(s *schedule.Scheduler) { s.Configure(now, pools, targets) })
 }
 
-// SetPeerCount sets the number of other hosts.
-func (d *Dispatcher) SetPeerCount(now time.Time, others int) {
-	d.update(now, func(s *schedule.Scheduler) { s.SetPeerCount(now, others) })
+// SetPeers sets the other hosts with their data centres.
+func (d *Dispatcher) SetPeers(now time.Time, others map[ident.Host]ident.DataCentre) {
+	d.update(now, func(s *schedule.Scheduler) { s.SetPeers(now, others) })
+}
+
+// SetLeaving records that this host is stopping.
+func (d *Dispatcher) SetLeaving(now time.Time) {
+	d.update(now, func(s *schedule.Scheduler) { s.SetLeaving() })
 }
 
 // ApplyPeerState merges the state received from another host.
@@ -389,6 +396,9 @@
 	if events := d.scheduler.TakeLimitEvents(); len(events) > 0 {
 		d.options.OnLimitEvents(events)
 	}
+	if events := d.scheduler.TakeRateEvents(); len(events) > 0 {
+		d.options.OnRateEvents(events)
+	}
 	if events := d.scheduler.TakeSuspicionEvents(); len(events) > 0 {
 		d.options.OnSuspicionEvents(events)
 	}
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -215,6 +215,7 @@
 		PromptBlocks:    x.call.PromptBlocks,
 		Retryable:       x.retryable() && x.dispatches+1 < x.route.MaxAttempts,
 		ExcludedTargets: x.excludedTargets,
+		Repeat:          x.dispatches > 0,
 		RequiresVersion: x.versionKnown,
 		Version:         x.version,
 		MayPassOn:       x.mayPassOn(),
--- a/relay/second_run.go
+++ b/relay/second_run.go
@@ -73,6 +73,7 @@
 	// A target on probation would be no certain replacement.
 	r.Retryable = false
 	r.MayPassOn = false
+	r.Repeat = true
 	r.ExcludedTargets = append(append([]ident.Target{h.first.target.Name}, h.failedTargets...), h.x.excludedTargets...)
 	return r
 }
--- a/schedule/candidates.go
+++ b/schedule/candidates.go
@@ -3,22 +3,42 @@
 import "time"
 
 // mayServe reports whether the target is certain to have the software version that the
-// request requires.
+// request requires, and may get repeated runs if it is one.
 func (r *Request) mayServe(now time.Time, t *target) bool {
+	return r.fitsVersion(now, t) && !(r.Repeat && t.limited())
+}
+
+func (r *Request) fitsVersion(now time.Time, t *target) bool {
 	return !r.RequiresVersion || t.Version == r.Version && !t.mayHaveRestarted(now)
 }
 
-// hasCandidate reports whether the pool has a target that is not draining and, if the
-// request requires a version, has this version and has not failed the request.
+// hasCandidate reports whether the pool has a target that is not draining, that this host may
+// send requests to and, if the request requires a version, has this version and has not failed
+// the request.
 func (p *pool) hasCandidate(now time.Time, r *Request) bool {
 	for _, t := range p.targets {
-		if t.available() && r.mayServe(now, t) && !(r.RequiresVersion && excludes(r, t.Name)) {
+		if r.isCandidate(now, t) && r.mayServe(now, t) && !t.closed() {
+			return true
+		}
+	}
+	return false
+}
+
+// hasCandidateWithoutLimits is like hasCandidate if no target stated a limit.
+func (p *pool) hasCandidateWithoutLimits(now time.Time, r *Request) bool {
+	for _, t := range p.targets {
+		if r.isCandidate(now, t) {
 			return true
 		}
 	}
 	return false
 }
 
+// isCandidate reports whether the target may get the request, whatever limit it states.
+func (r *Request) isCandidate(now time.Time, t *target) bool {
+	return t.available() && r.fitsVersion(now, t) && !(r.RequiresVersion && excludes(r, t.Name))
+}
+
 // hasVersion reports whether the pool has a target of the version that the request requires,
 // which may serve it once its entry is certain.
 func (p *pool) hasVersion(r *Request) bool {
@@ -30,18 +50,18 @@
 	return false
 }
 
-// candidates returns the usable targets of the version that the request requires.
+// candidates returns the usable targets that may serve the request.
 func (p *pool) candidates(now time.Time, r *Request) []*target {
-	if !r.RequiresVersion {
+	if !r.RequiresVersion && !r.Repeat {
 		return p.usableTargets(now)
 	}
-	ofVersion := make([]*target, 0, len(p.targets))
+	serving := make([]*target, 0, len(p.targets))
 	for _, t := range p.targets {
-		if r.mayServe(now, t) {
-			ofVersion = append(ofVersion, t)
+		if r.mayServe(now, t) && !t.closed() {
+			serving = append(serving, t)
 		}
 	}
-	return usableOf(now, ofVersion)
+	return usableOf(now, serving)
 }
 
 // selectOfVersion selects one of the usable targets or, if the request requires a version, of
--- a/schedule/cut_off.go
+++ b/schedule/cut_off.go
@@ -117,7 +117,7 @@
 	var hosts []ident.Host
 	for host, peer := range s.peers {
 		fresh := now.Sub(peer.receivedAt) < passOnStateAge
-		if fresh && !peer.state.Stopping && !slices.Contains(peer.state.CutOff, p.name) {
+		if fresh && !peer.state.Leaving && !slices.Contains(peer.state.CutOff, p.name) {
 			hosts = append(hosts, host)
 		}
 	}
--- a/schedule/cut_off_test.go
+++ b/schedule/cut_off_test.go
@@ -33,7 +33,7 @@
 	dispatched(t, s, 0)
 	s.ApplyPeerState(at(0), "whole", State{})
 	s.ApplyPeerState(at(0), "cut off too", State{CutOff: []ident.Pool{pool}})
-	s.ApplyPeerState(at(0), "stopping", State{Stopping: true})
+	s.ApplyPeerState(at(0), "stopping", State{Leaving: true})
 	s.SetCutOff(at(10), pool, true)
 	passedOn := passable("passed on", 10)
 	passedOn.MayPassOn = false
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -65,7 +65,7 @@
 	if arrivals == 0 || p.meanServiceOf(now, w.request.Rank) < longServiceFactor*taken/arrivals {
 		return 0
 	}
-	return int(min(reserveRatio*taken, maxReserveRatio*float64(totalSlots(targets))))
+	return int(min(reserveRatio*taken, maxReserveRatio*p.capacity(targets)))
 }
 
 // urgentLoad returns the average number of slots that more urgent requests of all
@@ -128,6 +128,9 @@
 		suspect:      s.crashes.IsSuspect(now, r.Content),
 	}
 	t.running++
+	if t.limited() {
+		t.pacer.RecordSent(now)
+	}
 	if run.suspect {
 		t.suspects++
 	}
--- a/schedule/inputs.go
+++ b/schedule/inputs.go
@@ -8,6 +8,9 @@
 	// their free slots.
 	UsableTargets int
 	FreeSlots     int
+	// LimitedTargets is the number of targets that get fewer requests, or none, from this
+	// host because of the limits that they state.
+	LimitedTargets int
 	// Queued is the number of requests that this host has queued in the pool, and Ahead
 	// the number of requests of all hosts that come before this one.
 	Queued int
@@ -28,6 +31,11 @@
 		Queued:        len(p.queue.items),
 		Ahead:         p.queue.position(w) + s.peersAhead(now, p.name, w),
 	}
+	for _, t := range p.targets {
+		if t.available() && t.limited() {
+			in.LimitedTargets++
+		}
+	}
 	for peer := range s.peerStates() {
 		in.Peers += peer.hosts
 		in.PeerStateAge = max(in.PeerStateAge, now.Sub(peer.receivedAt))
--- a/schedule/limit_event.go
+++ b/schedule/limit_event.go
@@ -20,11 +20,3 @@
 	s.limitEvents = nil
 	return events
 }
-
-// recordLimitChange adds an event if the target's statement in force is no longer the given
-// one.
-func (s *Scheduler) recordLimitChange(t *target, before targetlimit.Statement) {
-	if after := t.limit.InForce(); after != before {
-		s.limitEvents = append(s.limitEvents, LimitEvent{Target: t.Name, Pool: t.Pool, Before: before, After: after})
-	}
-}
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -26,6 +26,8 @@
 	hosts int
 	// direct says that the state comes from the host itself and is no aggregate.
 	direct bool
+	// claims holds the host's rates for targets with limits.
+	claims map[ident.Target]float64
 }
 
 // ApplyPeerState replaces the known state of another host.
@@ -35,6 +37,7 @@
 		s.prefixes.record(now, p.Hash, p.Target)
 	}
 	s.MergeCrashes(now, state.Crashes)
+	s.applyLimits(now, s.peers[host])
 }
 
 // ApplyDataCentreState replaces the known aggregate state of the hosts of another data
@@ -42,6 +45,7 @@
 func (s *Scheduler) ApplyDataCentreState(now time.Time, dc ident.DataCentre, hosts int, state State) {
 	s.dcAggregates[dc] = s.replacePeerState(s.dcAggregates[dc], &peerState{state: state, receivedAt: now, hosts: hosts})
 	s.MergeCrashes(now, state.Crashes)
+	s.applyLimits(now, s.dcAggregates[dc])
 }
 
 // replacePeerState subtracts the older state from the totals and adds the newer one.
@@ -120,10 +124,11 @@
 	}
 }
 
-// SetPeerCount sets the number of other hosts. While the state of some of them is
+// SetPeers sets the other hosts with their data centres. While the state of some of them is
 // missing, their load is only known from the load that the targets report.
-func (s *Scheduler) SetPeerCount(now time.Time, others int) {
-	s.peerCount = others
+func (s *Scheduler) SetPeers(now time.Time, others map[ident.Host]ident.DataCentre) {
+	s.peerCount = len(others)
+	s.hostDataCentres = others
 	s.updatePeersMissing(now)
 }
 
@@ -163,7 +168,12 @@
 // each prefix location is returned only twice, and observations only at intervals or
 // after an urgent change.
 func (s *Scheduler) LocalState(now time.Time) State {
-	state := State{PrefixLocations: s.takePrefixLocations(), CutOff: s.CutOffPools()}
+	state := State{
+		PrefixLocations: s.takePrefixLocations(),
+		CutOff:          s.CutOffPools(),
+		Limits:          s.targetLimits(now),
+		Leaving:         s.leaving,
+	}
 	for _, t := range s.targets {
 		if t.running > 0 {
 			state.Loads = append(state.Loads, t.load())
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -97,10 +97,10 @@
 	maxRelativeSpeed = 4.0
 )
 
-// usableTargets returns the targets that may get requests now. If there are none, it
+// usableTargets returns the targets that may get requests of this host now. If there are none, it
 // falls back to those that responded within fallbackWindow, and to those that only other
 // hosts have ejected.
-func (p *pool) usableTargets(now time.Time) []*target { return usableOf(now, p.targets) }
+func (p *pool) usableTargets(now time.Time) []*target { return usableOf(now, openTargets(p.targets)) }
 
 func usableOf(now time.Time, targets []*target) []*target {
 	list := make([]*target, 0, len(targets))
@@ -150,7 +150,7 @@
 			present++
 		}
 	}
-	remaining := len(p.usableTargets(now))
+	remaining := len(usableOf(now, p.targets))
 	for _, t := range p.targets {
 		if t.health.probation || !isOutlier(t.allResults(now), sum) || 2*(remaining-1) < present {
 			continue
--- a/schedule/pool_load.go
+++ b/schedule/pool_load.go
@@ -13,6 +13,10 @@
 	// may get requests.
 	Targets int
 	Usable  int
+	// Limited is the number of targets that state limits, and LimitRate the requests per
+	// second that this host may send them.
+	Limited   int
+	LimitRate float64
 	// Slots and Free count the slots of the usable targets; the requests of all hosts
 	// are taken into account.
 	Slots int
@@ -37,6 +41,10 @@
 		}
 		for _, t := range p.targets {
 			load.Running += t.running
+			if t.available() && t.limited() {
+				load.Limited++
+				load.LimitRate += t.pacer.Rate()
+			}
 		}
 		loads = append(loads, load)
 	}
--- a/schedule/refusal.go
+++ b/schedule/refusal.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cornelyard/cornelyard/outcome"
@@ -29,7 +30,7 @@
 	kept := p.queue.items[:0]
 	for _, w := range p.queue.items {
 		switch {
-		case w.request.RequiresVersion && !p.hasCandidate(now, w.request):
+		case w.request.RequiresVersion && !p.hasCandidate(now, w.request), p.lacksOnlyLimits(now, w.request):
 			actions = append(actions, s.refuse(now, p, w, ""))
 		case !now.Before(w.refuseAt):
 			actions = append(actions, s.refuse(now, p, w, "no slot was free in time"))
@@ -64,12 +65,15 @@
 	if len(targets) == 0 {
 		return 0
 	}
+	if !slices.ContainsFunc(targets, func(t *target) bool { return !t.limited() }) {
+		return s.limitedWait(now, p, w, targets)
+	}
 	ahead := p.scaleToCandidates(now, w.request, p.queue.position(w)+s.peersAhead(now, p.name, w), targets)
 	ahead -= max(0, freeSlots(now, targets)-s.reservedSlots(now, p, w, targets)-1)
 	if ahead <= 0 {
 		return 0
 	}
-	all := float64(totalSlots(targets))
+	all := p.capacity(targets)
 	taken, _ := p.urgentLoad(now, w)
 	capacity := max(all-taken, minCapacityRatio*all)
 	return seconds(float64(ahead) * p.meanServiceOf(now, w.request.Rank) / capacity)
@@ -98,6 +102,9 @@
 	reason, retry := outcome.Shed, s.predictWait(now, p, w)
 	inputs := s.inputs(now, p, w)
 	inputs.PredictedWait = retry
+	if p.lacksOnlyLimits(now, w.request) {
+		return s.limitRefusal(now, p, w, inputs)
+	}
 	if w.request.RequiresVersion && !p.hasCandidate(now, w.request) {
 		return s.versionRefusal(now, p, w, inputs)
 	}
@@ -113,6 +120,19 @@
 	}
 }
 
+// limitRefusal returns the refusal of a request that no target may get because of the limits
+// that they state.
+func (s *Scheduler) limitRefusal(now time.Time, p *pool, w *queuedRequest, inputs Inputs) *Refuse {
+	inputs.PredictedWait = s.limitedPoolWait(now, p, w)
+	return &Refuse{
+		Request:    w.request.ID,
+		Reason:     outcome.TargetsLimited,
+		Message:    "the targets take no more requests per second",
+		RetryAfter: s.retryAfter(now, w, inputs.PredictedWait),
+		Inputs:     inputs,
+	}
+}
+
 // versionRefusal returns the refusal of a request that no target may serve. A retry helps
 // only if it may become certain that one has the version.
 func (s *Scheduler) versionRefusal(now time.Time, p *pool, w *queuedRequest, inputs Inputs) *Refuse {
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -33,6 +33,9 @@
 	// Retryable says that the request may be retried on another target if this one
 	// fails.
 	Retryable bool
+	// Repeat says that a target has got the request before. Targets that state limits get no
+	// such requests.
+	Repeat bool
 	// RequiresVersion says that only targets of the software version Version may serve
 	// the request.
 	RequiresVersion bool
--- a/schedule/restarted_target_test.go
+++ b/schedule/restarted_target_test.go
@@ -17,7 +17,7 @@
 // announce applies a target of version "v1" with a start time.
 func announce(s *Scheduler, ms int, t route.Target, startUnixMs int64) route.Target {
 	t.Version, t.StartUnixMs = "v1", startUnixMs
-	s.configureTarget(t.Name, t)
+	s.configureTarget(at(0), t.Name, t)
 	_ = s.Decide(at(ms))
 	return t
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -11,8 +11,11 @@
 
 // Scheduler is the scheduling state of one host. It is not safe for concurrent use.
 type Scheduler struct {
+	host       ident.Host
 	dataCentre ident.DataCentre
 	random     func() float64
+	// leaving is set while this host stops.
+	leaving bool
 
 	pools   map[ident.Pool]*pool
 	targets map[ident.Target]*target
@@ -20,8 +23,12 @@
 	// dcAggregates holds the aggregate states of the data centres whose hosts do not
 	// send their own state to this one.
 	dcAggregates map[ident.DataCentre]*peerState
-	// peerCount is the number of other hosts, whether their state is known or not.
-	peerCount int
+	// peerCount is the number of other hosts, whether their state is known or not, and
+	// hostDataCentres their data centres.
+	peerCount       int
+	hostDataCentres map[ident.Host]ident.DataCentre
+	// ratesAt is when the rates for targets with limits were last calculated.
+	ratesAt time.Time
 	// peersMissing says that the state of some of them is missing or too old.
 	peersMissing bool
 	// observationsSentAt is when LocalState last returned observations, and
@@ -43,6 +50,7 @@
 	prefixLocationsSent int
 	healthEvents        []HealthEvent
 	limitEvents         []LimitEvent
+	rateEvents          []RateEvent
 
 	// crashes holds the known crashes of targets. crashesChanged says that they changed
 	// since the queue was last checked for quarantined requests, crashesUrgent that this
@@ -67,7 +75,8 @@
 
 // Options configures a Scheduler.
 type Options struct {
-	// DataCentre is the data centre of this host.
+	// Host is the name of this host, and DataCentre its data centre.
+	Host       ident.Host
 	DataCentre ident.DataCentre
 	// Random returns numbers in [0, 1); nil selects the global generator.
 	Random func() float64
@@ -79,6 +88,7 @@
 		o.Random = rand.Float64
 	}
 	return &Scheduler{
+		host:         o.Host,
 		dataCentre:   o.DataCentre,
 		random:       o.Random,
 		pools:        make(map[ident.Pool]*pool),
@@ -103,7 +113,7 @@
 		t.announced = false
 	}
 	for name, announced := range snapshot.Targets {
-		s.configureTarget(name, announced)
+		s.configureTarget(now, name, announced)
 	}
 	for _, t := range s.targets {
 		if !t.announced && t.running == 0 {
@@ -113,7 +123,7 @@
 	s.rebuildAggregates()
 }
 
-func (s *Scheduler) configureTarget(name ident.Target, announced route.Target) {
+func (s *Scheduler) configureTarget(now time.Time, name ident.Target, announced route.Target) {
 	t := s.targets[name]
 	if t != nil && t.Pool != announced.Pool {
 		s.removeTarget(t)
@@ -131,9 +141,7 @@
 		t.lostAt = time.Time{}
 		s.prefixes.removeTarget(name)
 	}
-	before := t.limit.InForce()
-	t.limit.Forget(announced.StartUnixMs)
-	s.recordLimitChange(t, before)
+	s.forgetLimit(now, t, announced.StartUnixMs)
 	t.Target = announced
 	t.announced = true
 	t.isEngine = s.pools[announced.Pool].engine != nil
@@ -228,6 +236,7 @@
 	s.pendingActions = nil
 	actions = s.refuseQuarantined(now, actions)
 	s.updatePeersMissing(now)
+	s.updateRates(now)
 	s.ejectUnresponsive(now)
 	s.ejectOutliers(now)
 	for _, p := range s.pools {
@@ -270,6 +279,11 @@
 		for _, w := range p.queue.items {
 			wake = min(wake, w.refuseAt.Sub(now))
 		}
+		for _, t := range p.targets {
+			if wait, ok := t.pacer.Wait(now); ok && wait > 0 {
+				wake = min(wake, wait)
+			}
+		}
 	}
 	if wake == 0 {
 		return 0
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -254,7 +254,7 @@
 
 func TestLoadOfMissingHostsIsTakenFromTargetReports(t *testing.T) {
 	s := newScheduler(4, 4)
-	s.SetPeerCount(at(0), 1)
+	s.SetPeers(at(0), map[ident.Host]ident.DataCentre{"h2": ""})
 	for i := range 10 {
 		id := ident.Request(fmt.Sprint("seen", i))
 		s.Enqueue(at(i), request(string(id), i, 0))
--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -11,6 +11,9 @@
 	// centre are only known in aggregate: this host knows an older state of those targets
 	// than they do.
 	aggregatedPenalty = 0.1
+	// limitedBonus is the advantage, in seconds, of a target with a limit that may get a
+	// request now. Otherwise it would get nothing while others are idle.
+	limitedBonus = 0.01
 	// suspectPenalty is the cost, in seconds, of each request that runs beside content that
 	// may crash the target.
 	suspectPenalty = 1.0
@@ -40,6 +43,9 @@
 			continue
 		}
 		cost := s.cost(now, p, r, t)
+		if t.limited() {
+			cost -= limitedBonus
+		}
 		if suspect {
 			cost += suspectPenalty * float64(t.busySlots(now))
 		}
--- a/schedule/state.go
+++ b/schedule/state.go
@@ -21,8 +21,10 @@
 	Crashes []quarantine.Crash
 	// CutOff holds the pools of which the host reaches no target.
 	CutOff []ident.Pool
-	// Stopping says that the host takes no requests from others.
-	Stopping bool
+	// Limits holds the targets that state limits, or did a short time ago.
+	Limits []TargetLimit
+	// Leaving says that the host is stopping and takes no requests from others.
+	Leaving bool
 	// PrefixLocations holds the newest locations, oldest first.
 	PrefixLocations []PrefixLocation
 }
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -46,8 +46,14 @@
 	// peersMissing says that the state of some hosts is missing.
 	peersMissing bool
 
-	// limit is the newest known statement about the target's limit.
-	limit targetlimit.Observation
+	// limit is the newest known statement about the target's limit, and heardLimit the newest
+	// one that this host received itself.
+	limit      targetlimit.Observation
+	heardLimit targetlimit.Observation
+	// limitChangedAt is when the statement in force last changed.
+	limitChangedAt time.Time
+	// pacer spaces the requests of this host while the target states a limit.
+	pacer targetlimit.Pacer
 
 	health health
 	// lostAt is when this host last could not reach the target's process, or zero.
@@ -70,7 +76,18 @@
 	return busy
 }
 
-func (t *target) freeSlots(now time.Time) int { return t.Slots - t.busySlots(now) }
+// freeSlots returns how many requests this host may send the target now.
+func (t *target) freeSlots(now time.Time) int {
+	free := t.Slots - t.busySlots(now)
+	switch {
+	case !t.limited():
+		return free
+	case t.pacer.Ready(now):
+		return min(free, 1)
+	default:
+		return min(free, 0)
+	}
+}
 
 // recordReportedLoad records the load that a target reported with a response. It
 // includes the request of this response.
