Send no requests to a target whose responses say that it leaves

What callers saw: nothing yet; the header Server-Leaving is new on the users' pages, and requests went on to such a target until its entry said so.

Change: what a response says of its target is one record, decoded once (limit, leaving, pause); a process that has said that it leaves gets nothing more from this host, also while the store is away, until another process has its entry. Its end is no crash.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -184,7 +184,7 @@
 		x.countDispatch(r)
 		return
 	}
-	x.relay.options.Dispatcher.reportLimit(r.target, dispatchErr.Limit)
+	x.relay.options.Dispatcher.reportStatements(r.target, dispatchErr.Statements)
 	if dispatchErr.Sent {
 		x.countDispatch(r)
 	} else {
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -10,7 +10,6 @@
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 	"github.com/cornelyard/cornelyard/target"
-	"github.com/cornelyard/cornelyard/targetlimit"
 	"github.com/cornelyard/cornelyard/trial"
 )
 
@@ -235,20 +234,27 @@
 	if response.Load >= 0 {
 		d.scheduler.ReportLoad(time.Now(), r.slot, response.Load)
 	}
-	d.recordLimit(r.target, response.Limit)
+	d.recordStatements(r.target, response.Statements)
 }
 
-// reportLimit records what the response of a failed exchange said about the target's limit.
-func (d *Dispatcher) reportLimit(from route.Target, statement targetlimit.Statement) {
+// reportStatements records what the response of a failed exchange said about the target.
+func (d *Dispatcher) reportStatements(from route.Target, said Statements) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.recordLimit(from, statement)
+	d.recordStatements(from, said)
 }
 
-// recordLimit is reportLimit for callers that hold d.mu.
-func (d *Dispatcher) recordLimit(from route.Target, statement targetlimit.Statement) {
+// recordStatements is reportStatements for callers that hold d.mu.
+func (d *Dispatcher) recordStatements(from route.Target, said Statements) {
 	now := time.Now()
-	if d.scheduler.RecordLimit(now, from, statement) {
+	changed := d.scheduler.RecordLimit(now, from, said.Limit)
+	if said.Leaving {
+		changed = d.scheduler.RecordLeaving(from) || changed
+	}
+	if said.Pause > 0 {
+		d.scheduler.RecordPause(now, from, said.Pause)
+	}
+	if changed {
 		d.deliverDecisions(now)
 		d.options.OnStateChange()
 	}
--- a/relay/target_client.go
+++ b/relay/target_client.go
@@ -10,7 +10,6 @@
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 	"github.com/cornelyard/cornelyard/target"
-	"github.com/cornelyard/cornelyard/targetlimit"
 )
 
 // TargetClient sends requests to targets.
@@ -54,8 +53,8 @@
 	// Load is the number of requests at the target that it reported with the
 	// response, or -1 if it reported none.
 	Load int
-	// Limit is what the response says about the target's limit.
-	Limit targetlimit.Statement
+	// Statements is what the response says about the target.
+	Statements Statements
 	// Body ends with io.EOF only if it is complete, or Unframed is set.
 	Body io.ReadCloser
 }
@@ -67,9 +66,9 @@
 	NotRun bool
 	// Sent reports that the request reached a target.
 	Sent bool
-	// Limit is what the target's response, if there was one, says about its limit.
-	Limit targetlimit.Statement
-	Err   error
+	// Statements is what the response, if there was one, says about the target.
+	Statements Statements
+	Err        error
 }
 
 // Error implements error.
--- a/schedule/candidates.go
+++ b/schedule/candidates.go
@@ -57,7 +57,7 @@
 	}
 	serving := make([]*target, 0, len(p.targets))
 	for _, t := range p.targets {
-		if r.mayServe(now, t) && !t.closed() {
+		if r.mayServe(now, t) && !t.takesNothing(now) {
 			serving = append(serving, t)
 		}
 	}
--- a/schedule/limits.go
+++ b/schedule/limits.go
@@ -247,12 +247,17 @@
 // closed reports whether this host may send the target nothing because of its limit.
 func (t *target) closed() bool { return t.limited() && t.pacer.Rate() == 0 }
 
-// openTargets returns the targets that are not closed.
-func openTargets(targets []*target) []*target {
-	if !slices.ContainsFunc(targets, (*target).closed) {
+// takesNothing reports whether this host may send the target nothing now, because of its limit
+// or because it wants a pause.
+func (t *target) takesNothing(now time.Time) bool { return t.closed() || now.Before(t.pausedUntil) }
+
+// openTargets returns the targets that take requests now.
+func openTargets(now time.Time, targets []*target) []*target {
+	takesNothing := func(t *target) bool { return t.takesNothing(now) }
+	if !slices.ContainsFunc(targets, takesNothing) {
 		return targets
 	}
-	return slices.DeleteFunc(slices.Clone(targets), (*target).closed)
+	return slices.DeleteFunc(slices.Clone(targets), takesNothing)
 }
 
 // capacity returns the number of slots that requests of this host can use. That of a target
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -100,7 +100,9 @@
 // usableTargets returns the targets that may get requests of this host now. If there are none, it
 // falls back to those that responded within fallbackWindow, and to those that only other
 // hosts have ejected.
-func (p *pool) usableTargets(now time.Time) []*target { return usableOf(now, openTargets(p.targets)) }
+func (p *pool) usableTargets(now time.Time) []*target {
+	return usableOf(now, openTargets(now, p.targets))
+}
 
 func usableOf(now time.Time, targets []*target) []*target {
 	list := make([]*target, 0, len(targets))
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -139,6 +139,7 @@
 		t.health = health{}
 		t.speeds = Speeds{}
 		t.lostAt = time.Time{}
+		t.leaving, t.pausedUntil = false, time.Time{}
 		s.prefixes.removeTarget(name)
 	}
 	s.forgetLimit(now, t, announced.StartUnixMs)
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -55,6 +55,11 @@
 	// pacer spaces the requests of this host while the target states a limit.
 	pacer targetlimit.Pacer
 
+	// leaving says that the process has said that it is about to end, and pausedUntil is the
+	// end of the time in which it wants no requests from this host.
+	leaving     bool
+	pausedUntil time.Time
+
 	health health
 	// lostAt is when this host last could not reach the target's process, or zero.
 	lostAt time.Time
@@ -177,8 +182,8 @@
 // and so another software version.
 func (t *target) mayHaveRestarted(now time.Time) bool { return now.Sub(t.lostAt) < restartDetection }
 
-// available reports whether the target is announced and not draining.
-func (t *target) available() bool { return t.announced && !t.Draining }
+// available reports whether the target is announced and not about to end.
+func (t *target) available() bool { return t.announced && !t.Draining && !t.leaving }
 
 // usable reports whether this host may send the target a request. A target that other
 // hosts have ejected, and that has not responded to this host recently, is left to
