Give a target the pause that it asks for with a 503

What callers saw: nothing yet; Retry-After in a target's 503 is new on the users' pages, and requests went on to it as probes.

Cause: the value was passed on to callers and read by nobody.

--- a/schedule/statements_test.go
+++ b/schedule/statements_test.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func TestTargetThatSaysThatItLeavesGetsNoMoreRequests(t *testing.T) {
 	s := newScheduler(2)
@@ -25,3 +28,20 @@
 		t.Error("the statement of the former process counts for the next one")
 	}
 }
+
+func TestTargetThatWantsAPauseGetsNothingUntilItsEnd(t *testing.T) {
+	s := newScheduler(2)
+	first := runOn(t, s, 0, request("first", 0, 0))
+	s.RecordPause(at(10), first, time.Second)
+	s.RecordPause(at(20), first, 100*time.Millisecond)
+	s.Enqueue(at(30), request("second", 30, 0))
+	for ms := 30; ms < 1010; ms += 20 {
+		if sent := dispatched(t, s, ms); len(sent) != 0 {
+			t.Fatalf("dispatched %v at %d ms, during the pause", sent, ms)
+		}
+	}
+	s.Enqueue(at(1011), request("third", 1011, 0))
+	if sent := dispatched(t, s, 1011); sent["third"] != "t0" {
+		t.Errorf("dispatched %v after the pause, want one request", sent)
+	}
+}
