--- a/schedule/action.go
+++ b/schedule/action.go
@@ -8,7 +8,8 @@
 	"github.com/cornelyard/cornelyard/route"
 )
 
-// Action is a scheduling decision for the host to carry out: a *Dispatch or a *Refuse.
+// Action is a scheduling decision for the host to carry out: a *Dispatch, a *Divert or a
+// *Refuse.
 type Action interface {
 	// RequestID returns the request that the decision is about.
 	RequestID() ident.Request
