Tell apart no more parts than one transaction of the store can hold

What callers would see: a request with over 49 suspects, each a check and a write, is over the 100 entries of a transaction; the store refuses its trial and each host permits it by itself. Found by reading.

Evidence: TestTrialOfLongestPromptFitsOneTransaction failed with 130 entries, and passes with 98.

--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -11,8 +11,9 @@
 	Parts []Digest
 }
 
-// maxParts bounds the parts of a prompt that are told apart.
-const maxParts = 64
+// maxParts bounds the parts of a prompt that are told apart, so that a check and a write for
+// each of them and the whole content fit one transaction of the platform's store.
+const maxParts = 48
 
 // NewContent returns the content of a request with the parts of its prompt, in order. The
 // last part belongs to the request or its session alone and is left out.
--- a/quarantine/content_test.go
+++ b/quarantine/content_test.go
@@ -16,3 +16,13 @@
 		}
 	}
 }
+
+// storeEntries is how many entries one transaction of the platform's store may have.
+const storeEntries = 100
+
+func TestTrialOfLongestPromptFitsOneTransaction(t *testing.T) {
+	longest := NewContent(1, make([]Digest, 1000))
+	if entries := 2 * len(longest.digests()); entries > storeEntries {
+		t.Errorf("a check and a write for each digest are %d entries, want at most %d", entries, storeEntries)
+	}
+}
