--- a/relay/call.go
+++ b/relay/call.go
@@ -24,6 +24,8 @@
 	Body   []byte
 	// PassedOn says that another host has passed the request on to this one.
 	PassedOn bool
+	// EarlierDispatches is how many targets the request reached at that host.
+	EarlierDispatches int
 	// Key is the caller's API key. It is not forwarded to the target.
 	Key string
 
--- a/relay/pass_on.go
+++ b/relay/pass_on.go
@@ -59,7 +59,9 @@
 }
 
 func (x *execution) sendToHost(ctx context.Context, host ident.Host) (*Response, error) {
-	d := Dispatch{Call: x.call, Timeout: time.Until(x.deadline), Latch: new(target.SendLatch)}
+	d := Dispatch{
+		Call: x.call, Timeout: time.Until(x.deadline), Latch: new(target.SendLatch), EarlierDispatches: x.dispatches,
+	}
 	response, err := x.relay.options.PeerClient.SendToHost(ctx, host, d)
 	if err != nil && !isNotRun(err) || err == nil && !response.NotRun {
 		x.mayHaveRun = true
--- /dev/null
+++ b/relay/pass_on_test.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/periodic"
+	"github.com/cornelyard/cornelyard/route"
+	"github.com/cornelyard/cornelyard/schedule"
+)
+
+// peerBehavior is another host's response to a request that is passed on to it.
+type peerBehavior func(ctx context.Context, d Dispatch) (*Response, error)
+
+// SendToHost implements PeerClient.
+func (b peerBehavior) SendToHost(ctx context.Context, _ ident.Host, d Dispatch) (*Response, error) {
+	return b(ctx, d)
+}
+
+// hearPeer makes the fixture's host hear from another one, which responds as given to what is
+// passed on to it.
+func (f *fixture) hearPeer(t *testing.T, peer targetBehavior) {
+	t.Helper()
+	f.relay.options.PeerClient = peerBehavior(peer)
+	hear := func(now time.Time) { f.relay.options.Dispatcher.ApplyPeerState(now, "h2", schedule.State{}) }
+	hear(time.Now())
+	go func() { _ = periodic.Run(t.Context(), 50*time.Millisecond, hear) }()
+}
+
+// cutOff makes the fixture's host reach no target.
+func (f *fixture) cutOff() { f.relay.options.Dispatcher.SetCutOff(time.Now(), "p", true) }
+
+func TestPassedOnRequestKeepsToItsAttemptLimit(t *testing.T) {
+	f := newFixture(t, route.Route{Kind: route.Idempotent, MaxAttempts: 2}, brokenResponse)
+	f.call(context.Background(), func(c *Call) { c.PassedOn, c.EarlierDispatches = true, 1 })
+	if n := len(f.client.dispatches); n != 1 {
+		t.Errorf("the request was sent to %d targets after one at another host, want 1 more", n)
+	}
+}
+
+func TestDispatchesBeforeARequestIsPassedOnAreTold(t *testing.T) {
+	var f *fixture
+	cutThenBreak := func(ctx context.Context, d Dispatch) (*Response, error) {
+		f.cutOff()
+		return brokenResponse(ctx, d)
+	}
+	f = newFixture(t, route.Route{Kind: route.Idempotent, MaxAttempts: 3}, cutThenBreak)
+	told := -1
+	f.hearPeer(t, func(ctx context.Context, d Dispatch) (*Response, error) {
+		told = d.EarlierDispatches
+		return respond(200, "peer")(ctx, d)
+	})
+	if _, sink := f.call(context.Background(), nil); sink.body.String() != "peer" || told != 1 {
+		t.Errorf("got body %q and %d earlier dispatches, want the other host's response and 1", sink.body.String(), told)
+	}
+}
--- a/relay/target_client.go
+++ b/relay/target_client.go
@@ -34,6 +34,8 @@
 	ResumeAfter uint64
 	Resumes     bool
 	Latch       *target.SendLatch
+	// EarlierDispatches is how many targets the request has reached, if it is passed on.
+	EarlierDispatches int
 }
 
 // Response is a target's response whose head has arrived.
