End an unused trial before its request is passed on

What callers would see: a sound request with a suspect part, whose target could not be reached, was passed on while its own host still held the trial; the second host refused it as on trial. Found by reading.

Evidence: TestUnusedTrialEndsBeforeItsRequestIsPassedOn failed with 503, passes.

--- a/relay/pass_on.go
+++ b/relay/pass_on.go
@@ -30,6 +30,7 @@
 // forwarded in full.
 func (x *execution) passOn(ctx context.Context, hosts []ident.Host) *outcome.Refusal {
 	x.refund()
+	x.withdrawTrial()
 	x.dispatchRetry()
 	for _, host := range hosts[:min(len(hosts), maxPassOnHosts)] {
 		response, err := x.sendToHost(ctx, host)
--- a/relay/pass_on_test.go
+++ b/relay/pass_on_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/periodic"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
 )
@@ -56,3 +57,25 @@
 		t.Errorf("got body %q and %d earlier dispatches, want the other host's response and 1", sink.body.String(), told)
 	}
 }
+
+func TestUnusedTrialEndsBeforeItsRequestIsPassedOn(t *testing.T) {
+	var f *fixture
+	cutAndUnreachable := func(ctx context.Context, d Dispatch) (*Response, error) {
+		f.cutOff()
+		return failWith(DispatchError{Result: schedule.Unreachable, NotRun: true})(ctx, d)
+	}
+	f = newFixture(t, route.Route{Kind: route.Idempotent, MaxAttempts: 2}, cutAndUnreachable)
+	f.suspect()
+	f.hearPeer(t, func(ctx context.Context, d Dispatch) (*Response, error) {
+		other := f.otherHost()
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			if _, denial := other.Begin(ctx, []quarantine.Digest{fixtureDigest()}, time.Minute); denial == nil {
+				return respond(200, "peer")(ctx, d)
+			}
+		}
+		return respond(503, "on trial")(ctx, d)
+	})
+	if _, sink := f.call(context.Background(), nil); sink.status != 200 {
+		t.Errorf("got status %d, want 200: the other host may begin the trial", sink.status)
+	}
+}
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -64,6 +64,7 @@
 func (x *execution) withdrawTrial() {
 	if x.unusedTrial != nil {
 		x.unusedTrial.End(trial.Withdrawn)
+		x.unusedTrial = nil
 	}
 }
 
