Pass a stalled request on once its host reaches no target

What callers would see: a request that may run twice, sent over a connection that hangs since the cut, was held until its deadline: its second run found no slot, because the host reached no other target either. Found by reading.

Change: where a second run would begin, the first one is given up if requests of the pool are passed on, and the request goes on as after a failed exchange, within its attempts and the retry budget. One that must not run twice stays.

Evidence: TestStalledRequestIsPassedOnOnceItsHostIsCutOff failed after 4 s at its deadline, and passes.

--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -159,6 +159,13 @@
 	return changed
 }
 
+// passesOn reports whether requests for a pool are passed on to other hosts.
+func (d *Dispatcher) passesOn(now time.Time, pool ident.Pool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.PassesOn(now, pool)
+}
+
 // AggregateState returns the aggregate state of this host and its direct peers, and
 // the number of these hosts.
 func (d *Dispatcher) AggregateState(now time.Time) (schedule.State, int) {
--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -25,6 +25,9 @@
 // stalled.
 var errStalled = errors.New("the target does not go on")
 
+// errCutOff is the cancellation cause of a run whose target is no longer reached.
+var errCutOff = errors.New("no target is reached any more")
+
 // hedge supervises a run of a request that may run again. When its target stalls, the
 // hedge starts a second run on another target, if the attempts, the retry budget and a
 // slot allow that. Whichever responds first goes on and the other one is cancelled, so a
--- a/relay/pass_on_test.go
+++ b/relay/pass_on_test.go
@@ -79,3 +79,30 @@
 		t.Errorf("got status %d, want 200: the other host may begin the trial", sink.status)
 	}
 }
+
+func TestStalledRequestIsPassedOnOnceItsHostIsCutOff(t *testing.T) {
+	r := route.Route{Kind: route.Idempotent, MaxAttempts: 2, LatencyObjective: 10 * time.Millisecond, Timeout: 4 * time.Second}
+	f := newFixture(t, r, hang)
+	f.hearPeer(t, respond(200, "peer"))
+	time.AfterFunc(100*time.Millisecond, f.cutOff)
+	started := time.Now()
+	_, sink := f.call(context.Background(), nil)
+	if sink.body.String() != "peer" || time.Since(started) > 2*time.Second {
+		t.Errorf("got status %d and body %q after %s, want the other host's response in time", sink.status, sink.body.String(), time.Since(started))
+	}
+}
+
+func TestStalledRequestThatMustNotRunTwiceIsNotPassedOn(t *testing.T) {
+	r := route.Route{Kind: route.NonIdempotent, MaxAttempts: 2, LatencyObjective: 10 * time.Millisecond, Timeout: 700 * time.Millisecond}
+	f := newFixture(t, r, hang)
+	passedOn := false
+	f.hearPeer(t, func(ctx context.Context, d Dispatch) (*Response, error) {
+		passedOn = true
+		return respond(200, "peer")(ctx, d)
+	})
+	time.AfterFunc(100*time.Millisecond, f.cutOff)
+	f.call(context.Background(), nil)
+	if passedOn {
+		t.Error("the request was passed on although it may have run")
+	}
+}
--- a/relay/second_run.go
+++ b/relay/second_run.go
@@ -12,6 +12,9 @@
 // the timer.
 func (h *hedge) startSecond() {
 	defer h.rearm()
+	if h.giveUpFirst() {
+		return
+	}
 	request, ctx, ok := h.reserveSecond()
 	if !ok {
 		return
@@ -31,6 +34,21 @@
 	h.awaitSecond(second)
 }
 
+// giveUpFirst cancels the first run if another host may serve the request, because this one
+// reaches no target any more. The request goes on as after a failed exchange.
+func (h *hedge) giveUpFirst() bool {
+	h.x.mu.Lock()
+	defer h.x.mu.Unlock()
+	if h.ended || h.paused || h.successor != nil || !h.x.mayHedge(h.first) || !h.x.mayPassOn() {
+		return false
+	}
+	if !h.x.relay.options.Dispatcher.passesOn(time.Now(), h.x.pool) {
+		return false
+	}
+	h.first.cancel(errCutOff)
+	return true
+}
+
 func (h *hedge) releaseReserved() {
 	h.x.relay.options.RetryBudget.ReleaseReserved(time.Now(), h.x.pool)
 }
--- a/schedule/cut_off.go
+++ b/schedule/cut_off.go
@@ -146,6 +146,12 @@
 	return &Divert{Request: r.ID, Hosts: hosts}
 }
 
+// PassesOn reports whether requests for a pool are passed on to other hosts.
+func (s *Scheduler) PassesOn(now time.Time, name ident.Pool) bool {
+	p := s.poolOf(name)
+	return p.cutOff && len(s.hostsThatReach(now, p)) > 0
+}
+
 // divertQueued passes the queued requests of a pool on if this host reaches none of its targets.
 func (s *Scheduler) divertQueued(now time.Time, p *pool, actions []Action) []Action {
 	if !p.cutOff {
