Tell other hosts which targets have said that they leave

What callers would see: a target that says in its responses that it leaves went on getting requests from the hosts that had heard none of them, until its entry or its next response told them. Found by reading.

Change: states name the processes of targets that have said so; a report counts for that process alone, and is never made of one that has no start time.

Evidence: TestLeavingOfATargetBindsHostsThatDidNotHearIt failed, passes.

--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -49,6 +49,9 @@
 
 func encodeSchedule(state *hostpb.HostState, s *schedule.State) {
 	state.Observed = s.Observed
+	for _, p := range s.LeavingTargets {
+		state.LeavingTargets = append(state.LeavingTargets, &hostpb.TargetProcess{Target: hashName(p.Target), StartUnixMs: p.StartUnixMs})
+	}
 	for _, pool := range s.CutOff {
 		state.CutOff = append(state.CutOff, hashName(pool))
 	}
@@ -127,6 +130,7 @@
 		CutOff:          n.decodePools(state.GetCutOff()),
 		Limits:          decodeItems(state.GetLimits(), n.targets, (*hostpb.TargetLimit).GetTarget, limitDecoder(now)),
 		Leaving:         state.GetLeaving(),
+		LeavingTargets:  decodeItems(state.GetLeavingTargets(), n.targets, (*hostpb.TargetProcess).GetTarget, decodeProcess),
 	}
 	return m
 }
@@ -156,6 +160,10 @@
 	return pools
 }
 
+func decodeProcess(target ident.Target, p *hostpb.TargetProcess) schedule.TargetProcess {
+	return schedule.TargetProcess{Target: target, StartUnixMs: p.GetStartUnixMs()}
+}
+
 func decodeLoad(target ident.Target, l *hostpb.TargetLoad) schedule.TargetLoad {
 	return schedule.TargetLoad{
 		Target:        target,
--- /dev/null
+++ b/hoststate/statement_codec_test.go
@@ -0,0 +1,36 @@
+package hoststate
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/internal/proto/hostpb"
+	"github.com/cornelyard/cornelyard/route"
+	"github.com/cornelyard/cornelyard/schedule"
+)
+
+func TestCutOffPoolsAndLeavingTargetsSurviveTransmission(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	sent := schedule.State{
+		CutOff:         []ident.Pool{"p"},
+		LeavingTargets: []schedule.TargetProcess{{Target: "t", StartUnixMs: 7}},
+	}
+	data, err := encode(now, &Message{Host: "h1", Schedule: sent}, 1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := &hostpb.HostState{}
+	if err := proto.Unmarshal(data, state); err != nil {
+		t.Fatal(err)
+	}
+	table := route.NewTable(1, route.Limits{}, nil, []*route.Pool{{Name: "p"}}, nil)
+	targets := &route.TargetSnapshot{Targets: map[ident.Target]route.Target{"t": {Name: "t", Pool: "p"}}}
+	got := NewNameIndex(table, targets).decode(now, state).Schedule
+	if !reflect.DeepEqual(got.CutOff, sent.CutOff) || !reflect.DeepEqual(got.LeavingTargets, sent.LeavingTargets) {
+		t.Errorf("got %+v, want %+v", got, sent)
+	}
+}
--- a/schedule/aggregate_state.go
+++ b/schedule/aggregate_state.go
@@ -37,6 +37,7 @@
 	aggregate.Backlogs = backlogs.list()
 	aggregate.Demands = s.directDemands(now)
 	aggregate.Limits = s.directLimits(now)
+	aggregate.LeavingTargets = s.leavingTargets()
 	return aggregate, hosts
 }
 
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -38,6 +38,7 @@
 	}
 	s.MergeCrashes(now, state.Crashes)
 	s.applyLimits(now, s.peers[host])
+	s.applyLeaving(state.LeavingTargets)
 }
 
 // ApplyDataCentreState replaces the known aggregate state of the hosts of another data
@@ -46,6 +47,7 @@
 	s.dcAggregates[dc] = s.replacePeerState(s.dcAggregates[dc], &peerState{state: state, receivedAt: now, hosts: hosts})
 	s.MergeCrashes(now, state.Crashes)
 	s.applyLimits(now, s.dcAggregates[dc])
+	s.applyLeaving(state.LeavingTargets)
 }
 
 // replacePeerState subtracts the older state from the totals and adds the newer one.
@@ -173,6 +175,7 @@
 		CutOff:          s.CutOffPools(),
 		Limits:          s.targetLimits(now),
 		Leaving:         s.leaving,
+		LeavingTargets:  s.leavingTargets(),
 	}
 	for _, t := range s.targets {
 		if t.running > 0 {
--- a/schedule/statements.go
+++ b/schedule/statements.go
@@ -18,6 +18,27 @@
 	return true
 }
 
+// applyLeaving records the processes of targets that, as another host reports, are about to end.
+func (s *Scheduler) applyLeaving(reported []TargetProcess) {
+	for _, p := range reported {
+		if t := s.targets[p.Target]; t != nil && t.StartUnixMs == p.StartUnixMs {
+			t.leaving = true
+		}
+	}
+}
+
+// leavingTargets returns the processes that have said that they are about to end, as far as
+// other hosts can tell them from the next ones.
+func (s *Scheduler) leavingTargets() []TargetProcess {
+	var list []TargetProcess
+	for _, t := range s.targets {
+		if t.leaving && t.StartUnixMs != 0 {
+			list = append(list, TargetProcess{Target: t.Name, StartUnixMs: t.StartUnixMs})
+		}
+	}
+	return list
+}
+
 // RecordPause records that a target has turned a request away and wants no other one from this
 // host for a time.
 func (s *Scheduler) RecordPause(now time.Time, from route.Target, pause time.Duration) {
--- a/schedule/statements_test.go
+++ b/schedule/statements_test.go
@@ -45,3 +45,28 @@
 		t.Errorf("dispatched %v after the pause, want one request", sent)
 	}
 }
+
+func TestLeavingOfATargetBindsHostsThatDidNotHearIt(t *testing.T) {
+	snapshot := engines(2)
+	entry := snapshot.Targets["t0"]
+	entry.StartUnixMs = 7
+	snapshot.Targets["t0"] = entry
+	here, there := newScheduler(2), newScheduler(2)
+	here.Configure(at(0), pools(), snapshot)
+	there.Configure(at(0), pools(), snapshot)
+	here.RecordLeaving(entry)
+	there.ApplyPeerState(at(10), "here", here.LocalState(at(10)))
+	there.Enqueue(at(20), request("first", 20, 0))
+	if sent := dispatched(t, there, 20); len(sent) != 0 {
+		t.Errorf("dispatched %v to a target that leaves", sent)
+	}
+	next := engines(2)
+	entry.StartUnixMs = 8
+	next.Targets["t0"] = entry
+	there.Configure(at(30), pools(), next)
+	there.ApplyPeerState(at(40), "here", here.LocalState(at(40)))
+	there.Enqueue(at(50), request("second", 50, 0))
+	if sent := dispatched(t, there, 50); sent["second"] != "t0" {
+		t.Errorf("dispatched %v, want a request on the next process", sent)
+	}
+}
