Share the slots of brittle targets among the hosts

What callers would see: targets that say they fall over when they turn requests away did so again and again, because several hosts filled them at the same moment.

Cause: each host fills a target up to its slots by the states of the others, which are some milliseconds old, and nothing read the statement.

Change: while a target says that it is brittle, each host uses its part of the slots; the parts follow a rendezvous hash over the registered hosts and add up to the slots. A target that turned a request away gets none from that host for a second.

--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -42,6 +42,7 @@
 	state.Limits = encodeLimits(now, m.Schedule.Limits)
 	state.Leaving = m.Schedule.Leaving
 	encodeSchedule(state, &m.Schedule)
+	state.BrittleTargets = encodeBrittle(now, m.Schedule.BrittleTargets)
 	encodeStreams(state, &m.Streams)
 	data, err := proto.Marshal(state)
 	return data, Error.Wrap(err)
@@ -130,6 +131,7 @@
 		CutOff:          n.decodePools(state.GetCutOff()),
 		Limits:          decodeItems(state.GetLimits(), n.targets, (*hostpb.TargetLimit).GetTarget, limitDecoder(now)),
 		Leaving:         state.GetLeaving(),
+		BrittleTargets:  decodeItems(state.GetBrittleTargets(), n.targets, (*hostpb.BrittleTarget).GetTarget, brittleDecoder(now)),
 		LeavingTargets:  decodeItems(state.GetLeavingTargets(), n.targets, (*hostpb.TargetProcess).GetTarget, decodeProcess),
 	}
 	return m
--- a/hoststate/statement_codec_test.go
+++ b/hoststate/statement_codec_test.go
@@ -13,11 +13,12 @@
 	"github.com/cornelyard/cornelyard/schedule"
 )
 
-func TestCutOffPoolsAndLeavingTargetsSurviveTransmission(t *testing.T) {
+func TestCutOffPoolsAndStatementsOfTargetsSurviveTransmission(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	sent := schedule.State{
 		CutOff:         []ident.Pool{"p"},
 		LeavingTargets: []schedule.TargetProcess{{Target: "t", StartUnixMs: 7}},
+		BrittleTargets: []schedule.BrittleTarget{{TargetProcess: schedule.TargetProcess{Target: "t", StartUnixMs: 7}, At: now.Add(-time.Second)}},
 	}
 	data, err := encode(now, &Message{Host: "h1", Schedule: sent}, 1, 1)
 	if err != nil {
@@ -30,7 +31,8 @@
 	table := route.NewTable(1, route.Limits{}, nil, []*route.Pool{{Name: "p"}}, nil)
 	targets := &route.TargetSnapshot{Targets: map[ident.Target]route.Target{"t": {Name: "t", Pool: "p"}}}
 	got := NewNameIndex(table, targets).decode(now, state).Schedule
-	if !reflect.DeepEqual(got.CutOff, sent.CutOff) || !reflect.DeepEqual(got.LeavingTargets, sent.LeavingTargets) {
+	if !reflect.DeepEqual(got.CutOff, sent.CutOff) || !reflect.DeepEqual(got.LeavingTargets, sent.LeavingTargets) ||
+		!reflect.DeepEqual(got.BrittleTargets, sent.BrittleTargets) {
 		t.Errorf("got %+v, want %+v", got, sent)
 	}
 }
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -258,6 +258,9 @@
 	if said.Leaving {
 		changed = d.scheduler.RecordLeaving(from) || changed
 	}
+	if said.Brittle || said.Authentic {
+		d.scheduler.RecordBrittle(now, from, said.Brittle)
+	}
 	if said.Pause > 0 {
 		d.scheduler.RecordPause(now, from, said.Pause)
 	}
--- a/schedule/aggregate_state.go
+++ b/schedule/aggregate_state.go
@@ -38,6 +38,7 @@
 	aggregate.Demands = s.directDemands(now)
 	aggregate.Limits = s.directLimits(now)
 	aggregate.LeavingTargets = s.leavingTargets()
+	aggregate.BrittleTargets = s.directBrittle(now)
 	return aggregate, hosts
 }
 
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -65,7 +65,7 @@
 	if arrivals == 0 || p.meanServiceOf(now, w.request.Rank) < longServiceFactor*taken/arrivals {
 		return 0
 	}
-	return int(min(reserveRatio*taken, maxReserveRatio*p.capacity(targets)))
+	return int(min(reserveRatio*taken, maxReserveRatio*p.capacity(now, targets)))
 }
 
 // urgentLoad returns the average number of slots that more urgent requests of all
--- a/schedule/limits.go
+++ b/schedule/limits.go
@@ -262,10 +262,10 @@
 
 // capacity returns the number of slots that requests of this host can use. That of a target
 // with a limit is what its rate occupies on average.
-func (p *pool) capacity(targets []*target) float64 {
+func (p *pool) capacity(now time.Time, targets []*target) float64 {
 	sum := 0.0
 	for _, t := range targets {
-		slots := float64(t.Slots)
+		slots := float64(t.usableSlots(now))
 		if t.limited() {
 			slots = min(slots, t.pacer.Rate()*p.meanService)
 		}
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -39,6 +39,7 @@
 	s.MergeCrashes(now, state.Crashes)
 	s.applyLimits(now, s.peers[host])
 	s.applyLeaving(state.LeavingTargets)
+	s.applyBrittle(now, state.BrittleTargets)
 }
 
 // ApplyDataCentreState replaces the known aggregate state of the hosts of another data
@@ -48,6 +49,7 @@
 	s.MergeCrashes(now, state.Crashes)
 	s.applyLimits(now, s.dcAggregates[dc])
 	s.applyLeaving(state.LeavingTargets)
+	s.applyBrittle(now, state.BrittleTargets)
 }
 
 // replacePeerState subtracts the older state from the totals and adds the newer one.
@@ -132,6 +134,7 @@
 	s.peerCount = len(others)
 	s.hostDataCentres = others
 	s.updatePeersMissing(now)
+	s.shareAllSlots(now)
 }
 
 func (s *Scheduler) updatePeersMissing(now time.Time) {
@@ -176,6 +179,7 @@
 		Limits:          s.targetLimits(now),
 		Leaving:         s.leaving,
 		LeavingTargets:  s.leavingTargets(),
+		BrittleTargets:  s.brittleTargets(now),
 	}
 	for _, t := range s.targets {
 		if t.running > 0 {
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -72,6 +72,9 @@
 	t.kv -= r.kv
 	before := t.health
 	t.health.recordResult(now, result)
+	if result == Rejected && t.isBrittle(now) {
+		t.pausedUntil = now.Add(brittlePause)
+	}
 	if result == Unreachable {
 		s.pools[t.Pool].unreachableAt = now
 	}
--- a/schedule/refusal.go
+++ b/schedule/refusal.go
@@ -73,7 +73,7 @@
 	if ahead <= 0 {
 		return 0
 	}
-	all := p.capacity(targets)
+	all := p.capacity(now, targets)
 	taken, _ := p.urgentLoad(now, w)
 	capacity := max(all-taken, minCapacityRatio*all)
 	return seconds(float64(ahead) * p.meanServiceOf(now, w.request.Rank) / capacity)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -140,6 +140,7 @@
 		t.speeds = Speeds{}
 		t.lostAt = time.Time{}
 		t.leaving, t.pausedUntil = false, time.Time{}
+		t.brittleUntil, t.brittleHeardAt = time.Time{}, time.Time{}
 		s.prefixes.removeTarget(name)
 	}
 	s.forgetLimit(now, t, announced.StartUnixMs)
--- a/schedule/state.go
+++ b/schedule/state.go
@@ -25,6 +25,8 @@
 	Limits []TargetLimit
 	// Leaving says that the host is stopping and takes no requests from others.
 	Leaving bool
+	// BrittleTargets holds the targets that have said that they are brittle a short time ago.
+	BrittleTargets []BrittleTarget
 	// LeavingTargets holds the processes that have said that they are about to end.
 	LeavingTargets []TargetProcess
 	// PrefixLocations holds the newest locations, oldest first.
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -59,6 +59,11 @@
 	// end of the time in which it wants no requests from this host.
 	leaving     bool
 	pausedUntil time.Time
+	// brittleUntil is until when the process counts as brittle, brittleHeardAt when a response
+	// to this host last said so, and slotShare how many slots this host may use meanwhile.
+	brittleUntil   time.Time
+	brittleHeardAt time.Time
+	slotShare      int
 
 	health health
 	// lostAt is when this host last could not reach the target's process, or zero.
@@ -83,7 +88,7 @@
 
 // freeSlots returns how many requests this host may send the target now.
 func (t *target) freeSlots(now time.Time) int {
-	free := t.Slots - t.busySlots(now)
+	free := min(t.Slots-t.busySlots(now), t.usableSlots(now)-t.running)
 	switch {
 	case !t.limited():
 		return free
