Compute the mean event interval once for each placement

Change: the mean is computed once for each decision. Result: go test ./schedule passes; the same choices.

--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -30,6 +30,7 @@
 	limit := s.firstEventLimit(now, w)
 	needsFast, anyFinishes := p.needsFastTarget(now, r, targets)
 	suspect := s.crashes.IsSuspect(now, r.Content)
+	meanInterval := p.meanEventInterval()
 	var best *target
 	bestCost := 0.0
 	for _, t := range targets {
@@ -49,7 +50,7 @@
 		if suspect {
 			cost += suspectPenalty * float64(t.busySlots(now))
 		}
-		if !needsFast && p.isFast(t) && t.freeSlots(now) <= fastSlotReserve {
+		if !needsFast && t.isFast(meanInterval) && t.freeSlots(now) <= fastSlotReserve {
 			cost += fastPenalty
 		}
 		if best == nil || cost < bestCost {
@@ -106,9 +107,10 @@
 	return needs, anyFinishes
 }
 
-func (p *pool) isFast(t *target) bool {
+// isFast reports whether the target is fast, given the mean event interval of its pool.
+func (t *target) isFast(meanInterval float64) bool {
 	interval := t.knownSpeeds().EventInterval
-	return interval > 0 && interval < fastIntervalRatio*p.meanEventInterval()
+	return interval > 0 && interval < fastIntervalRatio*meanInterval
 }
 
 // meanEventInterval returns the mean event interval of the targets for which one is
