Count reported usage of teams that this host got no request of

Cause: a host opened the account of a team at its own first request of it, and dropped what others reported before. With hundreds of hosts most requests of a team reach others, and the two hosts that report a data centre's total left out the teams that they had not seen. Change: reports open the account of a configured team. Reports also move the windows at most every 5 ms, and a source's silence is measured against the interval of its reports.

--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -70,6 +70,7 @@
 	s.logger.Info().Str(eventlog.FieldEvent, eventlog.EventTableApplied).Uint64(eventlog.FieldTableVersion, t.Version).
 		Int("teams", len(t.Teams)).Int("pools", len(t.Pools)).Msg("Configuration applied.")
 	s.streams.SetLongestTimeout(t.LongestTimeout())
+	s.quotas.SetTeams(slices.Values(t.Teams))
 	s.applyConfiguration(time.Now())
 }
 
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"iter"
 	"sync"
 	"time"
 
@@ -8,9 +9,17 @@
 	"github.com/cornelyard/cornelyard/route"
 )
 
-// staleAfter is how long a host's or a data centre's reports may be missing before its
-// usage is assumed: two lost heartbeats.
-const staleAfter = 250 * time.Millisecond
+// staleAfter is the least time for which a host's or a data centre's reports may be missing
+// before its usage is assumed. staleIntervals is the same as a multiple of the interval of
+// its reports: two of them may be lost.
+const (
+	staleAfter     = 250 * time.Millisecond
+	staleIntervals = 2.5
+)
+
+// advanceInterval is the least time between two moves of all accounts for reports. It is
+// short compared to a bucket of a window.
+const advanceInterval = 5 * time.Millisecond
 
 // longSilence is how long a source must have been silent for its share to be kept free
 // for another window after its return. Its usage is known then, but not the time of it.
@@ -25,7 +34,16 @@
 	limits  Limits
 	started time.Time
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// teams holds the teams of the configuration that have a quota.
+	teams map[ident.Team]*route.Team
+	// hostStaleAfter and dataCentreStaleAfter are the times after which reports of hosts and
+	// of data centres count as missing.
+	hostStaleAfter       time.Duration
+	dataCentreStaleAfter time.Duration
+	// advancedAt is when the accounts were last moved.
+	advancedAt time.Time
+
 	accounts map[ident.Team]*account
 	// sources holds the other hosts and data centres that report usage.
 	sources map[source]*sourceState
@@ -54,7 +72,56 @@
 		incarnations: make(map[ident.Host]uint64),
 		cached:       make(map[ident.Team]cachedUsage),
 		hosts:        1,
+
+		hostStaleAfter:       staleAfter,
+		dataCentreStaleAfter: staleAfter,
+	}
+}
+
+// SetTeams sets the teams of the configuration. What other hosts report of a team with a quota
+// counts here, and is reported on, even if this host has got no request of it.
+func (l *Limiter) SetTeams(teams iter.Seq[*route.Team]) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.teams = make(map[ident.Team]*route.Team)
+	for team := range teams {
+		if team.Quota.Limited() {
+			l.teams[team.Name] = team
+		}
+	}
+}
+
+// reportedAccount returns the account of a team of which another host reports usage, or nil if
+// the team is not known or has no quota.
+func (l *Limiter) reportedAccount(now time.Time, team ident.Team) *account {
+	if a := l.accounts[team]; a != nil {
+		return a
 	}
+	if configured := l.teams[team]; configured != nil {
+		return l.account(now, configured)
+	}
+	return nil
+}
+
+// SetReportIntervals sets the longest regular times between two reports of another host, and
+// of another data centre.
+func (l *Limiter) SetReportIntervals(host, dataCentre time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hostStaleAfter = missingAfter(host)
+	l.dataCentreStaleAfter = missingAfter(dataCentre)
+}
+
+func missingAfter(interval time.Duration) time.Duration {
+	return max(staleAfter, time.Duration(staleIntervals*float64(interval)))
+}
+
+// staleAfterOf returns the time after which reports of a source count as missing.
+func (l *Limiter) staleAfterOf(from source) time.Duration {
+	if from.dataCentre != "" {
+		return l.dataCentreStaleAfter
+	}
+	return l.hostStaleAfter
 }
 
 // SetPeers sets the other hosts that report individually, and for each data centre
@@ -88,18 +155,26 @@
 // advance moves all accounts to now, then finds the sources whose reports are missing,
 // or were for long within the window.
 func (l *Limiter) advance(now time.Time) {
+	l.advancedAt = now
 	for _, a := range l.accounts {
 		a.advance(now, l.stale, l.hosts)
 	}
 	l.stale = l.stale[:0]
 	for from, state := range l.sources {
-		stale := now.Sub(state.lastReportAt) > staleAfter
+		stale := now.Sub(state.lastReportAt) > l.staleAfterOf(from)
 		if stale || now.Before(state.limitedUntil) {
 			l.stale = append(l.stale, staleSource{source: from, hosts: state.hosts, recovered: !stale})
 		}
 	}
 }
 
+// advanceForReport is advance for a report, of which many arrive in a short time.
+func (l *Limiter) advanceForReport(now time.Time) {
+	if now.Sub(l.advancedAt) >= advanceInterval {
+		l.advance(now)
+	}
+}
+
 // HostUsage returns this host's usage by team, for the hosts that it exchanges
 // individual reports with.
 func (l *Limiter) HostUsage(now time.Time) map[ident.Team]Usage {
--- a/quota/limiter_reports.go
+++ b/quota/limiter_reports.go
@@ -11,7 +11,7 @@
 func (l *Limiter) MergeHost(now time.Time, host ident.Host, incarnation uint64, usages map[ident.Team]Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.advance(now)
+	l.advanceForReport(now)
 	from := source{host: host}
 	l.recordReport(now, from)
 	if l.recordIncarnation(host, incarnation) {
@@ -21,7 +21,7 @@
 	}
 	l.cache(now, usages)
 	for team, usage := range usages {
-		if a := l.accounts[team]; a != nil {
+		if a := l.reportedAccount(now, team); a != nil {
 			a.mergeHost(from, usage)
 		}
 	}
@@ -34,7 +34,7 @@
 func (l *Limiter) MergeDataCentre(now time.Time, dc ident.DataCentre, host ident.Host, incarnation uint64, usages map[ident.Team]Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.advance(now)
+	l.advanceForReport(now)
 	if l.recordIncarnation(host, incarnation) {
 		for _, a := range l.accounts {
 			a.resetReporter(host)
@@ -46,7 +46,7 @@
 		l.recordReport(now, source{dataCentre: dc})
 	}
 	for team, usage := range usages {
-		if a := l.accounts[team]; a != nil {
+		if a := l.reportedAccount(now, team); a != nil {
 			a.mergeDataCentre(dc, host, usage.Total, counted)
 		}
 	}
@@ -55,7 +55,7 @@
 // selectReporter reports whether this host's totals for its data centre are counted.
 // It switches to this host if the previous reporter has fallen silent.
 func (l *Limiter) selectReporter(now time.Time, dc ident.DataCentre, host ident.Host) bool {
-	if last := l.reporters[dc]; last.host != host && now.Sub(last.lastReportAt) < staleAfter {
+	if last := l.reporters[dc]; last.host != host && now.Sub(last.lastReportAt) < l.dataCentreStaleAfter {
 		return false
 	}
 	l.reporters[dc] = reporter{host: host, lastReportAt: now}
