--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -32,6 +32,10 @@
 	streams     *streamversion.Tracker
 	peers       *peerMonitor
 	crashes     *crashRecords
+	// lag compares the configuration with those of other hosts, and rereadTable has it read
+	// again.
+	lag         tableLag
+	rereadTable func()
 	logger      *log.Logger
 
 	// tableConfirmed and targetsConfirmed are when the store last responded to a call for
@@ -67,6 +71,7 @@
 		return
 	}
 	s.table.Store(t)
+	s.lag.catchUp()
 	s.logger.Info().Str(eventlog.FieldEvent, eventlog.EventTableApplied).Uint64(eventlog.FieldTableVersion, t.Version).
 		Int("teams", len(t.Teams)).Int("pools", len(t.Pools)).Msg("Configuration applied.")
 	s.streams.SetLongestTimeout(t.LongestTimeout())
@@ -227,6 +232,9 @@
 // another data centre.
 func (s *clusterState) handleMessage(now time.Time, m hoststate.Message) {
 	s.peers.observe(now, m.Host)
+	if table := s.table.Load(); table != nil && s.lag.observe(now, table.Version, m.TableVersion) {
+		s.rereadTable()
+	}
 	if m.AggregateOf != "" {
 		s.quotas.MergeDataCentre(now, m.AggregateOf, m.Host, m.Incarnation, m.TeamUsage)
 		s.dispatcher.ApplyDataCentreState(now, m.AggregateOf, m.AggregatedHosts, m.Schedule)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,6 +118,7 @@
 	g.buildState()
 	g.buildRelay()
 	g.directory = platform.NewDirectory(store, g.state, g.logs.For("directory"))
+	g.state.rereadTable = g.directory.RereadTable
 	return g
 }
 
