Divide the hosts of a data centre into cells

Cause: each host sent its whole state to all others of its data centre after each change, and each of them decoded it: up to 980 datagrams a second at a host with a fifth of a core (49 hosts). Change: hosts and targets of a data centre are divided into cells of about eight hosts. States go to the hosts of the cell after each change, to the others every 5 ms for each of them (205 ms at 49 hosts), with what a state holds only once carried over. Aggregates go out every 40 ms for each other data centre instead of every 100 ms. Hosts prefer the targets of their cell by 20 ms of cost, and count states and reports as missing after 2.5 of their intervals.

--- /dev/null
+++ b/hoststate/coalescer.go
@@ -0,0 +1,84 @@
+package hoststate
+
+import (
+	"slices"
+
+	"github.com/cornelyard/cornelyard/schedule"
+	"github.com/cornelyard/cornelyard/streamversion"
+)
+
+// maxCoalescedLocations bounds the prefix locations, and maxCoalescedRecords the stream
+// records, in a coalesced message; the newest are kept.
+const (
+	maxCoalescedLocations = 48
+	maxCoalescedRecords   = 512
+)
+
+// Coalescer merges consecutive messages into one for receivers that do not get all of them.
+// The newest message replaces those before, except for what each of them holds only once.
+type Coalescer struct {
+	pending bool
+	message Message
+	// lastRecords holds the stream records of the message taken last. Each record is sent
+	// twice, because a message may be lost.
+	lastRecords []streamversion.Record
+}
+
+// Add merges a message.
+func (c *Coalescer) Add(m *Message) {
+	before, wasPending := c.message, c.pending
+	c.message, c.pending = *m, true
+	if !wasPending {
+		return
+	}
+	after := &c.message
+	if !after.Schedule.Observed {
+		after.Schedule.Observed, after.Schedule.Observations = before.Schedule.Observed, before.Schedule.Observations
+	}
+	if after.Schedule.Demands == nil {
+		after.Schedule.Demands = before.Schedule.Demands
+	}
+	if after.Schedule.Crashes == nil {
+		after.Schedule.Crashes = before.Schedule.Crashes
+	}
+	if after.Streams.SoleVersions == nil {
+		after.Streams.SoleVersions = before.Streams.SoleVersions
+	}
+	after.Schedule.PrefixLocations = mergeLocations(before.Schedule.PrefixLocations, after.Schedule.PrefixLocations)
+	after.Streams.Records = mergeRecords(before.Streams.Records, after.Streams.Records)
+}
+
+// Take returns the merged message, with the stream records of the one before. The caller
+// must send it.
+func (c *Coalescer) Take() Message {
+	m := c.message
+	records := m.Streams.Records
+	m.Streams.Records = mergeRecords(c.lastRecords, records)
+	c.lastRecords = records
+	c.message, c.pending = Message{}, false
+	return m
+}
+
+func mergeLocations(before, after []schedule.PrefixLocation) []schedule.PrefixLocation {
+	merged := slices.Clone(before)
+	for _, l := range after {
+		if !slices.Contains(merged, l) {
+			merged = append(merged, l)
+		}
+	}
+	return merged[max(0, len(merged)-maxCoalescedLocations):]
+}
+
+func mergeRecords(before, after []streamversion.Record) []streamversion.Record {
+	known := make(map[streamversion.Record]bool, len(before))
+	merged := slices.Clone(before)
+	for _, r := range before {
+		known[r] = true
+	}
+	for _, r := range after {
+		if !known[r] {
+			merged = append(merged, r)
+		}
+	}
+	return merged[max(0, len(merged)-maxCoalescedRecords):]
+}
--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -20,13 +20,14 @@
 	// heartbeatInterval is the longest time between two messages to a direct peer.
 	heartbeatInterval = 100 * time.Millisecond
 	// minSendInterval and sendIntervalPerHost bound the rate at which changes are
-	// sent. The bound drops with the number of direct peers, because each of them has
+	// sent to near peers. The bound drops with their number, because each of them has
 	// to process every message.
 	minSendInterval     = 4 * time.Millisecond
 	sendIntervalPerHost = time.Millisecond
-	// aggregateInterval is the time between two aggregates from this host to the same
-	// remote host.
-	aggregateInterval = 100 * time.Millisecond
+	// minAggregateInterval and aggregateIntervalPerDataCentre set the time between two
+	// aggregates from this host to the same remote host.
+	minAggregateInterval           = 100 * time.Millisecond
+	aggregateIntervalPerDataCentre = 40 * time.Millisecond
 	// fullMeshHosts is the number of hosts up to which all exchange their states
 	// directly. In a larger system, only the hosts of the same data centre do.
 	fullMeshHosts = 16
@@ -56,13 +57,26 @@
 	names         atomic.Pointer[NameIndex]
 	sendNow       chan struct{}
 	sequence      uint64
+	lastFar       time.Time
 	lastAggregate time.Time
+	// farState holds what the far peers have not been sent yet.
+	farState Coalescer
+	// nearUsage, farUsage and aggregateUsage hold what was last reported to each group.
+	nearUsage      usageFilter
+	farUsage       usageFilter
+	aggregateUsage usageFilter
 }
 
 // New returns an exchange without peers. It sends and receives only while Run runs.
 func New(o Options) *Exchange {
-	e := &Exchange{options: o, sendNow: make(chan struct{}, 1)}
-	e.peers.Store(&PeerSet{})
+	e := &Exchange{
+		options:        o,
+		sendNow:        make(chan struct{}, 1),
+		nearUsage:      usageFilter{fullInterval: nearUsageInterval},
+		farUsage:       usageFilter{fullInterval: farUsageInterval},
+		aggregateUsage: usageFilter{fullInterval: farUsageInterval},
+	}
+	e.peers.Store(&PeerSet{cells: 1})
 	e.names.Store(NewNameIndex(nil, nil))
 	return e
 }
@@ -144,23 +158,41 @@
 		}
 		peers := e.peers.Load()
 		e.sendState(conn, peers, time.Now())
-		periodic.Sleep(ctx, max(minSendInterval, time.Duration(len(peers.direct))*sendIntervalPerHost))
+		periodic.Sleep(ctx, peers.nearInterval())
 		timer.Reset(heartbeatInterval)
 	}
 }
 
-// sendState sends the state to the direct peers and, once per aggregateInterval, the
-// aggregate to its receivers.
+// sendState sends the state to the near peers, the changes since their last message to the
+// far peers, and the aggregate to its receivers; the latter two only at intervals.
 func (e *Exchange) sendState(conn *net.UDPConn, peers *PeerSet, now time.Time) {
-	message := e.options.LocalState(now)
-	e.broadcast(now, conn, &message, peers.direct)
-	if len(peers.aggregateReceivers) > 0 && now.Sub(e.lastAggregate) >= aggregateInterval {
+	state := e.options.LocalState(now)
+	near := state
+	near.TeamUsage = e.nearUsage.changes(now, state.TeamUsage)
+	e.broadcast(now, conn, &near, peers.near)
+	if len(peers.far) > 0 {
+		e.farState.Add(&state)
+		e.sendFar(conn, peers, now)
+	}
+	if len(peers.aggregateReceivers) > 0 && now.Sub(e.lastAggregate) >= peers.AggregateInterval() {
 		e.lastAggregate = now
 		aggregate := e.options.AggregateState(now)
+		aggregate.TeamUsage = e.aggregateUsage.changes(now, aggregate.TeamUsage)
 		e.broadcast(now, conn, &aggregate, peers.aggregateReceivers)
 	}
 }
 
+// sendFar sends the far peers what has changed since their last message, if that is due.
+func (e *Exchange) sendFar(conn *net.UDPConn, peers *PeerSet, now time.Time) {
+	if now.Sub(e.lastFar) < peers.farInterval() {
+		return
+	}
+	e.lastFar = now
+	state := e.farState.Take()
+	state.TeamUsage = e.farUsage.changes(now, state.TeamUsage)
+	e.broadcast(now, conn, &state, peers.far)
+}
+
 func (e *Exchange) broadcast(now time.Time, conn *net.UDPConn, m *Message, to []Member) {
 	if len(to) == 0 {
 		return
--- a/hoststate/exchange_test.go
+++ b/hoststate/exchange_test.go
@@ -105,14 +105,14 @@
 func TestPeerSetSplitsByDataCentreAboveLimit(t *testing.T) {
 	self := Member{Host: "a", DataCentre: "near"}
 	members := []Member{{Host: "b", DataCentre: "near"}, {Host: "c", DataCentre: "far"}}
-	if p := NewPeerSet(self, members); len(p.direct) != 2 || len(p.aggregated) != 0 {
-		t.Errorf("with 3 hosts: %d direct and %d aggregated peers, want 2 and 0", len(p.direct), len(p.aggregated))
+	if p := NewPeerSet(self, members); len(p.near) != 2 || len(p.aggregated) != 0 {
+		t.Errorf("with 3 hosts: %d direct and %d aggregated peers, want 2 and 0", len(p.Direct()), len(p.aggregated))
 	}
 	for range fullMeshHosts {
 		members = append(members, Member{DataCentre: "far"})
 	}
-	if p := NewPeerSet(self, members); len(p.direct) != 1 || len(p.aggregated) != fullMeshHosts+1 {
-		t.Errorf("above the full mesh limit: %d direct and %d aggregated peers", len(p.direct), len(p.aggregated))
+	if p := NewPeerSet(self, members); len(p.Direct()) != 1 || len(p.aggregated) != fullMeshHosts+1 {
+		t.Errorf("above the full mesh limit: %d direct and %d aggregated peers", len(p.Direct()), len(p.aggregated))
 	}
 }
 
--- a/hoststate/peer_set.go
+++ b/hoststate/peer_set.go
@@ -3,52 +3,111 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
+	"github.com/cornelyard/cornelyard/cell"
 	"github.com/cornelyard/cornelyard/ident"
 )
 
+// farIntervalPerHost is the time between two messages to the far peers for each of them,
+// which bounds the messages that all far peers together send to one host.
+const farIntervalPerHost = 5 * time.Millisecond
+
 // aggregateSenders is the number of hosts of a data centre that send its aggregate to
 // the same remote host. With two, the failure of one leaves no gap.
 const aggregateSenders = 2
 
 // PeerSet holds the other hosts, split by what this host exchanges with them. Direct
-// peers exchange their own states; of the other hosts, only the aggregate of their
-// data centre is exchanged.
+// peers exchange their own states: near ones, which are in the same cell, after each change,
+// far ones at intervals. Of the other hosts, only the aggregate of their data centre is
+// exchanged.
 type PeerSet struct {
-	direct     []Member
+	near       []Member
+	far        []Member
 	aggregated []Member
+	// cell is this host's cell among the cells of its data centre.
+	cell  int
+	cells int
 	// aggregateReceivers are the aggregated hosts to which this host sends the
 	// aggregate of its own data centre.
 	aggregateReceivers []Member
 }
 
-// NewPeerSet splits members, the hosts other than self. All of them are direct peers
-// if there are fewer than fullMeshHosts, otherwise only those in the same data centre.
+// NewPeerSet splits members, the hosts other than self. All of them are near peers if there
+// are fewer than fullMeshHosts. Otherwise only those in the same data centre are direct
+// peers, and of these only those of the same cell are near ones.
 func NewPeerSet(self Member, members []Member) *PeerSet {
+	p := &PeerSet{cells: 1}
 	if len(members) < fullMeshHosts {
-		return &PeerSet{direct: members}
+		p.near = members
+		return p
 	}
-	p := &PeerSet{}
+	var direct []Member
 	for _, m := range members {
 		if m.DataCentre == self.DataCentre {
-			p.direct = append(p.direct, m)
+			direct = append(direct, m)
 		} else {
 			p.aggregated = append(p.aggregated, m)
 		}
 	}
-	p.aggregateReceivers = chooseAggregateReceivers(self, p.direct, p.aggregated)
+	p.splitCells(self, direct)
+	p.aggregateReceivers = chooseAggregateReceivers(self, direct, p.aggregated)
 	return p
 }
 
+// splitCells splits the direct peers by cell.
+func (p *PeerSet) splitCells(self Member, direct []Member) {
+	names := []ident.Host{self.Host}
+	for _, m := range direct {
+		names = append(names, m.Host)
+	}
+	p.cells = cell.Count(len(names))
+	cells := cell.Divide(names, p.cells)
+	p.cell = cells[self.Host]
+	for _, m := range direct {
+		if cells[m.Host] == p.cell {
+			p.near = append(p.near, m)
+		} else {
+			p.far = append(p.far, m)
+		}
+	}
+}
+
 // Direct returns the names of the direct peers.
 func (p *PeerSet) Direct() []ident.Host {
-	names := make([]ident.Host, 0, len(p.direct))
-	for _, m := range p.direct {
+	names := make([]ident.Host, 0, len(p.near)+len(p.far))
+	for _, m := range p.near {
+		names = append(names, m.Host)
+	}
+	for _, m := range p.far {
 		names = append(names, m.Host)
 	}
 	return names
 }
 
+// Cell returns this host's cell and the number of cells of its data centre.
+func (p *PeerSet) Cell() (cell, cells int) { return p.cell, p.cells }
+
+// nearInterval returns the least time between two messages to the near peers.
+func (p *PeerSet) nearInterval() time.Duration {
+	return max(minSendInterval, time.Duration(len(p.near))*sendIntervalPerHost)
+}
+
+// farInterval returns the time between two messages to the far peers.
+func (p *PeerSet) farInterval() time.Duration {
+	return time.Duration(len(p.far)) * farIntervalPerHost
+}
+
+// StateInterval returns the longest regular time between two messages from a direct peer.
+func (p *PeerSet) StateInterval() time.Duration { return max(heartbeatInterval, p.farInterval()) }
+
+// AggregateInterval returns the time between two aggregates from the same host. It bounds
+// the aggregates that the hosts of all other data centres send to this one.
+func (p *PeerSet) AggregateInterval() time.Duration {
+	dataCentres := time.Duration(len(p.AggregatedCounts()))
+	return max(minAggregateInterval, dataCentres*aggregateIntervalPerDataCentre)
+}
+
 // Aggregated returns the names of the hosts of which only aggregates are exchanged.
 func (p *PeerSet) Aggregated() []ident.Host {
 	names := make([]ident.Host, 0, len(p.aggregated))
--- a/internal/loadmodel/host.go
+++ b/internal/loadmodel/host.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cornelyard/cornelyard/hoststate"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/schedule"
 )
@@ -14,11 +15,17 @@
 type host struct {
 	name       ident.Host
 	dataCentre ident.DataCentre
-	scheduler  *schedule.Scheduler
+	// cell is the host's cell in its data centre.
+	cell      int
+	scheduler *schedule.Scheduler
 	// changed is set if the state has changed since it was last published.
 	changed bool
-	// sentStates are the published states, oldest first.
-	sentStates []sentState
+	// sentStates are the states published to the hosts of the same cell, and farStates those
+	// published to the others of the data centre.
+	sentStates sentStates
+	farStates  sentStates
+	// unsent holds what has not been published to the hosts of other cells yet.
+	unsent hoststate.Coalescer
 	// receivedCounts holds, by host index, how many of that host's states were received.
 	receivedCounts []int
 	// nextEngine is the index at which the baseline policy starts its search.
@@ -26,29 +33,39 @@
 }
 
 // publishState publishes the host's state after a change and at each heartbeat, at
-// intervals of at least minInterval.
-func (h *host) publishState(now, minInterval time.Duration) {
-	if last := len(h.sentStates) - 1; last >= 0 {
-		age := now - h.sentStates[last].at
+// intervals of at least minInterval, and to the hosts of other cells at farInterval.
+func (h *host) publishState(now, minInterval, farInterval time.Duration) {
+	if last, published := h.sentStates.lastAt(); published {
+		age := now - last
 		if age < minInterval || !h.changed && age < heartbeat {
 			return
 		}
 	}
 	h.changed = false
-	h.sentStates = append(h.sentStates, sentState{at: now, state: h.scheduler.LocalState(clock(now))})
+	state := h.scheduler.LocalState(clock(now))
+	h.sentStates = append(h.sentStates, sentState{at: now, state: state})
+	h.unsent.Add(&hoststate.Message{Schedule: state})
+	if last, published := h.farStates.lastAt(); published && now-last < farInterval {
+		return
+	}
+	h.farStates = append(h.farStates, sentState{at: now, state: h.unsent.Take().Schedule})
 }
 
-// receiveState applies the latest state that the other host published at least delay
-// ago, unless it was already applied.
+// receiveState applies the latest state that the other host published to this one at least
+// delay ago, unless it was already applied.
 func (h *host) receiveState(now, delay time.Duration, index int, other *host) {
+	sent := other.sentStates
+	if h.cell != other.cell {
+		sent = other.farStates
+	}
 	before := h.receivedCounts[index]
-	for h.receivedCounts[index] < len(other.sentStates) && now-other.sentStates[h.receivedCounts[index]].at >= delay {
+	for h.receivedCounts[index] < len(sent) && now-sent[h.receivedCounts[index]].at >= delay {
 		h.receivedCounts[index]++
 	}
 	if h.receivedCounts[index] == before {
 		return
 	}
-	h.scheduler.ApplyPeerState(clock(now), other.name, other.sentStates[h.receivedCounts[index]-1].state)
+	h.scheduler.ApplyPeerState(clock(now), other.name, sent[h.receivedCounts[index]-1].state)
 }
 
 // leastLocalEngine returns the engine with the fewest requests from this host.
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cornelyard/cornelyard/cell"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
@@ -77,12 +78,31 @@
 		h.scheduler.Configure(clock(0), pools, roster)
 		m.hosts = append(m.hosts, h)
 	}
+	m.assignCells()
 	for i := range s.Classes {
 		m.report.Classes[s.Classes[i].Name] = &Outcome{}
 	}
 	return m
 }
 
+// assignCells divides the hosts of each data centre into cells, if there is more than one.
+func (m *model) assignCells() {
+	if m.scenario.FarPeerStateInterval == 0 {
+		return
+	}
+	names := make(map[ident.DataCentre][]ident.Host)
+	for _, h := range m.hosts {
+		names[h.dataCentre] = append(names[h.dataCentre], h.name)
+	}
+	for _, h := range m.hosts {
+		local := names[h.dataCentre]
+		count := cell.Count(len(local))
+		h.cell = cell.Divide(local, count)[h.name]
+		h.scheduler.SetCell(h.cell, count)
+		h.scheduler.SetStateInterval(m.scenario.FarPeerStateInterval)
+	}
+}
+
 // othersThan returns the data centres of all hosts but one.
 func (m *model) othersThan(self int) map[ident.Host]ident.DataCentre {
 	others := make(map[ident.Host]ident.DataCentre)
--- a/internal/loadmodel/scenario.go
+++ b/internal/loadmodel/scenario.go
@@ -19,6 +19,9 @@
 	PeerStateDelay time.Duration
 	// MinPeerStateInterval is the shortest interval at which a host publishes its state.
 	MinPeerStateInterval time.Duration
+	// FarPeerStateInterval is the interval at which a host publishes its state to the hosts
+	// of other cells. If it is zero, each data centre is one cell.
+	FarPeerStateInterval time.Duration
 	// AggregateInterval is the interval at which data centres exchange aggregate states.
 	// If it is zero, hosts receive no state from other data centres.
 	AggregateInterval time.Duration
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -105,6 +105,18 @@
 	d.update(now, func(s *schedule.Scheduler) { s.SetPeers(now, others) })
 }
 
+// SetCell sets this host's cell and the number of cells of its data centre.
+func (d *Dispatcher) SetCell(now time.Time, own, cells int) {
+	d.update(now, func(s *schedule.Scheduler) { s.SetCell(own, cells) })
+}
+
+// SetStateInterval sets the longest regular time between two states of another host.
+func (d *Dispatcher) SetStateInterval(interval time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.SetStateInterval(interval)
+}
+
 // SetLeaving records that this host is stopping.
 func (d *Dispatcher) SetLeaving(now time.Time) {
 	d.update(now, func(s *schedule.Scheduler) { s.SetLeaving() })
--- a/schedule/aggregate_state.go
+++ b/schedule/aggregate_state.go
@@ -29,7 +29,7 @@
 	}
 	hosts = 1
 	for _, peer := range s.peers {
-		if age := now.Sub(peer.receivedAt); age < backlogTTL {
+		if age := now.Sub(peer.receivedAt); age < s.stateTTL {
 			backlogs.add(peer.state.Backlogs, age)
 			hosts++
 		}
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// backlogTTL is how long the backlog of another host counts after its last state
-	// was received.
-	backlogTTL = 250 * time.Millisecond
+	// minStateTTL is the least time for which the state of another host is up to date after
+	// it was received. stateTTLIntervals is the same as a multiple of the interval between
+	// two states of a host.
+	minStateTTL       = 250 * time.Millisecond
+	stateTTLIntervals = 2.5
 	// peerStateTTL is how long the load of a host counts after its last state was
 	// received; its requests may still be running on the targets for a while.
 	peerStateTTL = 2 * time.Second
@@ -128,6 +130,11 @@
 	}
 }
 
+// SetStateInterval sets the longest regular time between two states of another host.
+func (s *Scheduler) SetStateInterval(interval time.Duration) {
+	s.stateTTL = max(minStateTTL, time.Duration(stateTTLIntervals*float64(interval)))
+}
+
 // SetPeers sets the other hosts with their data centres. While the state of some of them is
 // missing, their load is only known from the load that the targets report.
 func (s *Scheduler) SetPeers(now time.Time, others map[ident.Host]ident.DataCentre) {
@@ -140,7 +147,7 @@
 func (s *Scheduler) updatePeersMissing(now time.Time) {
 	known := 0
 	for peer := range s.peerStates() {
-		if now.Sub(peer.receivedAt) < backlogTTL {
+		if now.Sub(peer.receivedAt) < s.stateTTL {
 			known += peer.hosts
 		}
 	}
@@ -157,7 +164,7 @@
 	laxity := w.latestStart.Sub(now)
 	ahead := 0
 	for peer := range s.peerStates() {
-		if now.Sub(peer.receivedAt) > backlogTTL {
+		if now.Sub(peer.receivedAt) > s.stateTTL {
 			continue
 		}
 		for _, b := range peer.state.Backlogs {
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -27,6 +27,11 @@
 	// hostDataCentres their data centres.
 	peerCount       int
 	hostDataCentres map[ident.Host]ident.DataCentre
+	// stateTTL is how long the state of another host counts as up to date.
+	stateTTL time.Duration
+	// cell is this host's cell of cells, the number of cells of its data centre.
+	cell  int
+	cells int
 	// ratesAt is when the rates for targets with limits were last calculated.
 	ratesAt time.Time
 	// peersMissing says that the state of some of them is missing or too old.
@@ -95,6 +100,8 @@
 		targets:      make(map[ident.Target]*target),
 		peers:        make(map[ident.Host]*peerState),
 		dcAggregates: make(map[ident.DataCentre]*peerState),
+		stateTTL:     minStateTTL,
+		cells:        1,
 		queued:       make(map[ident.Request]*queuedRequest),
 		running:      make(map[ident.Request]*runningRequest),
 		prefixes:     newPrefixIndex(),
@@ -120,6 +127,7 @@
 			s.removeTarget(t)
 		}
 	}
+	s.divideTargets()
 	s.rebuildAggregates()
 }
 
--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -5,6 +5,9 @@
 )
 
 const (
+	// otherCellPenalty is the cost, in seconds, of using a target of another cell. This host
+	// knows an older state of it, and seldom has a connection to it.
+	otherCellPenalty = 0.02
 	// remotePenalty is the cost, in seconds, of using a target in another data centre.
 	remotePenalty = 0.003
 	// aggregatedPenalty is the additional cost, in seconds, if the hosts of that data
@@ -167,6 +170,8 @@
 // localityCost returns the cost of the target's data centre, in seconds.
 func (s *Scheduler) localityCost(t *target) float64 {
 	switch {
+	case t.otherCell:
+		return otherCellPenalty
 	case t.DataCentre == s.dataCentre:
 		return 0
 	case s.dcAggregates[t.DataCentre] != nil:
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -25,6 +25,8 @@
 	announced bool
 	// isEngine says that the target is a model engine.
 	isEngine bool
+	// otherCell says that the target belongs to another cell of this host's data centre.
+	otherCell bool
 
 	running int
 	// suspects is the number of running requests of this host whose content is a suspect.
