Recognize hosts whose connections to targets are accepted and then silent or reset

Callers saw: at hosts that can open connections to the targets but get nothing over them, nearly all requests fail. Cause: a probe that connects counted as proof that the targets are reached, so these hosts never passed requests on. Change: hosts tell each other when they last got a response from each pool. A host that gets none for 0.6 s, from two or three targets that left or broke off its requests, while others do, counts as cut off until a response arrives; once a second it sends one repeatable request itself to find out.

--- a/gateway/link_monitor.go
+++ b/gateway/link_monitor.go
@@ -29,8 +29,8 @@
 	minFailedProbes = 2
 )
 
-// linkMonitor finds out from which pools this host is cut off, by connecting to some of
-// their targets if none responds.
+// linkMonitor finds out from which pools this host is cut off: it connects to some of their
+// targets if none responds, and compares itself with other hosts that get responses.
 type linkMonitor struct {
 	dispatcher *relay.Dispatcher
 	probe      func(ctx context.Context, address string) target.ProbeResult
@@ -43,6 +43,8 @@
 	nextProbe time.Time
 	// failed counts the probes in a row that reached no target.
 	failed int
+	// unheard says that the targets accept connections but this host gets no responses.
+	unheard bool
 }
 
 // watchLinks runs the monitor until ctx is done.
@@ -64,7 +66,11 @@
 			links = &poolLinks{}
 			m.pools[pool] = links
 		}
-		if !now.Before(links.nextProbe) {
+		switch unheard := m.dispatcher.Unheard(now, pool); {
+		case unheard || links.unheard:
+			links.unheard = unheard
+			m.set(pool, unheard, 0, 0)
+		case !now.Before(links.nextProbe):
 			m.probePool(ctx, now, pool, links)
 		}
 	}
--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -43,6 +43,7 @@
 	state.Leaving = m.Schedule.Leaving
 	encodeSchedule(state, &m.Schedule)
 	state.BrittleTargets = encodeBrittle(now, m.Schedule.BrittleTargets)
+	state.Responses = encodeResponses(now, m.Schedule.Responses)
 	encodeStreams(state, &m.Streams)
 	data, err := proto.Marshal(state)
 	return data, Error.Wrap(err)
@@ -132,6 +133,7 @@
 		Limits:          decodeItems(state.GetLimits(), n.targets, (*hostpb.TargetLimit).GetTarget, limitDecoder(now)),
 		Leaving:         state.GetLeaving(),
 		BrittleTargets:  decodeItems(state.GetBrittleTargets(), n.targets, (*hostpb.BrittleTarget).GetTarget, brittleDecoder(now)),
+		Responses:       decodeItems(state.GetResponses(), n.pools, (*hostpb.PoolResponse).GetPool, responseDecoder(now)),
 		LeavingTargets:  decodeItems(state.GetLeavingTargets(), n.targets, (*hostpb.TargetProcess).GetTarget, decodeProcess),
 	}
 	return m
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -158,6 +158,14 @@
 	return append(d.scheduler.SilentPools(now), d.scheduler.CutOffPools()...)
 }
 
+// Unheard reports whether this host is cut off from a pool although its targets accept
+// connections.
+func (d *Dispatcher) Unheard(now time.Time, pool ident.Pool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.Unheard(now, pool)
+}
+
 // ProbeCandidates returns up to n available targets of a pool, a random choice.
 func (d *Dispatcher) ProbeCandidates(pool ident.Pool, n int) []route.Target {
 	d.mu.Lock()
--- a/schedule/cut_off.go
+++ b/schedule/cut_off.go
@@ -53,6 +53,9 @@
 	if quiet <= silentTime {
 		return false
 	}
+	if s.unheardTargets(now, p, heardAt) >= minUnheardTargets {
+		return true
+	}
 	for _, r := range s.running {
 		if r.request.Pool == p.name && now.Sub(r.dispatchedAt) > silentTime {
 			return true
@@ -86,6 +89,9 @@
 	}
 	p.cutOff = cutOff
 	p.unreachableAt = time.Time{}
+	if !cutOff {
+		p.unheardSince = time.Time{}
+	}
 	if !cutOff {
 		for _, t := range p.targets {
 			before := t.health
@@ -140,7 +146,7 @@
 		return nil
 	}
 	hosts := s.hostsThatReach(now, p)
-	if len(hosts) == 0 {
+	if len(hosts) == 0 || p.isLinkTrial(now, r) {
 		return nil
 	}
 	return &Divert{Request: r.ID, Hosts: hosts}
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -187,6 +187,7 @@
 		Leaving:         s.leaving,
 		LeavingTargets:  s.leavingTargets(),
 		BrittleTargets:  s.brittleTargets(now),
+		Responses:       s.responses(now),
 	}
 	for _, t := range s.targets {
 		if t.running > 0 {
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -42,6 +42,11 @@
 	// last failed to connect to one.
 	cutOff        bool
 	unreachableAt time.Time
+	// unheardSince is when this host found out that it gets no responses although the targets
+	// accept its connections, or zero. linkTrialAt is when it last sent one of them a request
+	// nevertheless.
+	unheardSince time.Time
+	linkTrialAt  time.Time
 	// yieldingSince is when the host began to leave free slots to other hosts, or zero.
 	yieldingSince time.Time
 	// peersRunning is the number of requests that the other hosts ran on the targets at
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -75,8 +75,12 @@
 	if result == Rejected && t.isBrittle(now) {
 		t.pausedUntil = now.Add(brittlePause)
 	}
-	if result == Unreachable {
+	switch result {
+	case Unreachable:
 		s.pools[t.Pool].unreachableAt = now
+	case Broken:
+		t.brokenAt = now
+	default:
 	}
 	s.recordHealthChange(t, before, result.String())
 	if result != Served && result != Abandoned {
--- a/schedule/state.go
+++ b/schedule/state.go
@@ -27,6 +27,8 @@
 	Leaving bool
 	// BrittleTargets holds the targets that have said that they are brittle a short time ago.
 	BrittleTargets []BrittleTarget
+	// Responses holds when the host last got responses from the targets of each pool.
+	Responses []PoolResponse
 	// LeavingTargets holds the processes that have said that they are about to end.
 	LeavingTargets []TargetProcess
 	// PrefixLocations holds the newest locations, oldest first.
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -70,6 +70,8 @@
 	health health
 	// lostAt is when this host last could not reach the target's process, or zero.
 	lostAt time.Time
+	// brokenAt is when the target last broke off a request of this host.
+	brokenAt time.Time
 	// lastResponseAt is when the target last sent anything to this host.
 	lastResponseAt time.Time
 	// speeds holds what this host measured.
