Let a host that gets no responses find out when it does again

Cause: the request that a cut-off host sends itself once a second was passed on while it was queued, so a host whose connections are accepted never learned of the end of the cut. A unit test showed it.

--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -75,7 +75,7 @@
 	s.logger.Info().Str(eventlog.FieldEvent, eventlog.EventTableApplied).Uint64(eventlog.FieldTableVersion, t.Version).
 		Int("teams", len(t.Teams)).Int("pools", len(t.Pools)).Msg("Configuration applied.")
 	s.streams.SetLongestTimeout(t.LongestTimeout())
-	s.quotas.SetTeams(slices.Values(t.Teams))
+	s.quotas.SetTeams(t.Teams)
 	s.applyConfiguration(time.Now())
 }
 
@@ -216,7 +216,7 @@
 	s.exchange.SetPeers(peers)
 	s.quotas.SetPeers(now, peers.Direct(), peers.AggregatedCounts())
 	s.quotas.SetReportIntervals(peers.StateInterval(), peers.AggregateInterval())
-	s.dispatcher.SetStateInterval(peers.StateInterval())
+	s.dispatcher.SetStateInterval(max(peers.StateInterval(), peers.AggregateInterval()))
 	s.dispatcher.SetPeers(now, dataCentresOf(others))
 	own, cells := peers.Cell()
 	s.dispatcher.SetCell(now, own, cells)
--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -52,11 +52,13 @@
 
 // Exchange sends this host's state to other hosts and receives theirs.
 type Exchange struct {
-	options       Options
-	peers         atomic.Pointer[PeerSet]
-	names         atomic.Pointer[NameIndex]
-	sendNow       chan struct{}
-	sequence      uint64
+	options  Options
+	peers    atomic.Pointer[PeerSet]
+	names    atomic.Pointer[NameIndex]
+	sendNow  chan struct{}
+	sequence uint64
+	// lastFar and lastAggregate are when the far peers and the receivers of aggregates were
+	// last sent a message.
 	lastFar       time.Time
 	lastAggregate time.Time
 	// farState holds what the far peers have not been sent yet.
@@ -159,10 +161,19 @@
 		peers := e.peers.Load()
 		e.sendState(conn, peers, time.Now())
 		periodic.Sleep(ctx, peers.nearInterval())
-		timer.Reset(heartbeatInterval)
+		timer.Reset(e.heartbeatDelay(peers, time.Now()))
 	}
 }
 
+// heartbeatDelay returns when to send next if nothing changes. The far peers are not left
+// waiting for the heartbeat after their message is due.
+func (e *Exchange) heartbeatDelay(peers *PeerSet, now time.Time) time.Duration {
+	if len(peers.far) == 0 {
+		return heartbeatInterval
+	}
+	return min(heartbeatInterval, max(peers.farInterval()-now.Sub(e.lastFar), minSendInterval))
+}
+
 // sendState sends the state to the near peers, the changes since their last message to the
 // far peers, and the aggregate to its receivers; the latter two only at intervals.
 func (e *Exchange) sendState(conn *net.UDPConn, peers *PeerSet, now time.Time) {
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -57,7 +56,7 @@
 					others[dcName(other)] = fleetHostsPerDC
 				}
 			}
-			h.limiter.SetTeams(slices.Values([]*route.Team{asking}))
+			h.limiter.SetTeams([]*route.Team{asking})
 			h.limiter.SetReportIntervals(fleetFarInterval, fleetAggregateInterval)
 			h.limiter.SetPeers(start, namesWithout(names, name), others)
 			fleet = append(fleet, h)
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"iter"
 	"sync"
 	"time"
 
@@ -80,11 +79,11 @@
 
 // SetTeams sets the teams of the configuration. What other hosts report of a team with a quota
 // counts here, and is reported on, even if this host has got no request of it.
-func (l *Limiter) SetTeams(teams iter.Seq[*route.Team]) {
+func (l *Limiter) SetTeams(teams []*route.Team) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.teams = make(map[ident.Team]*route.Team)
-	for team := range teams {
+	for _, team := range teams {
 		if team.Quota.Limited() {
 			l.teams[team.Name] = team
 		}
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -110,7 +110,8 @@
 	d.update(now, func(s *schedule.Scheduler) { s.SetCell(own, cells) })
 }
 
-// SetStateInterval sets the longest regular time between two states of another host.
+// SetStateInterval sets the longest regular time between two states of another host, or
+// between two aggregate states of another data centre.
 func (d *Dispatcher) SetStateInterval(interval time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/schedule/cut_off.go
+++ b/schedule/cut_off.go
@@ -16,7 +16,7 @@
 	// doubtTime is how long a failure to connect counts.
 	doubtTime = 2 * time.Second
 	// passOnStateAge is the greatest age of the state of a host to which requests are passed
-	// on.
+	// on, unless states are sent so seldom that older ones count as up to date.
 	passOnStateAge = 500 * time.Millisecond
 	// maxDistantHosts bounds the hosts to choose from whose own state is not known here.
 	maxDistantHosts = 3
@@ -122,7 +122,7 @@
 func (s *Scheduler) hostsThatReach(now time.Time, p *pool) []ident.Host {
 	var hosts []ident.Host
 	for host, peer := range s.peers {
-		fresh := now.Sub(peer.receivedAt) < passOnStateAge
+		fresh := now.Sub(peer.receivedAt) < max(passOnStateAge, s.stateTTL)
 		if fresh && !peer.state.Leaving && !slices.Contains(peer.state.CutOff, p.name) {
 			hosts = append(hosts, host)
 		}
@@ -146,7 +146,7 @@
 		return nil
 	}
 	hosts := s.hostsThatReach(now, p)
-	if len(hosts) == 0 || p.isLinkTrial(now, r) {
+	if len(hosts) == 0 {
 		return nil
 	}
 	return &Divert{Request: r.ID, Hosts: hosts}
@@ -164,6 +164,9 @@
 		return actions
 	}
 	p.queue.items = slices.DeleteFunc(p.queue.items, func(w *queuedRequest) bool {
+		if w.linkTrial && now.Sub(w.request.Arrived) < linkTrialWait {
+			return false
+		}
 		d := s.divert(now, p, w.request)
 		if d == nil {
 			return false
--- a/schedule/limits.go
+++ b/schedule/limits.go
@@ -11,7 +11,7 @@
 
 const (
 	// limitPeerTimeout is how long a host counts as one that hears this one after its last
-	// state was received.
+	// state was received, unless states are sent so seldom that older ones are up to date.
 	limitPeerTimeout = time.Second
 	// rateInterval is the time between two calculations of the rates.
 	rateInterval = 20 * time.Millisecond
@@ -103,13 +103,18 @@
 func (s *Scheduler) heardHosts(now time.Time) int {
 	heard := 1
 	for peer := range s.peerStates() {
-		if now.Sub(peer.receivedAt) < limitPeerTimeout {
+		if s.hears(now, peer) {
 			heard += peer.hosts
 		}
 	}
 	return heard
 }
 
+// hears reports whether states of a host, or aggregates of a data centre, arrive.
+func (s *Scheduler) hears(now time.Time, peer *peerState) bool {
+	return now.Sub(peer.receivedAt) < max(limitPeerTimeout, s.stateTTL)
+}
+
 // keeperCandidates returns the hosts that may become keepers of a target: those of one data
 // centre, if possible its own. They are none if that is known in aggregate only.
 func (s *Scheduler) keeperCandidates(now time.Time, t *target) []targetlimit.Candidate {
@@ -118,7 +123,7 @@
 		byDC = s.reachingHosts(now, t, false)
 	}
 	for dc, aggregate := range s.dcAggregates {
-		if _, known := byDC[dc]; !known && now.Sub(aggregate.receivedAt) < limitPeerTimeout {
+		if _, known := byDC[dc]; !known && s.hears(now, aggregate) {
 			byDC[dc] = nil
 		}
 	}
@@ -143,7 +148,7 @@
 		hosts[s.dataCentre] = append(hosts[s.dataCentre], self)
 	}
 	for name, peer := range s.peers {
-		if peer.state.Leaving || now.Sub(peer.receivedAt) >= limitPeerTimeout || onlyReaching && !peer.reaches(t) {
+		if peer.state.Leaving || !s.hears(now, peer) || onlyReaching && !peer.reaches(t) {
 			continue
 		}
 		dc := s.hostDataCentres[name]
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -130,7 +130,8 @@
 	}
 }
 
-// SetStateInterval sets the longest regular time between two states of another host.
+// SetStateInterval sets the longest regular time between two states of another host, or
+// between two aggregate states of another data centre.
 func (s *Scheduler) SetStateInterval(interval time.Duration) {
 	s.stateTTL = max(minStateTTL, time.Duration(stateTTLIntervals*float64(interval)))
 }
--- a/schedule/queued_request.go
+++ b/schedule/queued_request.go
@@ -15,6 +15,8 @@
 	// refuseAt is when the request is refused if it is still queued.
 	refuseAt time.Time
 	late     bool
+	// linkTrial says that the request is to find out whether this host gets responses again.
+	linkTrial bool
 }
 
 // compare orders requests for service: those that can still be on time first, then by
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -197,8 +197,10 @@
 		return
 	}
 	if d := s.divert(now, p, &r); d != nil {
-		s.pendingActions = append(s.pendingActions, d)
-		return
+		if w.linkTrial = p.isLinkTrial(now, &r); !w.linkTrial {
+			s.pendingActions = append(s.pendingActions, d)
+			return
+		}
 	}
 	w.latestStart = r.Objective.Add(-p.leadTime(now, &r))
 	w.refuseAt = r.Arrived.Add(seconds(lateWaitRatio * r.AbandonTime.Sub(r.Arrived).Seconds()))
--- a/schedule/unheard.go
+++ b/schedule/unheard.go
@@ -9,9 +9,9 @@
 const (
 	// unheardTime is how long this host gets no response from any target of a pool, although
 	// they accept its connections, before it may conclude that it is cut off from them.
-	unheardTime = 600 * time.Millisecond
+	unheardTime = time.Second
 	// peerResponseAge is the greatest age of a response to another host for that conclusion.
-	peerResponseAge = time.Second
+	peerResponseAge = 2 * time.Second
 	// minUnheardTargets and maxUnheardTargets bound the number of targets that must have left
 	// this host without a response. One alone may have failed, or have paused.
 	minUnheardTargets = 2
@@ -19,6 +19,9 @@
 	// linkTrialInterval is the time between two requests that are sent to a target although
 	// this host counts as cut off, to find out whether it gets responses again.
 	linkTrialInterval = time.Second
+	// linkTrialWait is how long such a request waits for a target that may get it, before it is
+	// passed on.
+	linkTrialWait = 100 * time.Millisecond
 )
 
 // Unheard reports whether this host is cut off from a pool although its targets accept
@@ -64,7 +67,7 @@
 		}
 	}
 	for _, r := range s.running {
-		if r.request.Pool == p.name && now.Sub(r.dispatchedAt) > silentTime {
+		if r.request.Pool == p.name && now.Sub(r.dispatchedAt) > unheardTime {
 			unheard[r.target] = true
 		}
 	}
