--- a/relay/execution.go
+++ b/relay/execution.go
@@ -73,8 +73,10 @@
 	// unusedTrial is a trial that was begun for this request and has reached no target.
 	unusedTrial *trial.Run
 
-	stepsMu sync.Mutex
-	steps   []Step
+	// stepsTaken is set once the steps have been handed out; no more are added then.
+	stepsMu    sync.Mutex
+	steps      []Step
+	stepsTaken bool
 }
 
 // run serves the request. It returns nil if a target's response was forwarded in
--- a/relay/observer.go
+++ b/relay/observer.go
@@ -73,7 +73,7 @@
 		Status:     x.delivery.status,
 		Events:     x.delivery.events,
 		Refusal:    refusal,
-		Steps:      x.steps,
+		Steps:      x.takeSteps(),
 
 		PromptTokens: x.call.PromptTokens,
 	}
--- a/relay/step.go
+++ b/relay/step.go
@@ -76,7 +76,16 @@
 	s.At = time.Now()
 	x.stepsMu.Lock()
 	defer x.stepsMu.Unlock()
-	if len(x.steps) < maxSteps {
+	if len(x.steps) < maxSteps && !x.stepsTaken {
 		x.steps = append(x.steps, s)
 	}
 }
+
+// takeSteps returns the recorded steps. A goroutine that outlives the request, as that of a
+// second run may, records none afterwards.
+func (x *execution) takeSteps() []Step {
+	x.stepsMu.Lock()
+	defer x.stepsMu.Unlock()
+	x.stepsTaken = true
+	return x.steps
+}
