--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -110,8 +110,7 @@
 	}
 }
 
-// TestFleetKeepsQuotaOfTeamThatAsksForManyTimesIt checks the limit in every window although
-// each host learns late what hundreds of others admit.
+// Each host learns late what hundreds of others admit.
 func TestFleetKeepsQuotaOfTeamThatAsksForManyTimesIt(t *testing.T) {
 	l := Limits{Window: 8 * time.Second, Overage: 0.1, Allowance: 110_000}
 	cases := []struct{ perSecond, factor float64 }{{30_000, 1.5}, {150_000, 4}, {600_000, 4}}
--- a/schedule/fleet_test.go
+++ b/schedule/fleet_test.go
@@ -21,8 +21,7 @@
 	return sum / seeds
 }
 
-// TestCellsEarnMoreThanOneExchangeOfAsFewMessages compares cells with hosts that send each
-// other all states as seldom as hosts of different cells do.
+// Without cells, all hosts send states as seldom as hosts of different cells do.
 func TestCellsEarnMoreThanOneExchangeOfAsFewMessages(t *testing.T) {
 	if testing.Short() {
 		t.Skip("simulates many seconds in one goroutine; runs without -short")
