Use the usual terms for what hosts receive from each other

Comments and names said hear, told and tell where they mean receive, report and send. eventlog.FieldHeardHosts is FieldConnectedHosts; the field in the log lines keeps its name. No behaviour changes.

--- a/bench/recovery/failure.go
+++ b/bench/recovery/failure.go
@@ -15,7 +15,7 @@
 }
 
 // failures returns the kinds of failures in the order of measurement. Partitions come
-// first, because a member that was lost repeatedly must be heard from for longer before
+// first, because a member that was lost repeatedly must have sent heartbeats for longer before
 // it counts as alive again.
 func (m *measurement) failures() []failure {
 	return []failure{
--- a/claim/claim_attempt.go
+++ b/claim/claim_attempt.go
@@ -122,7 +122,7 @@
 	return a.resolveByToken(ctx, row), true
 }
 
-// resolveByToken uses the token to tell whether the row belongs to this attempt.
+// resolveByToken uses the token to find out whether the row belongs to this attempt.
 func (a *claimAttempt) resolveByToken(ctx context.Context, row storage.Row) Result {
 	existing, err := decodeRecord(row.Value)
 	if err == nil && existing.Token == a.local.token {
--- a/entry/dispatch_failure.go
+++ b/entry/dispatch_failure.go
@@ -114,7 +114,7 @@
 }
 
 // knownStarted reports whether the call is known to have started without
-// completing: the target responded in part or with an error, or an engine was told
+// completing: the target responded in part or with an error, or an engine was ordered
 // to stop. Whether a plain service stops after a disconnect is not known.
 func (d *dispatch) knownStarted(failure *target.Failure) bool {
 	if d.responseStarted || (failure != nil && failure.Kind == target.FailedStatus) {
--- a/entry/probes.go
+++ b/entry/probes.go
@@ -11,7 +11,7 @@
 	return c.String(http.StatusOK, "ok\n")
 }
 
-// readiness tells a load balancer whether to send requests to this host.
+// readiness answers a load balancer's question whether to send requests to this host.
 func (e *Entry) readiness(c echo.Context) error {
 	if e.draining.Load() {
 		return c.String(http.StatusServiceUnavailable, "draining\n")
--- a/entry/write_refusal.go
+++ b/entry/write_refusal.go
@@ -24,7 +24,7 @@
 }
 
 // setRetryAfter sets Retry-After, in seconds rounded up, and Retry-After-Ms for
-// clients that support it. Without a delay it tells clients not to retry.
+// clients that support it. Without a delay it asks clients not to retry.
 func setRetryAfter(header http.Header, after time.Duration) {
 	if after <= 0 {
 		header.Set(headerShouldRetry, "false")
--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -28,11 +28,11 @@
 	// FieldLimitBefore what it stated before.
 	FieldLimit       = "limit"
 	FieldLimitBefore = "limit_before"
-	// FieldRate is the part of a limit that this host uses. It depends on FieldHeardHosts, the
-	// hosts that hear each other, of FieldHosts.
-	FieldRate       = "rate"
-	FieldHeardHosts = "heard_hosts"
-	FieldHosts      = "hosts"
+	// FieldRate is the part of a limit that this host uses. It depends on FieldConnectedHosts, the
+	// hosts that receive each other's states, of FieldHosts.
+	FieldRate           = "rate"
+	FieldConnectedHosts = "heard_hosts"
+	FieldHosts          = "hosts"
 	// FieldCrashes is the number of crashes in which a digest is implicated.
 	FieldCrashes = "crashes"
 	// FieldStrikes is the number of crashes held against a digest, FieldAgeMs the age of
--- a/gateway/limit_log.go
+++ b/gateway/limit_log.go
@@ -27,7 +27,7 @@
 	for _, e := range events {
 		s.logger.Info().Str(eventlog.FieldEvent, eventlog.EventLimitRate).Str(eventlog.FieldTarget, string(e.Target)).
 			Float64(eventlog.FieldRate, e.Rate).Float64(eventlog.FieldLimit, e.PerSecond).
-			Int(eventlog.FieldHeardHosts, e.HeardHosts).Int(eventlog.FieldHosts, e.Hosts).
+			Int(eventlog.FieldConnectedHosts, e.ConnectedHosts).Int(eventlog.FieldHosts, e.Hosts).
 			Msg("This host's part of a target's limit changed.")
 	}
 }
--- a/hoststate/coalescer_test.go
+++ b/hoststate/coalescer_test.go
@@ -13,7 +13,7 @@
 	return streamversion.Record{Key: key, Origin: streamversion.Origin{Pool: "p", Version: "1"}}
 }
 
-// observed returns a message that holds what hosts tell only at intervals.
+// observed returns a message that holds what hosts report only at intervals.
 func observed(target ident.Target, key streamversion.Key) *Message {
 	return &Message{
 		Schedule: schedule.State{
--- a/internal/faultrun/inject_process_fault.go
+++ b/internal/faultrun/inject_process_fault.go
@@ -27,7 +27,7 @@
 }
 
 // stopAndRestartHost stops a host gracefully and starts it again. The host is taken out
-// of rotation before it is told to stop.
+// of rotation before it is ordered to stop.
 func (i *injector) stopAndRestartHost(f fault) error {
 	s := plannedStop{host: f.host.ID(), span: span{from: time.Now()}}
 	i.callers.setOutOfRotation(f.host.ID(), true)
--- a/internal/soak/check_host.go
+++ b/internal/soak/check_host.go
@@ -42,7 +42,7 @@
 	return v
 }
 
-// checkGracefulShutdown checks the calls that were in progress when their host was told
+// checkGracefulShutdown checks the calls that were in progress when their host was ordered
 // to stop. No other host fault is active at that time.
 func (r *runner) checkGracefulShutdown() verdict.Verdict {
 	v := verdict.Verdict{Promise: GracefulShutdown}
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -51,9 +51,9 @@
 	incarnation int
 	// plannedStops are the times at which planned stops began.
 	plannedStops []time.Time
-	// unexpectedExits are the incarnations that exited without being told to.
+	// unexpectedExits are the incarnations that exited without an order to.
 	unexpectedExits []int
-	// exitExpected is set once the process was told to exit or was killed, and after an
+	// exitExpected is set once the process was ordered to exit or was killed, and after an
 	// unexpected exit was recorded.
 	exitExpected bool
 }
--- a/membership/detector_pause.go
+++ b/membership/detector_pause.go
@@ -29,7 +29,7 @@
 }
 
 // clearStale clears the stale mark once every live member of the local data centre has
-// been heard from since the pause. Heartbeats of the first interval after the pause do
+// sent anything since the pause. Heartbeats of the first interval after the pause do
 // not count, because they may have been buffered during the pause.
 func (d *detector) clearStale(now time.Time) {
 	if !d.stale {
--- a/membership/heartbeat_schedule.go
+++ b/membership/heartbeat_schedule.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// tickAction tells to which hosts heartbeats are sent at a tick.
+// tickAction says to which hosts heartbeats are sent at a tick.
 type tickAction int
 
 const (
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -197,7 +197,7 @@
 		logger.Warn().Str("host", string(e.Peer)).Str("cause", e.Detail).Msg("Member is dead.")
 	case timeline.PauseDetected:
 		t.options.Scope.Counter(metrics.ProcessPauses).Inc(1)
-		logger.Warn().Str("length", e.Detail).Msg("This process was paused; the view is stale until the local members are heard from again.")
+		logger.Warn().Str("length", e.Detail).Msg("This process was paused; the view is stale until the local members send heartbeats again.")
 	}
 }
 
--- a/membership/view.go
+++ b/membership/view.go
@@ -9,7 +9,7 @@
 	Self    Member
 	// Members holds every known member, this host included, sorted by name.
 	Members []Member
-	// Stale means that this process was paused and has not yet heard from the other
+	// Stale means that this process was paused and has not yet received anything from the other
 	// hosts of its data centre since. The view may then be out of date, so a pool
 	// owner must issue no grants on it.
 	Stale bool
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -1,6 +1,6 @@
 package outcome
 
-// Outcome tells whether a request was executed.
+// Outcome says whether a request was executed.
 type Outcome string
 
 const (
--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -11,7 +11,7 @@
 	Parts []Digest
 }
 
-// maxParts bounds the parts of a prompt that are told apart, so that a check and a write for
+// maxParts bounds the parts of a prompt that are distinguished, so that a check and a write for
 // each of them and the whole content fit one transaction of the platform's store.
 const maxParts = 48
 
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -16,7 +16,7 @@
 // Digests that reach the threshold by the same strikes tie. If whole contents are among them,
 // these are quarantined and the parts stay suspects. Parts that tie are quarantined as a group:
 // requests that have all of them are refused, and those that have some run in trials, which
-// tell the parts apart.
+// distinguish the parts.
 //
 // Hosts exchange crashes, not verdicts. Merging is commutative, associative and idempotent,
 // so all hosts that know the same crashes reach the same verdicts, in whatever order and
--- a/quarantine/judgement.go
+++ b/quarantine/judgement.go
@@ -9,7 +9,7 @@
 // judgement is what follows from the known crashes.
 type judgement struct {
 	verdicts verdicts
-	// groups holds the groups of digests that are confirmed together: nothing tells which
+	// groups holds the groups of digests that are confirmed together: nothing shows which
 	// one of a group crashes targets, so only requests that have all of them are quarantined.
 	groups [][]Digest
 	// implicated holds the digests that are implicated in any crash, attributed or not.
--- a/relay/pass_on_test.go
+++ b/relay/pass_on_test.go
@@ -20,14 +20,14 @@
 	return b(ctx, d)
 }
 
-// hearPeer makes the fixture's host hear from another one, which responds as given to what is
+// addPeer makes the fixture's host receive states of another one, which responds as given to what is
 // passed on to it.
-func (f *fixture) hearPeer(t *testing.T, peer targetBehavior) {
+func (f *fixture) addPeer(t *testing.T, peer targetBehavior) {
 	t.Helper()
 	f.relay.options.PeerClient = peerBehavior(peer)
-	hear := func(now time.Time) { f.relay.options.Dispatcher.ApplyPeerState(now, "h2", schedule.State{}) }
-	hear(time.Now())
-	go func() { _ = periodic.Run(t.Context(), 50*time.Millisecond, hear) }()
+	receive := func(now time.Time) { f.relay.options.Dispatcher.ApplyPeerState(now, "h2", schedule.State{}) }
+	receive(time.Now())
+	go func() { _ = periodic.Run(t.Context(), 50*time.Millisecond, receive) }()
 }
 
 // cutOff makes the fixture's host reach no target.
@@ -48,13 +48,13 @@
 		return brokenResponse(ctx, d)
 	}
 	f = newFixture(t, route.Route{Kind: route.Idempotent, MaxAttempts: 3}, cutThenBreak)
-	told := -1
-	f.hearPeer(t, func(ctx context.Context, d Dispatch) (*Response, error) {
-		told = d.EarlierDispatches
+	earlier := -1
+	f.addPeer(t, func(ctx context.Context, d Dispatch) (*Response, error) {
+		earlier = d.EarlierDispatches
 		return respond(200, "peer")(ctx, d)
 	})
-	if _, sink := f.call(context.Background(), nil); sink.body.String() != "peer" || told != 1 {
-		t.Errorf("got body %q and %d earlier dispatches, want the other host's response and 1", sink.body.String(), told)
+	if _, sink := f.call(context.Background(), nil); sink.body.String() != "peer" || earlier != 1 {
+		t.Errorf("got body %q and %d earlier dispatches, want the other host's response and 1", sink.body.String(), earlier)
 	}
 }
 
@@ -66,7 +66,7 @@
 	}
 	f = newFixture(t, route.Route{Kind: route.Idempotent, MaxAttempts: 2}, cutAndUnreachable)
 	f.suspect()
-	f.hearPeer(t, func(ctx context.Context, d Dispatch) (*Response, error) {
+	f.addPeer(t, func(ctx context.Context, d Dispatch) (*Response, error) {
 		other := f.otherHost()
 		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 			if _, denial := other.Begin(ctx, []quarantine.Digest{fixtureDigest()}, time.Minute); denial == nil {
@@ -83,7 +83,7 @@
 func TestStalledRequestIsPassedOnOnceItsHostIsCutOff(t *testing.T) {
 	r := route.Route{Kind: route.Idempotent, MaxAttempts: 2, LatencyObjective: 10 * time.Millisecond, Timeout: 4 * time.Second}
 	f := newFixture(t, r, hang)
-	f.hearPeer(t, respond(200, "peer"))
+	f.addPeer(t, respond(200, "peer"))
 	time.AfterFunc(100*time.Millisecond, f.cutOff)
 	started := time.Now()
 	_, sink := f.call(context.Background(), nil)
@@ -96,7 +96,7 @@
 	r := route.Route{Kind: route.NonIdempotent, MaxAttempts: 2, LatencyObjective: 10 * time.Millisecond, Timeout: 700 * time.Millisecond}
 	f := newFixture(t, r, hang)
 	passedOn := false
-	f.hearPeer(t, func(ctx context.Context, d Dispatch) (*Response, error) {
+	f.addPeer(t, func(ctx context.Context, d Dispatch) (*Response, error) {
 		passedOn = true
 		return respond(200, "peer")(ctx, d)
 	})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,7 +67,7 @@
 	return ident.Request(strconv.FormatUint(r.lastID.Add(1), 36))
 }
 
-// Result tells the front end how to complete the response. The zero value means that
+// Result says to the front end how to complete the response. The zero value means that
 // the whole response was written to the sink.
 type Result struct {
 	// Refused, if not nil, is the response that is to be written instead.
--- a/relay/target_client.go
+++ b/relay/target_client.go
@@ -61,7 +61,7 @@
 	Body io.ReadCloser
 }
 
-// DispatchError tells why a dispatch failed. It implements error.
+// DispatchError says why a dispatch failed. It implements error.
 type DispatchError struct {
 	Result schedule.Result
 	// NotRun reports that the target did not run the request and never will.
--- a/schedule/brittle.go
+++ b/schedule/brittle.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// applyBrittle records what other hosts heard of brittle targets.
+// applyBrittle records what other hosts received from brittle targets.
 func (s *Scheduler) applyBrittle(now time.Time, reported []BrittleTarget) {
 	for _, b := range reported {
 		t := s.targets[b.Target]
@@ -74,7 +74,7 @@
 	}
 }
 
-// brittleTargets returns what this host heard of brittle targets itself, a short time ago.
+// brittleTargets returns what this host itself received from brittle targets a short time ago.
 func (s *Scheduler) brittleTargets(now time.Time) []BrittleTarget {
 	var list []BrittleTarget
 	for _, t := range s.targets {
@@ -86,7 +86,7 @@
 	return list
 }
 
-// directBrittle adds what the direct peers heard to what this host did.
+// directBrittle adds what the direct peers received to what this host did.
 func (s *Scheduler) directBrittle(now time.Time) []BrittleTarget {
 	newest := make(map[ident.Target]BrittleTarget)
 	for _, b := range s.brittleTargets(now) {
--- a/schedule/brittle_test.go
+++ b/schedule/brittle_test.go
@@ -46,9 +46,9 @@
 	for _, n := range []int{1, 3, 16, 60} {
 		const slots = 7
 		hosts := sharingHosts(n, slots)
-		heard := hosts["h0"]
-		heard.RecordBrittle(at(0), heard.targets["t0"].Target, true)
-		report := heard.LocalState(at(1))
+		informed := hosts["h0"]
+		informed.RecordBrittle(at(0), informed.targets["t0"].Target, true)
+		report := informed.LocalState(at(1))
 		for name, s := range hosts {
 			if name != "h0" {
 				s.ApplyPeerState(at(2), "h0", report)
--- a/schedule/limit_simulation_test.go
+++ b/schedule/limit_simulation_test.go
@@ -42,7 +42,7 @@
 	name      ident.Host
 	dc        ident.DataCentre
 	scheduler *Scheduler
-	// group is the number of the part of the fleet that the host hears.
+	// group is the number of the part of the fleet whose states the host receives.
 	group     int
 	sent      int
 	startedMs int
--- a/schedule/limits.go
+++ b/schedule/limits.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// limitPeerTimeout is how long a host counts as one that hears this one after its last
+	// limitPeerTimeout is how long a host counts as one that receives states from this one after its last
 	// state was received, unless states are sent so seldom that older ones are up to date.
 	limitPeerTimeout = time.Second
 	// rateInterval is the time between two calculations of the rates.
@@ -86,32 +86,32 @@
 
 // updateRate calculates the requests per second that this host may send to a target.
 func (s *Scheduler) updateRate(now time.Time, t *target) {
-	heard, hosts := s.heardHosts(now), s.peerCount+1
-	share := targetlimit.Share(heard, hosts)
+	connected, hosts := s.connectedHosts(now), s.peerCount+1
+	share := targetlimit.Share(connected, hosts)
 	before := t.pacer.Rate()
 	rate := targetlimit.Rate(t.Name, t.limit.PerSecond, share, s.host, s.keeperCandidates(now, t))
 	t.pacer.SetRate(now, rate, t.limit.PerSecond)
 	if (before > 0) != (rate > 0) {
 		s.rateEvents = append(s.rateEvents, RateEvent{
-			Target: t.Name, Rate: rate, PerSecond: t.limit.PerSecond, HeardHosts: heard, Hosts: hosts,
+			Target: t.Name, Rate: rate, PerSecond: t.limit.PerSecond, ConnectedHosts: connected, Hosts: hosts,
 		})
 	}
 }
 
-// heardHosts returns the number of hosts whose states arrive, directly or in the aggregate of
+// connectedHosts returns the number of hosts whose states arrive, directly or in the aggregate of
 // their data centre, including this one.
-func (s *Scheduler) heardHosts(now time.Time) int {
-	heard := 1
+func (s *Scheduler) connectedHosts(now time.Time) int {
+	connected := 1
 	for peer := range s.peerStates() {
-		if s.hears(now, peer) {
-			heard += peer.hosts
+		if s.isConnected(now, peer) {
+			connected += peer.hosts
 		}
 	}
-	return heard
+	return connected
 }
 
-// hears reports whether states of a host, or aggregates of a data centre, arrive.
-func (s *Scheduler) hears(now time.Time, peer *peerState) bool {
+// isConnected reports whether states of a host, or aggregates of a data centre, arrive.
+func (s *Scheduler) isConnected(now time.Time, peer *peerState) bool {
 	return now.Sub(peer.receivedAt) < max(limitPeerTimeout, s.stateTTL)
 }
 
@@ -123,7 +123,7 @@
 		byDC = s.reachingHosts(now, t, false)
 	}
 	for dc, aggregate := range s.dcAggregates {
-		if _, known := byDC[dc]; !known && s.hears(now, aggregate) {
+		if _, known := byDC[dc]; !known && s.isConnected(now, aggregate) {
 			byDC[dc] = nil
 		}
 	}
@@ -148,7 +148,7 @@
 		hosts[s.dataCentre] = append(hosts[s.dataCentre], self)
 	}
 	for name, peer := range s.peers {
-		if peer.state.Leaving || !s.hears(now, peer) || onlyReaching && !peer.reaches(t) {
+		if peer.state.Leaving || !s.isConnected(now, peer) || onlyReaching && !peer.reaches(t) {
 			continue
 		}
 		dc := s.hostDataCentres[name]
@@ -208,7 +208,7 @@
 	}
 }
 
-// targetLimits returns the limits to report to other hosts: what this host heard itself, so that
+// targetLimits returns the limits to report to other hosts: what this host received itself, so that
 // a statement never returns to a host as a newer one.
 func (s *Scheduler) targetLimits(now time.Time) []TargetLimit {
 	s.updateRates(now)
@@ -221,7 +221,7 @@
 	return list
 }
 
-// directLimits returns the newest statements that this host and its direct peers heard.
+// directLimits returns the newest statements that this host and its direct peers received.
 func (s *Scheduler) directLimits(now time.Time) []TargetLimit {
 	list := s.targetLimits(now)
 	index := make(map[ident.Target]int, len(list))
@@ -239,7 +239,7 @@
 	return list
 }
 
-// reportsLimit reports whether other hosts are told of the target's limit: while it states one,
+// reportsLimit reports whether the target's limit is reported to other hosts: while it states one,
 // and for some time afterwards.
 func (t *target) reportsLimit(now time.Time) bool {
 	ended := t.limit.Kind == targetlimit.Unlimited && now.Sub(t.limitChangedAt) < limitEndReportWindow
--- a/schedule/rate_event.go
+++ b/schedule/rate_event.go
@@ -10,10 +10,10 @@
 	// states.
 	Rate      float64
 	PerSecond float64
-	// HeardHosts is the number of hosts that hear each other, including this one, and Hosts
+	// ConnectedHosts is the number of hosts that receive each other's states, including this one, and Hosts
 	// that of all hosts.
-	HeardHosts int
-	Hosts      int
+	ConnectedHosts int
+	Hosts          int
 }
 
 // TakeRateEvents returns the events since the last call.
--- a/schedule/statements.go
+++ b/schedule/statements.go
@@ -28,7 +28,7 @@
 }
 
 // leavingTargets returns the processes that have said that they are about to end, as far as
-// other hosts can tell them from the next ones.
+// other hosts can distinguish them from the next ones.
 func (s *Scheduler) leavingTargets() []TargetProcess {
 	var list []TargetProcess
 	for _, t := range s.targets {
--- a/settings/watcher.go
+++ b/settings/watcher.go
@@ -68,7 +68,7 @@
 	return time.Duration(factor * float64(w.options.Interval))
 }
 
-// NotifyVersion tells the watcher that another host has the version in force, so that
+// NotifyVersion informs the watcher that another host has the version in force, so that
 // it polls at once if that is newer. It does not block.
 func (w *Watcher) NotifyVersion(version uint64) {
 	if version <= w.load().version || !storeMax(&w.peerVersion, version) {
--- a/streamversion/tracker.go
+++ b/streamversion/tracker.go
@@ -20,7 +20,7 @@
 	maxListAge = 12 * time.Second
 	// soleVersionInterval is the time between two reports of sole versions.
 	soleVersionInterval = 250 * time.Millisecond
-	// peerTimeout is how long another host must have been silent to be told all records again.
+	// peerTimeout is how long another host must have been silent to be sent all records again.
 	peerTimeout = time.Second
 	// reportAgainDelay is how long the records are held back then, so that they are sent once
 	// for several hosts.
@@ -42,7 +42,7 @@
 	// targets is the last list of targets, listedAt when the store last confirmed it.
 	targets  map[ident.Target]route.Target
 	listedAt time.Time
-	// peerHeardAt holds when each other host was last heard.
+	// peerHeardAt holds when a message of each other host was last received.
 	peerHeardAt     map[ident.Host]time.Time
 	solesReportedAt time.Time
 	// reportAgainAt is when all records of this host are due to be sent again, or zero.
@@ -139,7 +139,7 @@
 	}
 }
 
-// SetHosts records that the set of other hosts has changed. New ones are told the records.
+// SetHosts records that the set of other hosts has changed. New ones are sent the records.
 func (t *Tracker) SetHosts(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -153,7 +153,7 @@
 }
 
 // Merge applies the report of another host. A host that was silent before may have missed
-// records and is told them again.
+// records and is sent them again.
 func (t *Tracker) Merge(now time.Time, host ident.Host, r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -174,7 +174,7 @@
 }
 
 // forgetSilentPeers drops the hosts that have been silent for so long that none of the
-// records they were told is left.
+// records they were sent is left.
 func (t *Tracker) forgetSilentPeers(now time.Time) {
 	maps.DeleteFunc(t.peerHeardAt, func(_ ident.Host, at time.Time) bool { return now.Sub(at) > t.lifetime })
 }
--- a/target/event_sequence.go
+++ b/target/event_sequence.go
@@ -1,6 +1,6 @@
 package target
 
-// disposition tells how to handle an event of a stream.
+// disposition says how to handle an event of a stream.
 type disposition int
 
 const (
--- a/target/failure.go
+++ b/target/failure.go
@@ -26,7 +26,7 @@
 	FailedStatus FailureKind = "status"
 )
 
-// Failure tells why a dispatch has no complete response. It implements error.
+// Failure says why a dispatch has no complete response. It implements error.
 type Failure struct {
 	Kind FailureKind
 	Err  error
--- a/target/resume.go
+++ b/target/resume.go
@@ -90,7 +90,7 @@
 	return c.checkHeader(call, response)
 }
 
-// Cancel tells an engine to stop generating a response that nobody reads any more.
+// Cancel instructs an engine to stop generating a response that nobody reads any more.
 // It is an optimization: errors are ignored, and without it the engine itself
 // detects that the reader is gone.
 func (c *Client) Cancel(ctx context.Context, call Call) {
--- a/targetlimit/candidate.go
+++ b/targetlimit/candidate.go
@@ -7,6 +7,6 @@
 	Host ident.Host
 	// ArrivalRate is the requests per second that reach the host for the target's pool.
 	ArrivalRate float64
-	// Claim is the rate that the host last told for the target.
+	// Claim is the rate that the host last reported for the target.
 	Claim float64
 }
--- a/targetlimit/rate.go
+++ b/targetlimit/rate.go
@@ -11,7 +11,7 @@
 
 const (
 	// minPerSecond is the least limit that hosts act on. A target that gets fewer requests
-	// could not be heard when it states another limit.
+	// could not be reached when it states another limit.
 	minPerSecond = 0.2
 	// maxKeepers bounds the hosts that have a rate for one target. Each may send one
 	// request at any moment.
@@ -78,12 +78,12 @@
 	return xxhash.Sum64String(string(target) + "\x00" + string(name))
 }
 
-// Share returns the part of each limit that the hosts which hear each other use, of all hosts
+// Share returns the part of each limit that the hosts which receive each other's states use, of all hosts
 // that there are. More than half of them use it as a whole, so that a host which has failed
 // costs nothing; all other groups together are less than the other half.
-func Share(heard, all int) float64 {
-	if all == 0 || 2*heard > all {
+func Share(connected, all int) float64 {
+	if all == 0 || 2*connected > all {
 		return 1
 	}
-	return float64(heard) / float64(all)
+	return float64(connected) / float64(all)
 }
--- a/targetlimit/rate_test.go
+++ b/targetlimit/rate_test.go
@@ -90,7 +90,7 @@
 	})
 }
 
-// A host that another one does not hear reduces its rate by what that one claims.
+// A host whose states another one does not receive reduces its rate by what that one claims.
 func TestClaimOfAnotherViewIsLeftToIt(t *testing.T) {
 	candidates := hostsWithRate(4, 10)
 	keeper, other := -1, 0
