Move a team's quota account only when it is used

Each report from another host moved the accounts of all teams and examined all sources, up to 200 times a second. An account is now moved when its usage is reported, requested or sent; all are moved before the set of silent sources changes, so that what is assumed for these is the same. The set is determined when the first source may have fallen silent. What is known of a source is in one map entry instead of three. Unchanged observations and demands of another host are no longer subtracted from the totals and added again.

--- a/quota/account.go
+++ b/quota/account.go
@@ -40,19 +40,14 @@
 	// dataCentreUsage is what this host and the hosts that report to it individually
 	// admitted since its start.
 	dataCentreUsage float64
-	// bySource holds each source's usage within the window. A window is advanced
-	// only when it is used.
-	bySource map[source]*window
+	// sources holds what is known of the usage of each source.
+	sources map[source]*sourceUsage
 	// stale holds the sources whose reports are missing, or were for long within the
 	// window. hosts is the number of all hosts, including this one.
 	stale []staleSource
 	hosts int
-	// hostTotals holds the last total that each other host reported, and
-	// dataCentreTotals the last total that each reporter sent for its data centre.
-	hostTotals       map[source]float64
+	// dataCentreTotals holds the last total that each reporter sent for its data centre.
 	dataCentreTotals map[ident.Host]float64
-	// assumed is what was counted for each source since its reports stopped.
-	assumed map[source]float64
 }
 
 // newAccount returns the account of a team whose usage in the earlier and later half
@@ -63,10 +58,8 @@
 		quota:            q,
 		updatedAt:        now,
 		hosts:            1,
-		bySource:         make(map[source]*window),
-		hostTotals:       make(map[source]float64),
+		sources:          make(map[source]*sourceUsage),
 		dataCentreTotals: make(map[ident.Host]float64),
-		assumed:          make(map[source]float64),
 	}
 	a.window = newEndLoadedWindow(now, l.Window, earlier, later)
 	a.halfWindow = newEndLoadedWindow(now, l.Window/2, 0, later)
@@ -116,8 +109,9 @@
 			continue
 		}
 		assumed := share * float64(s.hosts)
-		a.assumed[s.source] += assumed
-		a.addFrom(s.source, assumed)
+		usage := a.sourceOf(s.source)
+		usage.assumed += assumed
+		a.addFrom(usage, assumed)
 	}
 }
 
--- a/quota/account_limit.go
+++ b/quota/account_limit.go
@@ -51,9 +51,9 @@
 	used, reachable := a.window.sum, a.hosts
 	for _, s := range a.stale {
 		reachable -= s.hosts
-		if w := a.bySource[s.source]; w != nil {
-			w.advance(a.updatedAt)
-			used -= w.sum
+		if from := a.sources[s.source]; from != nil && from.window != nil {
+			from.window.advance(a.updatedAt)
+			used -= from.window.sum
 		}
 	}
 	share := float64(reachable) / float64(a.hosts)
--- a/quota/account_reports.go
+++ b/quota/account_reports.go
@@ -7,8 +7,9 @@
 // mergeHost applies the total that another host reports. The total is lower than the
 // previous one if the host refunded usage in between.
 func (a *account) mergeHost(from source, usage Usage) {
-	previous, known := a.hostTotals[from]
-	a.hostTotals[from] = usage.Total
+	s := a.sourceOf(from)
+	previous, known := s.total, s.known
+	s.total, s.known = usage.Total, true
 	if !known && usage.WarmedUp {
 		// It is not known when the host admitted this total. What falls within the
 		// window was included when this account was opened.
@@ -16,7 +17,7 @@
 	}
 	// A host that has run for less than a window admitted its total within one.
 	a.dataCentreUsage += usage.Total - previous
-	a.addReported(from, usage.Total-previous)
+	a.addReported(s, usage.Total-previous)
 }
 
 // mergeDataCentre applies a reporter's total for the hosts of its data centre since
@@ -26,38 +27,49 @@
 	previous, known := a.dataCentreTotals[reporter]
 	a.dataCentreTotals[reporter] = total
 	if known && counted {
-		a.addReported(source{dataCentre: dc}, total-previous)
+		a.addReported(a.sourceOf(source{dataCentre: dc}), total-previous)
 	}
 }
 
 // addReported counts usage that a source reports in addition to its earlier reports.
 // What was assumed for the source while it was stale is deducted first.
-func (a *account) addReported(from source, amount float64) {
+func (a *account) addReported(from *sourceUsage, amount float64) {
+	if amount == 0 && from.assumed == 0 {
+		return
+	}
 	a.reported.add(amount)
-	if assumed := a.assumed[from]; assumed > 0 {
-		amount = max(0, amount-assumed)
-		delete(a.assumed, from)
+	if from.assumed > 0 {
+		amount = max(0, amount-from.assumed)
+		from.assumed = 0
 	}
 	a.addFrom(from, amount)
 }
 
 // addFrom counts usage of a source.
-func (a *account) addFrom(from source, amount float64) {
-	w := a.bySource[from]
-	if w == nil {
-		w = newWindow(a.updatedAt, a.limits.Window, 0, 0)
-		a.bySource[from] = w
+func (a *account) addFrom(from *sourceUsage, amount float64) {
+	if from.window == nil {
+		from.window = newWindow(a.updatedAt, a.limits.Window, 0, 0)
 	}
-	w.advance(a.updatedAt)
-	w.add(amount)
+	from.window.advance(a.updatedAt)
+	from.window.add(amount)
 	a.add(amount)
 }
 
+// sourceOf returns what is known of the usage of a source.
+func (a *account) sourceOf(from source) *sourceUsage {
+	s := a.sources[from]
+	if s == nil {
+		s = &sourceUsage{}
+		a.sources[from] = s
+	}
+	return s
+}
+
 // resetHost notes that another host restarted and counts from zero again. Usage that
 // was assumed while it was stale does not cover what its new process admits.
 func (a *account) resetHost(from source) {
-	a.hostTotals[from] = 0
-	delete(a.assumed, from)
+	s := a.sourceOf(from)
+	s.total, s.known, s.assumed = 0, true, 0
 }
 
 // resetReporter drops a reporter's baseline, because its totals start from zero again.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -16,10 +16,6 @@
 	staleIntervals = 2.5
 )
 
-// advanceInterval is the least time between two moves of all accounts for reports. It is
-// short compared to a bucket of a window.
-const advanceInterval = 5 * time.Millisecond
-
 // longSilence is how long a source must have been silent for its share to be kept free
 // for another window after its return. Its usage is known then, but not the time of it.
 const longSilence = time.Second
@@ -40,8 +36,6 @@
 	// of data centres count as missing.
 	hostStaleAfter       time.Duration
 	dataCentreStaleAfter time.Duration
-	// advancedAt is when the accounts were last moved.
-	advancedAt time.Time
 
 	accounts map[ident.Team]*account
 	// sources holds the other hosts and data centres that report usage.
@@ -55,7 +49,11 @@
 	busyBeforeStart map[ident.Team]bool
 	// cached holds what other hosts last reported as used in the window.
 	cached map[ident.Team]cachedUsage
-	stale  []staleSource
+	// stale is replaced, not changed, because the accounts refer to it. It has to be
+	// determined again at staleCheckAt, or earlier if staleChanged is set.
+	stale        []staleSource
+	staleCheckAt time.Time
+	staleChanged bool
 	// hosts is the number of all hosts, including this one.
 	hosts int
 }
@@ -109,6 +107,7 @@
 	defer l.mu.Unlock()
 	l.hostStaleAfter = missingAfter(host)
 	l.dataCentreStaleAfter = missingAfter(dataCentre)
+	l.staleChanged = true
 }
 
 func missingAfter(interval time.Duration) time.Duration {
@@ -151,29 +150,6 @@
 	l.hosts += hosts
 }
 
-// advance moves all accounts to now, then finds the sources whose reports are missing,
-// or were for long within the window.
-func (l *Limiter) advance(now time.Time) {
-	l.advancedAt = now
-	for _, a := range l.accounts {
-		a.advance(now, l.stale, l.hosts)
-	}
-	l.stale = l.stale[:0]
-	for from, state := range l.sources {
-		stale := now.Sub(state.lastReportAt) > l.staleAfterOf(from)
-		if stale || now.Before(state.limitedUntil) {
-			l.stale = append(l.stale, staleSource{source: from, hosts: state.hosts, recovered: !stale})
-		}
-	}
-}
-
-// advanceForReport is advance for a report, of which many arrive in a short time.
-func (l *Limiter) advanceForReport(now time.Time) {
-	if now.Sub(l.advancedAt) >= advanceInterval {
-		l.advance(now)
-	}
-}
-
 // HostUsage returns this host's usage by team, for the hosts that it exchanges
 // individual reports with.
 func (l *Limiter) HostUsage(now time.Time) map[ident.Team]Usage {
@@ -213,7 +189,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(now, team)
-	l.advance(now)
+	l.advanceAccount(now, a)
 	d := Decision{Used: a.window.sum, Limit: a.limit(now)}
 	d.Allowed = a.admit(now, cost)
 	switch {
--- a/quota/limiter_reports.go
+++ b/quota/limiter_reports.go
@@ -11,7 +11,7 @@
 func (l *Limiter) MergeHost(now time.Time, host ident.Host, incarnation uint64, usages map[ident.Team]Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.advanceForReport(now)
+	l.advanceStale(now)
 	from := source{host: host}
 	l.recordReport(now, from)
 	if l.recordIncarnation(host, incarnation) {
@@ -22,6 +22,7 @@
 	l.cache(now, usages)
 	for team, usage := range usages {
 		if a := l.reportedAccount(now, team); a != nil {
+			a.advance(now, l.stale, l.hosts)
 			a.mergeHost(from, usage)
 		}
 	}
@@ -34,7 +35,7 @@
 func (l *Limiter) MergeDataCentre(now time.Time, dc ident.DataCentre, host ident.Host, incarnation uint64, usages map[ident.Team]Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.advanceForReport(now)
+	l.advanceStale(now)
 	if l.recordIncarnation(host, incarnation) {
 		for _, a := range l.accounts {
 			a.resetReporter(host)
@@ -47,6 +48,7 @@
 	}
 	for team, usage := range usages {
 		if a := l.reportedAccount(now, team); a != nil {
+			a.advance(now, l.stale, l.hosts)
 			a.mergeDataCentre(dc, host, usage.Total, counted)
 		}
 	}
@@ -67,9 +69,13 @@
 	if state == nil {
 		return
 	}
-	if now.Sub(state.lastReportAt) > longSilence {
+	longSilent := now.Sub(state.lastReportAt) > longSilence
+	if longSilent {
 		state.limitedUntil = now.Add(l.limits.Window)
 	}
+	if state.stale || longSilent {
+		l.staleChanged = true
+	}
 	state.lastReportAt = now
 }
 
--- a/quota/source_state.go
+++ b/quota/source_state.go
@@ -9,4 +9,6 @@
 	lastReportAt time.Time
 	// limitedUntil is one window after the end of a long silence.
 	limitedUntil time.Time
+	// stale says that its reports were missing when that was last determined.
+	stale bool
 }
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -54,36 +54,56 @@
 	s.applyBrittle(now, state.BrittleTargets)
 }
 
-// replacePeerState subtracts the older state from the totals and adds the newer one.
-// Fields that are only sent at intervals are carried over from the older state.
+// replacePeerState replaces the older state in the totals by the newer one. Fields that are
+// only sent at intervals are carried over from the older state, and then their totals stay.
 func (s *Scheduler) replacePeerState(before, after *peerState) *peerState {
-	if before != nil {
-		s.addToAggregates(before, removed)
-		if !after.state.Observed {
-			after.state.Observations = before.state.Observations
-		}
-		if after.state.Demands == nil {
-			after.state.Demands = before.state.Demands
-		}
+	if before == nil {
+		s.addToAggregates(after, added)
+		return after
+	}
+	s.addLoads(before, removed)
+	s.addLoads(after, added)
+	if after.state.Observed {
+		s.addObservations(before, removed)
+		s.addObservations(after, added)
+	} else {
+		after.state.Observations = before.state.Observations
+	}
+	if after.state.Demands != nil {
+		s.addDemands(before, removed)
+		s.addDemands(after, added)
+	} else {
+		after.state.Demands = before.state.Demands
 	}
-	s.addToAggregates(after, added)
 	return after
 }
 
 // addToAggregates adds a state to the totals of each target and pool, or subtracts it.
 func (s *Scheduler) addToAggregates(p *peerState, sign sign) {
+	s.addLoads(p, sign)
+	s.addObservations(p, sign)
+	s.addDemands(p, sign)
+}
+
+func (s *Scheduler) addLoads(p *peerState, sign sign) {
 	for i := range p.state.Loads {
 		load := &p.state.Loads[i]
 		if t := s.targets[load.Target]; t != nil {
 			t.addPeerLoad(load, p.direct, sign)
 		}
 	}
+}
+
+func (s *Scheduler) addObservations(p *peerState, sign sign) {
 	for i := range p.state.Observations {
 		observation := &p.state.Observations[i]
 		if t := s.targets[observation.Target]; t != nil {
 			t.addPeerObservation(observation, p.direct, sign)
 		}
 	}
+}
+
+func (s *Scheduler) addDemands(p *peerState, sign sign) {
 	for i := range p.state.Demands {
 		demand := &p.state.Demands[i]
 		s.poolOf(demand.Pool).peerDemandOf(demand.Rank).add(demand, sign)
