Send and read fewer datagrams of states in divided systems

Changes are now sent to the cell every 14 to 20 ms and datagrams read every 10 ms: 30 ms together, which the headroom of quotas covers. States for other cells are not sent more often than heartbeats. A batch of datagrams takes one system call. Reports of usage that repeat the total before are skipped after one map access. Full-mesh systems keep their intervals.

--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/net/ipv4"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cornelyard/cornelyard/ident"
@@ -24,6 +25,12 @@
 	// to process every message.
 	minSendInterval     = 4 * time.Millisecond
 	sendIntervalPerHost = time.Millisecond
+	// cellIntervalPerHost replaces sendIntervalPerHost in systems that are divided, up to
+	// maxCellInterval. There, datagrams are read at receiveInterval. A quota's headroom covers
+	// reports that are as old as both together, 30 ms.
+	cellIntervalPerHost = 2 * time.Millisecond
+	maxCellInterval     = 20 * time.Millisecond
+	receiveInterval     = 10 * time.Millisecond
 	// minAggregateInterval and aggregateIntervalPerDataCentre set the time between two
 	// aggregates from this host to the same remote host.
 	minAggregateInterval           = 100 * time.Millisecond
@@ -53,7 +60,7 @@
 // Exchange sends this host's state to other hosts and receives theirs.
 type Exchange struct {
 	options  Options
-	peers    atomic.Pointer[PeerSet]
+	peers    atomic.Pointer[receivers]
 	names    atomic.Pointer[NameIndex]
 	sendNow  chan struct{}
 	sequence uint64
@@ -67,6 +74,10 @@
 	nearUsage      usageFilter
 	farUsage       usageFilter
 	aggregateUsage usageFilter
+	// nearObservations and farObservations hold what was last observed in the messages to each
+	// group. They are used in systems in which not all hosts exchange their states.
+	nearObservations observationFilter
+	farObservations  observationFilter
 }
 
 // New returns an exchange without peers. It sends and receives only while Run runs.
@@ -78,13 +89,13 @@
 		farUsage:       usageFilter{fullInterval: farUsageInterval},
 		aggregateUsage: usageFilter{fullInterval: farUsageInterval},
 	}
-	e.peers.Store(&PeerSet{cells: 1})
+	e.SetPeers(&PeerSet{cells: 1})
 	e.names.Store(NewNameIndex(nil, nil))
 	return e
 }
 
 // SetPeers replaces the set of other hosts.
-func (e *Exchange) SetPeers(p *PeerSet) { e.peers.Store(p) }
+func (e *Exchange) SetPeers(p *PeerSet) { e.peers.Store(newReceivers(p)) }
 
 // SetNameIndex replaces the names that are recognized in received messages.
 func (e *Exchange) SetNameIndex(names *NameIndex) { e.names.Store(names) }
@@ -110,16 +121,17 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	go e.sendLoop(ctx, conn)
-	return e.receiveLoop(ctx, conn)
+	packets := ipv4.NewPacketConn(conn)
+	go e.sendLoop(ctx, packets)
+	return e.receiveLoop(ctx, packets)
 }
 
 // receiveLoop handles datagrams until ctx is done, which closes the connection.
-func (e *Exchange) receiveLoop(ctx context.Context, conn *net.UDPConn) error {
+func (e *Exchange) receiveLoop(ctx context.Context, conn *ipv4.PacketConn) error {
 	filter := newReplayFilter()
-	buffer := make([]byte, maxDatagramBytes)
+	batch := newReceiveBatch()
 	for {
-		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		n, err := conn.ReadBatch(batch, 0)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -129,7 +141,12 @@
 			e.options.Logger.Debug().Err(err).Msg("Receiving a host state datagram failed; continuing with the next one.")
 			continue
 		}
-		e.handleDatagram(filter, buffer[:n])
+		for i := range batch[:n] {
+			e.handleDatagram(filter, batch[i].Buffers[0][:batch[i].N])
+		}
+		if n < len(batch) && !e.peers.Load().fullMesh() {
+			time.Sleep(receiveInterval)
+		}
 	}
 }
 
@@ -148,7 +165,7 @@
 }
 
 // sendLoop sends the state after changes and at each heartbeat, until ctx is done.
-func (e *Exchange) sendLoop(ctx context.Context, conn *net.UDPConn) {
+func (e *Exchange) sendLoop(ctx context.Context, conn *ipv4.PacketConn) {
 	timer := time.NewTimer(heartbeatInterval)
 	defer timer.Stop()
 	for {
@@ -167,7 +184,7 @@
 
 // heartbeatDelay returns when to send next if nothing changes. The far peers are not left
 // waiting for the heartbeat after their message is due.
-func (e *Exchange) heartbeatDelay(peers *PeerSet, now time.Time) time.Duration {
+func (e *Exchange) heartbeatDelay(peers *receivers, now time.Time) time.Duration {
 	if len(peers.far) == 0 {
 		return heartbeatInterval
 	}
@@ -176,11 +193,14 @@
 
 // sendState sends the state to the near peers, the changes since their last message to the
 // far peers, and the aggregate to its receivers; the latter two only at intervals.
-func (e *Exchange) sendState(conn *net.UDPConn, peers *PeerSet, now time.Time) {
+func (e *Exchange) sendState(conn *ipv4.PacketConn, peers *receivers, now time.Time) {
 	state := e.options.LocalState(now)
 	near := state
 	near.TeamUsage = e.nearUsage.changes(now, state.TeamUsage)
-	e.broadcast(now, conn, &near, peers.near)
+	if !peers.fullMesh() {
+		e.nearObservations.apply(now, &near.Schedule)
+	}
+	e.broadcast(now, conn, &near, peers.toNear)
 	if len(peers.far) > 0 {
 		e.farState.Add(&state)
 		e.sendFar(conn, peers, now)
@@ -189,23 +209,24 @@
 		e.lastAggregate = now
 		aggregate := e.options.AggregateState(now)
 		aggregate.TeamUsage = e.aggregateUsage.changes(now, aggregate.TeamUsage)
-		e.broadcast(now, conn, &aggregate, peers.aggregateReceivers)
+		e.broadcast(now, conn, &aggregate, peers.toAggregateReceivers)
 	}
 }
 
 // sendFar sends the far peers what has changed since their last message, if that is due.
-func (e *Exchange) sendFar(conn *net.UDPConn, peers *PeerSet, now time.Time) {
+func (e *Exchange) sendFar(conn *ipv4.PacketConn, peers *receivers, now time.Time) {
 	if now.Sub(e.lastFar) < peers.farInterval() {
 		return
 	}
 	e.lastFar = now
 	state := e.farState.Take()
 	state.TeamUsage = e.farUsage.changes(now, state.TeamUsage)
-	e.broadcast(now, conn, &state, peers.far)
+	e.farObservations.apply(now, &state.Schedule)
+	e.broadcast(now, conn, &state, peers.toFar)
 }
 
-func (e *Exchange) broadcast(now time.Time, conn *net.UDPConn, m *Message, to []Member) {
-	if len(to) == 0 {
+func (e *Exchange) broadcast(now time.Time, conn *ipv4.PacketConn, m *Message, to *sendBatch) {
+	if len(to.members) == 0 {
 		return
 	}
 	e.sequence++
@@ -214,13 +235,9 @@
 		e.options.Logger.Error().Err(err).Msg("Encoding the host state failed; it is not sent.")
 		return
 	}
-	for _, member := range to {
-		address, err := netip.ParseAddrPort(member.Address)
-		if err != nil {
-			continue
-		}
-		if _, err := conn.WriteToUDPAddrPort(data, address); err != nil {
-			e.options.Logger.Debug().Err(err).Str("host", string(member.Host)).Msg("Sending the host state failed; the next message replaces it.")
-		}
-	}
+	to.send(conn, data, e.logSendFailure)
+}
+
+func (e *Exchange) logSendFailure(to Member, err error) {
+	e.options.Logger.Debug().Err(err).Str("host", string(to.Host)).Msg("Sending the host state failed; the next message replaces it.")
 }
--- a/hoststate/peer_set.go
+++ b/hoststate/peer_set.go
@@ -90,12 +90,20 @@
 
 // nearInterval returns the least time between two messages to the near peers.
 func (p *PeerSet) nearInterval() time.Duration {
-	return max(minSendInterval, time.Duration(len(p.near))*sendIntervalPerHost)
+	near := time.Duration(len(p.near))
+	if p.fullMesh() {
+		return max(minSendInterval, near*sendIntervalPerHost)
+	}
+	return max(minSendInterval, min(near*cellIntervalPerHost, maxCellInterval))
 }
 
-// farInterval returns the time between two messages to the far peers.
+// fullMesh reports whether all hosts exchange their states with each other after each change.
+func (p *PeerSet) fullMesh() bool { return len(p.far) == 0 && len(p.aggregated) == 0 }
+
+// farInterval returns the time between two messages to the far peers. It is not shorter than
+// that of heartbeats, after which hosts count a state as up to date in any case.
 func (p *PeerSet) farInterval() time.Duration {
-	return time.Duration(len(p.far)) * farIntervalPerHost
+	return max(heartbeatInterval, time.Duration(len(p.far))*farIntervalPerHost)
 }
 
 // StateInterval returns the longest regular time between two messages from a direct peer.
--- a/quota/account_reports.go
+++ b/quota/account_reports.go
@@ -6,10 +6,9 @@
 
 // mergeHost applies the total that another host reports. The total is lower than the
 // previous one if the host refunded usage in between.
-func (a *account) mergeHost(from source, usage Usage) {
-	s := a.sourceOf(from)
-	previous, known := s.total, s.known
-	s.total, s.known = usage.Total, true
+func (a *account) mergeHost(from *sourceUsage, usage Usage) {
+	previous, known := from.total, from.known
+	from.total, from.known = usage.Total, true
 	if !known && usage.WarmedUp {
 		// It is not known when the host admitted this total. What falls within the
 		// window was included when this account was opened.
@@ -17,7 +16,7 @@
 	}
 	// A host that has run for less than a window admitted its total within one.
 	a.dataCentreUsage += usage.Total - previous
-	a.addReported(s, usage.Total-previous)
+	a.addReported(from, usage.Total-previous)
 }
 
 // mergeDataCentre applies a reporter's total for the hosts of its data centre since
--- a/quota/limiter_reports.go
+++ b/quota/limiter_reports.go
@@ -19,13 +19,29 @@
 			a.resetHost(from)
 		}
 	}
-	l.cache(now, usages)
+	state := l.sources[from]
 	for team, usage := range usages {
-		if a := l.reportedAccount(now, team); a != nil {
-			a.advance(now, l.stale, l.hosts)
-			a.mergeHost(from, usage)
+		l.mergeHostUsage(now, from, state, team, usage)
+	}
+}
+
+// mergeHostUsage applies what another host reports of one team; state is nil if the host is not
+// known. Most reports repeat the total before.
+func (l *Limiter) mergeHostUsage(now time.Time, from source, state *sourceState, team ident.Team, usage Usage) {
+	known := state.accountOf(team)
+	if known == nil {
+		l.cache(now, team, usage)
+		a := l.reportedAccount(now, team)
+		if a == nil {
+			return
 		}
+		known = state.addAccount(team, &accountSource{account: a, usage: a.sourceOf(from)})
+	}
+	if known.usage.repeats(usage) {
+		return
 	}
+	known.account.advance(now, l.stale, l.hosts)
+	known.account.mergeHost(known.usage, usage)
 }
 
 // MergeDataCentre applies a report about all hosts of another data centre: what they
@@ -41,12 +57,12 @@
 			a.resetReporter(host)
 		}
 	}
-	l.cache(now, usages)
 	counted := l.selectReporter(now, dc, host)
 	if counted {
 		l.recordReport(now, source{dataCentre: dc})
 	}
 	for team, usage := range usages {
+		l.cache(now, team, usage)
 		if a := l.reportedAccount(now, team); a != nil {
 			a.advance(now, l.stale, l.hosts)
 			a.mergeDataCentre(dc, host, usage.Total, counted)
@@ -87,12 +103,10 @@
 	return known && previous != incarnation
 }
 
-// cache stores what hosts that have run for a whole window report as used in it, for
-// accounts that are opened later.
-func (l *Limiter) cache(now time.Time, usages map[ident.Team]Usage) {
-	for team, usage := range usages {
-		if usage.WarmedUp {
-			l.cached[team] = cachedUsage{Usage: usage, at: now}
-		}
+// cache stores what a host that has run for a whole window reports as used in it, for an
+// account that is opened later.
+func (l *Limiter) cache(now time.Time, team ident.Team, usage Usage) {
+	if usage.WarmedUp && l.accounts[team] == nil {
+		l.cached[team] = cachedUsage{Usage: usage, at: now}
 	}
 }
--- a/quota/source_usage.go
+++ b/quota/source_usage.go
@@ -11,3 +11,6 @@
 	// assumed is what was counted since the reports of the source stopped.
 	assumed float64
 }
+
+// repeats reports whether a host's report adds nothing to its last one.
+func (s *sourceUsage) repeats(u Usage) bool { return s.known && s.total == u.Total && s.assumed == 0 }
