Keep the intervals of states while requests wait for capacity

The longer interval and the pause between reads now hold only while no host has reported a waiting request for 2 s. A message for other cells is sent early if the next opportunity would come late. A repeated or reordered datagram is dropped without decoding it.

--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -26,8 +26,8 @@
 	minSendInterval     = 4 * time.Millisecond
 	sendIntervalPerHost = time.Millisecond
 	// cellIntervalPerHost replaces sendIntervalPerHost in systems that are divided, up to
-	// maxCellInterval. There, datagrams are read at receiveInterval. A quota's headroom covers
-	// reports that are as old as both together, 30 ms.
+	// maxCellInterval, and there datagrams are read at receiveInterval, while no requests wait.
+	// A quota's headroom covers reports that are as old as both together, 30 ms.
 	cellIntervalPerHost = 2 * time.Millisecond
 	maxCellInterval     = 20 * time.Millisecond
 	receiveInterval     = 10 * time.Millisecond
@@ -78,6 +78,7 @@
 	// group. They are used in systems in which not all hosts exchange their states.
 	nearObservations observationFilter
 	farObservations  observationFilter
+	pressure         Pressure
 }
 
 // New returns an exchange without peers. It sends and receives only while Run runs.
@@ -144,13 +145,16 @@
 		for i := range batch[:n] {
 			e.handleDatagram(filter, batch[i].Buffers[0][:batch[i].N])
 		}
-		if n < len(batch) && !e.peers.Load().fullMesh() {
+		if n < len(batch) && !e.peers.Load().fullMesh() && !e.pressure.High(time.Now()) {
 			time.Sleep(receiveInterval)
 		}
 	}
 }
 
 func (e *Exchange) handleDatagram(filter *replayFilter, data []byte) {
+	if head, ok := readHead(data); ok && filter.rejects(time.Now(), head) {
+		return
+	}
 	state := &hostpb.HostState{}
 	if err := proto.Unmarshal(data, state); err != nil {
 		e.options.Logger.Warn().Err(err).Msg("A datagram could not be decoded as a host state; dropping it.")
@@ -161,7 +165,9 @@
 	if host == e.options.Self.Host || !filter.accept(now, host, state.GetIncarnation(), state.GetSequence()) {
 		return
 	}
-	e.options.OnMessage(now, e.names.Load().decode(now, state))
+	m := e.names.Load().decode(now, state)
+	e.pressure.Record(now, &m.Schedule)
+	e.options.OnMessage(now, m)
 }
 
 // sendLoop sends the state after changes and at each heartbeat, until ctx is done.
@@ -177,7 +183,7 @@
 		}
 		peers := e.peers.Load()
 		e.sendState(conn, peers, time.Now())
-		periodic.Sleep(ctx, peers.nearInterval())
+		periodic.Sleep(ctx, peers.nearInterval(e.pressure.High(time.Now())))
 		timer.Reset(e.heartbeatDelay(peers, time.Now()))
 	}
 }
@@ -195,6 +201,7 @@
 // far peers, and the aggregate to its receivers; the latter two only at intervals.
 func (e *Exchange) sendState(conn *ipv4.PacketConn, peers *receivers, now time.Time) {
 	state := e.options.LocalState(now)
+	e.pressure.Record(now, &state.Schedule)
 	near := state
 	near.TeamUsage = e.nearUsage.changes(now, state.TeamUsage)
 	if !peers.fullMesh() {
@@ -215,7 +222,7 @@
 
 // sendFar sends the far peers what has changed since their last message, if that is due.
 func (e *Exchange) sendFar(conn *ipv4.PacketConn, peers *receivers, now time.Time) {
-	if now.Sub(e.lastFar) < peers.farInterval() {
+	if now.Sub(e.lastFar) < peers.minFarInterval() {
 		return
 	}
 	e.lastFar = now
--- a/hoststate/peer_set.go
+++ b/hoststate/peer_set.go
@@ -88,10 +88,11 @@
 // Cell returns this host's cell and the number of cells of its data centre.
 func (p *PeerSet) Cell() (cell, cells int) { return p.cell, p.cells }
 
-// nearInterval returns the least time between two messages to the near peers.
-func (p *PeerSet) nearInterval() time.Duration {
+// nearInterval returns the least time between two messages to the near peers, which in a divided
+// system is shorter while requests wait for capacity.
+func (p *PeerSet) nearInterval(pressure bool) time.Duration {
 	near := time.Duration(len(p.near))
-	if p.fullMesh() {
+	if p.fullMesh() || pressure {
 		return max(minSendInterval, near*sendIntervalPerHost)
 	}
 	return max(minSendInterval, min(near*cellIntervalPerHost, maxCellInterval))
@@ -100,12 +101,19 @@
 // fullMesh reports whether all hosts exchange their states with each other after each change.
 func (p *PeerSet) fullMesh() bool { return len(p.far) == 0 && len(p.aggregated) == 0 }
 
-// farInterval returns the time between two messages to the far peers. It is not shorter than
+// farInterval returns the longest time between two messages to the far peers. It is not shorter than
 // that of heartbeats, after which hosts count a state as up to date in any case.
 func (p *PeerSet) farInterval() time.Duration {
 	return max(heartbeatInterval, time.Duration(len(p.far))*farIntervalPerHost)
 }
 
+// minFarInterval is the least time between two messages to the far peers, if there are changes
+// for the near ones. A message that the next opportunity would delay beyond farInterval is sent
+// earlier.
+func (p *PeerSet) minFarInterval() time.Duration {
+	return max(heartbeatInterval-p.nearInterval(false), time.Duration(len(p.far))*farIntervalPerHost)
+}
+
 // StateInterval returns the longest regular time between two messages from a direct peer.
 func (p *PeerSet) StateInterval() time.Duration { return max(heartbeatInterval, p.farInterval()) }
 
--- a/hoststate/replay_filter.go
+++ b/hoststate/replay_filter.go
@@ -31,16 +31,22 @@
 // accept reports whether the message is newer than the last one accepted from the
 // host, and records it if so.
 func (f *replayFilter) accept(now time.Time, host ident.Host, incarnation, sequence uint64) bool {
-	last, known := f.lastAccepted[host]
-	switch {
-	case !known || incarnation > last.incarnation:
-	case incarnation == last.incarnation:
-		if sequence <= last.sequence {
-			return false
-		}
-	case now.Sub(last.receivedAt) < lowerIncarnationAfter:
+	if f.rejects(now, messageHead{host: host, incarnation: incarnation, sequence: sequence}) {
 		return false
 	}
 	f.lastAccepted[host] = lastMessage{incarnation: incarnation, sequence: sequence, receivedAt: now}
 	return true
 }
+
+// rejects reports whether accept would reject the message.
+func (f *replayFilter) rejects(now time.Time, m messageHead) bool {
+	last, known := f.lastAccepted[m.host]
+	switch {
+	case !known || m.incarnation > last.incarnation:
+		return false
+	case m.incarnation == last.incarnation:
+		return m.sequence <= last.sequence
+	default:
+		return now.Sub(last.receivedAt) < lowerIncarnationAfter
+	}
+}
--- a/internal/loadmodel/fleet_pool.go
+++ b/internal/loadmodel/fleet_pool.go
@@ -12,6 +12,7 @@
 	s.Length = 6 * time.Second
 	s.Hosts = 49
 	s.MinPeerStateInterval = 8 * time.Millisecond
+	s.RelaxedPeerStateInterval = 26 * time.Millisecond
 	s.FarPeerStateInterval = 205 * time.Millisecond
 	s.EngineSpeeds = slices.Repeat(s.EngineSpeeds, 4)[:40]
 	s.Slots = 5
--- a/internal/loadmodel/host.go
+++ b/internal/loadmodel/host.go
@@ -26,6 +26,8 @@
 	farStates  sentStates
 	// unsent holds what has not been published to the hosts of other cells yet.
 	unsent hoststate.Coalescer
+	// pressure says whether requests have waited lately.
+	pressure hoststate.Pressure
 	// receivedCounts holds, by host index, how many of that host's states were received.
 	receivedCounts []int
 	// nextEngine is the index at which the baseline policy starts its search.
@@ -43,6 +45,7 @@
 	}
 	h.changed = false
 	state := h.scheduler.LocalState(clock(now))
+	h.pressure.Record(clock(now), &state)
 	h.sentStates = append(h.sentStates, sentState{at: now, state: state})
 	h.unsent.Add(&hoststate.Message{Schedule: state})
 	if last, published := h.farStates.lastAt(); published && now-last < farInterval {
@@ -51,6 +54,14 @@
 	h.farStates = append(h.farStates, sentState{at: now, state: h.unsent.Take().Schedule})
 }
 
+// minInterval returns the shortest interval at which the host publishes its state now.
+func (h *host) minInterval(now time.Duration, s *Scenario) time.Duration {
+	if h.pressure.High(clock(now)) {
+		return s.MinPeerStateInterval
+	}
+	return max(s.MinPeerStateInterval, s.RelaxedPeerStateInterval)
+}
+
 // receiveState applies the latest state that the other host published to this one at least
 // delay ago, unless it was already applied.
 func (h *host) receiveState(now, delay time.Duration, index int, other *host) {
@@ -65,7 +76,9 @@
 	if h.receivedCounts[index] == before {
 		return
 	}
-	h.scheduler.ApplyPeerState(clock(now), other.name, sent[h.receivedCounts[index]-1].state)
+	state := sent[h.receivedCounts[index]-1].state
+	h.pressure.Record(clock(now), &state)
+	h.scheduler.ApplyPeerState(clock(now), other.name, state)
 }
 
 // leastLocalEngine returns the engine with the fewest requests from this host.
--- a/internal/loadmodel/scenario.go
+++ b/internal/loadmodel/scenario.go
@@ -19,6 +19,9 @@
 	PeerStateDelay time.Duration
 	// MinPeerStateInterval is the shortest interval at which a host publishes its state.
 	MinPeerStateInterval time.Duration
+	// RelaxedPeerStateInterval replaces it while no request has waited lately at the host or at
+	// those whose states it receives, if it is longer.
+	RelaxedPeerStateInterval time.Duration
 	// FarPeerStateInterval is the interval at which a host publishes its state to the hosts
 	// of other cells. If it is zero, each data centre is one cell.
 	FarPeerStateInterval time.Duration
--- a/internal/loadmodel/schedulers.go
+++ b/internal/loadmodel/schedulers.go
@@ -12,7 +12,7 @@
 		return
 	}
 	for _, h := range m.hosts {
-		h.publishState(m.now, m.scenario.MinPeerStateInterval, m.scenario.FarPeerStateInterval)
+		h.publishState(m.now, h.minInterval(m.now, &m.scenario), m.scenario.FarPeerStateInterval)
 	}
 	m.exchangeAggregates()
 	for i, h := range m.hosts {
--- a/quota/limiter_reports.go
+++ b/quota/limiter_reports.go
@@ -64,7 +64,9 @@
 	for team, usage := range usages {
 		l.cache(now, team, usage)
 		if a := l.reportedAccount(now, team); a != nil {
-			a.advance(now, l.stale, l.hosts)
+			if counted {
+				a.advance(now, l.stale, l.hosts)
+			}
 			a.mergeDataCentre(dc, host, usage.Total, counted)
 		}
 	}
