Report the datagrams with states, and describe the cost of the exchange

An operator could not see how many states a host sends and receives, nor when it exchanges them more often. Three gauges and a log line say so.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,7 @@
 	requestBudget  *bytebudget.Budget
 	responseBudget *bytebudget.Budget
 	buffers        []*bufferMonitor
+	traffic        trafficMonitor
 	// reloaded holds the settings of the last successful reload.
 	reloaded atomic.Pointer[config.Gateway]
 	// stopping is set once the host drains: callers are directed to other hosts.
@@ -158,6 +159,7 @@
 		OnMessage:      state.handleMessage,
 		Logger:         g.logs.For("hoststate"),
 	})
+	g.traffic.logger = g.logs.For("hoststate")
 	g.state = state
 }
 
--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -79,6 +79,7 @@
 	nearObservations observationFilter
 	farObservations  observationFilter
 	pressure         Pressure
+	traffic          traffic
 }
 
 // New returns an exchange without peers. It sends and receives only while Run runs.
@@ -110,6 +111,12 @@
 	}
 }
 
+// Traffic returns the numbers of datagrams sent and received since the start, and whether a
+// divided system exchanges states at the shorter intervals because requests wait.
+func (e *Exchange) Traffic(now time.Time) (sent, received int64, pressure bool) {
+	return e.traffic.sent.Load(), e.traffic.received.Load(), !e.peers.Load().fullMesh() && e.pressure.High(now)
+}
+
 // Run sends and receives until ctx is done.
 func (e *Exchange) Run(ctx context.Context) error {
 	address, err := netip.ParseAddrPort(e.options.Self.Address)
@@ -142,6 +149,7 @@
 			e.options.Logger.Debug().Err(err).Msg("Receiving a host state datagram failed; continuing with the next one.")
 			continue
 		}
+		e.traffic.received.Add(int64(n))
 		for i := range batch[:n] {
 			e.handleDatagram(filter, batch[i].Buffers[0][:batch[i].N])
 		}
@@ -243,6 +251,7 @@
 		return
 	}
 	to.send(conn, data, e.logSendFailure)
+	e.traffic.sent.Add(int64(len(to.members)))
 }
 
 func (e *Exchange) logSendFailure(to Member, err error) {
--- /dev/null
+++ b/hoststate/traffic.go
@@ -0,0 +1,9 @@
+package hoststate
+
+import "sync/atomic"
+
+// traffic counts datagrams since the start of the process.
+type traffic struct {
+	sent     atomic.Int64
+	received atomic.Int64
+}
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -59,6 +59,12 @@
 	GatewayBuffersRefused = "gateway_buffers_refused"
 	// GatewayLogLinesDropped is the number of log lines that were not written.
 	GatewayLogLinesDropped = "gateway_log_lines_dropped"
+	// GatewayStatesSent and GatewayStatesReceived are the numbers of datagrams with states since
+	// the start. GatewayStatesFrequent is 1 while a divided system exchanges them more often
+	// because requests wait.
+	GatewayStatesSent     = "gateway_states_sent"
+	GatewayStatesReceived = "gateway_states_received"
+	GatewayStatesFrequent = "gateway_states_frequent"
 )
 
 // Tag keys used only by the metrics of a gateway.
