--- a/relay/exchange_cost_test.go
+++ b/relay/exchange_cost_test.go
@@ -195,8 +195,10 @@
 	table, targets := costTable()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running, requests sync.WaitGroup
+	var hosts []*costHost
 	for _, m := range members {
 		h := newCostHost(m)
+		hosts = append(hosts, h)
 		h.configure(table, targets, members)
 		running.Add(2)
 		go func() { defer running.Done(); _ = h.exchange.Run(ctx) }()
@@ -206,13 +208,24 @@
 	}
 	time.Sleep(time.Second)
 	b.ResetTimer()
-	before := processorTime(b)
+	before, receivedBefore := processorTime(b), receivedBy(hosts)
 	time.Sleep(time.Duration(b.N) * time.Second)
-	used := processorTime(b) - before
+	used, received := processorTime(b)-before, receivedBy(hosts)-receivedBefore
 	b.StopTimer()
 	cancel()
 	requests.Wait()
 	running.Wait()
 	b.ReportMetric(float64(used)/float64(time.Millisecond)/float64(b.N)/float64(len(members)), "cpu-ms/host/s")
+	b.ReportMetric(float64(received)/float64(b.N)/float64(len(members)), "datagrams/host/s")
 	b.ReportMetric(0, "ns/op")
 }
+
+// receivedBy returns the number of datagrams that the hosts have received.
+func receivedBy(hosts []*costHost) int64 {
+	total := int64(0)
+	for _, h := range hosts {
+		_, received, _ := h.exchange.Traffic(time.Now())
+		total += received
+	}
+	return total
+}
