--- a/quota/limiter_reports.go
+++ b/quota/limiter_reports.go
@@ -11,7 +11,7 @@
 func (l *Limiter) MergeHost(now time.Time, host ident.Host, incarnation uint64, usages map[ident.Team]Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.advanceForReport(now)
+	l.advanceStale(now)
 	from := source{host: host}
 	l.recordReport(now, from)
 	if l.recordIncarnation(host, incarnation) {
@@ -19,12 +19,29 @@
 			a.resetHost(from)
 		}
 	}
-	l.cache(now, usages)
+	state := l.sources[from]
 	for team, usage := range usages {
-		if a := l.reportedAccount(now, team); a != nil {
-			a.mergeHost(from, usage)
+		l.mergeHostUsage(now, from, state, team, usage)
+	}
+}
+
+// mergeHostUsage applies what another host reports of one team; state is nil if the host is not
+// known. Most reports repeat the total before.
+func (l *Limiter) mergeHostUsage(now time.Time, from source, state *sourceState, team ident.Team, usage Usage) {
+	known := state.accountOf(team)
+	if known == nil {
+		l.cache(now, team, usage)
+		a := l.reportedAccount(now, team)
+		if a == nil {
+			return
 		}
+		known = state.addAccount(team, &accountSource{account: a, usage: a.sourceOf(from)})
 	}
+	if known.usage.repeats(usage) {
+		return
+	}
+	known.account.advance(now, l.stale, l.hosts)
+	known.account.mergeHost(known.usage, usage)
 }
 
 // MergeDataCentre applies a report about all hosts of another data centre: what they
@@ -34,19 +51,22 @@
 func (l *Limiter) MergeDataCentre(now time.Time, dc ident.DataCentre, host ident.Host, incarnation uint64, usages map[ident.Team]Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.advanceForReport(now)
+	l.advanceStale(now)
 	if l.recordIncarnation(host, incarnation) {
 		for _, a := range l.accounts {
 			a.resetReporter(host)
 		}
 	}
-	l.cache(now, usages)
 	counted := l.selectReporter(now, dc, host)
 	if counted {
 		l.recordReport(now, source{dataCentre: dc})
 	}
 	for team, usage := range usages {
+		l.cache(now, team, usage)
 		if a := l.reportedAccount(now, team); a != nil {
+			if counted {
+				a.advance(now, l.stale, l.hosts)
+			}
 			a.mergeDataCentre(dc, host, usage.Total, counted)
 		}
 	}
@@ -67,9 +87,13 @@
 	if state == nil {
 		return
 	}
-	if now.Sub(state.lastReportAt) > longSilence {
+	longSilent := now.Sub(state.lastReportAt) > longSilence
+	if longSilent {
 		state.limitedUntil = now.Add(l.limits.Window)
 	}
+	if state.stale || longSilent {
+		l.staleChanged = true
+	}
 	state.lastReportAt = now
 }
 
@@ -81,12 +105,10 @@
 	return known && previous != incarnation
 }
 
-// cache stores what hosts that have run for a whole window report as used in it, for
-// accounts that are opened later.
-func (l *Limiter) cache(now time.Time, usages map[ident.Team]Usage) {
-	for team, usage := range usages {
-		if usage.WarmedUp {
-			l.cached[team] = cachedUsage{Usage: usage, at: now}
-		}
+// cache stores what a host that has run for a whole window reports as used in it, for an
+// account that is opened later.
+func (l *Limiter) cache(now time.Time, team ident.Team, usage Usage) {
+	if usage.WarmedUp && l.accounts[team] == nil {
+		l.cached[team] = cachedUsage{Usage: usage, at: now}
 	}
 }
