Limit what the states for other hosts take of a host's link

Cause: while requests wait, a host sent its state to each host of its cell every 7 ms: at 1,200 bytes about all of a link of 10 Mbit/s, behind which requests, connections and their cancellation wait.

Change: in systems in which not all hosts exchange their states, a host waits after a state until it took a tenth of the link, at most until the next heartbeat. The bandwidth is a new, optional setting, linkMbps.

--- a/config/gateway.go
+++ b/config/gateway.go
@@ -22,6 +22,9 @@
 	StoreAddress string `json:"storeAddress"`
 	// MemoryMB is the memory limit of the process in megabytes.
 	MemoryMB int `json:"memoryMB"`
+	// LinkMbps is the bandwidth of this host's link in megabits per second, of which the states
+	// for other hosts take a small part. Zero means that it isn't known.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
 	// StopTime is the time between the request to stop and the forced termination.
 	StopTime settings.Duration `json:"stopTime"`
 	// DrainTime is how long the platform lets hosts send requests to a target after it has
--- a/config/gateway_checker.go
+++ b/config/gateway_checker.go
@@ -53,6 +53,9 @@
 	if g.MemoryMB <= 0 {
 		c.add("memoryMB", "the process may use no memory", "1 or more megabytes")
 	}
+	if g.LinkMbps < 0 {
+		c.add("linkMbps", "the bandwidth is negative", "0 or more megabits per second")
+	}
 	if g.StopTime <= 0 {
 		c.add("stopTime", "there is no time to stop", "more than 0s")
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -158,6 +158,7 @@
 		AggregateState: state.aggregateState,
 		OnMessage:      state.handleMessage,
 		Logger:         g.logs.For("hoststate"),
+		LinkMbps:       g.config.LinkMbps,
 	})
 	g.traffic.logger = g.logs.For("hoststate")
 	g.state = state
--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -43,7 +43,7 @@
 	maxDatagramBytes = 16 << 10
 )
 
-// Options configures an Exchange. All fields are required.
+// Options configures an Exchange. All fields but LinkMbps are required.
 type Options struct {
 	Self        Member
 	Incarnation uint64
@@ -55,6 +55,9 @@
 	// OnMessage is called for each new message from another host.
 	OnMessage func(now time.Time, m Message)
 	Logger    *log.Logger
+	// LinkMbps is the bandwidth of this host's link in megabits per second; zero means that it
+	// isn't known.
+	LinkMbps float64
 }
 
 // Exchange sends this host's state to other hosts and receives theirs.
@@ -79,13 +82,18 @@
 	nearObservations observationFilter
 	farObservations  observationFilter
 	pressure         Pressure
-	traffic          traffic
+	// pacer limits the bytes of states in systems in which not all hosts exchange them, and
+	// sentBytes counts those since the last delay.
+	pacer     sendPacer
+	sentBytes int64
+	traffic   traffic
 }
 
 // New returns an exchange without peers. It sends and receives only while Run runs.
 func New(o Options) *Exchange {
 	e := &Exchange{
 		options:        o,
+		pacer:          newSendPacer(o.LinkMbps),
 		sendNow:        make(chan struct{}, 1),
 		nearUsage:      usageFilter{fullInterval: nearUsageInterval},
 		farUsage:       usageFilter{fullInterval: farUsageInterval},
@@ -191,11 +199,22 @@
 		}
 		peers := e.peers.Load()
 		e.sendState(conn, peers, time.Now())
-		periodic.Sleep(ctx, peers.nearInterval(e.pressure.High(time.Now())))
+		periodic.Sleep(ctx, e.sendDelay(peers))
 		timer.Reset(e.heartbeatDelay(peers, time.Now()))
 	}
 }
 
+// sendDelay returns how long to wait before the next state after the one that was sent last.
+func (e *Exchange) sendDelay(peers *receivers) time.Duration {
+	interval := peers.nearInterval(e.pressure.High(time.Now()))
+	bytes := e.sentBytes
+	e.sentBytes = 0
+	if peers.fullMesh() {
+		return interval
+	}
+	return max(interval, e.pacer.delay(bytes))
+}
+
 // heartbeatDelay returns when to send next if nothing changes. The far peers are not left
 // waiting for the heartbeat after their message is due.
 func (e *Exchange) heartbeatDelay(peers *receivers, now time.Time) time.Duration {
@@ -252,6 +271,7 @@
 	}
 	to.send(conn, data, e.logSendFailure)
 	e.traffic.sent.Add(int64(len(to.members)))
+	e.sentBytes += int64(len(to.members)) * int64(len(data)+datagramOverhead)
 }
 
 func (e *Exchange) logSendFailure(to Member, err error) {
