Use what targets state of their machines in predictions

Cause: targets may say with a response how long work takes on their machine at this moment, as the fourth figure of Instance-Load. It was not read, so requests went to machines that had said that they were slow.

Change: the figure is parsed, belongs to one process, expires within 0.6 s, is sent to other hosts as MachineState with its age, and changes the predicted time to the first event, time of the output and cost of a target. Speeds of targets that state it are divided by the state of the machine, converge within a few samples, age, and are combined with those of other hosts. Without the figure the formulas are unchanged.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -28,6 +28,8 @@
 	// FieldLimitBefore what it stated before.
 	FieldLimit       = "limit"
 	FieldLimitBefore = "limit_before"
+	// FieldPercent is the time that work takes on a machine, in percent of the usual time.
+	FieldPercent = "percent"
 	// FieldRate is the part of a limit that this host uses. It depends on FieldConnectedHosts, the
 	// hosts that receive each other's states, of FieldHosts.
 	FieldRate           = "rate"
@@ -106,6 +108,8 @@
 	// none any longer.
 	EventTargetLimited   = "target-limited"
 	EventTargetUnlimited = "target-unlimited"
+	// EventMachineState says that a target has begun to state how long work takes on its machine.
+	EventMachineState = "machine-state"
 	// EventLimitRate says that this host has got a part of a target's limit, or lost it.
 	EventLimitRate = "limit-rate"
 	// EventTargetLost is about a target that ended at the same time as that of a trial.
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -36,6 +36,8 @@
 		pool.Gauge(metrics.GatewayTargetsUsable).Update(float64(load.Usable))
 		pool.Gauge(metrics.GatewayTargetsLimited).Update(float64(load.Limited))
 		pool.Gauge(metrics.GatewayLimitRate).Update(load.LimitRate)
+		pool.Gauge(metrics.GatewayMachinesKnown).Update(float64(load.MachinesKnown))
+		pool.Gauge(metrics.GatewayMachinesSlow).Update(float64(load.MachinesSlow))
 		pool.Gauge(metrics.GatewaySlotsFree).Update(float64(load.Free))
 	}
 	for _, monitor := range g.buffers {
--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -44,6 +44,7 @@
 	encodeSchedule(state, &m.Schedule)
 	state.BrittleTargets = encodeBrittle(now, m.Schedule.BrittleTargets)
 	state.Responses = encodeResponses(now, m.Schedule.Responses)
+	state.MachineStates = encodeMachineStates(now, m.Schedule.MachineStates)
 	encodeStreams(state, &m.Streams)
 	data, err := proto.Marshal(state)
 	return data, Error.Wrap(err)
@@ -134,6 +135,7 @@
 		Leaving:         state.GetLeaving(),
 		BrittleTargets:  decodeItems(state.GetBrittleTargets(), n.targets, (*hostpb.BrittleTarget).GetTarget, brittleDecoder(now)),
 		Responses:       decodeItems(state.GetResponses(), n.pools, (*hostpb.PoolResponse).GetPool, responseDecoder(now)),
+		MachineStates:   decodeItems(state.GetMachineStates(), n.targets, (*hostpb.MachineState).GetTarget, machineDecoder(now)),
 		LeavingTargets:  decodeItems(state.GetLeavingTargets(), n.targets, (*hostpb.TargetProcess).GetTarget, decodeProcess),
 	}
 	return m
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -50,6 +50,11 @@
 	// the requests per second that this host may send them, by pool.
 	GatewayTargetsLimited = "gateway_targets_limited"
 	GatewayLimitRate      = "gateway_limit_rate"
+	// GatewayMachinesKnown is the number of targets of whose machines this host knows the present
+	// state, and GatewayMachinesSlow the number of those on which work takes noticeably longer,
+	// by pool.
+	GatewayMachinesKnown = "gateway_machines_known"
+	GatewayMachinesSlow  = "gateway_machines_slow"
 	// GatewayTrials counts the trials of content that may crash targets, by result.
 	GatewayTrials = "gateway_trials"
 	// GatewayBufferedBytes is the memory for bodies of requests and for responses, without
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -34,6 +34,9 @@
 	OnLimitEvents func([]schedule.LimitEvent)
 	// OnRateEvents is called when this host gets a part of a target's limit, or loses it.
 	OnRateEvents func([]schedule.RateEvent)
+	// OnMachineEvents is called when processes of targets first state how long work takes on
+	// their machines.
+	OnMachineEvents func([]schedule.MachineEvent)
 	// OnTrialEnd is called when a trial of content has ended.
 	OnTrialEnd func(digest quarantine.Digest, to ident.Target, result trial.Result)
 	// OnProbe is called with what a probe found of a target that broke off a request.
@@ -259,8 +262,12 @@
 func (d *Dispatcher) reportResponse(r *run, response *Response) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if response.Load >= 0 {
-		d.scheduler.ReportLoad(time.Now(), r.slot, response.Load)
+	now := time.Now()
+	if response.Load.Known {
+		d.scheduler.ReportLoad(now, r.slot, response.Load.Requests)
+	}
+	if d.scheduler.RecordMachineState(now, r.target, response.Load.Percent) {
+		d.options.OnStateChange()
 	}
 	d.recordStatements(r.target, response.Statements)
 }
@@ -436,6 +443,9 @@
 	if events := d.scheduler.TakeRateEvents(); len(events) > 0 {
 		d.options.OnRateEvents(events)
 	}
+	if events := d.scheduler.TakeMachineEvents(); len(events) > 0 {
+		d.options.OnMachineEvents(events)
+	}
 	if events := d.scheduler.TakeSuspicionEvents(); len(events) > 0 {
 		d.options.OnSuspicionEvents(events)
 	}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -55,7 +55,7 @@
 func respond(status int, body string) targetBehavior {
 	return func(context.Context, Dispatch) (*Response, error) {
 		return &Response{
-			Status: status, Header: http.Header{}, Length: int64(len(body)), Load: -1,
+			Status: status, Header: http.Header{}, Length: int64(len(body)),
 			Body: io.NopCloser(strings.NewReader(body)),
 		}, nil
 	}
@@ -66,7 +66,7 @@
 func respondStream(events string, err error) targetBehavior {
 	return func(context.Context, Dispatch) (*Response, error) {
 		body := io.MultiReader(strings.NewReader(events), errorReader{err})
-		return &Response{Status: 200, Header: http.Header{}, Length: -1, Stream: true, Load: -1, Body: io.NopCloser(body)}, nil
+		return &Response{Status: 200, Header: http.Header{}, Length: -1, Stream: true, Body: io.NopCloser(body)}, nil
 	}
 }
 
@@ -146,7 +146,7 @@
 		Scheduler: scheduler, OnStateChange: func() {}, OnHealthEvents: func([]schedule.HealthEvent) {},
 		OnCrashes: func([]quarantine.Crash) {}, OnQuarantineEvents: func([]schedule.QuarantineEvent) {},
 		OnSuspicionEvents: func([]schedule.SuspicionEvent) {}, OnProbe: func(quarantine.Digest, route.Target, target.ProbeResult) {},
-		OnLimitEvents: func([]schedule.LimitEvent) {}, OnRateEvents: func([]schedule.RateEvent) {}, OnTrialEnd: func(quarantine.Digest, ident.Target, trial.Result) {},
+		OnLimitEvents: func([]schedule.LimitEvent) {}, OnRateEvents: func([]schedule.RateEvent) {}, OnMachineEvents: func([]schedule.MachineEvent) {}, OnTrialEnd: func(quarantine.Digest, ident.Target, trial.Result) {},
 	})
 	d.Configure(time.Now(), table.Pools, targetSnapshot(fixtureTargets))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/relay/silent_target_test.go
+++ b/relay/silent_target_test.go
@@ -61,7 +61,7 @@
 func streamWithPauses(pause time.Duration, events ...string) targetBehavior {
 	return func(ctx context.Context, _ Dispatch) (*Response, error) {
 		body := &pausedReader{ctx: ctx, parts: events, pause: pause}
-		return &Response{Status: 200, Length: -1, Stream: true, Load: -1, Body: io.NopCloser(body)}, nil
+		return &Response{Status: 200, Length: -1, Stream: true, Body: io.NopCloser(body)}, nil
 	}
 }
 
--- a/relay/target_client.go
+++ b/relay/target_client.go
@@ -52,9 +52,8 @@
 	Unframed bool
 	// Stream reports whether the body consists of server-sent events.
 	Stream bool
-	// Load is the number of requests at the target that it reported with the
-	// response, or -1 if it reported none.
-	Load int
+	// Load is what the target reported of its load and its machine with the response.
+	Load schedule.InstanceLoad
 	// Statements is what the response says about the target.
 	Statements Statements
 	// Body ends with io.EOF only if it is complete, or Unframed is set.
--- a/schedule/aggregate_state.go
+++ b/schedule/aggregate_state.go
@@ -39,6 +39,7 @@
 	aggregate.Limits = s.directLimits(now)
 	aggregate.LeavingTargets = s.leavingTargets()
 	aggregate.BrittleTargets = s.directBrittle(now)
+	aggregate.MachineStates = s.directMachineStates(now)
 	aggregate.Responses = s.directResponses(now)
 	return aggregate, hosts
 }
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -125,6 +125,7 @@
 		prefill:      prefill,
 		prefillAhead: t.prefill + t.peers.PrefillTokens + prefill,
 		kv:           r.PromptTokens + r.OutputTokens,
+		startUnixMs:  t.StartUnixMs,
 		suspect:      s.crashes.IsSuspect(now, r.Content),
 	}
 	t.running++
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -42,6 +42,7 @@
 	s.applyLimits(now, s.peers[host])
 	s.applyLeaving(state.LeavingTargets)
 	s.applyBrittle(now, state.BrittleTargets)
+	s.applyMachineStates(now, state.MachineStates)
 }
 
 // ApplyDataCentreState replaces the known aggregate state of the hosts of another data
@@ -52,6 +53,7 @@
 	s.applyLimits(now, s.dcAggregates[dc])
 	s.applyLeaving(state.LeavingTargets)
 	s.applyBrittle(now, state.BrittleTargets)
+	s.applyMachineStates(now, state.MachineStates)
 }
 
 // replacePeerState subtracts the older state from the totals and adds the newer one.
@@ -189,6 +191,7 @@
 		LeavingTargets:  s.leavingTargets(),
 		BrittleTargets:  s.brittleTargets(now),
 		Responses:       s.responses(now),
+		MachineStates:   s.machineStates(now),
 	}
 	for _, t := range s.targets {
 		if t.running > 0 {
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -75,20 +75,23 @@
 
 func updateEWMA(mean *float64, observed, weight float64) { *mean += weight * (observed - *mean) }
 
-// prefillRateOf returns the prompt tokens per second that a target processes.
-func (p *pool) prefillRateOf(t *target) float64 {
-	if rate := t.knownSpeeds().PrefillRate; rate > 0 {
+// prefillRateOf returns the prompt tokens per second that a target processes while its machine
+// is in its usual state.
+func (p *pool) prefillRateOf(now time.Time, t *target) float64 {
+	speeds := t.knownSpeeds(now)
+	if rate := speeds.PrefillRate; rate > 0 {
 		return rate
 	}
-	if interval := t.knownSpeeds().EventInterval; interval > 0 {
+	if interval := speeds.EventInterval; interval > 0 {
 		return p.prefillRate * min(max(p.eventInterval/interval, minRelativeSpeed), maxRelativeSpeed)
 	}
 	return p.prefillRate
 }
 
-// tokenTimeOf returns the time per output token of a target, in seconds.
-func (p *pool) tokenTimeOf(t *target) float64 {
-	interval := t.knownSpeeds().EventInterval
+// tokenTimeOf returns the time per output token of a target, in seconds, while its machine is
+// in its usual state.
+func (p *pool) tokenTimeOf(now time.Time, t *target) float64 {
+	interval := t.knownSpeeds(now).EventInterval
 	if interval == 0 {
 		interval = p.eventInterval
 	}
@@ -217,7 +220,7 @@
 	fastest := 0.0
 	for _, t := range p.targets {
 		if r.mayServe(now, t) {
-			fastest = max(fastest, p.prefillRateOf(t))
+			fastest = max(fastest, p.prefillRateOf(now, t))
 		}
 	}
 	if fastest == 0 {
@@ -228,9 +231,9 @@
 
 // firstEventTime predicts the time from dispatch to the first event on a target, which
 // first processes the prompts that it already has.
-func (p *pool) firstEventTime(t *target, uncached int) time.Duration {
-	work := float64(t.prefill + t.peers.PrefillTokens + uncached)
-	return seconds(work/p.prefillRateOf(t)) + firstEventOverhead
+func (p *pool) firstEventTime(now time.Time, t *target, uncached int) time.Duration {
+	work := float64(t.prefill+t.peers.PrefillTokens+uncached) / p.prefillRateOf(now, t)
+	return seconds(work+t.machine.delay(now, work)) + firstEventOverhead
 }
 
 // firstEventOverhead is the part of the time to the first event that does not depend
--- a/schedule/pool_load.go
+++ b/schedule/pool_load.go
@@ -21,11 +21,20 @@
 	// are taken into account.
 	Slots int
 	Free  int
+	// MachinesKnown is the number of targets of whose machines this host knows the present
+	// state, and MachinesSlow the number of those on which work is expected to take at least
+	// half as long again as usual.
+	MachinesKnown int
+	MachinesSlow  int
 	// Queued and Running count the requests of this host.
 	Queued  int
 	Running int
 }
 
+// slowMachineFactor is the least expected time of work on a machine that counts as slow, relative
+// to the usual time.
+const slowMachineFactor = 1.5
+
 // PoolLoads returns the load of each pool.
 func (s *Scheduler) PoolLoads(now time.Time) []PoolLoad {
 	loads := make([]PoolLoad, 0, len(s.pools))
@@ -41,6 +50,12 @@
 		}
 		for _, t := range p.targets {
 			load.Running += t.running
+			if t.machine.certainty(now) > 0 {
+				load.MachinesKnown++
+			}
+			if t.machine.expected(now) >= slowMachineFactor {
+				load.MachinesSlow++
+			}
 			if t.available() && t.limited() {
 				load.Limited++
 				load.LimitRate += t.pacer.Rate()
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -31,8 +31,7 @@
 	elapsed := now.Sub(r.dispatchedAt) - firstEventOverhead
 	if r.prefillAhead >= minPrefillSample && elapsed > 0 {
 		rate := float64(r.prefillAhead) / elapsed.Seconds()
-		updateSpeed(&r.target.speeds.PrefillRate, rate)
-		updateEWMA(&p.prefillRate, rate, poolSampleWeight)
+		p.learnPrefillRate(now, r, rate)
 	}
 }
 
@@ -43,6 +42,7 @@
 		return
 	}
 	r.events += events
+	r.machine.add(now, r.target.machine, events)
 	r.lastEventAt = now
 	r.target.lastResponseAt = now
 }
@@ -115,8 +115,7 @@
 	if interval <= 0 {
 		return
 	}
-	updateSpeed(&r.target.speeds.EventInterval, interval)
-	updateEWMA(&p.eventInterval, interval, poolSampleWeight)
+	p.learnEventInterval(now, r, interval)
 }
 
 func (p *pool) tokensPerEvent() float64 {
--- a/schedule/running_request.go
+++ b/schedule/running_request.go
@@ -17,6 +17,10 @@
 	prefillAhead int
 	kv           int
 	events       int
+	// startUnixMs identifies the process that got the request, and machine is the state of its
+	// machine over the events.
+	startUnixMs int64
+	machine     machineSample
 	// suspect says that the content was a suspect at the dispatch, and trial that the run
 	// is the only one of its content over all hosts.
 	suspect bool
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -56,6 +56,7 @@
 	healthEvents        []HealthEvent
 	limitEvents         []LimitEvent
 	rateEvents          []RateEvent
+	machineEvents       []MachineEvent
 
 	// crashes holds the known crashes of targets. crashesChanged says that they changed
 	// since the queue was last checked for quarantined requests, crashesUrgent that this
@@ -146,6 +147,7 @@
 	if t.StartUnixMs != announced.StartUnixMs || t.Address != announced.Address {
 		t.health = health{}
 		t.speeds = Speeds{}
+		t.forgetMachine()
 		t.lostAt = time.Time{}
 		t.leaving, t.pausedUntil = false, time.Time{}
 		t.brittleUntil, t.brittleHeardAt = time.Time{}, time.Time{}
--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -33,14 +33,14 @@
 	limit := s.firstEventLimit(now, w)
 	needsFast, anyFinishes := p.needsFastTarget(now, r, targets)
 	suspect := s.crashes.IsSuspect(now, r.Content)
-	meanInterval := p.meanEventInterval()
+	meanInterval := p.meanEventInterval(now)
 	var best *target
 	bestCost := 0.0
 	for _, t := range targets {
 		if !s.eligible(now, p, w, t) || suspect && t.suspects > 0 {
 			continue
 		}
-		if p.engine != nil && t.busySlots(now) > 0 && p.firstEventTime(t, s.prefixes.uncached(now, r, t.Name)) > limit {
+		if p.engine != nil && t.busySlots(now) > 0 && p.firstEventTime(now, t, s.prefixes.uncached(now, r, t.Name)) > limit {
 			continue
 		}
 		if anyFinishes && !p.finishesInTime(now, r, t) {
@@ -53,7 +53,7 @@
 		if suspect {
 			cost += suspectPenalty * float64(t.busySlots(now))
 		}
-		if !needsFast && t.isFast(meanInterval) && t.freeSlots(now) <= fastSlotReserve {
+		if !needsFast && t.isFast(now, meanInterval) && t.freeSlots(now) <= fastSlotReserve {
 			cost += fastPenalty
 		}
 		if best == nil || cost < bestCost {
@@ -90,8 +90,13 @@
 	if p.engine == nil {
 		return true
 	}
-	decode := seconds(float64(r.OutputTokens) * p.tokenTimeOf(t))
-	return !now.Add(p.firstEventTime(t, r.PromptTokens) + decode).After(r.Deadline)
+	return !now.Add(p.firstEventTime(now, t, r.PromptTokens) + p.decodeTime(now, t, float64(r.OutputTokens))).After(r.Deadline)
+}
+
+// decodeTime predicts the time that a target takes for the output after the first event.
+func (p *pool) decodeTime(now time.Time, t *target, tokens float64) time.Duration {
+	work := tokens * p.tokenTimeOf(now, t)
+	return seconds(work + t.machine.delay(now, work))
 }
 
 // needsFastTarget reports whether the response may be too long for some of the targets,
@@ -101,7 +106,7 @@
 		return false, false
 	}
 	for _, t := range targets {
-		decode := seconds(outputMargin * float64(r.OutputTokens) * p.tokenTimeOf(t))
+		decode := p.decodeTime(now, t, outputMargin*float64(r.OutputTokens))
 		if now.Add(decode).After(r.Deadline) {
 			needs = true
 		}
@@ -111,17 +116,17 @@
 }
 
 // isFast reports whether the target is fast, given the mean event interval of its pool.
-func (t *target) isFast(meanInterval float64) bool {
-	interval := t.knownSpeeds().EventInterval
+func (t *target) isFast(now time.Time, meanInterval float64) bool {
+	interval := t.knownSpeeds(now).EventInterval
 	return interval > 0 && interval < fastIntervalRatio*meanInterval
 }
 
 // meanEventInterval returns the mean event interval of the targets for which one is
 // known.
-func (p *pool) meanEventInterval() float64 {
+func (p *pool) meanEventInterval(now time.Time) float64 {
 	sum, count := 0.0, 0.0
 	for _, t := range p.targets {
-		if interval := t.knownSpeeds().EventInterval; interval > 0 {
+		if interval := t.knownSpeeds(now).EventInterval; interval > 0 {
 			sum += interval
 			count++
 		}
@@ -157,14 +162,16 @@
 func (s *Scheduler) cost(now time.Time, p *pool, r *Request, t *target) float64 {
 	cost := s.localityCost(t)
 	if p.engine == nil {
-		return cost + p.meanService*float64(t.busySlots(now))/float64(max(t.Slots, 1))
+		ahead := p.meanService * float64(t.busySlots(now)) / float64(max(t.Slots, 1))
+		return cost + ahead + t.machine.delay(now, ahead+p.meanService)
 	}
-	rate := p.prefillRateOf(t)
+	rate := p.prefillRateOf(now, t)
 	prefill := float64(s.prefixes.uncached(now, r, t.Name)) / rate
 	ahead := float64(t.prefill+t.peers.PrefillTokens) / rate
-	decode := float64(r.OutputTokens) * p.tokenTimeOf(t)
+	decode := float64(r.OutputTokens) * p.tokenTimeOf(now, t)
 	concurrent := float64(t.busySlots(now))
-	return cost + ahead + prefill*(1+concurrent) + decode
+	delay := t.machine.delay(now, ahead+prefill+decode) + concurrent*t.machine.delay(now, prefill)
+	return cost + ahead + prefill*(1+concurrent) + decode + delay
 }
 
 // localityCost returns the cost of the target's data centre, in seconds.
--- a/schedule/state.go
+++ b/schedule/state.go
@@ -31,6 +31,8 @@
 	Responses []PoolResponse
 	// LeavingTargets holds the processes that have said that they are about to end.
 	LeavingTargets []TargetProcess
+	// MachineStates holds what targets have said of their machines a short time ago.
+	MachineStates []MachineState
 	// PrefixLocations holds the newest locations, oldest first.
 	PrefixLocations []PrefixLocation
 }
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -74,8 +74,18 @@
 	brokenAt time.Time
 	// lastResponseAt is when the target last sent anything to this host.
 	lastResponseAt time.Time
-	// speeds holds what this host measured.
-	speeds Speeds
+	// speeds holds what this host measured. The evidence for them is used only if the target
+	// states how long work takes on its machine.
+	speeds           Speeds
+	prefillEvidence  speedEvidence
+	intervalEvidence speedEvidence
+
+	// machine is the newest known statement about the target's machine, heardMachine the
+	// newest one that this host received itself, and machineUnusualAt when the newest known
+	// statement of an unusual state was received.
+	machine          machineState
+	heardMachine     machineState
+	machineUnusualAt time.Time
 }
 
 // busySlots returns the number of slots that the requests of all hosts occupy.
@@ -112,8 +122,16 @@
 }
 
 // knownSpeeds returns the speeds that this host measured, or else the mean of what the
-// other hosts measured.
-func (t *target) knownSpeeds() Speeds {
+// other hosts measured. If the target states how long work takes on its machine, they are the
+// mean over all hosts.
+func (t *target) knownSpeeds(now time.Time) Speeds {
+	if t.machine.stated() {
+		sums := t.peers.speedSums
+		return Speeds{
+			PrefillRate:   t.prefillEvidence.combine(now, t.speeds.PrefillRate, sums.PrefillRate, t.peers.prefillRateHosts),
+			EventInterval: t.intervalEvidence.combine(now, t.speeds.EventInterval, sums.EventInterval, t.peers.eventIntervalHosts),
+		}
+	}
 	speeds := t.speeds
 	if speeds.PrefillRate == 0 {
 		speeds.PrefillRate = t.peers.meanSpeeds().PrefillRate
@@ -150,13 +168,29 @@
 	t.health.results.decay(now)
 	return Observation{
 		Target:    t.Name,
-		Speeds:    t.speeds,
+		Speeds:    t.reportedSpeeds(now),
 		Ejected:   t.health.leftToProbes(now),
 		Successes: t.health.results.successes,
 		Failures:  t.health.results.failures,
 	}
 }
 
+// reportedSpeeds returns the speeds that this host measured, without outdated ones if the target
+// states how long work takes on its machine.
+func (t *target) reportedSpeeds(now time.Time) Speeds {
+	speeds := t.speeds
+	if !t.machine.stated() {
+		return speeds
+	}
+	if t.prefillEvidence.count(now) < minEvidence {
+		speeds.PrefillRate = 0
+	}
+	if t.intervalEvidence.count(now) < minEvidence {
+		speeds.EventInterval = 0
+	}
+	return speeds
+}
+
 // minSignificantCount is the least decayed count that is reported.
 const minSignificantCount = 0.1
 
