--- a/schedule/machine_state.go
+++ b/schedule/machine_state.go
@@ -69,13 +69,22 @@
 	return 1 + m.certainty(now)*(m.factor-1)
 }
 
-// delay returns how much longer than usual work takes that starts now, in seconds. The state
-// affects no more of it than what is done within machineStateTTL. A negative delay means
-// that it takes less time. It is exactly zero without a statement.
+// delay returns how much longer than usual work is expected to take that starts now, in seconds.
+// A negative delay means that it takes less time. It is exactly zero without a statement.
+//
+// The end of the state is assumed to be evenly distributed over machineStateTTL from the statement
+// on. Work that outlasts the state is delayed in proportion to what remains of the state.
 func (m machineState) delay(now time.Time, work float64) float64 {
-	factor := m.expected(now)
-	affected := min(work, machineStateTTL.Seconds()/factor)
-	return affected * (factor - 1)
+	total := machineStateTTL.Seconds()
+	remaining := m.certainty(now) * total
+	if remaining == 0 {
+		return 0
+	}
+	perSecond, finished := 1-1/m.factor, work*m.factor
+	if remaining <= finished {
+		return perSecond * remaining * remaining / (2 * total)
+	}
+	return (perSecond*finished*finished/2 + work*(m.factor-1)*(remaining-finished)) / total
 }
 
 // unusual reports whether work takes noticeably longer or shorter than usual.
