Compare slowed targets with and without their statements

Change: they also require fewer requests to slowed targets than without statements, beside the same load. The round trip of machine states is part of the test of other statements.

--- a/hoststate/statement_codec_test.go
+++ b/hoststate/statement_codec_test.go
@@ -19,6 +19,9 @@
 		CutOff:         []ident.Pool{"p"},
 		LeavingTargets: []schedule.TargetProcess{{Target: "t", StartUnixMs: 7}},
 		BrittleTargets: []schedule.BrittleTarget{{TargetProcess: schedule.TargetProcess{Target: "t", StartUnixMs: 7}, At: now.Add(-time.Second)}},
+		MachineStates: []schedule.MachineState{
+			{TargetProcess: schedule.TargetProcess{Target: "t", StartUnixMs: 7}, Percent: 250, At: now.Add(-300 * time.Millisecond)},
+		},
 	}
 	data, err := encode(now, &Message{Host: "h1", Schedule: sent}, 1, 1)
 	if err != nil {
@@ -32,7 +35,7 @@
 	targets := &route.TargetSnapshot{Targets: map[ident.Target]route.Target{"t": {Name: "t", Pool: "p"}}}
 	got := NewNameIndex(table, targets).decode(now, state).Schedule
 	if !reflect.DeepEqual(got.CutOff, sent.CutOff) || !reflect.DeepEqual(got.LeavingTargets, sent.LeavingTargets) ||
-		!reflect.DeepEqual(got.BrittleTargets, sent.BrittleTargets) {
+		!reflect.DeepEqual(got.BrittleTargets, sent.BrittleTargets) || !reflect.DeepEqual(got.MachineStates, sent.MachineStates) {
 		t.Errorf("got %+v, want %+v", got, sent)
 	}
 }
--- a/schedule/machine_simulation_test.go
+++ b/schedule/machine_simulation_test.go
@@ -30,6 +30,9 @@
 			if share := with.SlowShare(); share > 1.0/14 {
 				t.Errorf("engines %v, seed %d: %.4f of the requests went to slowed targets, want at most 1 in 14", engines, seed, share)
 			}
+			if with.SlowShare() >= without.SlowShare() {
+				t.Errorf("engines %v, seed %d: %.4f of the requests went to slowed targets, %.4f without statements", engines, seed, with.SlowShare(), without.SlowShare())
+			}
 		}
 	}
 }
