Take four seeds for the test with many hosts

Cause: the share of slow targets differs by a few percentage points from seed to seed and, since the order of targets is that of a map, from run to run.

Change: the mean is that of four seeds instead of two; the bound stays.

--- a/schedule/machine_simulation_test.go
+++ b/schedule/machine_simulation_test.go
@@ -58,7 +58,9 @@
 // Guards against late states of other hosts that lead requests to slow targets, or all of them to
 // the same ones.
 func TestStatementsHelpManyHostsThatHearOfThemLate(t *testing.T) {
-	const seeds, slowMachines = 2, 0.15
+	// slowMachines is the part of the targets that is slow at any time. A choice without regard to
+	// speeds and states leads that part of the requests to them.
+	const seeds, slowMachines = 4, 0.15
 	share := 0.0
 	for seed := range uint64(seeds) {
 		with, without := largeFleet(seed, true), largeFleet(seed, false)
