Share scarce capacity among teams within a rank

Cause: within a rank, requests were served by their latest start, so a team that sent three times the capacity got it in proportion to its requests, and the requests of a small team were refused like those of the large one.

Change: while requests of any host can't start in time, queued requests get a start tag between rank and latest start: the decayed slot time that their team was granted over all hosts, and what its earlier requests add. Hosts exchange TeamLoad.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -52,6 +52,8 @@
 	FieldOutcome = "outcome"
 	FieldReason  = "reason"
 	FieldCause   = "cause"
+	// FieldLocal says that requests of this host show that capacity is scarce.
+	FieldLocal = "local"
 
 	FieldPromptTokens = "prompt_tokens"
 	FieldOutputTokens = "output_tokens"
@@ -108,6 +110,10 @@
 	EventTargetUnlimited = "target-unlimited"
 	// EventLimitRate says that this host has got a part of a target's limit, or lost it.
 	EventLimitRate = "limit-rate"
+	// EventCapacityScarce and EventCapacitySufficient are about a pool whose capacity is shared
+	// among teams, or no longer.
+	EventCapacityScarce     = "capacity-scarce"
+	EventCapacitySufficient = "capacity-sufficient"
 	// EventTargetLost is about a target that ended at the same time as that of a trial.
 	EventTargetLost = "target-lost"
 	// EventTargetProbed is about a target that broke off a request, EventSuspected and
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,6 +149,7 @@
 		OnTrialEnd:         g.logTrialEnd,
 		OnLimitEvents:      state.logLimitEvents,
 		OnRateEvents:       state.logRateEvents,
+		OnScarcityEvents:   state.logScarcityEvents,
 	})
 	state.exchange = hoststate.New(hoststate.Options{
 		Self:           g.self(),
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -36,6 +36,7 @@
 		pool.Gauge(metrics.GatewayTargetsUsable).Update(float64(load.Usable))
 		pool.Gauge(metrics.GatewayTargetsLimited).Update(float64(load.Limited))
 		pool.Gauge(metrics.GatewayLimitRate).Update(load.LimitRate)
+		pool.Gauge(metrics.GatewayScarce).Update(scarcityGauge(load.Scarce))
 		pool.Gauge(metrics.GatewaySlotsFree).Update(float64(load.Free))
 	}
 	for _, monitor := range g.buffers {
--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -38,6 +38,7 @@
 			Settled: use.WarmedUp,
 		})
 	}
+	state.TeamLoads = encodeTeamLoads(m.Schedule.TeamLoads)
 	state.Crashes = quarantine.Encode(now, m.Schedule.Crashes)
 	state.Limits = encodeLimits(now, m.Schedule.Limits)
 	state.Leaving = m.Schedule.Leaving
@@ -127,6 +128,7 @@
 		Observations:    decodeItems(state.GetObservations(), n.targets, (*hostpb.Observation).GetTarget, decodeObservation),
 		Demands:         decodeItems(state.GetDemands(), n.pools, (*hostpb.Demand).GetPool, decodeDemand),
 		Backlogs:        decodeItems(state.GetBacklogs(), n.pools, (*hostpb.Backlog).GetPool, decodeBacklog),
+		TeamLoads:       n.decodeTeamLoads(state.GetTeamLoads()),
 		PrefixLocations: decodeItems(state.GetPlacements(), n.targets, (*hostpb.Placement).GetTarget, decodePlacement),
 		Crashes:         quarantine.Decode(now, state.GetCrashes()),
 		CutOff:          n.decodePools(state.GetCutOff()),
--- a/internal/loadmodel/arrivals.go
+++ b/internal/loadmodel/arrivals.go
@@ -73,6 +73,7 @@
 	h.scheduler.Enqueue(clock(m.now), schedule.Request{
 		ID:           r.id,
 		Pool:         poolName,
+		Team:         r.class.Team,
 		Rank:         schedule.Rank{Route: r.class.Priority},
 		Arrived:      clock(m.now),
 		Objective:    clock(r.submitted + r.class.Objective),
--- a/internal/loadmodel/request_class.go
+++ b/internal/loadmodel/request_class.go
@@ -1,10 +1,16 @@
 package loadmodel
 
-import "time"
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/ident"
+)
 
 // RequestClass describes one kind of request.
 type RequestClass struct {
 	Name string
+	// Team is the team whose requests they are.
+	Team ident.Team
 	// PerSecond is the mean arrival rate over all hosts.
 	PerSecond float64
 	// Priority is the route's priority; 0 is the highest.
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -46,6 +46,10 @@
 	// GatewayQuarantines the digests that were quarantined because of crashes.
 	GatewayTargetCrashes = "gateway_target_crashes"
 	GatewayQuarantines   = "gateway_quarantines"
+	// GatewayScarce is 1 while teams get shares of a pool because its capacity is scarce, and
+	// otherwise 0.
+	GatewayScarce = "gateway_scarce"
+
 	// GatewayTargetsLimited is the number of targets that state limits, and GatewayLimitRate
 	// the requests per second that this host may send them, by pool.
 	GatewayTargetsLimited = "gateway_targets_limited"
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -34,6 +34,8 @@
 	OnLimitEvents func([]schedule.LimitEvent)
 	// OnRateEvents is called when this host gets a part of a target's limit, or loses it.
 	OnRateEvents func([]schedule.RateEvent)
+	// OnScarcityEvents is called when the capacity of pools becomes scarce, or no longer is.
+	OnScarcityEvents func([]schedule.ScarcityEvent)
 	// OnTrialEnd is called when a trial of content has ended.
 	OnTrialEnd func(digest quarantine.Digest, to ident.Target, result trial.Result)
 	// OnProbe is called with what a probe found of a target that broke off a request.
@@ -436,6 +438,9 @@
 	if events := d.scheduler.TakeRateEvents(); len(events) > 0 {
 		d.options.OnRateEvents(events)
 	}
+	if events := d.scheduler.TakeScarcityEvents(); len(events) > 0 {
+		d.options.OnScarcityEvents(events)
+	}
 	if events := d.scheduler.TakeSuspicionEvents(); len(events) > 0 {
 		d.options.OnSuspicionEvents(events)
 	}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -146,7 +146,8 @@
 		Scheduler: scheduler, OnStateChange: func() {}, OnHealthEvents: func([]schedule.HealthEvent) {},
 		OnCrashes: func([]quarantine.Crash) {}, OnQuarantineEvents: func([]schedule.QuarantineEvent) {},
 		OnSuspicionEvents: func([]schedule.SuspicionEvent) {}, OnProbe: func(quarantine.Digest, route.Target, target.ProbeResult) {},
-		OnLimitEvents: func([]schedule.LimitEvent) {}, OnRateEvents: func([]schedule.RateEvent) {}, OnTrialEnd: func(quarantine.Digest, ident.Target, trial.Result) {},
+		OnLimitEvents: func([]schedule.LimitEvent) {}, OnRateEvents: func([]schedule.RateEvent) {},
+		OnScarcityEvents: func([]schedule.ScarcityEvent) {}, OnTrialEnd: func(quarantine.Digest, ident.Target, trial.Result) {},
 	})
 	d.Configure(time.Now(), table.Pools, targetSnapshot(fixtureTargets))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/schedule/aggregate_state.go
+++ b/schedule/aggregate_state.go
@@ -36,6 +36,7 @@
 	}
 	aggregate.Backlogs = backlogs.list()
 	aggregate.Demands = s.directDemands(now)
+	aggregate.TeamLoads = s.directTeamLoads(now)
 	aggregate.Limits = s.directLimits(now)
 	aggregate.LeavingTargets = s.leavingTargets()
 	aggregate.BrittleTargets = s.directBrittle(now)
--- a/schedule/backlog.go
+++ b/schedule/backlog.go
@@ -45,6 +45,12 @@
 	return int(math.Round(share * float64(b.Count)))
 }
 
+// competes reports whether the requests of a backlog reported age ago have the rank of w and,
+// like it, can or can't be on time.
+func (b *Backlog) competes(age time.Duration, w *queuedRequest) bool {
+	return b.Rank == w.request.Rank && (b.Laxity < age) == w.late
+}
+
 func (b *Backlog) countIf(before bool) int {
 	if before {
 		return b.Count
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -127,6 +127,9 @@
 		kv:           r.PromptTokens + r.OutputTokens,
 		suspect:      s.crashes.IsSuspect(now, r.Content),
 	}
+	if p.shares.scarce(now) {
+		p.shares.accounts.Charge(now, shareKey(r), p.slotTime(r, prefill))
+	}
 	t.running++
 	if t.limited() {
 		t.pacer.RecordSent(now)
--- /dev/null
+++ b/schedule/fair_share_test.go
@@ -0,0 +1,64 @@
+package schedule_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cornelyard/cornelyard/internal/loadmodel"
+)
+
+// sharedPool returns a pool of four engines that serve 200 requests per second, one team that
+// sends 600 and one that sends 20, for six hosts.
+func sharedPool(seed uint64) loadmodel.Scenario {
+	class := loadmodel.RequestClass{
+		Objective: 500 * time.Millisecond, Deadline: 3 * time.Second,
+		Prompt: 1, Output: 10, Value: 1,
+	}
+	large, small := class, class
+	large.Name, large.Team, large.PerSecond = "large", "large", 600
+	small.Name, small.Team, small.PerSecond = "small", "small", 20
+	return loadmodel.Scenario{
+		Seed: seed, Length: 6 * time.Second, Hosts: 6,
+		PeerStateDelay: 2 * time.Millisecond, MinPeerStateInterval: 8 * time.Millisecond,
+		EngineSpeeds: []float64{1, 1, 1, 1}, Slots: 4,
+		PrefillRate: 1e6, TokenTime: 8 * time.Millisecond,
+		Classes: []loadmodel.RequestClass{large, small},
+	}
+}
+
+// minOnTime is the share of the requests of a team with little demand that are on time.
+const minOnTime = 0.9
+
+func checkSmallTeam(t *testing.T, setup loadmodel.Scenario) {
+	t.Helper()
+	report := loadmodel.Run(setup)
+	small, large := report.Classes["small"], report.Classes["large"]
+	t.Logf("small %+v, large %+v", *small, *large)
+	if small.OnTimeRatio() < minOnTime {
+		t.Errorf("%.3f of the requests of the small team on time, want %.2f", small.OnTimeRatio(), minOnTime)
+	}
+}
+
+// TestSmallTeamIsServedBesideALargeOne guards against shares by the number of requests.
+func TestSmallTeamIsServedBesideALargeOne(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkSmallTeam(t, sharedPool(seed)) })
+	}
+}
+
+// TestSmallTeamIsServedWithManyHosts guards against shares that hold only at each host: with 71
+// hosts, most have no request of the small team, and reports are 0.2 s old.
+func TestSmallTeamIsServedWithManyHosts(t *testing.T) {
+	setup := sharedPool(1)
+	setup.Hosts, setup.PeerStateDelay = 71, 200*time.Millisecond
+	checkSmallTeam(t, setup)
+}
+
+// TestSmallTeamIsServedInACutDataCentre guards against shares that need the states of other data
+// centres: each of two learns nothing from the other.
+func TestSmallTeamIsServedInACutDataCentre(t *testing.T) {
+	setup := sharedPool(1)
+	setup.DataCentres = 2
+	checkSmallTeam(t, setup)
+}
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"maps"
+	"math"
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
@@ -39,6 +40,7 @@
 		s.prefixes.record(now, p.Hash, p.Target)
 	}
 	s.MergeCrashes(now, state.Crashes)
+	s.applyTeamLoads(now, s.peers[host])
 	s.applyLimits(now, s.peers[host])
 	s.applyLeaving(state.LeavingTargets)
 	s.applyBrittle(now, state.BrittleTargets)
@@ -49,6 +51,7 @@
 func (s *Scheduler) ApplyDataCentreState(now time.Time, dc ident.DataCentre, hosts int, state State) {
 	s.dcAggregates[dc] = s.replacePeerState(s.dcAggregates[dc], &peerState{state: state, receivedAt: now, hosts: hosts})
 	s.MergeCrashes(now, state.Crashes)
+	s.applyTeamLoads(now, s.dcAggregates[dc])
 	s.applyLimits(now, s.dcAggregates[dc])
 	s.applyLeaving(state.LeavingTargets)
 	s.applyBrittle(now, state.BrittleTargets)
@@ -162,19 +165,11 @@
 
 // peersAhead estimates how many requests of other hosts come before w.
 func (s *Scheduler) peersAhead(now time.Time, name ident.Pool, w *queuedRequest) int {
-	laxity := w.latestStart.Sub(now)
-	ahead := 0
-	for peer := range s.peerStates() {
-		if now.Sub(peer.receivedAt) > s.stateTTL {
-			continue
-		}
-		for _, b := range peer.state.Backlogs {
-			if b.Pool == name {
-				ahead += b.countAhead(now.Sub(peer.receivedAt), w, laxity)
-			}
-		}
+	c := s.competition(now, name, w)
+	if share, known := s.poolOf(name).aheadShare(now, w, c); known {
+		return c.decided + int(math.Round(share*float64(c.competing)))
 	}
-	return ahead
+	return c.decided + c.earlier
 }
 
 // LocalState returns the state to send to the other hosts. The caller must send it:
@@ -197,6 +192,7 @@
 	}
 	for _, p := range s.pools {
 		state.Backlogs = append(state.Backlogs, p.backlogs(now)...)
+		state.TeamLoads = append(state.TeamLoads, p.teamLoads(now)...)
 	}
 	observationsDue := s.observationsUrgent || now.Sub(s.observationsSentAt) >= maxObservationInterval
 	state.Crashes = s.takeCrashReport(now, observationsDue)
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -28,6 +28,9 @@
 	// peerDemands holds the demand at the other hosts.
 	peerDemands map[Rank]*peerDemand
 
+	// shares divides the capacity among teams while it is scarce.
+	shares teamShares
+
 	// meanService is the mean service time in seconds.
 	meanService float64
 	// prefillRate is the prompt tokens per second that an average target processes.
@@ -59,6 +62,7 @@
 		name:          name,
 		demands:       make(map[Rank]*demand),
 		peerDemands:   make(map[Rank]*peerDemand),
+		shares:        newTeamShares(),
 		meanService:   defaultPlainService.Seconds(),
 		prefillRate:   defaultPrefillRate,
 		eventInterval: defaultEventInterval,
--- a/schedule/pool_load.go
+++ b/schedule/pool_load.go
@@ -21,6 +21,8 @@
 	// are taken into account.
 	Slots int
 	Free  int
+	// Scarce says that the capacity is shared among teams.
+	Scarce bool
 	// Queued and Running count the requests of this host.
 	Queued  int
 	Running int
@@ -37,6 +39,7 @@
 			Usable:  len(targets),
 			Slots:   totalSlots(targets),
 			Free:    freeSlots(now, targets),
+			Scarce:  p.shares.scarce(now),
 			Queued:  len(p.queue.items),
 		}
 		for _, t := range p.targets {
--- a/schedule/queued_request.go
+++ b/schedule/queued_request.go
@@ -15,12 +15,16 @@
 	// refuseAt is when the request is refused if it is still queued.
 	refuseAt time.Time
 	late     bool
+	// startTag orders the requests of one rank by the shares of their teams, in seconds of slot
+	// time. It is zero unless the capacity of the pool is scarce.
+	startTag float64
 	// linkTrial says that the request is to find out whether this host gets responses again.
 	linkTrial bool
 }
 
 // compare orders requests for service: those that can still be on time first, then by
-// rank, then by the time left until latestStart.
+// rank, then by the shares of the teams while capacity is scarce, then by the time left until
+// latestStart.
 func (w *queuedRequest) compare(other *queuedRequest) int {
 	if w.late != other.late {
 		if w.late {
@@ -30,6 +34,7 @@
 	}
 	return cmp.Or(
 		w.request.Rank.Compare(other.request.Rank),
+		cmp.Compare(w.startTag, other.startTag),
 		w.latestStart.Compare(other.latestStart),
 		cmp.Compare(w.sequence, other.sequence),
 	)
--- a/schedule/refusal.go
+++ b/schedule/refusal.go
@@ -36,6 +36,9 @@
 			actions = append(actions, s.refuse(now, p, w, "no slot was free in time"))
 		case !w.late && !now.Before(w.latestStart):
 			w.late = true
+			if p.hasUnlimited(now, w.request) {
+				p.shares.recordShortage(now)
+			}
 			demoted = append(demoted, w)
 		default:
 			kept = append(kept, w)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -56,6 +56,7 @@
 	healthEvents        []HealthEvent
 	limitEvents         []LimitEvent
 	rateEvents          []RateEvent
+	scarcityEvents      []ScarcityEvent
 
 	// crashes holds the known crashes of targets. crashesChanged says that they changed
 	// since the queue was last checked for quarantined requests, crashesUrgent that this
@@ -208,7 +209,8 @@
 		w.refuseAt = w.latestStart
 	}
 	w.late = !now.Before(w.latestStart)
-	if s.wouldExpire(now, p, w) || !p.hasCandidate(now, &r) {
+	s.updateShares(now, p, w)
+	if s.cannotBeServed(now, p, w) || !p.hasCandidate(now, &r) {
 		s.pendingActions = append(s.pendingActions, s.refuse(now, p, w, "the queue is too long for this request"))
 		return
 	}
@@ -252,10 +254,12 @@
 	s.ejectUnresponsive(now)
 	s.ejectOutliers(now)
 	for _, p := range s.pools {
+		s.updateShares(now, p, nil)
 		if len(p.queue.items) == 0 {
 			continue
 		}
 		actions = s.divertQueued(now, p, actions)
+		actions = s.refuseForShares(now, p, actions)
 		actions = s.refuseExpired(now, p, actions)
 		actions = s.dispatchQueued(now, p, actions)
 	}
--- a/schedule/state.go
+++ b/schedule/state.go
@@ -17,6 +17,8 @@
 	// Demands is only sent at intervals; if nil, the previous values remain valid.
 	Demands  []Demand
 	Backlogs []Backlog
+	// TeamLoads holds what teams use and want of pools whose capacity is scarce.
+	TeamLoads []TeamLoad
 	// Crashes holds the crashes of which something became known a short time ago.
 	Crashes []quarantine.Crash
 	// CutOff holds the pools of which the host reaches no target.
