Space the dispatches of many hosts while shares are in force; add tests and note

Cause: with 71 hosts and states 0.2 s old, all hosts see the same slot become free and targets get more requests than they have slots.

Change: with more than 16 other hosts, each takes slots at its part of the rate at which they become free, unless its request comes before all others. The level of a team that was idle is nine tenths of the others', so that it gains no more than the age of a report.

--- a/fairshare/accounts.go
+++ b/fairshare/accounts.go
@@ -12,8 +12,9 @@
 	timeConstant = 2 * time.Second
 	// idleLevelRatio is the level of a team that was idle, relative to the least level of the
 	// teams that wait. The gap lets a team with little demand go first at every host, although
-	// reports are some tenths of a second old; a large one lets it collect credit while idle.
-	idleLevelRatio = 0.75
+	// reports are some tenths of a second old. It is what a team that was idle gains: about
+	// (1 - idleLevelRatio) * timeConstant of the capacity, no more than the age of a report.
+	idleLevelRatio = 0.9
 	// minUsed is the use, in seconds, below which an account without requests is dropped.
 	minUsed = 1e-4
 	// maxAccounts bounds the accounts of a pool. Teams beyond it have no account and come
@@ -148,6 +149,19 @@
 	return ahead / queued, true
 }
 
+// QueuedShare returns the part of all queued slot time of the pool that this host has queued.
+func (a *Accounts) QueuedShare() float64 {
+	own, all := 0.0, 0.0
+	for _, account := range a.accounts {
+		own += account.own.Queued
+		all += account.queued()
+	}
+	if all == 0 {
+		return 1
+	}
+	return own / all
+}
+
 // Own iterates over what this host uses and wants.
 func (a *Accounts) Own(now time.Time) iter.Seq2[Key, Load] {
 	a.advance(now)
--- a/schedule/fair_share_test.go
+++ b/schedule/fair_share_test.go
@@ -62,3 +62,40 @@
 	setup.DataCentres = 2
 	checkSmallTeam(t, setup)
 }
+
+// TestSmallTeamIsServedAfterARestartOfAllHosts guards against shares that need a history: no
+// host knows anything at the start, when the full load arrives.
+func TestSmallTeamIsServedAfterARestartOfAllHosts(t *testing.T) {
+	setup := sharedPool(2)
+	setup.Length = 2 * time.Second
+	checkSmallTeam(t, setup)
+}
+
+// TestSmallTeamIsServedAmongCells is like TestSmallTeamIsServedWithManyHosts with the exchange of
+// states of a fleet: up to 205 ms apart between cells.
+func TestSmallTeamIsServedAmongCells(t *testing.T) {
+	setup := sharedPool(1)
+	setup.Hosts, setup.FarPeerStateInterval = 71, 205*time.Millisecond
+	checkSmallTeam(t, setup)
+}
+
+// TestLargestRequestsAreNotStarved guards against start tags that count a request's own size: a
+// tenth of the requests of each team take ten times as long as the others.
+func TestLargestRequestsAreNotStarved(t *testing.T) {
+	setup := sharedPool(1)
+	classes := setup.Classes
+	for i := range classes {
+		largest := classes[i]
+		largest.Name, largest.PerSecond, largest.Output = largest.Name+"-largest", largest.PerSecond/10, largest.Output*10
+		setup.Classes = append(setup.Classes, largest)
+	}
+	report := loadmodel.Run(setup)
+	for _, class := range classes {
+		usual, largest := report.Classes[class.Name], report.Classes[class.Name+"-largest"]
+		t.Logf("%s: %+v, largest %+v", class.Name, *usual, *largest)
+		// A class counts as starved if it is served less than a quarter as often as the others.
+		if largest.ServedRatio() < usual.ServedRatio()/4 {
+			t.Errorf("%s: largest requests served %.3f, others %.3f", class.Name, largest.ServedRatio(), usual.ServedRatio())
+		}
+	}
+}
--- a/schedule/team_shares.go
+++ b/schedule/team_shares.go
@@ -17,6 +17,8 @@
 	// its own could not start in time, and peerShortageUntil the same for other hosts.
 	shortageUntil     time.Time
 	peerShortageUntil time.Time
+	// pace spaces the dispatches of this host.
+	pace sharePace
 	// inForce says that start tags are in use.
 	inForce bool
 	// peersChanged says that the reports of other hosts have changed.
