--- a/schedule/fair_share_test.go
+++ b/schedule/fair_share_test.go
@@ -93,7 +93,7 @@
 	for _, class := range classes {
 		usual, largest := report.Classes[class.Name], report.Classes[class.Name+"-largest"]
 		t.Logf("%s: %+v, largest %+v", class.Name, *usual, *largest)
-		// A class counts as starved if it is served less than a quarter as often as the others.
+		// Starved means served less than a quarter as often as the others.
 		if largest.ServedRatio() < usual.ServedRatio()/4 {
 			t.Errorf("%s: largest requests served %.3f, others %.3f", class.Name, largest.ServedRatio(), usual.ServedRatio())
 		}
--- a/schedule/share_pace.go
+++ b/schedule/share_pace.go
@@ -8,8 +8,9 @@
 	// to all others.
 	minPacedHosts = 16
 	// paceHeadroom is by how much a host may take slots faster than they are predicted to become
-	// free for it. It makes up for hosts that use less than their part.
-	paceHeadroom = 1.1
+	// free for it. It makes up for hosts that use less than their part, and for what their reports
+	// hold of requests that are no longer queued.
+	paceHeadroom = 2
 	// maxPaceTokens bounds the slots that a host may take at once after a pause.
 	maxPaceTokens = 1
 )
