Count every request in the tests of fair shares; drop expired reports at once

Cause: requests that arrived at the end of a simulation had no outcome and counted as not on time. Loads of hosts whose states expired were kept until the next state of another host.

Change: no requests arrive while the last callers wait; reports are summed again when states expire.

--- a/schedule/fair_share_test.go
+++ b/schedule/fair_share_test.go
@@ -32,6 +32,9 @@
 
 func checkSmallTeam(t *testing.T, setup loadmodel.Scenario) {
 	t.Helper()
+	// No requests arrive in the time that the last callers wait, so that each one counts.
+	setup.Bursts = []loadmodel.Burst{{From: setup.Length, To: time.Hour}}
+	setup.Length += setup.Classes[0].Deadline
 	report := loadmodel.Run(setup)
 	small, large := report.Classes["small"], report.Classes["large"]
 	t.Logf("small %+v, large %+v", *small, *large)
@@ -92,7 +95,6 @@
 	report := loadmodel.Run(setup)
 	for _, class := range classes {
 		usual, largest := report.Classes[class.Name], report.Classes[class.Name+"-largest"]
-		t.Logf("%s: %+v, largest %+v", class.Name, *usual, *largest)
 		// Starved means served less than a quarter as often as the others.
 		if largest.ServedRatio() < usual.ServedRatio()/4 {
 			t.Errorf("%s: largest requests served %.3f, others %.3f", class.Name, largest.ServedRatio(), usual.ServedRatio())
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -101,6 +101,7 @@
 	}
 	for _, p := range s.pools {
 		clear(p.peerDemands)
+		p.shares.peersChanged = true
 	}
 	for peer := range s.peerStates() {
 		s.addToAggregates(peer, added)
