--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,6 +151,7 @@
 		OnLimitEvents:      state.logLimitEvents,
 		OnRateEvents:       state.logRateEvents,
 		OnMachineEvents:    state.logMachineEvents,
+		OnScarcityEvents:   state.logScarcityEvents,
 	})
 	state.exchange = hoststate.New(hoststate.Options{
 		Self:           g.self(),
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -37,6 +37,8 @@
 	// OnMachineEvents is called when processes of targets first state how long work takes on
 	// their machines.
 	OnMachineEvents func([]schedule.MachineEvent)
+	// OnScarcityEvents is called when the capacity of pools becomes scarce, or no longer is.
+	OnScarcityEvents func([]schedule.ScarcityEvent)
 	// OnTrialEnd is called when a trial of content has ended.
 	OnTrialEnd func(digest quarantine.Digest, to ident.Target, result trial.Result)
 	// OnProbe is called with what a probe found of a target that broke off a request.
@@ -446,6 +448,9 @@
 	if events := d.scheduler.TakeMachineEvents(); len(events) > 0 {
 		d.options.OnMachineEvents(events)
 	}
+	if events := d.scheduler.TakeScarcityEvents(); len(events) > 0 {
+		d.options.OnScarcityEvents(events)
+	}
 	if events := d.scheduler.TakeSuspicionEvents(); len(events) > 0 {
 		d.options.OnSuspicionEvents(events)
 	}
