--- /dev/null
+++ b/rollout/decision.go
@@ -0,0 +1,153 @@
+package rollout
+
+import "time"
+
+const (
+	// maxEvidenceAge is how long a share above the first one is kept without any evidence.
+	maxEvidenceAge = 2 * time.Second
+	// minRate is the number of requests a second from which no request for a while means that
+	// no reports arrive.
+	minRate = 5
+	// minSuccesses is the number of responses without which no version is completed.
+	minSuccesses = 3
+)
+
+// decision is one call of Decide on a rollout in progress.
+type decision struct {
+	Situation
+	controller *Controller
+	now        time.Time
+	elapsed    time.Duration
+	plan       plan
+	verdict    Verdict
+}
+
+// judge returns the verdict on what is known since the order, or Bad if the candidates are
+// bad in any period. While the share is small, the periods are recent ones of two lengths
+// and all since the order. During the ramp it is the current step: over steps whose shares
+// differ, a fault that hits both sides at one time would count more against one of them.
+func (d *decision) judge() Verdict {
+	c := d.controller
+	verdict := d.judgement(d.Evidence).verdict()
+	if isRamp(d.Progress.ShareMilli) {
+		if v := d.judgement(d.Evidence.since(c.stepTotal)).verdict(); v.Outcome == Bad {
+			return v
+		}
+		if verdict.Outcome == Bad {
+			verdict.Outcome = Undecided
+		}
+		return verdict
+	}
+	for _, age := range []time.Duration{c.options.RollbackTime / 2, c.options.RollbackTime} {
+		earlier, ok := c.history.before(d.now, age)
+		if !ok || verdict.Outcome == Bad {
+			continue
+		}
+		if v := d.judgement(d.Evidence.since(earlier.total)).verdict(); v.Outcome == Bad {
+			return v
+		}
+	}
+	return verdict
+}
+
+func (d *decision) judgement(evidence Report) judgement {
+	return judgement{
+		evidence: evidence, reference: d.Evidence,
+		targets: targetNumbers{old: d.OldTargets, candidates: d.Candidates},
+	}
+}
+
+// next returns the progress that is to follow.
+func (d *decision) next() Progress {
+	switch share := d.Progress.ShareMilli; {
+	case d.verdict.Outcome == Bad:
+		return d.ended(RolledBack)
+	case d.elapsed >= d.Order.Duration:
+		d.verdict.Outcome, d.verdict.Reason = Bad, ReasonDeadline
+		return d.ended(RolledBack)
+	case !d.hasFreshEvidence(maxEvidenceAge) && share > d.controller.firstShare():
+		return d.withShare(d.controller.firstShare())
+	case isRamp(share):
+		return d.ramp()
+	case d.mayRamp():
+		return d.withShare(nextRampShare(share))
+	default:
+		return d.hold()
+	}
+}
+
+// hasFreshEvidence reports whether requests were reported within the time, where requests
+// are frequent enough to expect them.
+func (d *decision) hasFreshEvidence(age time.Duration) bool {
+	h := &d.controller.history
+	return d.now.Sub(h.grownAt) <= age || float64(h.arrived)/max(d.elapsed, time.Second).Seconds() < minRate
+}
+
+// hasCandidates reports whether there are candidates, and not fewer than half of those that
+// there were.
+func (d *decision) hasCandidates() bool {
+	return d.Candidates > 0 && 2*d.Candidates > d.controller.maxCandidates
+}
+
+// mayRamp reports whether traffic may move: the version is good, or undecided for want of
+// requests until the latest time, with nothing against it.
+func (d *decision) mayRamp() bool {
+	if d.elapsed < d.plan.rampAt || !d.hasCandidates() || !d.hasFreshEvidence(time.Second) {
+		return false
+	}
+	candidates := d.Evidence.sum(New)
+	if d.verdict.Outcome == Good {
+		return d.elapsed < d.plan.completeAt-minStepTime
+	}
+	return d.elapsed >= d.plan.latestRampAt && d.elapsed < d.plan.completeAt-minStepTime &&
+		candidates.Successes >= minSuccesses && !d.isSuspect(d.Evidence)
+}
+
+// isSuspect reports whether the candidates fail more often, though not often enough to be
+// certain.
+func (d *decision) isSuspect(evidence Report) bool {
+	j := d.judgement(evidence)
+	old, candidates, _ := j.compared(j.total())
+	return candidates.Failures > 1 && riseLikelihood(old, candidates, toleratedRiseOtherPeriod) >= goodLikelihood
+}
+
+// ramp returns the next step of the ramp once the current one was held for long enough and
+// its evidence was received, or the completion.
+func (d *decision) ramp() Progress {
+	c := d.controller
+	isFull := d.Progress.ShareMilli == 1000
+	stepTime := d.plan.stepTime
+	if d.elapsed > d.plan.latestRampAt {
+		stepTime = minStepTime
+	}
+	if isFull {
+		stepTime = max(stepTime, fullShareTime)
+	}
+	evidence := d.Evidence.since(c.stepTotal)
+	if d.now.Sub(c.stepAt) < stepTime || !d.hasCandidates() || !d.hasFreshEvidence(time.Second) || d.isSuspect(evidence) {
+		return d.Progress
+	}
+	if !isFull {
+		return d.withShare(nextRampShare(d.Progress.ShareMilli))
+	}
+	if d.OldRunning > 0 && d.elapsed < d.plan.completeAt {
+		return d.Progress
+	}
+	return d.ended(Completed)
+}
+
+func (d *decision) withShare(shareMilli int) Progress {
+	p := d.Progress
+	p.Step++
+	p.ShareMilli = shareMilli
+	return p
+}
+
+func (d *decision) ended(phase Phase) Progress {
+	p := d.withShare(0)
+	if phase == Completed {
+		p.ShareMilli = 1000
+	}
+	p.Phase = phase
+	return p
+}
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -10,4 +10,7 @@
 	// Old and New are the counts that were compared.
 	Old Counts
 	New Counts
+	// Score is the logarithm of a likelihood ratio for failures, and the number of standard
+	// errors by which the difference exceeds what is tolerated for durations.
+	Score float64
 }
