Delay the steps of a rollout while its version is suspect

A version that was good at first and slow or failing later went on to the next step before the evidence was enough to find it bad. Steps now wait while the candidates do clearly worse, and are held as long as reports take.

--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -95,20 +95,23 @@
 	if d.elapsed < d.plan.rampAt || !d.hasCandidates() || !d.hasFreshEvidence(time.Second) {
 		return false
 	}
-	candidates := d.Evidence.sum(New)
+	if d.elapsed >= d.plan.completeAt-minStepTime || d.judgement(d.recentEvidence()).isSuspect() {
+		return false
+	}
 	if d.verdict.Outcome == Good {
-		return d.elapsed < d.plan.completeAt-minStepTime
+		return true
 	}
-	return d.elapsed >= d.plan.latestRampAt && d.elapsed < d.plan.completeAt-minStepTime &&
-		candidates.Successes >= minSuccesses && !d.isSuspect(d.Evidence)
+	return d.elapsed >= d.plan.latestRampAt && d.Evidence.sum(New).Successes >= minSuccesses &&
+		!d.judgement(d.Evidence).isSuspect()
 }
 
-// isSuspect reports whether the candidates fail more often, though not often enough to be
-// certain.
-func (d *decision) isSuspect(evidence Report) bool {
-	j := d.judgement(evidence)
-	old, candidates, _ := j.compared(j.total())
-	return candidates.Failures > 1 && riseLikelihood(old, candidates, toleratedRiseOtherPeriod) >= goodLikelihood
+// recentEvidence returns what was counted in the last half of RollbackTime.
+func (d *decision) recentEvidence() Report {
+	c := d.controller
+	if earlier, ok := c.history.before(d.now, c.options.RollbackTime/2); ok {
+		return d.Evidence.since(earlier.total)
+	}
+	return d.Evidence
 }
 
 // ramp returns the next step of the ramp once the current one was held for long enough and
@@ -124,7 +127,7 @@
 		stepTime = max(stepTime, fullShareTime)
 	}
 	evidence := d.Evidence.since(c.stepTotal)
-	if d.now.Sub(c.stepAt) < stepTime || !d.hasCandidates() || !d.hasFreshEvidence(time.Second) || d.isSuspect(evidence) {
+	if d.now.Sub(c.stepAt) < stepTime || !d.hasCandidates() || !d.hasFreshEvidence(time.Second) || d.judgement(evidence).isSuspect() {
 		return d.Progress
 	}
 	if !isFull {
--- a/rollout/hold.go
+++ b/rollout/hold.go
@@ -13,6 +13,8 @@
 	wantedRuns = 110
 	// minHoldShare lets a bad version appear early where wantedRuns is soon reached.
 	minHoldShare = 0.02
+	// maxHoldShare leaves enough requests to the old targets to compare with.
+	maxHoldShare = 0.5
 	// holdStepTime is the time between two changes of the share before the ramp. Each is a
 	// conditional write.
 	holdStepTime = 800 * time.Millisecond
@@ -51,7 +53,7 @@
 	allowed := c.options.ExposureShare/2 + (budget-float64(candidates.Dispatched))/(rate*reactionTime.Seconds())
 	left := max(d.plan.rampAt-d.elapsed, holdStepTime).Seconds()
 	wanted := max(float64(wantedRuns-candidates.ended())/(rate*left), minHoldShare)
-	share := clampShare(min(allowed, wanted))
+	share := clampShare(min(allowed, wanted, maxHoldShare))
 	if isRamp(share) {
 		share--
 	}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -32,13 +32,13 @@
 func newPlan(duration time.Duration) plan {
 	part := duration / reserveShare
 	planned := duration - max(part, reserveTime)
-	stepTime := min(max(duration*6/100, minStepTime), maxStepTime)
+	stepTime := min(max(duration/10, minStepTime), maxStepTime)
 	p := plan{
 		rampAt:     max(planned-2*stepTime-max(stepTime, fullShareTime)-stepDelays, part),
 		completeAt: duration - min(part, reserveTime),
 		stepTime:   stepTime,
 	}
-	p.latestRampAt = max(p.completeAt-3*minStepTime, 0)
+	p.latestRampAt = max(p.completeAt-3*minStepTime-stepDelays, 0)
 	return p
 }
 
--- a/rollout/slowdown.go
+++ b/rollout/slowdown.go
@@ -47,10 +47,11 @@
 }
 
 func (s slowdown) isGood(targets targetNumbers) bool {
-	difference := (s.excess + s.tolerated) / s.weight
-	return difference+goodDeviation*math.Sqrt(s.sampleVariance()) <= math.Log(slowRatio)+math.Sqrt(s.speedSpread(targets))
+	return s.difference()+goodDeviation*math.Sqrt(s.sampleVariance()) <= math.Log(slowRatio)+math.Sqrt(s.speedSpread(targets))
 }
 
+func (s slowdown) difference() float64 { return (s.excess + s.tolerated) / s.weight }
+
 func (s slowdown) sampleVariance() float64 { return s.variance / s.weight / s.weight }
 
 // score returns the excess in standard errors, with the spread of speeds included so that
