--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -8,11 +8,12 @@
 	options Options
 	order   OrderID
 	// step is the step in force, stepAt when it was first seen, and stepTotal the evidence
-	// then.
-	step      int
-	stepAt    time.Time
-	stepTotal Report
-	history   history
+	// then. formerTotal is the evidence at the start of the step before.
+	step        int
+	stepAt      time.Time
+	stepTotal   Report
+	formerTotal Report
+	history     history
 	// maxCandidates is the largest number of candidates seen under the order.
 	maxCandidates int
 }
@@ -68,6 +69,10 @@
 		*c = Controller{options: c.options, order: s.Order.ID}
 	}
 	if c.step != s.Progress.Step {
+		c.formerTotal = c.stepTotal
+		if c.stepTotal == nil {
+			c.formerTotal = s.Evidence.clone()
+		}
 		c.step, c.stepAt, c.stepTotal = s.Progress.Step, now, s.Evidence.clone()
 	}
 	c.history.record(now, s.Evidence)
--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -24,14 +24,17 @@
 
 // judge returns the verdict on what is known since the order, or Bad if the candidates are
 // bad in any period. While the share is small, the periods are recent ones of two lengths
-// and all since the order. During the ramp it is the current step: over steps whose shares
-// differ, a fault that hits both sides at one time would count more against one of them.
+// and all since the order. During the ramp it is the current step, alone and with the
+// one before: over all steps, whose shares differ most, a fault that hits both sides at one
+// time would count more against one of them.
 func (d *decision) judge() Verdict {
 	c := d.controller
 	verdict := d.judgement(d.Evidence).verdict()
 	if isRamp(d.Progress.ShareMilli) {
-		if v := d.judgement(d.Evidence.since(c.stepTotal)).verdict(); v.Outcome == Bad {
-			return v
+		for _, earlier := range []Report{c.stepTotal, c.formerTotal} {
+			if v := d.judgement(d.Evidence.since(earlier)).verdict(); v.Outcome == Bad {
+				return v
+			}
 		}
 		if verdict.Outcome == Bad {
 			verdict.Outcome = Undecided
@@ -101,8 +104,16 @@
 	if d.verdict.Outcome == Good {
 		return true
 	}
-	return d.elapsed >= d.plan.latestRampAt && d.Evidence.sum(New).Successes >= minSuccesses &&
-		!d.judgement(d.Evidence).isSuspect()
+	return d.elapsed >= d.plan.latestRampAt && d.candidatesRespond() && !d.judgement(d.Evidence).isSuspect()
+}
+
+// candidatesRespond reports whether there are responses of candidates, and not far fewer for
+// the requests sent to them than of old targets. Those of a slow version that have ended are
+// the fast ones.
+func (d *decision) candidatesRespond() bool {
+	old, candidates := d.Evidence.sum(Old), d.Evidence.sum(New)
+	return candidates.Successes >= minSuccesses &&
+		2*candidates.ended()*old.Dispatched >= old.ended()*candidates.Dispatched
 }
 
 // recentEvidence returns what was counted in the last half of RollbackTime.
@@ -119,26 +130,36 @@
 func (d *decision) ramp() Progress {
 	c := d.controller
 	isFull := d.Progress.ShareMilli == 1000
-	stepTime := d.plan.stepTime
-	if d.elapsed > d.plan.latestRampAt {
-		stepTime = minStepTime
-	}
-	if isFull {
-		stepTime = max(stepTime, fullShareTime)
+	if d.now.Sub(c.stepAt) < d.stepTime() || !d.hasCandidates() || !d.hasFreshEvidence(time.Second) {
+		return d.Progress
 	}
-	evidence := d.Evidence.since(c.stepTotal)
-	if d.now.Sub(c.stepAt) < stepTime || !d.hasCandidates() || !d.hasFreshEvidence(time.Second) || d.judgement(evidence).isSuspect() {
+	if d.judgement(d.Evidence.since(c.stepTotal)).isSuspect() || d.judgement(d.Evidence).isSuspect() {
 		return d.Progress
 	}
 	if !isFull {
 		return d.withShare(nextRampShare(d.Progress.ShareMilli))
 	}
-	if d.OldRunning > 0 && d.elapsed < d.plan.completeAt {
+	if isReady := d.OldRunning == 0 && d.verdict.Outcome == Good; !isReady && d.elapsed < d.plan.completeAt {
 		return d.Progress
 	}
 	return d.ended(Completed)
 }
 
+// stepTime returns how long the current step of the ramp is held: shorter than planned if
+// the steps left would otherwise not end in time.
+func (d *decision) stepTime() time.Duration {
+	stepsLeft := 1
+	for share := d.Progress.ShareMilli; share < 1000; share = nextRampShare(share) {
+		stepsLeft++
+	}
+	held := d.now.Sub(d.controller.stepAt)
+	left := (d.plan.completeAt - stepDelays/2 - d.elapsed + held) / time.Duration(stepsLeft)
+	if stepsLeft == 1 {
+		return min(max(left, minStepTime), fullShareTime)
+	}
+	return min(max(left, minStepTime), d.plan.stepTime)
+}
+
 func (d *decision) withShare(shareMilli int) Progress {
 	p := d.Progress
 	p.Step++
--- a/rollout/history.go
+++ b/rollout/history.go
@@ -7,6 +7,10 @@
 	// oldest ones are dropped.
 	sampleInterval = 250 * time.Millisecond
 	maxSamples     = 32
+	// reportDelay is how late reports are at most. A rate over less than minReported would be
+	// one of a few hosts.
+	reportDelay = 500 * time.Millisecond
+	minReported = 300 * time.Millisecond
 )
 
 // history holds totals of the evidence at earlier times.
@@ -50,7 +54,8 @@
 // rate returns the requests that arrive per second: the larger one of the recent rate and
 // that since the start, because a rate taken too low would expose too many requests.
 func (h *history) rate(now time.Time, elapsed time.Duration) float64 {
-	rate := float64(h.arrived) / max(elapsed, time.Second).Seconds()
+	reported := max(elapsed-reportDelay, minReported)
+	rate := float64(h.arrived) / reported.Seconds()
 	if earlier, ok := h.before(now, time.Second); ok {
 		arrived := earlier.total.sum(Old).Dispatched + earlier.total.sum(New).Dispatched
 		rate = max(rate, float64(h.arrived-arrived)/now.Sub(earlier.at).Seconds())
--- a/rollout/hold.go
+++ b/rollout/hold.go
@@ -7,9 +7,8 @@
 	// version is judged good. The ramp needs the rest.
 	holdShare     = 0.8
 	holdAllowance = 0.3
-	// wantedRuns is the number of runs on candidates that is aimed at before the ramp: at it,
-	// a failure rate that is 20 percentage points above that of a route that fails 14 in 100
-	// by itself shows.
+	// wantedRuns is the number of runs on candidates that is aimed at before the ramp. With
+	// 50, a failure rate that is 20 percentage points above one of 2 in 100 shows.
 	wantedRuns = 110
 	// minHoldShare lets a bad version appear early where wantedRuns is soon reached.
 	minHoldShare = 0.02
@@ -52,7 +51,8 @@
 	// for a rate that falls.
 	allowed := c.options.ExposureShare/2 + (budget-float64(candidates.Dispatched))/(rate*reactionTime.Seconds())
 	left := max(d.plan.rampAt-d.elapsed, holdStepTime).Seconds()
-	wanted := max(float64(wantedRuns-candidates.ended())/(rate*left), minHoldShare)
+	pending := float64(d.Progress.ShareMilli) / 1000 * rate * reportDelay.Seconds()
+	wanted := max((float64(wantedRuns-candidates.Dispatched)-pending)/(rate*left), minHoldShare)
 	share := clampShare(min(allowed, wanted, maxHoldShare))
 	if isRamp(share) {
 		share--
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -24,7 +24,7 @@
 	minStepTime = 600 * time.Millisecond
 	maxStepTime = 1500 * time.Millisecond
 	// fullShareTime is how long the candidates have all traffic before the completion.
-	fullShareTime = 800 * time.Millisecond
+	fullShareTime = time.Second
 	// stepDelays is what reports, decisions and conditional writes of a ramp add up to.
 	stepDelays = 800 * time.Millisecond
 )
@@ -32,9 +32,9 @@
 func newPlan(duration time.Duration) plan {
 	part := duration / reserveShare
 	planned := duration - max(part, reserveTime)
-	stepTime := min(max(duration/10, minStepTime), maxStepTime)
+	stepTime := min(max(duration/8, minStepTime), maxStepTime)
 	p := plan{
-		rampAt:     max(planned-2*stepTime-max(stepTime, fullShareTime)-stepDelays, part),
+		rampAt:     max(planned-2*stepTime-fullShareTime-stepDelays, part),
 		completeAt: duration - min(part, reserveTime),
 		stepTime:   stepTime,
 	}
