Return to a small share while a version is suspect

A version that became bad in the ramp kept the share of its step until the evidence sufficed. The share now returns to the lowest of the ramp meanwhile, and the evidence that led to it continues to count.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -10,6 +10,7 @@
 	// step is the step in force, stepAt when it was first seen, and stepTotal the evidence
 	// then. formerTotal is the evidence at the start of the step before.
 	step        int
+	shareMilli  int
 	stepAt      time.Time
 	stepTotal   Report
 	formerTotal Report
@@ -69,15 +70,26 @@
 		*c = Controller{options: c.options, order: s.Order.ID}
 	}
 	if c.step != s.Progress.Step {
-		c.formerTotal = c.stepTotal
-		if c.stepTotal == nil {
-			c.formerTotal = s.Evidence.clone()
-		}
-		c.step, c.stepAt, c.stepTotal = s.Progress.Step, now, s.Evidence.clone()
+		c.beginStep(now, s)
 	}
 	c.history.record(now, s.Evidence)
 	c.maxCandidates = max(c.maxCandidates, s.Candidates)
 }
 
+// beginStep notes the evidence at the start of a step. A smaller share of the ramp follows a
+// suspicion; the evidence that led to it continues to count then.
+func (c *Controller) beginStep(now time.Time, s Situation) {
+	isReturn := isRamp(s.Progress.ShareMilli) && s.Progress.ShareMilli < c.shareMilli
+	c.step, c.shareMilli, c.stepAt = s.Progress.Step, s.Progress.ShareMilli, now
+	if isReturn {
+		return
+	}
+	c.formerTotal = c.stepTotal
+	c.stepTotal = s.Evidence.clone()
+	if c.formerTotal == nil {
+		c.formerTotal = c.stepTotal
+	}
+}
+
 // clampShare converts a share to thousandths, from 1 to 1000.
 func clampShare(share float64) int { return int(min(max(share*1000, 1), 1000)) }
--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -104,7 +104,7 @@
 	if d.verdict.Outcome == Good {
 		return true
 	}
-	return d.elapsed >= d.plan.latestRampAt && d.candidatesRespond() && !d.judgement(d.Evidence).isSuspect()
+	return d.elapsed >= d.plan.latestRampAt && d.candidatesRespond() && d.judgement(d.Evidence).isLikelyGood()
 }
 
 // candidatesRespond reports whether there are responses of candidates, and not far fewer for
@@ -126,14 +126,20 @@
 }
 
 // ramp returns the next step of the ramp once the current one was held for long enough and
-// its evidence was received, or the completion.
+// its evidence was received, or the completion. While the candidates are suspect, it returns
+// to the lowest share of the ramp.
 func (d *decision) ramp() Progress {
 	c := d.controller
 	isFull := d.Progress.ShareMilli == 1000
+	isSuspect := d.judgement(d.Evidence.since(c.stepTotal)).isSuspect()
+	if lowest := rampShares[0]; isSuspect && d.Progress.ShareMilli > lowest {
+		// Fewer requests are exposed while what is running shows how the candidates do.
+		return d.withShare(lowest)
+	}
 	if d.now.Sub(c.stepAt) < d.stepTime() || !d.hasCandidates() || !d.hasFreshEvidence(time.Second) {
 		return d.Progress
 	}
-	if d.judgement(d.Evidence.since(c.stepTotal)).isSuspect() || d.judgement(d.Evidence).isSuspect() {
+	if isSuspect || d.judgement(d.Evidence).isSuspect() {
 		return d.Progress
 	}
 	if !isFull {
--- a/rollout/hold.go
+++ b/rollout/hold.go
@@ -6,7 +6,7 @@
 	// holdShare and holdAllowance are the parts of the exposure that may be used before the
 	// version is judged good. The ramp needs the rest.
 	holdShare     = 0.8
-	holdAllowance = 0.3
+	holdAllowance = 0.4
 	// wantedRuns is the number of runs on candidates that is aimed at before the ramp. With
 	// 50, a failure rate that is 20 percentage points above one of 2 in 100 shows.
 	wantedRuns = 110
--- a/rollout/judge_failures.go
+++ b/rollout/judge_failures.go
@@ -40,17 +40,23 @@
 
 func (j judgement) failuresOf(p pair) Verdict {
 	old, candidates, otherPeriod := j.compared(p)
-	tolerated := toleratedRise
-	if otherPeriod {
-		tolerated = toleratedRiseOtherPeriod
+	v := Verdict{
+		Reason: ReasonFailures, Old: old, New: candidates,
+		Score: riseLikelihood(old, candidates, tolerated(otherPeriod)),
 	}
-	v := Verdict{Reason: ReasonFailures, Old: old, New: candidates, Score: riseLikelihood(old, candidates, tolerated)}
 	if candidates.Failures >= minFailures && v.Score >= badLikelihood {
 		v.Outcome = Bad
 	}
 	return v
 }
 
+func tolerated(otherPeriod bool) float64 {
+	if otherPeriod {
+		return toleratedRiseOtherPeriod
+	}
+	return toleratedRise
+}
+
 // isGood reports whether the failures and durations over all routes rule out a bad version,
 // and no route with as much evidence contradicts.
 func (j judgement) isGood() bool {
@@ -59,8 +65,7 @@
 		return false
 	}
 	for _, route := range j.routes() {
-		routeOld, routeNew, _ := j.compared(j.route(route))
-		if routeNew.Failures >= minFailures && riseLikelihood(routeOld, routeNew, toleratedRise) >= goodLikelihood {
+		if j.isFailingSuspect(j.route(route)) {
 			return false
 		}
 	}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -16,10 +16,12 @@
 }
 
 const (
-	// reserveTime and reserveShare are what is left of the duration after a completion: the
-	// larger one as planned, at least the smaller one.
-	reserveTime  = 2 * time.Second
-	reserveShare = 5
+	// reserveTime and a part of the duration, one in reserveShare, are what is left after a
+	// completion: at least the smaller one, and as planned the larger one, though no more
+	// than one in shortReserveShare of a short duration.
+	reserveTime       = 2 * time.Second
+	reserveShare      = 5
+	shortReserveShare = 4
 	// minStepTime covers the 0.5 s that reports take to arrive at the latest.
 	minStepTime = 600 * time.Millisecond
 	maxStepTime = 1500 * time.Millisecond
@@ -31,7 +33,7 @@
 
 func newPlan(duration time.Duration) plan {
 	part := duration / reserveShare
-	planned := duration - max(part, reserveTime)
+	planned := duration - max(part, min(reserveTime, duration/shortReserveShare))
 	stepTime := min(max(duration/8, minStepTime), maxStepTime)
 	p := plan{
 		rampAt:     max(planned-2*stepTime-fullShareTime-stepDelays, part),
--- a/rollout/suspicion.go
+++ b/rollout/suspicion.go
@@ -7,6 +7,13 @@
 	// worse gets no more requests until there is more evidence.
 	suspectRise  = failureRise / 2
 	suspectRatio = slowRatio
+	// suspectLikelihood is the logarithm of the likelihood ratio from which the failures of a
+	// route make a version suspect, and minSuspectFailures their number. Over all routes,
+	// less suffices: there is one comparison instead of many.
+	suspectLikelihood  = 4
+	minSuspectFailures = 3
+	// suspectDeviation is the number of standard errors that a mean may be off by chance.
+	suspectDeviation = 2.5
 	// minSuspectDurations is the number of durations from which their mean is looked at.
 	minSuspectDurations = 4
 )
@@ -15,12 +22,11 @@
 // delays steps, but ends no rollout.
 func (j judgement) isSuspect() bool {
 	old, candidates, _ := j.compared(j.total())
-	if candidates.Failures > 1 && rate(candidates) > rate(old)+suspectRise {
+	if candidates.Failures > 1 && riseLikelihood(old, candidates, toleratedRise) >= goodLikelihood {
 		return true
 	}
 	for _, route := range j.routes() {
-		routeOld, routeNew, _ := j.compared(j.route(route))
-		if routeNew.Failures > 1 && riseLikelihood(routeOld, routeNew, toleratedRise) >= goodLikelihood {
+		if j.isFailingSuspect(j.route(route)) {
 			return true
 		}
 	}
@@ -28,6 +34,21 @@
 		j.isSlowSuspect(func(c Counts) Durations { return c.Intervals })
 }
 
+// isFailingSuspect is about one route.
+func (j judgement) isFailingSuspect(p pair) bool {
+	old, candidates, otherPeriod := j.compared(p)
+	return candidates.Failures >= minSuspectFailures &&
+		riseLikelihood(old, candidates, tolerated(otherPeriod)) >= suspectLikelihood
+}
+
+// isLikelyGood reports whether the figures are nearer to those of a good version, however few
+// they are.
+func (j judgement) isLikelyGood() bool {
+	old, candidates, _ := j.compared(j.total())
+	isFailing := candidates.Failures > 1 && rate(candidates) > rate(old)+suspectRise
+	return !isFailing && !j.isSuspect()
+}
+
 // isSlowSuspect compares over all routes, and allows for the spread of the targets' speeds.
 func (j judgement) isSlowSuspect(of func(Counts) Durations) bool {
 	var all slowdown
@@ -37,6 +58,6 @@
 	if all.candidates < minSuspectDurations || all.weight == 0 {
 		return false
 	}
-	spread := math.Sqrt(all.speedSpread(j.targets))
+	spread := math.Sqrt(all.speedSpread(j.targets) + suspectDeviation*suspectDeviation*all.sampleVariance())
 	return all.difference() > max(math.Log(suspectRatio), math.Log(toleratedRatio)+spread)
 }
