Connect rollouts to the gateway, the scheduler and the store

Cause: orders of rollouts in the configuration table were not read, and requests went to targets of all versions alike. Change: the directory reads orders and stores progress with conditional writes; a duty of the gateway decides on the host that is first by rendezvous hashing; hosts exchange progress and evidence; the scheduler assigns each request a side.

--- a/config/gateway.go
+++ b/config/gateway.go
@@ -31,6 +31,9 @@
 	RetryBudget RetryBudget `json:"retryBudget"`
 	// Quota configures how the teams' quotas are enforced.
 	Quota Quota `json:"quota"`
+	// Rollout bounds what a version that is rolled out may do; nil means that no rollouts are
+	// done.
+	Rollout *Rollout `json:"rollout,omitempty"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"logLevel,omitempty"`
 }
--- a/config/gateway_checker.go
+++ b/config/gateway_checker.go
@@ -61,6 +61,23 @@
 	}
 	c.checkRetryBudget()
 	c.checkQuota()
+	c.checkRollout()
+}
+
+func (c *gatewayChecker) checkRollout() {
+	r := c.gateway.Rollout
+	if r == nil {
+		return
+	}
+	if r.ExposureShare <= 0 || r.ExposureShare > 1 {
+		c.add("rollout.exposureShare", "a version on trial would get no requests, or more than there are", "more than 0, at most 1")
+	}
+	if r.ExposureAllowance < 0 {
+		c.add("rollout.exposureAllowance", "the allowance is negative", "0 or more")
+	}
+	if r.RollbackTime <= 0 {
+		c.add("rollout.rollbackTime", "there is no time to roll a version back", "more than 0s")
+	}
 }
 
 func (c *gatewayChecker) checkQuota() {
--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -85,6 +85,15 @@
 	FieldUntilMs      = "until_ms"
 	FieldDropped      = "dropped"
 
+	// FieldOrder is the row version of the order of a rollout. FieldPhase, FieldStep and
+	// FieldShareMilli say how far the rollout has come, FieldRouteHash identifies a route in
+	// its evidence.
+	FieldOrder      = "order"
+	FieldPhase      = "phase"
+	FieldStep       = "step"
+	FieldShareMilli = "share_milli"
+	FieldRouteHash  = "route_hash"
+
 	// FieldKind is the kind of buffers, FieldRefused how often they found no memory, and
 	// FieldBytes the memory that they use.
 	FieldKind    = "kind"
@@ -150,4 +159,11 @@
 	EventStoreReturned    = "store-rolled-back"
 	EventStoreReachable   = "store-back"
 	EventBuffersFull      = "buffers-full"
+	// EventRolloutInvalid is about an order that can't be followed. EventRolloutOrdered,
+	// EventRolloutStep, EventRolloutJudged and EventRolloutEnded are about a rollout.
+	EventRolloutInvalid = "rollout-invalid"
+	EventRolloutOrdered = "rollout-ordered"
+	EventRolloutStep    = "rollout-step"
+	EventRolloutJudged  = "rollout-judged"
+	EventRolloutEnded   = "rollout-ended"
 )
--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -32,6 +32,8 @@
 	streams     *streamversion.Tracker
 	peers       *peerMonitor
 	crashes     *crashRecords
+	// rollouts is nil if none are configured.
+	rollouts *rollouts
 	// lag compares the configuration with those of other hosts, and rereadTable has it read
 	// again.
 	lag         tableLag
@@ -175,11 +177,14 @@
 // and the state exchange. The caller holds s.mu.
 func (s *clusterState) applyConfiguration(now time.Time) {
 	table := s.table.Load()
-	if table == nil || s.targets == nil {
+	if table == nil || s.targets == nil || !s.rollouts.loaded() {
 		return
 	}
 	s.exchange.SetNameIndex(hoststate.NewNameIndex(table, s.targets))
 	s.dispatcher.Configure(now, table.Pools, s.targets)
+	if s.rollouts != nil && s.dispatcher.TakeUnknownVersions() {
+		s.rereadTable()
+	}
 }
 
 // HostsChanged implements platform.Listener.
@@ -193,6 +198,7 @@
 // StoreReturned implements platform.Listener.
 func (s *clusterState) StoreReturned() {
 	s.storeReturns.Add(1)
+	s.rollouts.forgetRevisions()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -239,6 +245,7 @@
 	if table := s.table.Load(); table != nil && s.lag.observe(now, table.Version, m.TableVersion) {
 		s.rereadTable()
 	}
+	s.rollouts.receive(now, &m)
 	if m.AggregateOf != "" {
 		s.quotas.MergeDataCentre(now, m.AggregateOf, m.Host, m.Incarnation, m.TeamUsage)
 		s.dispatcher.ApplyDataCentreState(now, m.AggregateOf, m.AggregatedHosts, m.Schedule)
@@ -256,6 +263,7 @@
 		Schedule:  s.dispatcher.LocalState(now),
 		TeamUsage: s.quotas.HostUsage(now),
 		Streams:   s.streams.TakeReport(now),
+		Rollouts:  s.rollouts.messages(now, false),
 	}
 	if table := s.table.Load(); table != nil {
 		m.TableVersion = table.Version
@@ -283,6 +291,7 @@
 		AggregatedHosts: hosts,
 		Schedule:        aggregate,
 		TeamUsage:       s.quotas.DataCentreUsage(now),
+		Rollouts:        s.rollouts.messages(now, true),
 	}
 }
 
@@ -295,6 +304,8 @@
 		return Error.New("the targets are not known yet")
 	case !s.crashesLoaded.Load():
 		return Error.New("the crashes of targets are not known yet")
+	case !s.rollouts.loaded():
+		return Error.New("the rollouts are not known yet")
 	default:
 		return nil
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,9 @@
 	g.buildRelay()
 	g.directory = platform.NewDirectory(store, g.state, c.DrainTime.Std(), g.logs.For("directory"))
 	g.state.rereadTable = g.directory.RereadTable
+	if g.state.rollouts != nil {
+		g.directory.EnableRollouts()
+	}
 	return g
 }
 
@@ -158,6 +161,7 @@
 		OnMessage:      state.handleMessage,
 		Logger:         g.logs.For("hoststate"),
 	})
+	state.rollouts = g.newRollouts(state)
 	g.state = state
 }
 
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -38,6 +38,7 @@
 		pool.Gauge(metrics.GatewayLimitRate).Update(load.LimitRate)
 		pool.Gauge(metrics.GatewaySlotsFree).Update(float64(load.Free))
 	}
+	g.updateRolloutGauges()
 	for _, monitor := range g.buffers {
 		monitor.update(scope)
 	}
--- a/gateway/peer_monitor.go
+++ b/gateway/peer_monitor.go
@@ -57,6 +57,19 @@
 	return count
 }
 
+// activeHosts returns the hosts that have not timed out.
+func (m *peerMonitor) activeHosts(now time.Time) []ident.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	hosts := make([]ident.Host, 0, len(m.lastHeard))
+	for host, at := range m.lastHeard {
+		if now.Sub(at) < peerTimeout {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
 // activeBefore returns the number of active hosts whose names sort before self. Hosts
 // that receive each other's messages use it to agree on which of them perform a shared
 // task.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -44,6 +44,7 @@
 	addActor(&group, g.persistBusyTeams)
 	addActor(&group, g.saveCrashes)
 	addActor(&group, g.watchTrials)
+	addActor(&group, g.decideRollouts)
 	addActor(&group, g.reportGauges)
 	addActor(&group, g.state.peers.run)
 	addActor(&group, g.watchLinks)
--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -45,6 +45,7 @@
 	state.BrittleTargets = encodeBrittle(now, m.Schedule.BrittleTargets)
 	state.Responses = encodeResponses(now, m.Schedule.Responses)
 	encodeStreams(state, &m.Streams)
+	state.Rollouts = encodeRollouts(m.Rollouts)
 	data, err := proto.Marshal(state)
 	return data, Error.Wrap(err)
 }
@@ -121,6 +122,7 @@
 		}
 	}
 	m.Streams = n.decodeStreams(state)
+	m.Rollouts = n.decodeRollouts(state)
 	m.Schedule = schedule.State{
 		Loads:           decodeItems(state.GetLoads(), n.targets, (*hostpb.TargetLoad).GetTarget, decodeLoad),
 		Observed:        state.GetObserved(),
--- a/hoststate/message.go
+++ b/hoststate/message.go
@@ -25,4 +25,6 @@
 	TeamUsage map[ident.Team]quota.Usage
 	// Streams says where streams began. It is empty in an aggregate.
 	Streams streamversion.Report
+	// Rollouts holds what is known of rollouts that are in progress, or ended a short time ago.
+	Rollouts []Rollout
 }
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -50,6 +50,12 @@
 	// the requests per second that this host may send them, by pool.
 	GatewayTargetsLimited = "gateway_targets_limited"
 	GatewayLimitRate      = "gateway_limit_rate"
+	// GatewayRolloutRequests and GatewayRolloutFailures count the requests that this host sent to
+	// the ordered version since it learned of the order, and those that failed.
+	// GatewayRolloutShare is the share in force. All are gauges by pool and version.
+	GatewayRolloutRequests = "gateway_rollout_requests"
+	GatewayRolloutFailures = "gateway_rollout_failures"
+	GatewayRolloutShare    = "gateway_rollout_share"
 	// GatewayTrials counts the trials of content that may crash targets, by result.
 	GatewayTrials = "gateway_trials"
 	// GatewayBufferedBytes is the memory for bodies of requests and for responses, without
--- a/metrics/tags.go
+++ b/metrics/tags.go
@@ -5,6 +5,7 @@
 	TagTier    = "tier"
 	TagPool    = "pool"
 	TagTarget  = "target"
+	TagVersion = "version"
 	TagReason  = "reason"
 	TagOutcome = "outcome"
 	TagResult  = "result"
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -41,6 +41,9 @@
 
 // endRun frees the slot of the current run.
 func (x *execution) endRun(ctx context.Context, r *run) {
+	if errors.Is(context.Cause(ctx), errDeadlineExceeded) {
+		x.relay.options.Dispatcher.recordOutOfTime(r.slot)
+	}
 	if !r.responded && errors.Is(context.Cause(ctx), errDeadlineExceeded) {
 		go x.endUnanswered(r, x.result)
 		return
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -205,6 +205,7 @@
 func (x *execution) request() schedule.Request {
 	r := schedule.Request{
 		ID:              x.id,
+		Route:           x.route.Name,
 		Pool:            x.pool,
 		Content:         x.content,
 		Rank:            schedule.Rank{Route: x.route.Priority},
--- a/schedule/candidates.go
+++ b/schedule/candidates.go
@@ -1,15 +1,20 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"github.com/cornelyard/cornelyard/rollout"
+)
 
 // mayServe reports whether the target is certain to have the software version that the
-// request requires, and may get repeated runs if it is one.
+// request requires, or one of the side that it is assigned, and may get repeated runs if it is
+// one.
 func (r *Request) mayServe(now time.Time, t *target) bool {
 	return r.fitsVersion(now, t) && !(r.Repeat && t.limited())
 }
 
 func (r *Request) fitsVersion(now time.Time, t *target) bool {
-	return !r.RequiresVersion || t.Version == r.Version && !t.mayHaveRestarted(now)
+	return (!r.RequiresVersion || t.Version == r.Version && !t.mayHaveRestarted(now)) && r.fitsSide(now, t)
 }
 
 // hasCandidate reports whether the pool has a target that is not draining, that this host may
@@ -52,7 +57,7 @@
 
 // candidates returns the usable targets that may serve the request.
 func (p *pool) candidates(now time.Time, r *Request) []*target {
-	if !r.RequiresVersion && !r.Repeat {
+	if !r.RequiresVersion && !r.Repeat && !p.divided(now) {
 		return p.usableTargets(now)
 	}
 	serving := make([]*target, 0, len(p.targets))
@@ -64,12 +69,13 @@
 	return usableOf(now, serving)
 }
 
-// selectOfVersion selects one of the usable targets or, if the request requires a version, of
-// those of this version.
+// selectOfVersion selects one of the usable targets or, if the request requires a version or a
+// rollout divides the pool, of those that may serve it.
 func (s *Scheduler) selectOfVersion(now time.Time, p *pool, w *queuedRequest, usable []*target) *target {
-	if !w.request.RequiresVersion {
+	if !w.request.RequiresVersion && !p.divided(now) {
 		return s.selectTarget(now, p, w, usable)
 	}
+	p.reconsiderSide(now, w.request)
 	candidates := p.candidates(now, w.request)
 	if freeSlots(now, candidates) <= s.reservedSlots(now, p, w, candidates) {
 		return nil
@@ -80,6 +86,9 @@
 // scaleToCandidates returns the part of the requests ahead that is expected to be served by
 // targets of the version that the request requires.
 func (p *pool) scaleToCandidates(now time.Time, r *Request, ahead int, candidates []*target) int {
+	if r.side == rollout.New && p.rollout.inProgress() {
+		return ahead * p.rollout.progress.ShareMilli / fullShareMilli
+	}
 	if !r.RequiresVersion {
 		return ahead
 	}
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -138,6 +138,7 @@
 	t.kv += run.kv
 	t.health.recordDispatch()
 	s.running[r.ID] = run
+	p.recordDispatched(run)
 	delete(s.queued, r.ID)
 	s.recordPrefixLocation(now, r, t.Name)
 	p.yieldingSince = time.Time{}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -47,6 +47,11 @@
 	// nevertheless.
 	unheardSince time.Time
 	linkTrialAt  time.Time
+	// rollout is the newest order of the pool, or nil. barred holds the versions that get no
+	// requests because they were rolled back, or replaced by a newer order before their end.
+	rollout  *poolRollout
+	barred   map[string]bool
+	versions versionHistory
 	// yieldingSince is when the host began to leave free slots to other hosts, or zero.
 	yieldingSince time.Time
 	// peersRunning is the number of requests that the other hosts ran on the targets at
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -70,6 +70,7 @@
 	}
 	t.prefill -= r.prefill
 	t.kv -= r.kv
+	s.pools[t.Pool].recordEvidence(now, r, result)
 	before := t.health
 	t.health.recordResult(now, result)
 	if result == Rejected && t.isBrittle(now) {
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/quarantine"
+	"github.com/cornelyard/cornelyard/rollout"
 )
 
 // Request describes a request to the scheduler.
@@ -44,4 +45,11 @@
 	MayPassOn bool
 	// ExcludedTargets lists the targets that have already failed this request.
 	ExcludedTargets []ident.Target
+	// Route names the route, for the evidence about software versions.
+	Route string
+
+	// pool and side are set when the request is queued. side says which targets may serve it
+	// while a rollout is in progress.
+	pool *pool
+	side rollout.Side
 }
--- a/schedule/running_request.go
+++ b/schedule/running_request.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/cornelyard/cornelyard/rollout"
 )
 
 // runningRequest is a request of this host that was dispatched to a target.
@@ -21,6 +23,10 @@
 	// is the only one of its content over all hosts.
 	suspect bool
 	trial   bool
+	// order is the order of a rollout for which the run is evidence, or zero. outOfTime says
+	// that the request's deadline has passed.
+	order     rollout.OrderID
+	outOfTime bool
 	// firstEventAt and lastEventAt are the arrival times of the first and the last
 	// event.
 	firstEventAt time.Time
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -74,6 +74,10 @@
 	suspicionEvents []SuspicionEvent
 	// distantHosts holds the other hosts that send this one no state of their own.
 	distantHosts []ident.Host
+	// rolloutsEnabled says that rollouts may be ordered, and unknownVersions that targets of a
+	// version appeared that was never seen before.
+	rolloutsEnabled bool
+	unknownVersions bool
 	// pendingActions holds refusals for the next call of Decide.
 	pendingActions []Action
 }
@@ -127,6 +131,7 @@
 			s.removeTarget(t)
 		}
 	}
+	s.recordVersions(now)
 	s.divideTargets()
 	s.rebuildAggregates()
 }
@@ -192,6 +197,7 @@
 	}
 	s.sequence++
 	w := &queuedRequest{request: &r, sequence: s.sequence}
+	s.assignSide(now, p, &r)
 	if until, quarantined := s.crashes.QuarantinedUntil(now, r.Content); quarantined {
 		s.pendingActions = append(s.pendingActions, s.quarantineRefusal(now, p, w, until))
 		return
@@ -208,6 +214,7 @@
 		w.refuseAt = w.latestStart
 	}
 	w.late = !now.Before(w.latestStart)
+	p.reconsiderSide(now, &r)
 	if s.wouldExpire(now, p, w) || !p.hasCandidate(now, &r) {
 		s.pendingActions = append(s.pendingActions, s.refuse(now, p, w, "the queue is too long for this request"))
 		return
