--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -25,6 +25,9 @@
 	// confirmationTime is how long after the store's last response the deciding host lets
 	// others use the share in force.
 	confirmationTime = time.Second
+	// maxRolloutHosts bounds the hosts whose evidence on an order is kept; that of others is
+	// ignored.
+	maxRolloutHosts = 1024
 	// maxRolloutPools bounds the pools with orders; further orders are ignored.
 	maxRolloutPools = 256
 )
@@ -180,19 +183,27 @@
 	if got.Progress.Order != p.order.ID {
 		return
 	}
-	p.heardAt[m.Host] = now
-	sender := string(m.Host)
-	if m.AggregateOf != "" {
-		sender = "data centre " + string(m.AggregateOf)
-	} else {
-		p.reports[m.Host] = got.Report
-	}
-	p.evidence.Record(sender, m.Incarnation, got.Report)
+	p.record(now, m, got.Report)
 	if !unconfirmed && got.Progress == p.current() && r.first(now, p, got.Pool, m.Host) {
 		r.dispatcher.SetRollout(now, got.Pool, got.Progress, true)
 	}
 }
 
+// record records the evidence of a message. Several hosts send the aggregate of a data centre, so
+// its newest report replaces the one before, whatever process sent it.
+func (p *poolRollout) record(now time.Time, m *hoststate.Message, report rollout.Report) {
+	if _, known := p.heardAt[m.Host]; !known && len(p.heardAt) >= maxRolloutHosts {
+		return
+	}
+	p.heardAt[m.Host] = now
+	if m.AggregateOf != "" {
+		p.evidence.Record("data centre "+string(m.AggregateOf), 0, report)
+		return
+	}
+	p.reports[m.Host] = report
+	p.evidence.Record(string(m.Host), m.Incarnation, report)
+}
+
 // messages returns what this host sends of rollouts. The aggregate includes the evidence of the
 // hosts that send their own state.
 func (r *rollouts) messages(now time.Time, aggregate bool) []hoststate.Rollout {
--- a/schedule/candidates.go
+++ b/schedule/candidates.go
@@ -48,7 +48,7 @@
 // which may serve it once its entry is certain.
 func (p *pool) hasVersion(r *Request) bool {
 	for _, t := range p.targets {
-		if t.available() && t.Version == r.Version && !excludes(r, t.Name) {
+		if t.available() && t.Version == r.Version && !excludes(r, t.Name) && !p.barred[t.Version] {
 			return true
 		}
 	}
