--- a/schedule/rollout.go
+++ b/schedule/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -132,7 +133,26 @@
 
 // divided reports whether some requests may not be sent to some of the pool's targets.
 func (p *pool) divided(now time.Time) bool {
-	return p.rollout != nil || len(p.barred) > 0 || p.versions.holding(now)
+	if p.rollout == nil && len(p.barred) == 0 && len(p.versions.heldUntil) == 0 {
+		return false
+	}
+	if p.rollout.inProgress() {
+		return true
+	}
+	return slices.ContainsFunc(p.targets, func(t *target) bool { return p.excludes(now, t) })
+}
+
+// excludes reports whether the target gets no requests at all: its version was rolled back,
+// superseded, replaced, or waits for the orders to be read.
+func (p *pool) excludes(now time.Time, t *target) bool {
+	switch {
+	case p.barred[t.Version]:
+		return true
+	case p.versions.holds(now, t.Version) && !p.rollout.orders(t.Version):
+		return true
+	default:
+		return p.rollout != nil && p.rollout.progress.Phase == rollout.Completed && p.rollout.replaced[t.Name]
+	}
 }
 
 // assignSide assigns a request the side of a rollout in progress. Repeated runs stay on the old
@@ -151,18 +171,12 @@
 // fitsSide reports whether the rollouts of the pool let the request be sent to the target.
 func (r *Request) fitsSide(now time.Time, t *target) bool {
 	p := r.pool
-	if p == nil {
-		return true
-	}
-	if p.barred[t.Version] || p.versions.holds(now, t.Version) && !p.rollout.orders(t.Version) {
-		return false
-	}
 	switch {
-	case p.rollout == nil, p.rollout.progress.Phase == rollout.RolledBack:
+	case p == nil:
 		return true
-	case p.rollout.progress.Phase == rollout.Completed:
-		return !p.rollout.replaced[t.Name]
-	case r.RequiresVersion:
+	case p.excludes(now, t):
+		return false
+	case !p.rollout.inProgress(), r.RequiresVersion:
 		return true
 	case t.Version == p.rollout.progress.Version:
 		return r.side == rollout.New || !p.hasOldTarget()
--- a/schedule/version_history.go
+++ b/schedule/version_history.go
@@ -53,13 +53,3 @@
 func (h *versionHistory) holds(now time.Time, version string) bool {
 	return now.Before(h.heldUntil[version])
 }
-
-// holding reports whether targets of any version get nothing yet.
-func (h *versionHistory) holding(now time.Time) bool {
-	for _, until := range h.heldUntil {
-		if now.Before(until) {
-			return true
-		}
-	}
-	return false
-}
