--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,6 +120,9 @@
 	g.buildRelay()
 	g.directory = platform.NewDirectory(store, g.state, c.DrainTime.Std(), g.logs.For("directory"))
 	g.state.rereadTable = g.directory.RereadTable
+	if g.state.rollouts != nil {
+		g.directory.EnableRollouts()
+	}
 	return g
 }
 
@@ -163,6 +166,7 @@
 		LinkMbps:       g.config.LinkMbps,
 	})
 	g.traffic.logger = g.logs.For("hoststate")
+	state.rollouts = g.newRollouts(state)
 	g.state = state
 }
 
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -42,6 +42,7 @@
 		pool.Gauge(metrics.GatewaySlotsFree).Update(float64(load.Free))
 	}
 	g.traffic.update(now, scope, state.exchange)
+	g.updateRolloutGauges()
 	for _, monitor := range g.buffers {
 		monitor.update(scope)
 	}
--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -47,6 +47,7 @@
 	state.Responses = encodeResponses(now, m.Schedule.Responses)
 	state.MachineStates = encodeMachineStates(now, m.Schedule.MachineStates)
 	encodeStreams(state, &m.Streams)
+	state.Rollouts = encodeRollouts(m.Rollouts)
 	data, err := proto.Marshal(state)
 	return data, Error.Wrap(err)
 }
@@ -123,6 +124,7 @@
 		}
 	}
 	m.Streams = n.decodeStreams(state)
+	m.Rollouts = n.decodeRollouts(state)
 	m.Schedule = schedule.State{
 		Loads:           decodeItems(state.GetLoads(), n.targets, (*hostpb.TargetLoad).GetTarget, decodeLoad),
 		Observed:        state.GetObserved(),
