Share capacity among teams only where the terms of the deployment call for it

Cause: shares took effect on every deployment with teams. Earlier deployments are to be served as before.

Change: the host's setting contracts names the terms that are in force; platform says whether they call for shares. Spacing is removed.

--- a/config/gateway.go
+++ b/config/gateway.go
@@ -30,6 +30,9 @@
 	// DrainTime is how long the platform lets hosts send requests to a target after it has
 	// announced that it is draining. Zero means that it isn't known.
 	DrainTime settings.Duration `json:"drainTime,omitempty"`
+	// Contracts names the parts of the platform's terms that are in force. The adapter of the
+	// platform knows what they mean.
+	Contracts []string `json:"contracts,omitempty"`
 	// RetryBudget is shared by all hosts.
 	RetryBudget RetryBudget `json:"retryBudget"`
 	// Quota configures how the teams' quotas are enforced.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -141,7 +141,7 @@
 		peers:         newPeerMonitor(g.logs.For("peers")),
 		crashes:       &crashRecords{logger: g.logs.For("quarantine")},
 	}
-	scheduler := schedule.New(schedule.Options{Host: g.config.Host, DataCentre: g.config.DataCentre})
+	scheduler := schedule.New(schedule.Options{Host: g.config.Host, DataCentre: g.config.DataCentre, FairShares: platform.CallsForFairShares(g.config.Contracts)})
 	state.dispatcher = relay.NewDispatcher(relay.DispatcherOptions{
 		Scheduler:          scheduler,
 		OnStateChange:      func() { state.exchange.TriggerSend() },
--- a/hoststate/cost_test.go
+++ b/hoststate/cost_test.go
@@ -37,7 +37,7 @@
 
 // Guards against reports that are older than what the headroom of a quota covers, 30 ms, and
 // against states of other cells for which the former build does not wait: it counts a host as
-// missing after 250 ms, or 2.5 times 5 ms for each far peer, and two messages may be lost.
+// missing after 250 ms, or 2.5 times 5 ms for each far peer, so one message may be lost.
 func TestStatesOfDividedSystemsAreNotTooOld(t *testing.T) {
 	for _, hosts := range []int{17, 60, 71, 295, 320} {
 		for _, dataCentres := range []int{1, 3, 6} {
--- a/internal/loadmodel/scenario.go
+++ b/internal/loadmodel/scenario.go
@@ -1,6 +1,7 @@
 package loadmodel
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -45,6 +46,11 @@
 	Policy        Policy
 }
 
+// hasTeams reports whether any class of requests belongs to a team.
+func (s *Scenario) hasTeams() bool {
+	return slices.ContainsFunc(s.Classes, func(c RequestClass) bool { return c.Team != "" })
+}
+
 func (s *Scenario) dataCentres() int { return max(s.DataCentres, 1) }
 
 // dataCentreOf returns the data centre of the host or engine with index i.
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -27,9 +27,6 @@
 		if !w.request.RequiresVersion && free <= s.reservedSlots(now, p, w, targets) || free > 0 && s.yieldsToPeers(now, p, w, free) {
 			break
 		}
-		if s.isPaced(now, p, w, targets) {
-			break
-		}
 		t := s.selectOfVersion(now, p, w, targets)
 		if t == nil {
 			skipped++
@@ -134,7 +131,6 @@
 	if p.shares.scarce(now) {
 		p.shares.accounts.Charge(now, shareKey(r), p.slotTime(r, prefill))
 	}
-	p.shares.pace.tokens = max(p.shares.pace.tokens-1, 0)
 	t.running++
 	if t.limited() {
 		t.pacer.RecordSent(now)
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -62,12 +62,12 @@
 	peersRunning int
 }
 
-func newPool(name ident.Pool) *pool {
+func newPool(name ident.Pool, fairShares bool) *pool {
 	return &pool{
 		name:          name,
 		demands:       make(map[Rank]*demand),
 		peerDemands:   make(map[Rank]*peerDemand),
-		shares:        newTeamShares(),
+		shares:        newTeamShares(fairShares),
 		meanService:   defaultPlainService.Seconds(),
 		prefillRate:   defaultPrefillRate,
 		eventInterval: defaultEventInterval,
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -14,6 +14,7 @@
 	host       ident.Host
 	dataCentre ident.DataCentre
 	random     func() float64
+	fairShares bool
 	// leaving is set while this host stops.
 	leaving bool
 
@@ -90,6 +91,9 @@
 	// Host is the name of this host, and DataCentre its data centre.
 	Host       ident.Host
 	DataCentre ident.DataCentre
+	// FairShares says that teams of one rank share scarce capacity by the time that their requests
+	// take. Otherwise requests are ordered without regard to the team.
+	FairShares bool
 	// Random returns numbers in [0, 1); nil selects the global generator.
 	Random func() float64
 }
@@ -103,6 +107,7 @@
 		host:         o.Host,
 		dataCentre:   o.DataCentre,
 		random:       o.Random,
+		fairShares:   o.FairShares,
 		pools:        make(map[ident.Pool]*pool),
 		targets:      make(map[ident.Target]*target),
 		peers:        make(map[ident.Host]*peerState),
@@ -185,7 +190,7 @@
 func (s *Scheduler) poolOf(name ident.Pool) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = newPool(name)
+		p = newPool(name, s.fairShares)
 		s.pools[name] = p
 	}
 	return p
--- a/schedule/share_order_test.go
+++ b/schedule/share_order_test.go
@@ -37,7 +37,7 @@
 // TestSufficientCapacityIsNotShared guards against shares that change decisions while capacity
 // is sufficient: teams are then served by their latest starts.
 func TestSufficientCapacityIsNotShared(t *testing.T) {
-	s := newScheduler(1)
+	s := newSharingScheduler(1)
 	long := 10 * time.Second
 	for i, team := range []ident.Team{"large", "large", "large", "small"} {
 		r := teamRequest(fmt.Sprint(i), i, team)
@@ -59,7 +59,7 @@
 // TestScarceCapacityIsSharedWithinARank guards against an order by arrival, and against shares
 // that override ranks.
 func TestScarceCapacityIsSharedWithinARank(t *testing.T) {
-	s := newScheduler(4)
+	s := newSharingScheduler(4)
 	s.poolOf("p").shares.recordShortage(at(0))
 	enqueueTwoTeams(s)
 	s.Decide(at(6))
@@ -76,7 +76,7 @@
 // TestUseOfIdleCapacityIsNotCharged guards against a team that loses capacity for what it used
 // while capacity was idle.
 func TestUseOfIdleCapacityIsNotCharged(t *testing.T) {
-	s := newScheduler(4)
+	s := newSharingScheduler(4)
 	for i := range 50 {
 		id := fmt.Sprint("early", i)
 		s.Enqueue(at(10*i), teamRequest(id, 10*i, "large"))
@@ -92,7 +92,7 @@
 // TestOtherHostsUseCounts guards against shares that hold only at each host: a host that has
 // just started orders teams by what the others report.
 func TestOtherHostsUseCounts(t *testing.T) {
-	s := newScheduler(1)
+	s := newSharingScheduler(1)
 	s.ApplyPeerState(at(0), "b", State{TeamLoads: []TeamLoad{
 		{Pool: "p", Team: "large", Used: 3 * time.Second, Queued: time.Second},
 		{Pool: "p", Team: "small", Used: 100 * time.Millisecond, Queued: time.Millisecond},
@@ -106,7 +106,7 @@
 // TestRequestThatCannotStartInTimeIsRefusedEarly guards against refusals that leave no time for
 // a retry: they come in the first eighth of the latency objective.
 func TestRequestThatCannotStartInTimeIsRefusedEarly(t *testing.T) {
-	s := newScheduler(1)
+	s := newSharingScheduler(1)
 	s.poolOf("p").shares.recordShortage(at(0))
 	refused := 0
 	for i := range 40 {
@@ -126,7 +126,7 @@
 
 // TestAggregateSumsTeamLoads guards against aggregates that hold only the sender's loads.
 func TestAggregateSumsTeamLoads(t *testing.T) {
-	s := newScheduler(1)
+	s := newSharingScheduler(1)
 	for _, host := range []ident.Host{"b", "c"} {
 		s.ApplyPeerState(at(0), host, State{TeamLoads: []TeamLoad{{Pool: "p", Team: "large", Used: time.Second, Queued: time.Second}}})
 	}
@@ -135,3 +135,19 @@
 		t.Errorf("got %+v, want the sum of two hosts", aggregate.TeamLoads)
 	}
 }
+
+// newSharingScheduler is newScheduler with fair shares.
+func newSharingScheduler(slots ...int) *Scheduler {
+	s := New(Options{DataCentre: "near", Random: func() float64 { return 0 }, FairShares: true})
+	s.Configure(start, pools(), engines(slots...))
+	return s
+}
+
+// Guards against shares where the settings of a host don't ask for them.
+func TestTeamsDoNotShareUnlessConfigured(t *testing.T) {
+	s := newScheduler(1)
+	s.poolOf("p").shares.recordShortage(at(0))
+	if s.poolOf("p").shares.scarce(at(0)) || len(s.LocalState(at(1)).TeamLoads) > 0 {
+		t.Error("capacity counts as scarce although fair shares are off")
+	}
+}
--- a/schedule/team_shares.go
+++ b/schedule/team_shares.go
@@ -12,20 +12,22 @@
 
 // teamShares divides the capacity of a pool among teams while it is scarce.
 type teamShares struct {
+	// enabled says that capacity is ever shared among teams.
+	enabled  bool
 	accounts *fairshare.Accounts
 	// shortageUntil is until when this host counts the capacity as scarce because requests of
 	// its own could not start in time, and peerShortageUntil the same for other hosts.
 	shortageUntil     time.Time
 	peerShortageUntil time.Time
-	// pace spaces the dispatches of this host.
-	pace sharePace
 	// inForce says that start tags are in use.
 	inForce bool
 	// peersChanged says that the reports of other hosts have changed.
 	peersChanged bool
 }
 
-func newTeamShares() teamShares { return teamShares{accounts: fairshare.NewAccounts()} }
+func newTeamShares(enabled bool) teamShares {
+	return teamShares{enabled: enabled, accounts: fairshare.NewAccounts()}
+}
 
 // recordShortage records that a request of this host can't start in time.
 func (t *teamShares) recordShortage(now time.Time) { t.shortageUntil = now.Add(scarcityHold) }
@@ -35,7 +37,7 @@
 
 // scarce reports whether requests of any host could not start in time lately.
 func (t *teamShares) scarce(now time.Time) bool {
-	return t.short(now) || now.Before(t.peerShortageUntil)
+	return t.enabled && (t.short(now) || now.Before(t.peerShortageUntil))
 }
 
 // shareKey returns the account of a request.
