Pace the states for the cell only

A host's states for other cells take more than a tenth of a small link by themselves in a large data centre. Counted together, the cell's states would be sent only with heartbeats while requests wait. The pacer now counts the states for the cell; those for other cells keep their interval.

--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -82,10 +82,10 @@
 	nearObservations observationFilter
 	farObservations  observationFilter
 	pressure         Pressure
-	// pacer limits the bytes of states in systems in which not all hosts exchange them, and
-	// sentBytes counts those since the last delay.
+	// pacer limits the bytes of states for the near peers in systems in which not all hosts
+	// exchange them, and nearBytes counts those since the last delay.
 	pacer     sendPacer
-	sentBytes int64
+	nearBytes int64
 	traffic   traffic
 }
 
@@ -207,8 +207,8 @@
 // sendDelay returns how long to wait before the next state after the one that was sent last.
 func (e *Exchange) sendDelay(peers *receivers) time.Duration {
 	interval := peers.nearInterval(e.pressure.High(time.Now()))
-	bytes := e.sentBytes
-	e.sentBytes = 0
+	bytes := e.nearBytes
+	e.nearBytes = 0
 	if peers.fullMesh() {
 		return interval
 	}
@@ -234,7 +234,7 @@
 	if !peers.fullMesh() {
 		e.nearObservations.apply(now, &near.Schedule)
 	}
-	e.broadcast(now, conn, &near, peers.toNear)
+	e.nearBytes += e.broadcast(now, conn, &near, peers.toNear)
 	if len(peers.far) > 0 {
 		e.farState.Add(&state)
 		e.sendFar(conn, peers, now)
@@ -259,19 +259,20 @@
 	e.broadcast(now, conn, &state, peers.toFar)
 }
 
-func (e *Exchange) broadcast(now time.Time, conn *ipv4.PacketConn, m *Message, to *sendBatch) {
+// broadcast sends a message to the members. It returns the number of bytes that took.
+func (e *Exchange) broadcast(now time.Time, conn *ipv4.PacketConn, m *Message, to *sendBatch) int64 {
 	if len(to.members) == 0 {
-		return
+		return 0
 	}
 	e.sequence++
 	data, err := encode(now, m, e.options.Incarnation, e.sequence)
 	if err != nil {
 		e.options.Logger.Error().Err(err).Msg("Encoding the host state failed; it is not sent.")
-		return
+		return 0
 	}
 	to.send(conn, data, e.logSendFailure)
 	e.traffic.sent.Add(int64(len(to.members)))
-	e.sentBytes += int64(len(to.members)) * int64(len(data)+datagramOverhead)
+	return int64(len(to.members)) * int64(len(data)+datagramOverhead)
 }
 
 func (e *Exchange) logSendFailure(to Member, err error) {
--- a/hoststate/send_pacer.go
+++ b/hoststate/send_pacer.go
@@ -3,16 +3,16 @@
 import "time"
 
 const (
-	// linkShare is the share of a host's link that states for other hosts may take on average.
+	// linkShare is the share of a host's link that states for the other hosts of its cell may take.
 	// The link also carries requests, responses and their cancellation, which wait behind
-	// datagrams while it is full.
+	// datagrams while it is full. States for far peers have an interval of their own.
 	linkShare = 0.1
 	// datagramOverhead is what the headers of one datagram add on the link, in bytes.
 	datagramOverhead = 42
 	bytesPerMegabit  = 1e6 / 8
 )
 
-// sendPacer limits the bytes per second of states that a host sends. Its zero value sets no
+// sendPacer limits the bytes per second of states that a host sends to its cell. Its zero value sets no
 // limit.
 type sendPacer struct {
 	bytesPerSecond float64
