Test rollouts against the bounds as they are stated

Two tests of rollouts allowed more than the requirements: 3 of 1,000 good versions found bad where 1 is stated, and 10 requests more than 10 of 2,500 running on old targets at the completion. Both keep the stated bounds now.

--- a/rollout/controller_test.go
+++ b/rollout/controller_test.go
@@ -50,7 +50,7 @@
 	if margin := min(sc.duration/5, 2*time.Second); r.endedAt > sc.duration-margin {
 		t.Errorf("completed at %v of %v, want %v to spare", r.endedAt, sc.duration, margin)
 	}
-	if limit := 10 + r.requests/250; r.oldRunning > limit {
+	if limit := r.requests / 250; r.oldRunning > limit {
 		t.Errorf("%d of %d requests were running on old targets at the completion", r.oldRunning, r.requests)
 	}
 }
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -41,8 +41,8 @@
 	return verdict, badResponses
 }
 
-// Guards against thresholds that find good versions bad. At most 1 in 1,000 is required; at
-// exactly that, more than 3 in 1,000 occur in 2 of 100 runs. The seed is fixed.
+// Guards against thresholds that find good versions bad. At most 1 in 1,000 is required. The
+// seed is fixed.
 func TestJudgeFindsGoodVersionsGood(t *testing.T) {
 	t.Parallel()
 	random := rand.New(rand.NewPCG(1, 1))
@@ -56,8 +56,8 @@
 				good++
 			}
 		}
-		if found > 3 {
-			t.Errorf("failure rate %v: %d of 1000 good versions were found bad, want at most 3", failures, found)
+		if found > 1 {
+			t.Errorf("failure rate %v: %d of 1000 good versions were found bad, want at most 1", failures, found)
 		}
 		if good < 900 {
 			t.Errorf("failure rate %v: %d of 1000 good versions were found good, want nine in ten", failures, good)
