--- a/gateway/pool_rollout.go
+++ b/gateway/pool_rollout.go
@@ -29,10 +29,10 @@
 
 	controller *rollout.Controller
 	evidence   rollout.Evidence
-	// reports holds the evidence of the hosts that send their own state, and heardAt when each
+	// reports holds the evidence of the hosts that send their own state, and receivedAt when each
 	// host last sent anything about the rollout.
 	reports map[ident.Host]rollout.Report
-	heardAt map[ident.Host]time.Time
+	receivedAt map[ident.Host]time.Time
 	// outcome is the last judgement that was logged.
 	outcome rollout.Outcome
 	// blocked says that this host's own evidence is against the version.
@@ -45,7 +45,7 @@
 	p.controller = rollout.NewController(options)
 	p.evidence = rollout.Evidence{}
 	p.reports = make(map[ident.Host]rollout.Report)
-	p.heardAt = make(map[ident.Host]time.Time)
+	p.receivedAt = make(map[ident.Host]time.Time)
 	p.outcome, p.blocked = rollout.Undecided, false
 }
 
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -73,7 +73,7 @@
 }
 
 // setOrders applies the orders that were read. Before the stored progress is known, an order
-// can't be told from one that was written again after the store's return from an older copy.
+// can't be distinguished from one that was written again after the store's return from an older copy.
 func (r *rollouts) setOrders(now time.Time, orders []rollout.Order, invalid []platform.InvalidOrder) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -192,10 +192,10 @@
 // record records the evidence of a message. Several hosts send the aggregate of a data centre, so
 // its newest report replaces the one before, whatever process sent it.
 func (p *poolRollout) record(now time.Time, m *hoststate.Message, report rollout.Report) {
-	if _, known := p.heardAt[m.Host]; !known && len(p.heardAt) >= maxRolloutHosts {
+	if _, known := p.receivedAt[m.Host]; !known && len(p.receivedAt) >= maxRolloutHosts {
 		return
 	}
-	p.heardAt[m.Host] = now
+	p.receivedAt[m.Host] = now
 	if m.AggregateOf != "" {
 		p.evidence.Record("data centre "+string(m.AggregateOf), 0, report)
 		return
@@ -246,7 +246,7 @@
 	active := r.peers.activeHosts(now)
 	supporters := make([]ident.Host, 0, len(active))
 	for _, other := range active {
-		if now.Sub(p.heardAt[other]) < peerTimeout {
+		if now.Sub(p.receivedAt[other]) < peerTimeout {
 			supporters = append(supporters, other)
 		}
 	}
--- a/internal/loadmodel/machine_target.go
+++ b/internal/loadmodel/machine_target.go
@@ -22,7 +22,7 @@
 	id    ident.Request
 	to    route.Target
 	left  float64
-	heard bool
+	reported bool
 }
 
 // machineMessage is a state of a host that reaches the others at a time.
@@ -38,17 +38,17 @@
 			before := r.left
 			r.left -= t.speed / t.factor
 			s := f.hosts[r.host]
-			if f.stream && !r.heard && r.left <= MachineRunMs*3/4 {
+			if f.stream && !r.reported && r.left <= MachineRunMs*3/4 {
 				f.respond(ms, t, r)
 				s.RecordFirstEvent(machineClock(ms), r.id)
 			}
-			if f.stream && r.heard && int(before/10) != int(r.left/10) {
+			if f.stream && r.reported && int(before/10) != int(r.left/10) {
 				s.RecordProgress(machineClock(ms), r.id, 1)
 			}
 			if r.left > 0 {
 				return false
 			}
-			if !r.heard {
+			if !r.reported {
 				f.respond(ms, t, r)
 			}
 			s.Finish(machineClock(ms), r.id, schedule.Served)
@@ -59,7 +59,7 @@
 }
 
 func (f *MachineFleet) respond(ms int, t *machineTarget, r *machineRun) {
-	r.heard = true
+	r.reported = true
 	f.hosts[r.host].ReportLoad(machineClock(ms), r.id, len(t.runs))
 	if f.stated {
 		changed := f.hosts[r.host].RecordMachineState(machineClock(ms), r.to, int(t.factor*100))
--- a/schedule/machine_states.go
+++ b/schedule/machine_states.go
@@ -19,12 +19,12 @@
 	if t == nil || !statement.valid() {
 		return false
 	}
-	if !t.heardMachine.stated() {
+	if !t.ownMachine.stated() {
 		s.machineEvents = append(s.machineEvents, MachineEvent{Target: t.Name, Pool: t.Pool, Percent: percent})
 	}
 	expected := t.machine.expected(now)
-	t.heardMachine = newMachineState(percent, now)
-	t.setMachineState(t.heardMachine)
+	t.ownMachine = newMachineState(percent, now)
+	t.setMachineState(t.ownMachine)
 	return math.Abs(t.machine.factor-expected) >= machineChangeRatio*expected
 }
 
@@ -40,7 +40,7 @@
 
 // forgetMachine removes what an earlier process of the target said of its machine.
 func (t *target) forgetMachine() {
-	t.machine, t.heardMachine, t.machineUnusualAt = machineState{}, machineState{}, time.Time{}
+	t.machine, t.ownMachine, t.machineUnusualAt = machineState{}, machineState{}, time.Time{}
 	t.prefillEvidence, t.intervalEvidence = speedEvidence{}, speedEvidence{}
 }
 
@@ -66,14 +66,14 @@
 func (s *Scheduler) machineStates(now time.Time) []MachineState {
 	var list []MachineState
 	for _, t := range s.targets {
-		heard := t.heardMachine
-		if heard.certainty(now) == 0 || now.Sub(t.machineUnusualAt) >= machineStateTTL {
+		own := t.ownMachine
+		if own.certainty(now) == 0 || now.Sub(t.machineUnusualAt) >= machineStateTTL {
 			continue
 		}
 		list = append(list, MachineState{
 			TargetProcess: TargetProcess{Target: t.Name, StartUnixMs: t.StartUnixMs},
-			Percent:       int(math.Round(heard.factor * usualPercent)),
-			At:            heard.at,
+			Percent:       int(math.Round(own.factor * usualPercent)),
+			At:            own.at,
 		})
 	}
 	return list
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -80,11 +80,11 @@
 	prefillEvidence  speedEvidence
 	intervalEvidence speedEvidence
 
-	// machine is the newest known statement about the target's machine, heardMachine the
+	// machine is the newest known statement about the target's machine, ownMachine the
 	// newest one that this host received itself, and machineUnusualAt when the newest known
 	// statement of an unusual state was received.
 	machine          machineState
-	heardMachine     machineState
+	ownMachine     machineState
 	machineUnusualAt time.Time
 }
 
