--- a/gateway/pool_rollout.go
+++ b/gateway/pool_rollout.go
@@ -31,7 +31,7 @@
 	evidence   rollout.Evidence
 	// reports holds the evidence of the hosts that send their own state, and receivedAt when each
 	// host last sent anything about the rollout.
-	reports map[ident.Host]rollout.Report
+	reports    map[ident.Host]rollout.Report
 	receivedAt map[ident.Host]time.Time
 	// outcome is the last judgement that was logged.
 	outcome rollout.Outcome
--- a/internal/loadmodel/machine_target.go
+++ b/internal/loadmodel/machine_target.go
@@ -18,10 +18,10 @@
 
 // machineRun is a request that runs on a target.
 type machineRun struct {
-	host  int
-	id    ident.Request
-	to    route.Target
-	left  float64
+	host     int
+	id       ident.Request
+	to       route.Target
+	left     float64
 	reported bool
 }
 
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -84,7 +84,7 @@
 	// newest one that this host received itself, and machineUnusualAt when the newest known
 	// statement of an unusual state was received.
 	machine          machineState
-	ownMachine     machineState
+	ownMachine       machineState
 	machineUnusualAt time.Time
 }
 
