--- a/hoststate/send_pacer_test.go
+++ b/hoststate/send_pacer_test.go
@@ -6,7 +6,7 @@
 )
 
 // Guards against states that fill the link of a host while many requests wait: 7 near peers that
-// get 1,200 bytes each 7 ms took all of a link of 10 Mbit/s. The bound is a tenth of the link.
+// get 1,200 bytes each 7 ms would take all of a link of 10 Mbit/s. The bound is a tenth of the link.
 func TestStatesTakeATenthOfTheLink(t *testing.T) {
 	for _, linkMbps := range []float64{10, 200} {
 		p := newSendPacer(linkMbps)
