Listen for callers before the host reports that it is ready

The listener for callers is now opened before any component starts.

TestReadyHostAcceptsConnections starts 20 hosts: it failed in some of 30 runs before (-cpu 7) and in none of 60 after.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -34,6 +34,11 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	g.logger.Info().Str(eventlog.FieldEvent, eventlog.EventStarted).
 		Str("data_centre", string(g.config.DataCentre)).Int("memory_mb", g.config.MemoryMB).Msg("Host is starting.")
+	// The listener is open before the host can report that it is ready.
+	callers, err := net.Listen("tcp", g.config.CallerAddress)
+	if err != nil {
+		return errors.Join(Error.Wrap(err), g.metrics.Closer.Close(), g.logs.Close())
+	}
 	var group run.Group
 	addActor(&group, g.state.exchange.Run)
 	addActor(&group, g.state.dispatcher.Run)
@@ -51,8 +56,8 @@
 	addActor(&group, g.servePeers)
 	addActor(&group, g.listener(g.config.ReadinessAddress, platform.ReadinessHandler(http.HandlerFunc(g.serveReadiness))))
 	addActor(&group, g.serveMetrics)
-	g.addIngress(ctx, &group)
-	err := group.Run()
+	g.addIngress(ctx, &group, callers)
+	err = group.Run()
 	g.transport.Close()
 	g.peerTransport.Close()
 	g.logger.Info().Str(eventlog.FieldEvent, eventlog.EventStopped).
@@ -108,16 +113,12 @@
 
 // addIngress adds the ingress, which serves callers. When ctx is done it drains while the
 // other components keep running, and its return stops them.
-func (g *Gateway) addIngress(ctx context.Context, group *run.Group) {
+func (g *Gateway) addIngress(ctx context.Context, group *run.Group, listener net.Listener) {
 	ctx, cancel := context.WithCancel(ctx)
-	group.Add(func() error { return g.serveCallers(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return g.serveCallers(ctx, listener) }, func(error) { cancel() })
 }
 
-func (g *Gateway) serveCallers(ctx context.Context) error {
-	listener, err := net.Listen("tcp", g.config.CallerAddress)
-	if err != nil {
-		return Error.Wrap(err)
-	}
+func (g *Gateway) serveCallers(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
 		Handler:           g.ingress,
 		ReadHeaderTimeout: readHeaderTimeout,
