Count the holder of a new claim as running until hosts know each other

A holder that is not known, or whose process is newer than the known one, now counts as running for the time in which starting hosts learn of each other (3 s after the claim); after that the answer is as before.

--- a/claim/evaluate.go
+++ b/claim/evaluate.go
@@ -39,7 +39,7 @@
 	if existing.Host == m.options.Host {
 		return existing.Incarnation == m.options.Incarnation
 	}
-	return m.options.Alive(existing.Host, existing.Incarnation)
+	return m.options.Alive(Holder{Host: existing.Host, Incarnation: existing.Incarnation, ClaimedAt: existing.At})
 }
 
 func (m *Manager) loadResponse(ctx context.Context, existing *record) Result {
--- a/claim/manager_test.go
+++ b/claim/manager_test.go
@@ -110,7 +110,7 @@
 			table := newFakeTable()
 			first := startManager(t, table, "host-1", nil)
 			second := startManager(t, table, "host-2", func(o *Options) {
-				o.Alive = func(ident.Host, uint64) bool { return c.alive }
+				o.Alive = func(Holder) bool { return c.alive }
 			})
 			held := mustClaim(t, first, request("k", "body"))
 			if c.finalize != nil {
@@ -228,7 +228,7 @@
 	paused := startManager(t, table, "host-1", nil)
 	held := mustClaim(t, paused, request("k", "body"))
 	other := startManager(t, table, "host-2", func(o *Options) {
-		o.Alive = func(ident.Host, uint64) bool { return false }
+		o.Alive = func(Holder) bool { return false }
 	})
 	for range 3 {
 		checkRefusal(t, other.Claim(context.Background(), request("k", "body")), outcome.ClaimUnknown, outcome.Unknown)
--- a/claim/options.go
+++ b/claim/options.go
@@ -23,9 +23,9 @@
 	Host    ident.Host
 	// Incarnation distinguishes this process from earlier ones on the host.
 	Incarnation uint64
-	// Alive reports whether the given process of a host may still be running. If Alive
-	// is nil, every process is considered running.
-	Alive  func(host ident.Host, incarnation uint64) bool
+	// Alive reports whether the holder of a claim may still be running. If Alive is nil,
+	// every process is considered running.
+	Alive  func(Holder) bool
 	Logger *log.Logger
 	// LookupTimeout is the timeout of one read.
 	LookupTimeout time.Duration
@@ -43,7 +43,7 @@
 	o.ClaimTimeout = orDefault(o.ClaimTimeout, defaultClaimTimeout)
 	o.StopTimeout = orDefault(o.StopTimeout, defaultStopTimeout)
 	if o.Alive == nil {
-		o.Alive = func(ident.Host, uint64) bool { return true }
+		o.Alive = func(Holder) bool { return true }
 	}
 	if o.Logger == nil {
 		o.Logger = &log.Logger{Level: log.ErrorLevel}
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -113,7 +113,7 @@
 		Objects:     d.objects,
 		Host:        d.config.Host,
 		Incarnation: d.incarnation,
-		Alive:       d.mayBeRunning,
+		Alive:       func(h claim.Holder) bool { return mayBeRunning(time.Now(), d.tracker.View(), h) },
 		Logger:      d.logs.For("claim"),
 	})
 	d.trials = trial.NewLedger(trial.Options{Table: d.table, Host: d.config.Host, Logger: d.logs.For("trial"), Now: time.Now})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,7 +8,6 @@
 	"github.com/cornelyard/cornelyard/claim"
 	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/entry"
-	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/logging"
 	"github.com/cornelyard/cornelyard/membership"
 	"github.com/cornelyard/cornelyard/metrics"
@@ -100,16 +99,6 @@
 	return d, nil
 }
 
-// mayBeRunning reports whether the process of a host with the given incarnation
-// may still be running.
-func (d *Daemon) mayBeRunning(host ident.Host, incarnation uint64) bool {
-	member, known := d.tracker.View().Member(host)
-	if !known {
-		return false
-	}
-	return member.State != membership.Dead && member.Incarnation == incarnation
-}
-
 // isSweeper reports whether this host removes old rows of the platform on behalf of all
 // hosts. The first by name of the hosts that are alive and not draining does.
 func (d *Daemon) isSweeper() bool {
