Read a stream ahead while its caller reads nothing

A caller that does not read blocks the host's write, so the host did not read the target either. Targets abort a response that stays unread for some seconds; that counted as a failure of the target and led to a second run.

Once a write blocks for half a second, the response is read ahead into a buffer of at most 256 KB, charged to the budget for responses. If it is full, only this caller's response ends, without a verdict on the target.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -29,6 +30,9 @@
 var (
 	// errSinkFailed means that writing to the caller failed.
 	errSinkFailed = errors.New("the caller takes no more of the answer")
+	// errCallerTooSlow means that the caller reads so slowly that the buffer for its response
+	// is full.
+	errCallerTooSlow = fmt.Errorf("%w: it reads more slowly than its buffer allows", errSinkFailed)
 	// errErrorResponse means that the target responded with an error status, which
 	// was forwarded to the caller.
 	errErrorResponse = errors.New("the target answered with an error")
@@ -134,7 +138,9 @@
 // forwardStream writes complete events to the caller. Events that arrived together
 // are written together.
 func (x *execution) forwardStream(r *run, response *Response) error {
-	events := target.NewEventReader(response.Body, maxEventBytes, x.relay.options.Budget)
+	body := newReadAheadBody(response.Body, x.relay.options.Budget.Reserve())
+	defer func() { _ = body.Close() }()
+	events := target.NewEventReader(body, maxEventBytes, x.relay.options.Budget)
 	defer events.Close()
 	var batch eventBatch
 	for {
@@ -143,25 +149,34 @@
 			return x.endStream(response, &batch)
 		}
 		if err != nil {
-			return brokenError(err)
+			return streamError(err)
 		}
 		batch.add(event)
 		for len(batch.raw) < maxBatchBytes && events.Buffered() {
 			if event, err = events.Next(); err != nil {
-				return brokenError(err)
+				return streamError(err)
 			}
 			batch.add(event)
 		}
 		if batch.count == 0 {
 			continue
 		}
-		if err := x.forwardBatch(r, response, &batch); err != nil {
+		if err := x.forwardBatch(r, response, body, &batch); err != nil {
 			return err
 		}
 		batch.reset()
 	}
 }
 
+// streamError returns the error of a stream whose next event could not be read. A caller that
+// reads too slowly is no failure of the target.
+func streamError(err error) error {
+	if errors.Is(err, errCallerTooSlow) {
+		return err
+	}
+	return brokenError(err)
+}
+
 // endStream completes a stream with the comments after its last event. If the stream had
 // no event, it writes the head.
 func (x *execution) endStream(response *Response, comments *eventBatch) error {
@@ -176,7 +191,7 @@
 	return errorForStatus(response.Status)
 }
 
-func (x *execution) forwardBatch(r *run, response *Response, batch *eventBatch) error {
+func (x *execution) forwardBatch(r *run, response *Response, body *readAheadBody, batch *eventBatch) error {
 	begun := x.delivery.headWritten
 	if err := x.recordBatch(r, batch); err != nil {
 		return err
@@ -193,7 +208,7 @@
 	}
 	x.hedge.pause()
 	defer x.hedge.resume()
-	return x.writeBody(batch.raw)
+	return body.write(func() error { return x.writeBody(batch.raw) })
 }
 
 // recordBatch records events that are about to be written. It returns errStalled if the
