Make simulations with a fixed seed deterministic

Cause: hosts kept targets in the order of a map, which decided between targets of equal cost, and added up reports and demands in the order of maps; the sums differ in their last bits, and so did start tags and predicted waits.

Targets are now ordered by a hash of the host and the target, which still differs between hosts; demands, accounts and states of other hosts are summed in the order of their names. In the load model, arrivals have a random stream of their own, so that policies meet the same arrivals, and callers that stop waiting are handled in the order of submission.

--- a/fairshare/account.go
+++ b/fairshare/account.go
@@ -2,6 +2,7 @@
 
 // account is what one host knows of a team at a rank.
 type account struct {
+	key Key
 	// own is the load of this host and others the total that the other hosts report.
 	own    Load
 	others Load
--- a/fairshare/accounts.go
+++ b/fairshare/accounts.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -24,7 +25,10 @@
 
 // Accounts holds the accounts of one pool.
 type Accounts struct {
-	accounts  map[Key]*account
+	accounts map[Key]*account
+	// ordered holds the accounts ordered by key, so that sums of them don't depend on the order
+	// of a map.
+	ordered   []*account
 	updatedAt time.Time
 }
 
@@ -52,7 +56,7 @@
 			a.lift(key)
 		}
 	}
-	for _, account := range a.accounts {
+	for _, account := range a.ordered {
 		account.own.Queued = 0
 	}
 	for key, sum := range queued {
@@ -66,7 +70,7 @@
 // ReplaceOthers sets the totals that the other hosts report.
 func (a *Accounts) ReplaceOthers(now time.Time, totals map[Key]Load) {
 	a.advance(now)
-	for _, account := range a.accounts {
+	for _, account := range a.ordered {
 		account.others = Load{}
 	}
 	for key, total := range totals {
@@ -81,8 +85,8 @@
 // that it saves up no credit while idle.
 func (a *Accounts) lift(key Key) {
 	least := math.Inf(1)
-	for other, account := range a.accounts {
-		if other != key && other.sameRank(key) && account.queued() > 0 {
+	for _, account := range a.ordered {
+		if account.key != key && account.key.sameRank(key) && account.queued() > 0 {
 			least = min(least, account.level())
 		}
 	}
@@ -109,8 +113,8 @@
 // Contested reports whether another team competes with a team at its rank. A team that is alone
 // needs no start tags.
 func (a *Accounts) Contested(key Key) bool {
-	for other := range a.accounts {
-		if other != key && other.sameRank(key) {
+	for _, account := range a.ordered {
+		if account.key != key && account.key.sameRank(key) {
 			return true
 		}
 	}
@@ -131,12 +135,12 @@
 func (a *Accounts) AheadShare(now time.Time, key Key, tag, teamShare float64) (share float64, known bool) {
 	a.advance(now)
 	ahead, queued := 0.0, 0.0
-	for other, account := range a.accounts {
-		if !other.sameRank(key) || account.others.Queued <= 0 {
+	for _, account := range a.ordered {
+		if !account.key.sameRank(key) || account.others.Queued <= 0 {
 			continue
 		}
 		queued += account.others.Queued
-		if other == key {
+		if account.key == key {
 			ahead += teamShare * account.others.Queued
 			continue
 		}
@@ -152,7 +156,7 @@
 // QueuedShare returns the part of all queued slot time of the pool that this host has queued.
 func (a *Accounts) QueuedShare() float64 {
 	own, all := 0.0, 0.0
-	for _, account := range a.accounts {
+	for _, account := range a.ordered {
 		own += account.own.Queued
 		all += account.queued()
 	}
@@ -166,11 +170,11 @@
 func (a *Accounts) Own(now time.Time) iter.Seq2[Key, Load] {
 	a.advance(now)
 	return func(yield func(Key, Load) bool) {
-		for key, account := range a.accounts {
+		for _, account := range a.ordered {
 			if account.own.Used < minUsed && account.own.Queued == 0 {
 				continue
 			}
-			if !yield(key, account.own) {
+			if !yield(account.key, account.own) {
 				return
 			}
 		}
@@ -181,8 +185,10 @@
 func (a *Accounts) open(key Key) *account {
 	known := a.accounts[key]
 	if known == nil && len(a.accounts) < maxAccounts {
-		known = &account{}
+		known = &account{key: key}
 		a.accounts[key] = known
+		at, _ := slices.BinarySearchFunc(a.ordered, key, func(other *account, key Key) int { return other.key.compare(key) })
+		a.ordered = slices.Insert(a.ordered, at, known)
 	}
 	return known
 }
@@ -191,7 +197,7 @@
 func (a *Accounts) advance(now time.Time) {
 	if !a.updatedAt.IsZero() && now.After(a.updatedAt) {
 		factor := Decayed(1, now.Sub(a.updatedAt))
-		for _, account := range a.accounts {
+		for _, account := range a.ordered {
 			account.decay(factor)
 		}
 	}
@@ -201,9 +207,11 @@
 }
 
 func (a *Accounts) dropUnused() {
-	for key, account := range a.accounts {
-		if account.level() < minUsed && account.queued() == 0 {
-			delete(a.accounts, key)
+	a.ordered = slices.DeleteFunc(a.ordered, func(account *account) bool {
+		unused := account.level() < minUsed && account.queued() == 0
+		if unused {
+			delete(a.accounts, account.key)
 		}
-	}
+		return unused
+	})
 }
--- a/internal/loadmodel/arrivals.go
+++ b/internal/loadmodel/arrivals.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"strconv"
 
 	"github.com/cornelyard/cornelyard/ident"
@@ -24,7 +25,7 @@
 				prompt: m.drawLength(c.Prompt, c.PromptSpread), output: m.drawLength(c.Output, c.OutputSpread),
 			}
 			r.estimatedOutput = max(1, int(float64(r.output)*math.Exp(estimateSpread*m.random.NormFloat64())))
-			m.submit(r)
+			m.submit(r, m.random)
 			m.report.Classes[c.Name].Arrived++
 			m.report.Classes[c.Name].MaxValue += c.Value
 		}
@@ -35,7 +36,7 @@
 			remaining = append(remaining, r)
 			continue
 		}
-		m.submit(r)
+		m.submit(r, m.decisions)
 	}
 	m.pendingRetries = remaining
 }
@@ -56,12 +57,13 @@
 	return max(1, int(float64(mean)*math.Exp(spread*m.random.NormFloat64()-spread*spread/2)))
 }
 
-// submit submits a request to a random host.
-func (m *model) submit(r *request) {
+// submit submits a request to a host drawn from random.
+func (m *model) submit(r *request, random *rand.Rand) {
 	m.requestCount++
+	r.sequence = m.requestCount
 	r.id = ident.Request(strconv.Itoa(m.requestCount))
 	r.arrived = m.now
-	r.host = m.random.IntN(len(m.hosts))
+	r.host = random.IntN(len(m.hosts))
 	r.prefillLeft, r.tokensLeft, r.firstEvent, r.lastEvent = float64(r.prompt), float64(r.output), 0, 0
 	m.active[r.id] = r
 	h := m.hosts[r.host]
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -1,7 +1,9 @@
 package loadmodel
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,16 +27,21 @@
 // model is the state of one simulation run.
 type model struct {
 	scenario Scenario
-	random   *rand.Rand
-	now      time.Duration
-	engines  []*engine
-	byName   map[ident.Target]*engine
-	hosts    []*host
+	// random draws the arrivals, and decisions what the hosts draw and where retries arrive, so
+	// that the arrivals don't depend on the decisions.
+	random    *rand.Rand
+	decisions *rand.Rand
+	now       time.Duration
+	engines   []*engine
+	byName    map[ident.Target]*engine
+	hosts     []*host
 	// active holds the unfinished requests, pendingRetries those that will be retried.
 	active         map[ident.Request]*request
 	pendingRetries []*request
 	requestCount   int
 	report         Report
+	roster         *route.TargetSnapshot
+	pools          map[ident.Pool]*route.Pool
 }
 
 // Run simulates a scenario.
@@ -43,6 +50,7 @@
 	for m.now < s.Length {
 		m.now += step
 		m.failEngines()
+		m.loseEngines()
 		m.generateArrivals()
 		m.runEngines()
 		m.abandonExpired()
@@ -53,13 +61,15 @@
 
 func newModel(s Scenario) *model {
 	m := &model{
-		scenario: s,
-		random:   rand.New(rand.NewPCG(s.Seed, 1)),
-		byName:   make(map[ident.Target]*engine),
-		active:   make(map[ident.Request]*request),
-		report:   Report{Classes: make(map[string]*Outcome)},
+		scenario:  s,
+		random:    rand.New(rand.NewPCG(s.Seed, 1)),
+		decisions: rand.New(rand.NewPCG(s.Seed, 2)),
+		byName:    make(map[ident.Target]*engine),
+		active:    make(map[ident.Request]*request),
+		report:    Report{Classes: make(map[string]*Outcome)},
 	}
 	roster := &route.TargetSnapshot{Targets: make(map[ident.Target]route.Target)}
+	m.roster = roster
 	for i, speed := range s.EngineSpeeds {
 		e := &engine{name: ident.Target("engine-" + strconv.Itoa(i)), speed: speed, slots: s.Slots}
 		m.engines = append(m.engines, e)
@@ -67,11 +77,12 @@
 		roster.Targets[e.name] = route.Target{Name: e.name, Pool: poolName, Slots: s.Slots, DataCentre: s.dataCentreOf(i)}
 	}
 	pools := map[ident.Pool]*route.Pool{poolName: {Name: poolName, Engine: &route.Engine{Slots: s.Slots}}}
+	m.pools = pools
 	for i := range s.Hosts {
 		h := &host{
 			name:           ident.Host(strconv.Itoa(i)),
 			dataCentre:     s.dataCentreOf(i),
-			scheduler:      schedule.New(schedule.Options{Random: m.random.Float64, Host: ident.Host(strconv.Itoa(i)), DataCentre: s.dataCentreOf(i), FairShares: s.hasTeams()}),
+			scheduler:      schedule.New(schedule.Options{Random: m.decisions.Float64, Host: ident.Host(strconv.Itoa(i)), DataCentre: s.dataCentreOf(i), FairShares: s.hasTeams()}),
 			receivedCounts: make([]int, s.Hosts),
 		}
 		h.scheduler.SetPeers(clock(0), m.othersThan(i))
@@ -126,6 +137,26 @@
 	}
 }
 
+// loseEngines removes the engines that crash and fails their requests.
+func (m *model) loseEngines() {
+	lost := min(m.scenario.LostEngines, len(m.engines))
+	if lost == 0 || m.now < m.scenario.LoseAt {
+		return
+	}
+	for _, e := range m.engines[:lost] {
+		for _, r := range append(e.running, e.queue...) {
+			m.finish(r, schedule.Broken)
+			m.report.Classes[r.class.Name].Failed++
+		}
+		delete(m.roster.Targets, e.name)
+	}
+	m.engines = m.engines[lost:]
+	m.scenario.LostEngines = 0
+	for _, h := range m.hosts {
+		h.scheduler.Configure(clock(m.now), m.pools, m.roster)
+	}
+}
+
 // runEngines advances the engines by one step.
 func (m *model) runEngines() {
 	for _, e := range m.engines {
@@ -147,6 +178,9 @@
 
 func (m *model) recordServed(r *request) {
 	o := m.report.Classes[r.class.Name]
+	if r.retry {
+		o.RetriesServed++
+	}
 	if r.firstEvent <= r.submitted+r.class.Objective {
 		o.OnTime++
 		o.EarnedValue += r.class.Value
@@ -166,10 +200,7 @@
 
 // abandonExpired removes the requests whose callers have stopped waiting.
 func (m *model) abandonExpired() {
-	for _, r := range m.active {
-		if m.now < r.abandonTime() {
-			continue
-		}
+	for _, r := range m.expired() {
 		if r.engine != nil {
 			r.engine.remove(r)
 		}
@@ -178,3 +209,15 @@
 		m.report.Classes[r.class.Name].Abandoned++
 	}
 }
+
+// expired returns the requests whose callers stop waiting now, in the order of submission.
+func (m *model) expired() []*request {
+	var list []*request
+	for _, r := range m.active {
+		if m.now >= r.abandonTime() {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.sequence, b.sequence) })
+	return list
+}
--- a/internal/loadmodel/outcome.go
+++ b/internal/loadmodel/outcome.go
@@ -8,6 +8,16 @@
 	Refused int
 	// Abandoned counts requests whose callers gave up waiting.
 	Abandoned int
+	// Failed counts requests whose engine crashed.
+	Failed int
+	// Refusals counts the refused attempts, and EarlyRefusals those within an eighth of the
+	// objective after the attempt arrived.
+	Refusals      int
+	EarlyRefusals int
+	// Retries counts the second attempts after a refusal, and RetriesServed those of them that
+	// were served.
+	Retries       int
+	RetriesServed int
 	// EarnedValue and MaxValue are in the units of RequestClass.Value.
 	EarnedValue float64
 	MaxValue    float64
--- a/internal/loadmodel/report.go
+++ b/internal/loadmodel/report.go
@@ -24,6 +24,11 @@
 		sum.Late += o.Late
 		sum.Refused += o.Refused
 		sum.Abandoned += o.Abandoned
+		sum.Failed += o.Failed
+		sum.Refusals += o.Refusals
+		sum.EarlyRefusals += o.EarlyRefusals
+		sum.Retries += o.Retries
+		sum.RetriesServed += o.RetriesServed
 	}
 	return sum
 }
--- a/internal/loadmodel/request.go
+++ b/internal/loadmodel/request.go
@@ -9,9 +9,11 @@
 
 // request is one attempt of a caller.
 type request struct {
-	id    ident.Request
-	class *RequestClass
-	host  int
+	id ident.Request
+	// sequence is the number of the attempt among all.
+	sequence int
+	class    *RequestClass
+	host     int
 	// submitted is the time of the first attempt, arrived that of this one.
 	submitted time.Duration
 	arrived   time.Duration
--- a/internal/loadmodel/scenario.go
+++ b/internal/loadmodel/scenario.go
@@ -43,7 +43,11 @@
 	// requests.
 	FailedEngines int
 	FailAt        time.Duration
-	Policy        Policy
+	// LostEngines is how many engines crash at LoseAt: their requests fail, and they are no longer
+	// announced.
+	LostEngines int
+	LoseAt      time.Duration
+	Policy      Policy
 }
 
 // hasTeams reports whether any class of requests belongs to a team.
--- a/internal/loadmodel/schedulers.go
+++ b/internal/loadmodel/schedulers.go
@@ -62,10 +62,18 @@
 		m.byName[a.Target.Name].accept(r)
 	case *schedule.Refuse:
 		delete(m.active, r.id)
+		o := m.report.Classes[r.class.Name]
+		o.Refusals++
+		if m.now-r.arrived <= r.class.Objective/earlyRefusalPart {
+			o.EarlyRefusals++
+		}
 		m.handleRefusal(r, a.RetryAfter)
 	}
 }
 
+// earlyRefusalPart is the part of the objective within which a refusal is early.
+const earlyRefusalPart = 8
+
 // handleRefusal schedules one retry if the deadline allows it.
 func (m *model) handleRefusal(r *request, after time.Duration) {
 	timeLeft := r.submitted + r.class.Deadline - m.now
@@ -73,6 +81,7 @@
 		m.report.Classes[r.class.Name].Refused++
 		return
 	}
+	m.report.Classes[r.class.Name].Retries++
 	retried := *r
 	retried.retry, retried.engine = true, nil
 	retried.arrived = m.now + min(after, timeLeft/3)
--- a/schedule/aggregate_state.go
+++ b/schedule/aggregate_state.go
@@ -28,7 +28,7 @@
 		backlogs.add(p.backlogs(now), 0)
 	}
 	hosts = 1
-	for _, peer := range s.peers {
+	for peer := range s.directPeerStates() {
 		if age := now.Sub(peer.receivedAt); age < s.stateTTL {
 			backlogs.add(peer.state.Backlogs, age)
 			hosts++
@@ -78,7 +78,7 @@
 // directDemands returns the demand at this host and its direct peers.
 func (s *Scheduler) directDemands(now time.Time) []Demand {
 	list := s.localDemands(now)
-	for _, peer := range s.peers {
+	for peer := range s.directPeerStates() {
 		list = append(list, peer.state.Demands...)
 	}
 	return mergeDemands(list)
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -71,16 +71,16 @@
 // urgentLoad returns the average number of slots that more urgent requests of all
 // hosts occupy, and their arrivals per second.
 func (p *pool) urgentLoad(now time.Time, w *queuedRequest) (taken, arrivals float64) {
-	for rank, d := range p.demands {
-		if w.late || rank.Compare(w.request.Rank) < 0 {
-			taken += d.meanSlots(now)
-			arrivals += d.rate(now)
+	for _, e := range p.demands.entries {
+		if w.late || e.rank.Compare(w.request.Rank) < 0 {
+			taken += e.value.meanSlots(now)
+			arrivals += e.value.rate(now)
 		}
 	}
-	for rank, d := range p.peerDemands {
-		if w.late || rank.Compare(w.request.Rank) < 0 {
-			taken += d.slots
-			arrivals += d.rate
+	for _, e := range p.peerDemands.entries {
+		if w.late || e.rank.Compare(w.request.Rank) < 0 {
+			taken += e.value.slots
+			arrivals += e.value.rate
 		}
 	}
 	return taken, arrivals
--- a/schedule/limits.go
+++ b/schedule/limits.go
@@ -162,8 +162,8 @@
 // arrivalRate returns the requests per second that arrive at this host, of all ranks.
 func (p *pool) arrivalRate(now time.Time) float64 {
 	sum := 0.0
-	for _, d := range p.demands {
-		sum += d.rate(now)
+	for _, e := range p.demands.entries {
+		sum += e.value.rate(now)
 	}
 	return sum
 }
@@ -302,9 +302,9 @@
 // urgentArrivals returns the more urgent requests per second that arrive at this host.
 func (p *pool) urgentArrivals(now time.Time, w *queuedRequest) float64 {
 	sum := 0.0
-	for rank, d := range p.demands {
-		if w.late || rank.Compare(w.request.Rank) < 0 {
-			sum += d.rate(now)
+	for _, e := range p.demands.entries {
+		if w.late || e.rank.Compare(w.request.Rank) < 0 {
+			sum += e.value.rate(now)
 		}
 	}
 	return sum
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -4,6 +4,7 @@
 	"iter"
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
@@ -31,11 +32,16 @@
 	direct bool
 	// claims holds the host's rates for targets with limits.
 	claims map[ident.Target]float64
+	// position is the index in Scheduler.peerOrder.
+	position int
 }
 
 // ApplyPeerState replaces the known state of another host.
 func (s *Scheduler) ApplyPeerState(now time.Time, host ident.Host, state State) {
-	s.peers[host] = s.replacePeerState(s.peers[host], &peerState{state: state, receivedAt: now, hosts: 1, direct: true})
+	after := &peerState{state: state, receivedAt: now, hosts: 1, direct: true}
+	before := s.peers[host]
+	s.peers[host] = s.replacePeerState(before, after)
+	s.updatePeerOrder(before, after)
 	for _, p := range state.PrefixLocations {
 		s.prefixes.record(now, p.Hash, p.Target)
 	}
@@ -50,7 +56,10 @@
 // ApplyDataCentreState replaces the known aggregate state of the hosts of another data
 // centre.
 func (s *Scheduler) ApplyDataCentreState(now time.Time, dc ident.DataCentre, hosts int, state State) {
-	s.dcAggregates[dc] = s.replacePeerState(s.dcAggregates[dc], &peerState{state: state, receivedAt: now, hosts: hosts})
+	after := &peerState{state: state, receivedAt: now, hosts: hosts}
+	before := s.dcAggregates[dc]
+	s.dcAggregates[dc] = s.replacePeerState(before, after)
+	s.updatePeerOrder(before, after)
 	s.MergeCrashes(now, state.Crashes)
 	s.applyTeamLoads(now, s.dcAggregates[dc])
 	s.applyLimits(now, s.dcAggregates[dc])
@@ -115,6 +124,30 @@
 	}
 }
 
+// updatePeerOrder replaces a state in the order of peerStates by a newer one.
+func (s *Scheduler) updatePeerOrder(before, after *peerState) {
+	if before == nil {
+		s.sortPeers()
+		return
+	}
+	after.position = before.position
+	s.peerOrder[after.position] = after
+}
+
+// sortPeers rebuilds the order of peerStates after a host or data centre was added or removed.
+func (s *Scheduler) sortPeers() {
+	s.peerOrder = s.peerOrder[:0]
+	for _, host := range slices.Sorted(maps.Keys(s.peers)) {
+		s.peerOrder = append(s.peerOrder, s.peers[host])
+	}
+	for _, dc := range slices.Sorted(maps.Keys(s.dcAggregates)) {
+		s.peerOrder = append(s.peerOrder, s.dcAggregates[dc])
+	}
+	for i, peer := range s.peerOrder {
+		peer.position = i
+	}
+}
+
 // rebuildAggregates recomputes the totals of the other hosts after targets or hosts
 // were added or removed.
 func (s *Scheduler) rebuildAggregates() {
@@ -122,7 +155,7 @@
 		t.peers, t.directPeers = peerAggregate{}, peerAggregate{}
 	}
 	for _, p := range s.pools {
-		clear(p.peerDemands)
+		p.peerDemands.clear()
 		p.shares.peersChanged = true
 	}
 	for peer := range s.peerStates() {
@@ -130,16 +163,23 @@
 	}
 }
 
-// peerStates iterates over the known states of other hosts and data centres.
+// peerStates iterates over the known states of other hosts and data centres, ordered by name so
+// that sums don't depend on the order of a map.
 func (s *Scheduler) peerStates() iter.Seq[*peerState] {
 	return func(yield func(*peerState) bool) {
-		for _, peer := range s.peers {
+		for _, peer := range s.peerOrder {
 			if !yield(peer) {
 				return
 			}
 		}
-		for _, aggregate := range s.dcAggregates {
-			if !yield(aggregate) {
+	}
+}
+
+// directPeerStates iterates over the known states of other hosts, ordered by name.
+func (s *Scheduler) directPeerStates() iter.Seq[*peerState] {
+	return func(yield func(*peerState) bool) {
+		for _, peer := range s.peerOrder[:len(s.peers)] {
+			if !yield(peer) {
 				return
 			}
 		}
@@ -152,6 +192,7 @@
 	maps.DeleteFunc(s.peers, func(_ ident.Host, p *peerState) bool { return now.Sub(p.receivedAt) > peerStateTTL })
 	maps.DeleteFunc(s.dcAggregates, func(_ ident.DataCentre, p *peerState) bool { return now.Sub(p.receivedAt) > peerStateTTL })
 	if len(s.peers)+len(s.dcAggregates) < count {
+		s.sortPeers()
 		s.rebuildAggregates()
 	}
 }
@@ -236,8 +277,8 @@
 func (s *Scheduler) localDemands(now time.Time) []Demand {
 	list := []Demand{}
 	for _, p := range s.pools {
-		for rank, d := range p.demands {
-			list = append(list, Demand{Pool: p.name, Rank: rank, ArrivalRate: d.rate(now), MeanSlots: d.meanSlots(now)})
+		for _, e := range p.demands.entries {
+			list = append(list, Demand{Pool: p.name, Rank: e.rank, ArrivalRate: e.value.rate(now), MeanSlots: e.value.meanSlots(now)})
 		}
 	}
 	return list
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -24,9 +24,9 @@
 	engine  *route.Engine
 	targets []*target
 	queue   queue
-	demands map[Rank]*demand
+	demands rankTable[demand]
 	// peerDemands holds the demand at the other hosts.
-	peerDemands map[Rank]*peerDemand
+	peerDemands rankTable[peerDemand]
 
 	// shares divides the capacity among teams while it is scarce.
 	shares teamShares
@@ -65,8 +65,6 @@
 func newPool(name ident.Pool, fairShares bool) *pool {
 	return &pool{
 		name:          name,
-		demands:       make(map[Rank]*demand),
-		peerDemands:   make(map[Rank]*peerDemand),
 		shares:        newTeamShares(fairShares),
 		meanService:   defaultPlainService.Seconds(),
 		prefillRate:   defaultPrefillRate,
@@ -192,20 +190,10 @@
 	return r.Retryable || now.Sub(p.retryableArrivedAt) > maxProbeWait
 }
 
-func (p *pool) demandOf(r Rank) *demand { return getOrCreate(p.demands, r) }
+func (p *pool) demandOf(r Rank) *demand { return p.demands.getOrCreate(r) }
 
 // peerDemandOf returns the demand at the other hosts at a rank.
-func (p *pool) peerDemandOf(r Rank) *peerDemand { return getOrCreate(p.peerDemands, r) }
-
-// getOrCreate returns the entry of a rank, adding an empty one if there is none.
-func getOrCreate[D any](demands map[Rank]*D, r Rank) *D {
-	d := demands[r]
-	if d == nil {
-		d = new(D)
-		demands[r] = d
-	}
-	return d
-}
+func (p *pool) peerDemandOf(r Rank) *peerDemand { return p.peerDemands.getOrCreate(r) }
 
 func freeSlots(now time.Time, targets []*target) int {
 	free := 0
--- a/schedule/refusal.go
+++ b/schedule/refusal.go
@@ -85,10 +85,10 @@
 // meanServiceOf returns the mean service time of a rank in seconds, over all hosts.
 func (p *pool) meanServiceOf(now time.Time, r Rank) float64 {
 	rate, taken := 0.0, 0.0
-	if d := p.demands[r]; d != nil && d.meanService > 0 {
+	if d := p.demands.get(r); d != nil && d.meanService > 0 {
 		rate, taken = d.rate(now), d.meanSlots(now)
 	}
-	if others := p.peerDemands[r]; others != nil && others.slots > 0 {
+	if others := p.peerDemands.get(r); others != nil && others.slots > 0 {
 		rate += others.rate
 		taken += others.slots
 	}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -1,9 +1,14 @@
 package schedule
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/route"
@@ -18,12 +23,16 @@
 	// leaving is set while this host stops.
 	leaving bool
 
-	pools   map[ident.Pool]*pool
-	targets map[ident.Target]*target
-	peers   map[ident.Host]*peerState
+	pools map[ident.Pool]*pool
+	// poolOrder holds the pools ordered by name.
+	poolOrder []*pool
+	targets   map[ident.Target]*target
+	peers     map[ident.Host]*peerState
 	// dcAggregates holds the aggregate states of the data centres whose hosts do not
 	// send their own state to this one.
 	dcAggregates map[ident.DataCentre]*peerState
+	// peerOrder holds the states of peers and dcAggregates, ordered by name.
+	peerOrder []*peerState
 	// peerCount is the number of other hosts, whether their state is known or not, and
 	// hostDataCentres their data centres.
 	peerCount       int
@@ -131,8 +140,8 @@
 	for _, t := range s.targets {
 		t.announced = false
 	}
-	for name, announced := range snapshot.Targets {
-		s.configureTarget(now, name, announced)
+	for _, name := range s.inOrderOfHost(slices.Collect(maps.Keys(snapshot.Targets))) {
+		s.configureTarget(now, name, snapshot.Targets[name])
 	}
 	for _, t := range s.targets {
 		if !t.announced && t.running == 0 {
@@ -144,6 +153,20 @@
 	s.rebuildAggregates()
 }
 
+// inOrderOfHost orders targets by a hash of their names and that of this host. Of targets that
+// cost the same, a host selects the first, so the order is the same in each run but differs
+// between hosts.
+func (s *Scheduler) inOrderOfHost(names []ident.Target) []ident.Target {
+	weights := make(map[ident.Target]uint64, len(names))
+	for _, name := range names {
+		weights[name] = xxhash.Sum64String(string(s.host) + "\x00" + string(name))
+	}
+	slices.SortFunc(names, func(a, b ident.Target) int {
+		return cmp.Or(cmp.Compare(weights[a], weights[b]), cmp.Compare(a, b))
+	})
+	return names
+}
+
 func (s *Scheduler) configureTarget(now time.Time, name ident.Target, announced route.Target) {
 	t := s.targets[name]
 	if t != nil && t.Pool != announced.Pool {
@@ -192,6 +215,8 @@
 	if p == nil {
 		p = newPool(name, s.fairShares)
 		s.pools[name] = p
+		at, _ := slices.BinarySearchFunc(s.poolOrder, name, func(p *pool, name ident.Pool) int { return cmp.Compare(p.name, name) })
+		s.poolOrder = slices.Insert(s.poolOrder, at, p)
 	}
 	return p
 }
@@ -268,7 +293,7 @@
 	s.updateRates(now)
 	s.ejectUnresponsive(now)
 	s.ejectOutliers(now)
-	for _, p := range s.pools {
+	for _, p := range s.poolOrder {
 		s.updateShares(now, p, nil)
 		if len(p.queue.items) == 0 {
 			continue
--- a/schedule/team_loads.go
+++ b/schedule/team_loads.go
@@ -34,12 +34,14 @@
 	return largestLoads(list)
 }
 
+// largestLoads returns the largest loads, in an order that doesn't depend on that of a map.
 func largestLoads(list []TeamLoad) []TeamLoad {
-	if len(list) > maxTeamLoads {
-		slices.SortFunc(list, func(a, b TeamLoad) int { return cmp.Compare(b.Used+b.Queued, a.Used+a.Queued) })
-		list = list[:maxTeamLoads]
-	}
-	return list
+	slices.SortFunc(list, func(a, b TeamLoad) int {
+		return cmp.Or(
+			cmp.Compare(b.Used+b.Queued, a.Used+a.Queued), a.Rank.Compare(b.Rank), cmp.Compare(a.Team, b.Team),
+		)
+	})
+	return list[:min(len(list), maxTeamLoads)]
 }
 
 // applyTeamLoads records that the loads of a host have changed and whether it found capacity to
@@ -98,18 +100,18 @@
 	for _, p := range s.pools {
 		add(p.teamLoads(now), 0)
 	}
-	for _, peer := range s.peers {
+	for peer := range s.directPeerStates() {
 		if age := now.Sub(peer.receivedAt); age < s.stateTTL {
 			add(peer.state.TeamLoads, age)
 		}
 	}
-	var list []TeamLoad
 	byPool := make(map[*pool][]TeamLoad)
 	for k, total := range totals {
 		byPool[k.pool] = append(byPool[k.pool], total)
 	}
-	for _, loads := range byPool {
-		list = append(list, largestLoads(loads)...)
+	var list []TeamLoad
+	for _, p := range s.poolOrder {
+		list = append(list, largestLoads(byPool[p])...)
 	}
 	return list
 }
