--- a/cli/command.go
+++ b/cli/command.go
@@ -18,6 +18,7 @@
 func Commands() []Command {
 	return []Command{
 		&validateCommand{},
+		&checkCommand{},
 		&diffCommand{},
 		&applyCommand{},
 		&getCommand{},
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -41,7 +41,7 @@
 }
 
 func (d *decoder) add(path Path, offset int, message, allowed string) {
-	position := positionAt(d.data, offset)
+	position := PositionAt(d.data, offset)
 	d.findings = append(d.findings, finding.Finding{
 		File:    d.file,
 		Path:    string(path),
--- a/internal/strictjson/position.go
+++ b/internal/strictjson/position.go
@@ -8,7 +8,8 @@
 	Column int
 }
 
-func positionAt(data []byte, offset int) Position {
+// PositionAt returns the position of a byte offset; one beyond the text is its end.
+func PositionAt(data []byte, offset int) Position {
 	offset = min(offset, len(data))
 	before := data[:offset]
 	line := bytes.Count(before, []byte{'\n'}) + 1
@@ -29,7 +30,7 @@
 			nearest = n
 		}
 	})
-	return positionAt(data, nearest.offset)
+	return PositionAt(data, nearest.offset)
 }
 
 func isPrefix(p, path Path) bool {
