Use one processor on small hosts, and wake up less often

Cause: a gateway in a process of its own used twice as much processor time as one of many in a process. With two or more processors each goroutine that becomes ready wakes a thread that looks for work in vain, and at rest the loops of the exchange wake up 100 times a second to read and twice for each state that is sent. Change: hosts with less than 1 GB of memory use one processor (setting processors, or the variable GOMAXPROCS); datagrams are read at what the interval between sends leaves of the 30 ms that quotas allow for; the loop that sends wakes up once for each state. The head of a request and its body are written together; the listener for callers sets no keep-alive probes; the garbage collector runs when the heap has grown fourfold beyond what is in use, within the same limit.

--- a/cmd/cornelyard-gateway/main.go
+++ b/cmd/cornelyard-gateway/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -24,6 +25,7 @@
 	if err != nil {
 		exitstatus.Fail(exitstatus.Settings, err)
 	}
+	limitProcessors(host)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	g := gateway.New(gateway.Options{Config: *host})
@@ -33,6 +35,13 @@
 	}
 }
 
+// limitProcessors applies the host's number of processors, unless the variable GOMAXPROCS sets one.
+func limitProcessors(host *config.Gateway) {
+	if n := host.UsedProcessors(); n > 0 && os.Getenv("GOMAXPROCS") == "" {
+		runtime.GOMAXPROCS(n)
+	}
+}
+
 // reloadOnSignal reloads the settings file on each SIGHUP.
 func reloadOnSignal(ctx context.Context, g *gateway.Gateway, path string) {
 	reload := make(chan os.Signal, 1)
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -25,6 +25,9 @@
 	// LinkMbps is the bandwidth of this host's link in megabits per second, of which the states
 	// for other hosts take a small part. Zero means that it isn't known.
 	LinkMbps float64 `json:"linkMbps,omitempty"`
+	// Processors is the number of processors that the process uses at a time. Zero means one on a
+	// host with less than smallHostMB of memory, and otherwise the default of the Go runtime.
+	Processors int `json:"processors,omitempty"`
 	// StopTime is the time between the request to stop and the forced termination.
 	StopTime settings.Duration `json:"stopTime"`
 	// DrainTime is how long the platform lets hosts send requests to a target after it has
@@ -44,6 +47,21 @@
 	LogLevel string `json:"logLevel,omitempty"`
 }
 
+// smallHostMB is the memory below which a host is expected to have less than one processor: hosts of
+// 112 MB have a fifth of one and those of 536 MB four fifths. With a second one, each goroutine
+// that becomes ready wakes a thread that looks for work and finds none; that is a third to half
+// of the processor time of a host that is nearly idle.
+const smallHostMB = 1024
+
+// UsedProcessors returns the number of processors that the process uses at a time, or zero for the
+// default of the Go runtime.
+func (g *Gateway) UsedProcessors() int {
+	if g.Processors == 0 && g.MemoryMB > 0 && g.MemoryMB < smallHostMB {
+		return 1
+	}
+	return g.Processors
+}
+
 // RetryBudget limits the retries that all hosts together send to the targets of one
 // pool.
 type RetryBudget struct {
--- a/config/gateway_checker.go
+++ b/config/gateway_checker.go
@@ -62,6 +62,7 @@
 	if g.DrainTime < 0 {
 		c.add("drainTime", "the time is negative", "0s or more")
 	}
+	c.checkProcessors()
 	c.checkRetryBudget()
 	c.checkQuota()
 	c.checkRollout()
@@ -83,6 +84,12 @@
 	}
 }
 
+func (c *gatewayChecker) checkProcessors() {
+	if c.gateway.Processors < 0 {
+		c.add("processors", "the number of processors is negative", "0 or more")
+	}
+}
+
 func (c *gatewayChecker) checkQuota() {
 	q := c.gateway.Quota
 	if q.Window <= 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,10 @@
 	// heapFraction is the fraction of the process's memory that the Go heap may use. The
 	// remainder is for program text, stacks and socket buffers.
 	heapFraction = 0.6
+	// gcPercent is how much the heap grows between two garbage collections, in percent of what is in
+	// use, as long as the limit of the heap allows it. A host uses some megabytes only, so with the
+	// default of 100 it collects several times a second under load.
+	gcPercent = 400
 	// requestFraction and responseFraction are the fractions of the heap that the bodies of
 	// requests and buffered responses may use. Each may use freeRequestBytes or
 	// freeResponseBytes beyond that, so that short ones always pass.
@@ -98,6 +102,7 @@
 	c := o.Config
 	heapLimit := heapFraction * float64(c.MemoryMB) * (1 << 20)
 	debug.SetMemoryLimit(int64(heapLimit))
+	debug.SetGCPercent(gcPercent)
 	g := &Gateway{
 		config:  c,
 		dial:    o.DialTarget,
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/oklog/run"
@@ -33,7 +34,8 @@
 // fails, for instance because the address of a listener is in use.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.logger.Info().Str(eventlog.FieldEvent, eventlog.EventStarted).
-		Str("data_centre", string(g.config.DataCentre)).Int("memory_mb", g.config.MemoryMB).Msg("Host is starting.")
+		Str("data_centre", string(g.config.DataCentre)).Int("memory_mb", g.config.MemoryMB).
+		Int("processors", runtime.GOMAXPROCS(0)).Msg("Host is starting.")
 	var group run.Group
 	addActor(&group, g.state.exchange.Run)
 	addActor(&group, g.state.dispatcher.Run)
@@ -114,7 +116,10 @@
 }
 
 func (g *Gateway) serveCallers(ctx context.Context) error {
-	listener, err := net.Listen("tcp", g.config.CallerAddress)
+	// Timeouts end the connections of callers that vanish, long before keep-alive probes would, which
+	// cost four system calls for each connection.
+	listen := net.ListenConfig{KeepAlive: -1}
+	listener, err := listen.Listen(ctx, "tcp", g.config.CallerAddress)
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -26,11 +26,11 @@
 	minSendInterval     = 4 * time.Millisecond
 	sendIntervalPerHost = time.Millisecond
 	// cellIntervalPerHost replaces sendIntervalPerHost in systems that are divided, up to
-	// maxCellInterval, and there datagrams are read at receiveInterval, while no requests wait.
-	// A quota's headroom covers reports that are as old as both together, 30 ms.
+	// maxCellInterval, while no requests wait. Datagrams are then read at intervals too. A quota's
+	// headroom covers reports as old as maxReportAge, which is both intervals together.
 	cellIntervalPerHost = 2 * time.Millisecond
 	maxCellInterval     = 20 * time.Millisecond
-	receiveInterval     = 10 * time.Millisecond
+	maxReportAge        = 30 * time.Millisecond
 	// minAggregateInterval and aggregateIntervalPerDataCentre set the time between two
 	// aggregates from this host to the same remote host.
 	minAggregateInterval           = 100 * time.Millisecond
@@ -161,8 +161,8 @@
 		for i := range batch[:n] {
 			e.handleDatagram(filter, batch[i].Buffers[0][:batch[i].N])
 		}
-		if n < len(batch) && !e.peers.Load().fullMesh() && !e.pressure.High(time.Now()) {
-			time.Sleep(receiveInterval)
+		if peers := e.peers.Load(); n < len(batch) && !peers.fullMesh() && !e.pressure.High(time.Now()) {
+			time.Sleep(peers.receiveInterval())
 		}
 	}
 }
@@ -186,21 +186,34 @@
 	e.options.OnMessage(now, m)
 }
 
-// sendLoop sends the state after changes and at each heartbeat, until ctx is done.
+// sendLoop sends the state after changes and at each heartbeat, until ctx is done. It wakes up once
+// for each state, because a wake-up of an idle process costs as much as sending one.
 func (e *Exchange) sendLoop(ctx context.Context, conn *ipv4.PacketConn) {
 	timer := time.NewTimer(heartbeatInterval)
 	defer timer.Stop()
+	var notBefore time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 		case <-e.sendNow:
+			periodic.Sleep(ctx, time.Until(notBefore))
 		}
-		peers := e.peers.Load()
-		e.sendState(conn, peers, time.Now())
-		periodic.Sleep(ctx, e.sendDelay(peers))
-		timer.Reset(e.heartbeatDelay(peers, time.Now()))
+		e.clearTrigger()
+		now, peers := time.Now(), e.peers.Load()
+		e.sendState(conn, peers, now)
+		delay := e.sendDelay(peers)
+		notBefore = now.Add(delay)
+		timer.Reset(delay + e.heartbeatDelay(peers, notBefore))
+	}
+}
+
+// clearTrigger drops a request to send, because the state that is sent next has its change.
+func (e *Exchange) clearTrigger() {
+	select {
+	case <-e.sendNow:
+	default:
 	}
 }
 
--- a/target/unrewindable_body.go
+++ b/target/unrewindable_body.go
@@ -17,7 +17,8 @@
 // Close implements io.Closer.
 func (b *unrewindableBody) Close() error { return nil }
 
-// setBody sets a request body that cannot be rewound. net/http may replay a
+// setBody sets a request body that cannot be rewound. A body that net/http recognizes as being in
+// memory is written together with the head, with one system call. net/http may replay a
 // request with a method such as GET, HEAD or OPTIONS if it has no body, so these
 // get an empty unrewindable body, which net/http probes and does not send. Requests
 // with other methods are replayed only if they carry one of the header fields that
@@ -25,11 +26,14 @@
 func setBody(r *http.Request, body []byte) {
 	r.GetBody = nil
 	r.ContentLength = int64(len(body))
-	if len(body) > 0 || methodLacksBody(r.Method) {
-		r.Body = &unrewindableBody{reader: bytes.NewReader(body)}
-		return
+	switch {
+	case len(body) > 0:
+		r.Body = io.NopCloser(bytes.NewReader(body))
+	case methodLacksBody(r.Method):
+		r.Body = &unrewindableBody{reader: bytes.NewReader(nil)}
+	default:
+		r.Body = http.NoBody
 	}
-	r.Body = http.NoBody
 }
 
 func methodLacksBody(method string) bool {
