Read states of other hosts before decisions, and at intervals otherwise

Cause: a divided system read datagrams every 10 ms at rest, and each of them as it arrived while requests waited anywhere. Each read wakes up the process, which costs more than what is read. Change: a host without queued requests reads what has arrived before it decides on a request (quota, quarantine, placement), and otherwise every 40 ms; with queued requests, it reads at once as before. Decisions on requests rest on newer states than before. Systems of up to 16 hosts read as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,6 +150,8 @@
 	state.dispatcher = relay.NewDispatcher(relay.DispatcherOptions{
 		Scheduler:          scheduler,
 		OnStateChange:      func() { state.exchange.TriggerSend() },
+		OnQueue:            func(queued bool) { state.exchange.SetUrgent(queued) },
+		ReadStates:         func() { state.exchange.ReadPending() },
 		OnHealthEvents:     state.logHealthEvents,
 		OnCrashes:          g.logCrashes,
 		OnQuarantineEvents: g.logQuarantineEvents,
--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -26,11 +26,10 @@
 	minSendInterval     = 4 * time.Millisecond
 	sendIntervalPerHost = time.Millisecond
 	// cellIntervalPerHost replaces sendIntervalPerHost in systems that are divided, up to
-	// maxCellInterval, while no requests wait. Datagrams are then read at intervals too. A quota's
-	// headroom covers reports as old as maxReportAge, which is both intervals together.
+	// maxCellInterval, while no requests wait. A quota's headroom covers reports that are 30 ms old
+	// when a request is decided on.
 	cellIntervalPerHost = 2 * time.Millisecond
 	maxCellInterval     = 20 * time.Millisecond
-	maxReportAge        = 30 * time.Millisecond
 	// minAggregateInterval and aggregateIntervalPerDataCentre set the time between two
 	// aggregates from this host to the same remote host.
 	minAggregateInterval           = 100 * time.Millisecond
@@ -82,6 +81,7 @@
 	nearObservations observationFilter
 	farObservations  observationFilter
 	pressure         Pressure
+	reader           datagramReader
 	// pacer limits the bytes of states for the near peers in systems in which not all hosts
 	// exchange them, and nearBytes counts those since the last delay.
 	pacer     sendPacer
@@ -95,6 +95,7 @@
 		options:        o,
 		pacer:          newSendPacer(o.LinkMbps),
 		sendNow:        make(chan struct{}, 1),
+		reader:         newDatagramReader(),
 		nearUsage:      usageFilter{fullInterval: nearUsageInterval},
 		farUsage:       usageFilter{fullInterval: farUsageInterval},
 		aggregateUsage: usageFilter{fullInterval: farUsageInterval},
@@ -139,15 +140,15 @@
 	defer stop()
 	packets := ipv4.NewPacketConn(conn)
 	go e.sendLoop(ctx, packets)
-	return e.receiveLoop(ctx, packets)
+	e.reader.open(packets)
+	return e.receiveLoop(ctx)
 }
 
 // receiveLoop handles datagrams until ctx is done, which closes the connection.
-func (e *Exchange) receiveLoop(ctx context.Context, conn *ipv4.PacketConn) error {
-	filter := newReplayFilter()
-	batch := newReceiveBatch()
+func (e *Exchange) receiveLoop(ctx context.Context) error {
 	for {
-		n, err := conn.ReadBatch(batch, 0)
+		atIntervals := !e.peers.Load().fullMesh() && !e.reader.urgent.Load()
+		full, err := e.reader.read(!atIntervals, e.handleDatagram)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -157,17 +158,22 @@
 			e.options.Logger.Debug().Err(err).Msg("Receiving a host state datagram failed; continuing with the next one.")
 			continue
 		}
-		e.traffic.received.Add(int64(n))
-		for i := range batch[:n] {
-			e.handleDatagram(filter, batch[i].Buffers[0][:batch[i].N])
-		}
-		if peers := e.peers.Load(); n < len(batch) && !peers.fullMesh() && !e.pressure.High(time.Now()) {
-			time.Sleep(peers.receiveInterval())
+		if atIntervals && !full {
+			e.reader.sleep(ctx)
 		}
 	}
 }
 
+// ReadPending handles the datagrams that have arrived, unless they are read at once in any case. It
+// is called before a decision that rests on the states of other hosts, and does not block.
+func (e *Exchange) ReadPending() { e.reader.readPending(time.Now(), e.handleDatagram) }
+
+// SetUrgent sets whether requests wait at this host. Then a state of another host may decide on them
+// as soon as it arrives. Otherwise datagrams are read at intervals, in a divided system.
+func (e *Exchange) SetUrgent(urgent bool) { e.reader.setUrgent(urgent) }
+
 func (e *Exchange) handleDatagram(filter *replayFilter, data []byte) {
+	e.traffic.received.Add(1)
 	if head, ok := readHead(data); ok && filter.rejects(time.Now(), head) {
 		return
 	}
--- a/hoststate/peer_set.go
+++ b/hoststate/peer_set.go
@@ -98,10 +98,6 @@
 	return max(minSendInterval, min(near*cellIntervalPerHost, maxCellInterval))
 }
 
-// receiveInterval returns the time between two reads of datagrams in a divided system while no
-// requests wait: what nearInterval leaves of maxReportAge.
-func (p *PeerSet) receiveInterval() time.Duration { return maxReportAge - p.nearInterval(false) }
-
 // fullMesh reports whether all hosts exchange their states with each other after each change.
 func (p *PeerSet) fullMesh() bool { return len(p.far) == 0 && len(p.aggregated) == 0 }
 
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -16,12 +16,18 @@
 // peerExpiryInterval is the time between two checks for timed-out peers.
 const peerExpiryInterval = 500 * time.Millisecond
 
-// DispatcherOptions configures a Dispatcher. All fields are required; the functions
+// DispatcherOptions configures a Dispatcher. All fields but OnQueue and ReadStates are required; the functions
 // must not block.
 type DispatcherOptions struct {
 	Scheduler *schedule.Scheduler
 	// OnStateChange is called after each change of the state sent to other hosts.
 	OnStateChange func()
+	// OnQueue is called with whether requests are queued, after each change that may affect it. Nil
+	// means that nobody needs to know.
+	OnQueue func(queued bool)
+	// ReadStates takes in the states of other hosts that have arrived. It is called before each
+	// decision on a request; nil means that they are taken in as they arrive.
+	ReadStates func()
 	// OnHealthEvents is called when targets are ejected or restored.
 	OnHealthEvents func([]schedule.HealthEvent)
 	// OnCrashes is called when this host detected crashes of targets.
@@ -89,6 +95,14 @@
 	defer d.mu.Unlock()
 	d.scheduler.ExpirePeers(now)
 	d.deliverDecisions(now)
+	d.reportQueue()
+}
+
+// reportQueue calls OnQueue. The caller holds d.mu.
+func (d *Dispatcher) reportQueue() {
+	if d.options.OnQueue != nil {
+		d.options.OnQueue(d.scheduler.Queued() > 0)
+	}
 }
 
 func (d *Dispatcher) nextWake(now time.Time) time.Duration {
@@ -100,9 +114,17 @@
 	return peerExpiryInterval
 }
 
+// readStates takes in the states of other hosts that have arrived.
+func (d *Dispatcher) readStates() {
+	if d.options.ReadStates != nil {
+		d.options.ReadStates()
+	}
+}
+
 // acquire enqueues a request and waits for the scheduler's decision. If ctx is done
 // first, the request is not dispatched and acquire returns ctx's error.
 func (d *Dispatcher) acquire(ctx context.Context, r schedule.Request) (schedule.Action, error) {
+	d.readStates()
 	decision := make(chan schedule.Action, 1)
 	d.update(time.Now(), func(s *schedule.Scheduler) {
 		d.pending[r.ID] = decision
@@ -200,6 +222,7 @@
 	change(d.scheduler)
 	d.deliverDecisions(now)
 	queued := d.scheduler.Queued() > 0
+	d.reportQueue()
 	d.mu.Unlock()
 	d.options.OnStateChange()
 	if queued {
--- a/relay/dispatcher_cluster.go
+++ b/relay/dispatcher_cluster.go
@@ -43,6 +43,7 @@
 	d.scheduler.ApplyPeerState(now, host, state)
 	if d.scheduler.Queued() > 0 {
 		d.deliverDecisions(now)
+		d.reportQueue()
 	}
 }
 
@@ -54,6 +55,7 @@
 	d.scheduler.ApplyDataCentreState(now, dc, hosts, sum)
 	if d.scheduler.Queued() > 0 {
 		d.deliverDecisions(now)
+		d.reportQueue()
 	}
 }
 
--- a/relay/exchange_cost_test.go
+++ b/relay/exchange_cost_test.go
@@ -40,6 +40,8 @@
 	h.dispatcher = NewDispatcher(DispatcherOptions{
 		Scheduler:          schedule.New(schedule.Options{Host: self.Host, DataCentre: self.DataCentre}),
 		OnStateChange:      func() { h.exchange.TriggerSend() },
+		OnQueue:            func(queued bool) { h.exchange.SetUrgent(queued) },
+		ReadStates:         func() { h.exchange.ReadPending() },
 		OnHealthEvents:     func([]schedule.HealthEvent) {},
 		OnCrashes:          func([]quarantine.Crash) {},
 		OnQuarantineEvents: func([]schedule.QuarantineEvent) {},
@@ -123,6 +125,7 @@
 // request runs one request of 50 to 300 ms.
 func (h *costHost) request(ctx context.Context, id ident.Request, team *route.Team, requests *sync.WaitGroup) {
 	defer requests.Done()
+	h.dispatcher.readStates()
 	now := time.Now()
 	h.quotas.Admit(now, team, 1)
 	action, err := h.dispatcher.acquire(ctx, schedule.Request{
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -96,6 +96,7 @@
 
 // admit finds the route, authenticates the team and charges its quota.
 func (x *execution) admit() *outcome.Refusal {
+	x.relay.options.Dispatcher.readStates()
 	x.table = x.relay.options.Table()
 	if x.table == nil {
 		return outcome.Refuse(outcome.NotReady, "no configuration has been loaded yet", notReadyRetryAfter)
