--- a/gateway/run.go
+++ b/gateway/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/oklog/run"
@@ -33,11 +34,11 @@
 // fails, for instance because the address of a listener is in use.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.logger.Info().Str(eventlog.FieldEvent, eventlog.EventStarted).
-		Str("data_centre", string(g.config.DataCentre)).Int("memory_mb", g.config.MemoryMB).Msg("Host is starting.")
-	// The listener is open before the host can report that it is ready.
-	callers, err := net.Listen("tcp", g.config.CallerAddress)
+		Str("data_centre", string(g.config.DataCentre)).Int("memory_mb", g.config.MemoryMB).
+		Int("processors", runtime.GOMAXPROCS(0)).Msg("Host is starting.")
+	callers, err := listenForCallers(ctx, g.config.CallerAddress)
 	if err != nil {
-		return errors.Join(Error.Wrap(err), g.metrics.Closer.Close(), g.logs.Close())
+		return errors.Join(err, g.metrics.Closer.Close(), g.logs.Close())
 	}
 	var group run.Group
 	addActor(&group, g.state.exchange.Run)
@@ -118,6 +119,15 @@
 	group.Add(func() error { return g.serveCallers(ctx, listener) }, func(error) { cancel() })
 }
 
+// listenForCallers opens the listener for callers, before the host can report that it is ready.
+// Timeouts end the connections of callers that vanish, long before keep-alive probes would, which
+// cost four system calls for each connection.
+func listenForCallers(ctx context.Context, address string) (net.Listener, error) {
+	listen := net.ListenConfig{KeepAlive: -1}
+	listener, err := listen.Listen(ctx, "tcp", address)
+	return listener, Error.Wrap(err)
+}
+
 func (g *Gateway) serveCallers(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
 		Handler:           g.ingress,
--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -26,11 +26,10 @@
 	minSendInterval     = 4 * time.Millisecond
 	sendIntervalPerHost = time.Millisecond
 	// cellIntervalPerHost replaces sendIntervalPerHost in systems that are divided, up to
-	// maxCellInterval, and there datagrams are read at receiveInterval, while no requests wait.
-	// A quota's headroom covers reports that are as old as both together, 30 ms.
+	// maxCellInterval, while no requests wait. A quota's headroom covers reports that are 30 ms old
+	// when a request is decided on.
 	cellIntervalPerHost = 2 * time.Millisecond
 	maxCellInterval     = 20 * time.Millisecond
-	receiveInterval     = 10 * time.Millisecond
 	// minAggregateInterval and aggregateIntervalPerDataCentre set the time between two
 	// aggregates from this host to the same remote host.
 	minAggregateInterval           = 100 * time.Millisecond
@@ -82,6 +81,7 @@
 	nearObservations observationFilter
 	farObservations  observationFilter
 	pressure         Pressure
+	reader           datagramReader
 	// pacer limits the bytes of states for the near peers in systems in which not all hosts
 	// exchange them, and nearBytes counts those since the last delay.
 	pacer     sendPacer
@@ -95,6 +95,7 @@
 		options:        o,
 		pacer:          newSendPacer(o.LinkMbps),
 		sendNow:        make(chan struct{}, 1),
+		reader:         newDatagramReader(),
 		nearUsage:      usageFilter{fullInterval: nearUsageInterval},
 		farUsage:       usageFilter{fullInterval: farUsageInterval},
 		aggregateUsage: usageFilter{fullInterval: farUsageInterval},
@@ -139,15 +140,15 @@
 	defer stop()
 	packets := ipv4.NewPacketConn(conn)
 	go e.sendLoop(ctx, packets)
-	return e.receiveLoop(ctx, packets)
+	e.reader.open(packets)
+	return e.receiveLoop(ctx)
 }
 
 // receiveLoop handles datagrams until ctx is done, which closes the connection.
-func (e *Exchange) receiveLoop(ctx context.Context, conn *ipv4.PacketConn) error {
-	filter := newReplayFilter()
-	batch := newReceiveBatch()
+func (e *Exchange) receiveLoop(ctx context.Context) error {
 	for {
-		n, err := conn.ReadBatch(batch, 0)
+		atIntervals := !e.peers.Load().fullMesh() && !e.reader.urgent.Load()
+		full, err := e.reader.read(!atIntervals, e.handleDatagram)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -157,17 +158,22 @@
 			e.options.Logger.Debug().Err(err).Msg("Receiving a host state datagram failed; continuing with the next one.")
 			continue
 		}
-		e.traffic.received.Add(int64(n))
-		for i := range batch[:n] {
-			e.handleDatagram(filter, batch[i].Buffers[0][:batch[i].N])
-		}
-		if n < len(batch) && !e.peers.Load().fullMesh() && !e.pressure.High(time.Now()) {
-			time.Sleep(receiveInterval)
+		if atIntervals && !full {
+			e.reader.sleep(ctx)
 		}
 	}
 }
 
+// ReadPending handles the datagrams that have arrived, unless they are read at once in any case. It
+// is called before a decision that rests on the states of other hosts, and does not block.
+func (e *Exchange) ReadPending() { e.reader.readPending(time.Now(), e.handleDatagram) }
+
+// SetUrgent sets whether requests wait at this host. Then a state of another host may decide on them
+// as soon as it arrives. Otherwise datagrams are read at intervals, in a divided system.
+func (e *Exchange) SetUrgent(urgent bool) { e.reader.setUrgent(urgent) }
+
 func (e *Exchange) handleDatagram(filter *replayFilter, data []byte) {
+	e.traffic.received.Add(1)
 	if head, ok := readHead(data); ok && filter.rejects(time.Now(), head) {
 		return
 	}
@@ -186,21 +192,34 @@
 	e.options.OnMessage(now, m)
 }
 
-// sendLoop sends the state after changes and at each heartbeat, until ctx is done.
+// sendLoop sends the state after changes and at each heartbeat, until ctx is done. It wakes up once
+// for each state, because a wake-up of an idle process costs as much as sending one.
 func (e *Exchange) sendLoop(ctx context.Context, conn *ipv4.PacketConn) {
 	timer := time.NewTimer(heartbeatInterval)
 	defer timer.Stop()
+	var notBefore time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 		case <-e.sendNow:
+			periodic.Sleep(ctx, time.Until(notBefore))
 		}
-		peers := e.peers.Load()
-		e.sendState(conn, peers, time.Now())
-		periodic.Sleep(ctx, e.sendDelay(peers))
-		timer.Reset(e.heartbeatDelay(peers, time.Now()))
+		e.clearTrigger()
+		now, peers := time.Now(), e.peers.Load()
+		e.sendState(conn, peers, now)
+		delay := e.sendDelay(peers)
+		notBefore = now.Add(delay)
+		timer.Reset(delay + e.heartbeatDelay(peers, notBefore))
+	}
+}
+
+// clearTrigger drops a request to send, because the state that is sent next has its change.
+func (e *Exchange) clearTrigger() {
+	select {
+	case <-e.sendNow:
+	default:
 	}
 }
 
