Simulate engines that cache prefixes of prompts

Nothing measured how often the guess of cached prompts is wrong: the load model's engines had no cache and its prompts no blocks.

Engines of a scenario with KVCacheTokens now cache blocks in order, share the memory with running requests, evict the least recently used blocks and lose all of them at a restart. A dispatch says how many tokens were predicted to be cached.

--- a/internal/loadmodel/arrivals.go
+++ b/internal/loadmodel/arrivals.go
@@ -24,11 +24,15 @@
 				prompt: m.drawLength(c.Prompt, c.PromptSpread), output: m.drawLength(c.Output, c.OutputSpread),
 			}
 			r.estimatedOutput = max(1, int(float64(r.output)*math.Exp(estimateSpread*m.random.NormFloat64())))
+			if c.Prompts != nil {
+				m.beginPrompt(r)
+			}
 			m.submit(r)
 			m.report.Classes[c.Name].Arrived++
 			m.report.Classes[c.Name].MaxValue += c.Value
 		}
 	}
+	m.submitTurns()
 	remaining := m.pendingRetries[:0]
 	for _, r := range m.pendingRetries {
 		if r.arrived > m.now {
@@ -62,6 +66,7 @@
 	r.id = ident.Request(strconv.Itoa(m.requestCount))
 	r.arrived = m.now
 	r.host = m.random.IntN(len(m.hosts))
+	r.prefilling, r.predicted = false, 0
 	r.prefillLeft, r.tokensLeft, r.firstEvent, r.lastEvent = float64(r.prompt), float64(r.output), 0, 0
 	m.active[r.id] = r
 	h := m.hosts[r.host]
@@ -81,6 +86,7 @@
 		AbandonTime:  clock(r.abandonTime()),
 		PromptTokens: r.prompt,
 		OutputTokens: r.estimatedOutput,
+		PromptBlocks: r.blocks,
 		Retryable:    r.class.Retryable,
 	})
 }
--- a/internal/loadmodel/engine.go
+++ b/internal/loadmodel/engine.go
@@ -19,6 +19,8 @@
 	running []*request
 	queue   []*request
 	failed  bool
+	// cache holds the prefixes of prompts, or is nil.
+	cache *prefixCache
 }
 
 func (e *engine) accept(r *request) {
@@ -35,6 +37,9 @@
 	same := func(other *request) bool { return other == r }
 	e.running = slices.DeleteFunc(e.running, same)
 	e.queue = slices.DeleteFunc(e.queue, same)
+	if e.cache != nil {
+		e.cache.release(r)
+	}
 }
 
 // step advances the engine by length and returns the requests that produced their
@@ -49,6 +54,7 @@
 	}
 	decode := e.speed * length.Seconds() / s.TokenTime.Seconds()
 	if prefilling := e.prefillingRequest(); prefilling != nil {
+		e.lookUpPrompt(prefilling)
 		prefilling.prefillLeft -= (1 - decodeShareDuringPrefill) * e.speed * s.PrefillRate * length.Seconds()
 		decode *= decodeShareDuringPrefill
 	}
@@ -62,6 +68,9 @@
 		}
 		r.lastEvent = now
 		r.tokensLeft -= decode
+		if e.cache != nil {
+			e.cache.grow(r, decode)
+		}
 		if r.tokensLeft <= 0 {
 			ended = append(ended, r)
 		}
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -33,8 +33,14 @@
 	// active holds the unfinished requests, pendingRetries those that will be retried.
 	active         map[ident.Request]*request
 	pendingRetries []*request
-	requestCount   int
-	report         Report
+	// pendingTurns are the sessions whose next prompts will be submitted, and blockCount the
+	// number of blocks of prompts that belong to sessions and single requests.
+	pendingTurns []*session
+	blockCount   uint64
+	// processed holds the prefixes that any engine has processed.
+	processed    map[uint64]bool
+	requestCount int
+	report       Report
 }
 
 // Run simulates a scenario.
@@ -43,6 +49,7 @@
 	for m.now < s.Length {
 		m.now += step
 		m.failEngines()
+		m.restartEngines()
 		m.generateArrivals()
 		m.runEngines()
 		m.abandonExpired()
@@ -53,20 +60,24 @@
 
 func newModel(s Scenario) *model {
 	m := &model{
-		scenario: s,
-		random:   rand.New(rand.NewPCG(s.Seed, 1)),
-		byName:   make(map[ident.Target]*engine),
-		active:   make(map[ident.Request]*request),
-		report:   Report{Classes: make(map[string]*Outcome)},
+		scenario:  s,
+		random:    rand.New(rand.NewPCG(s.Seed, 1)),
+		byName:    make(map[ident.Target]*engine),
+		active:    make(map[ident.Request]*request),
+		processed: make(map[uint64]bool),
+		report:    Report{Classes: make(map[string]*Outcome)},
 	}
 	roster := &route.TargetSnapshot{Targets: make(map[ident.Target]route.Target)}
 	for i, speed := range s.EngineSpeeds {
 		e := &engine{name: ident.Target("engine-" + strconv.Itoa(i)), speed: speed, slots: s.Slots}
+		if s.KVCacheTokens > 0 {
+			e.cache = newPrefixCache(s.KVCacheTokens, m.processed, &m.report.Prefixes)
+		}
 		m.engines = append(m.engines, e)
 		m.byName[e.name] = e
 		roster.Targets[e.name] = route.Target{Name: e.name, Pool: poolName, Slots: s.Slots, DataCentre: s.dataCentreOf(i)}
 	}
-	pools := map[ident.Pool]*route.Pool{poolName: {Name: poolName, Engine: &route.Engine{Slots: s.Slots}}}
+	pools := s.pools()
 	for i := range s.Hosts {
 		h := &host{
 			name:           ident.Host(strconv.Itoa(i)),
@@ -74,6 +85,9 @@
 			scheduler:      schedule.New(schedule.Options{Random: m.random.Float64, Host: ident.Host(strconv.Itoa(i)), DataCentre: s.dataCentreOf(i), FairShares: s.hasTeams()}),
 			receivedCounts: make([]int, s.Hosts),
 		}
+		if s.KVCacheTokens > 0 {
+			h.scheduler.SetStateInterval(s.MinPeerStateInterval)
+		}
 		h.scheduler.SetPeers(clock(0), m.othersThan(i))
 		h.scheduler.Configure(clock(0), pools, roster)
 		m.hosts = append(m.hosts, h)
@@ -131,6 +145,7 @@
 	for _, e := range m.engines {
 		first, ended := e.step(&m.scenario, m.now, step)
 		for _, r := range first {
+			m.reportFirstEvent(e, r)
 			m.hosts[r.host].scheduler.RecordFirstEvent(clock(m.now), r.id)
 		}
 		for _, r := range e.running {
@@ -146,6 +161,9 @@
 }
 
 func (m *model) recordServed(r *request) {
+	if r.session != nil {
+		m.continueSession(r.session)
+	}
 	o := m.report.Classes[r.class.Name]
 	if r.firstEvent <= r.submitted+r.class.Objective {
 		o.OnTime++
--- a/internal/loadmodel/report.go
+++ b/internal/loadmodel/report.go
@@ -3,6 +3,8 @@
 // Report holds the outcomes of a run by class.
 type Report struct {
 	Classes map[string]*Outcome
+	// Prefixes is empty unless engines cache prefixes.
+	Prefixes PrefixReport
 }
 
 // ValueRatio returns the earned value as a fraction of the maximum.
--- a/internal/loadmodel/request.go
+++ b/internal/loadmodel/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/schedule"
 )
 
 // request is one attempt of a caller.
@@ -21,6 +22,16 @@
 	// estimatedOutput is the caller's estimate of output.
 	estimatedOutput int
 
+	// blocks are the blocks of the prompt, and session what they belong to, if to anything.
+	blocks  []schedule.PromptBlock
+	session *session
+	// predicted is the number of prompt tokens that the host predicted to be cached, and
+	// prefilling says that the engine has looked up the prompt.
+	predicted  int
+	prefilling bool
+	pinned     []*cachedBlock
+	// private is the memory that the request does not share, in tokens.
+	private     float64
 	prefillLeft float64
 	tokensLeft  float64
 	firstEvent  time.Duration
--- a/internal/loadmodel/request_class.go
+++ b/internal/loadmodel/request_class.go
@@ -23,6 +23,8 @@
 	PromptSpread float64
 	Output       int
 	OutputSpread float64
+	// Prompts says which beginnings the prompts share. If it is nil, prompts have no blocks.
+	Prompts *SharedPrompts
 	// Retryable requests may be retried on another engine.
 	Retryable bool
 	// Value is earned by a response that starts within the objective, LateValue by a
--- a/internal/loadmodel/scenario.go
+++ b/internal/loadmodel/scenario.go
@@ -39,6 +39,14 @@
 	TokenTime time.Duration
 	Classes   []RequestClass
 	Bursts    []Burst
+	// KVCacheTokens is the memory of an engine, which running requests and cached prefixes
+	// share. If it is zero, engines cache nothing.
+	KVCacheTokens int
+	// HidesMemory leaves the memory out of the configuration of the hosts.
+	HidesMemory bool
+	// RestartedEngines is how many engines restart at RestartAt.
+	RestartedEngines int
+	RestartAt        time.Duration
 	// FailedEngines is how many engines stop making progress at FailAt without rejecting
 	// requests.
 	FailedEngines int
--- a/internal/loadmodel/schedulers.go
+++ b/internal/loadmodel/schedulers.go
@@ -59,6 +59,7 @@
 	}
 	switch a := action.(type) {
 	case *schedule.Dispatch:
+		r.predicted = a.CachedTokens
 		m.byName[a.Target.Name].accept(r)
 	case *schedule.Refuse:
 		delete(m.active, r.id)
--- a/schedule/action.go
+++ b/schedule/action.go
@@ -25,7 +25,9 @@
 	VersionUnsure bool
 	// QueueTime is how long the request waited in the queue.
 	QueueTime time.Duration
-	Inputs    Inputs
+	// CachedTokens is the number of prompt tokens that the target is predicted to have cached.
+	CachedTokens int
+	Inputs       Inputs
 }
 
 // Refuse is the final response to a request that was not dispatched.
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -114,15 +114,17 @@
 func (s *Scheduler) dispatch(now time.Time, p *pool, w *queuedRequest, t *target) Action {
 	r := w.request
 	inputs := s.inputs(now, p, w)
-	prefill := 0
+	prefill, cached := 0, 0
 	if p.engine != nil {
 		prefill = s.prefixes.uncached(now, r, t.Name)
+		cached = r.PromptTokens - prefill
 	}
 	run := &runningRequest{
 		request:      r,
 		target:       t,
 		dispatchedAt: now,
 		prefill:      prefill,
+		cached:       cached,
 		prefillAhead: t.prefill + t.peers.PrefillTokens + prefill,
 		kv:           r.PromptTokens + r.OutputTokens,
 		startUnixMs:  t.StartUnixMs,
@@ -151,6 +153,7 @@
 		Target:        t.Target,
 		VersionUnsure: t.mayHaveRestarted(now),
 		QueueTime:     now.Sub(r.Arrived),
+		CachedTokens:  run.cached,
 		Inputs:        inputs,
 	}
 }
--- a/schedule/running_request.go
+++ b/schedule/running_request.go
@@ -17,8 +17,10 @@
 	// prefillAhead is the number of prompt tokens that the target had to process when
 	// the request was dispatched, including those of the request.
 	prefillAhead int
-	kv           int
-	events       int
+	// cached is the number of prompt tokens that were predicted to be cached.
+	cached int
+	kv     int
+	events int
 	// startUnixMs identifies the process that got the request, and machine is the state of its
 	// machine over the events.
 	startUnixMs int64
