Estimate cached prefixes from the memory of targets

A block counted as cached for 45 s after its last use, whatever the target's memory, and other hosts reported only the last block of a prompt, which is of no use without those before it.

Where the memory of targets is configured, each host now keeps per target the beginnings of prompts in the order of their use and evicts the least recently used ones once they and running requests exceed the memory. Hashes cover all blocks before, so that a block counts only after the same ones. Other hosts get every new beginning with its length, and one in use again every 2 s. Other pools are unchanged.

--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -98,7 +98,7 @@
 		})
 	}
 	for _, p := range s.PrefixLocations {
-		state.Placements = append(state.Placements, &hostpb.Placement{Hash: p.Hash, Target: hashName(p.Target)})
+		state.Placements = append(state.Placements, &hostpb.Placement{Hash: p.Hash, Target: hashName(p.Target), Tokens: clampUint32(p.Tokens)})
 	}
 }
 
@@ -216,5 +216,5 @@
 }
 
 func decodePlacement(target ident.Target, p *hostpb.Placement) schedule.PrefixLocation {
-	return schedule.PrefixLocation{Hash: p.GetHash(), Target: target}
+	return schedule.PrefixLocation{Hash: p.GetHash(), Target: target, Tokens: int(p.GetTokens())}
 }
--- a/hoststate/exchange_test.go
+++ b/hoststate/exchange_test.go
@@ -38,7 +38,7 @@
 			}},
 			Demands:         []schedule.Demand{{Pool: "p", Rank: schedule.Rank{Team: 1, Route: 2}, ArrivalRate: 3.5, MeanSlots: 1.25}},
 			Backlogs:        []schedule.Backlog{{Pool: "p", Rank: schedule.Rank{Team: 1, Route: 2}, Count: 3, Laxity: -40 * time.Millisecond, Spread: 30 * time.Millisecond}},
-			PrefixLocations: []schedule.PrefixLocation{{Hash: 99, Target: "t1"}},
+			PrefixLocations: []schedule.PrefixLocation{{Hash: 99, Target: "t1", Tokens: 410}},
 		},
 	}
 }
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -116,8 +116,7 @@
 	inputs := s.inputs(now, p, w)
 	prefill, cached := 0, 0
 	if p.engine != nil {
-		prefill = s.prefixes.uncached(now, r, t.Name)
-		cached = r.PromptTokens - prefill
+		prefill, cached = s.uncached(now, p, r, t), s.predictedCached(now, p, r, t)
 	}
 	run := &runningRequest{
 		request:      r,
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -36,9 +36,7 @@
 // ApplyPeerState replaces the known state of another host.
 func (s *Scheduler) ApplyPeerState(now time.Time, host ident.Host, state State) {
 	s.peers[host] = s.replacePeerState(s.peers[host], &peerState{state: state, receivedAt: now, hosts: 1, direct: true})
-	for _, p := range state.PrefixLocations {
-		s.prefixes.record(now, p.Hash, p.Target)
-	}
+	s.applyPrefixLocations(now, state.PrefixLocations)
 	s.MergeCrashes(now, state.Crashes)
 	s.applyTeamLoads(now, s.peers[host])
 	s.applyLimits(now, s.peers[host])
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -55,6 +55,8 @@
 	rollout  *poolRollout
 	barred   map[string]bool
 	versions versionHistory
+	// memory is what the pool's requests and prefixes take of its targets' memory.
+	memory poolMemory
 	// yieldingSince is when the host began to leave free slots to other hosts, or zero.
 	yieldingSince time.Time
 	// peersRunning is the number of requests that the other hosts ran on the targets at
--- a/schedule/prefix_locations.go
+++ b/schedule/prefix_locations.go
@@ -13,11 +13,19 @@
 	if len(r.PromptBlocks) == 0 {
 		return
 	}
+	if p, t := s.pools[r.Pool], s.targets[target]; p.knowsMemory() && t != nil {
+		s.recordPrefixes(now, p, r, t)
+		return
+	}
 	for _, block := range r.PromptBlocks {
 		s.prefixes.record(now, block.Hash, target)
 	}
 	last := r.PromptBlocks[len(r.PromptBlocks)-1]
-	s.prefixLocations = append(s.prefixLocations, PrefixLocation{Hash: last.Hash, Target: target})
+	s.queuePrefixLocation(PrefixLocation{Hash: last.Hash, Target: target})
+}
+
+func (s *Scheduler) queuePrefixLocation(l PrefixLocation) {
+	s.prefixLocations = append(s.prefixLocations, l)
 	if excess := len(s.prefixLocations) - maxPrefixLocations; excess > 0 {
 		s.prefixLocations = slices.Delete(s.prefixLocations, 0, excess)
 		s.prefixLocationsSent = max(s.prefixLocationsSent-excess, 0)
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -52,4 +52,6 @@
 	// while a rollout is in progress.
 	pool *pool
 	side rollout.Side
+	// prefixes holds the beginnings of the prompt once promptPrefixes was called.
+	prefixes []promptPrefix
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -163,7 +163,7 @@
 		t.lostAt = time.Time{}
 		t.leaving, t.pausedUntil = false, time.Time{}
 		t.brittleUntil, t.brittleHeardAt = time.Time{}, time.Time{}
-		s.prefixes.removeTarget(name)
+		s.forgetPrefixes(t)
 	}
 	s.forgetLimit(now, t, announced.StartUnixMs)
 	t.Target = announced
@@ -184,7 +184,7 @@
 			break
 		}
 	}
-	s.prefixes.removeTarget(t.Name)
+	s.forgetPrefixes(t)
 }
 
 func (s *Scheduler) poolOf(name ident.Pool) *pool {
--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -40,7 +40,7 @@
 		if !s.eligible(now, p, w, t) || suspect && t.suspects > 0 {
 			continue
 		}
-		if p.engine != nil && t.busySlots(now) > 0 && p.firstEventTime(now, t, s.prefixes.uncached(now, r, t.Name)) > limit {
+		if p.engine != nil && t.busySlots(now) > 0 && p.firstEventTime(now, t, s.uncached(now, p, r, t)) > limit {
 			continue
 		}
 		if anyFinishes && !p.finishesInTime(now, r, t) {
@@ -166,7 +166,7 @@
 		return cost + ahead + t.machine.delay(now, ahead+p.meanService)
 	}
 	rate := p.prefillRateOf(now, t)
-	prefill := float64(s.prefixes.uncached(now, r, t.Name)) / rate
+	prefill := float64(s.uncached(now, p, r, t)) / rate
 	ahead := float64(t.prefill+t.peers.PrefillTokens) / rate
 	decode := float64(r.OutputTokens) * p.tokenTimeOf(now, t)
 	concurrent := float64(t.busySlots(now))
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -86,6 +86,9 @@
 	machine          machineState
 	ownMachine       machineState
 	machineUnusualAt time.Time
+
+	// prefixes estimates which beginnings of prompts the target has cached, if its memory is known.
+	prefixes targetPrefixes
 }
 
 // busySlots returns the number of slots that the requests of all hosts occupy.
