Weigh a cached prefix against what other hosts may have sent

Hosts that know the same late states all chose the target with a hot prefix, or the one that seemed idle, so that requests waited there.

In pools whose memory is known, a request with prompt blocks now also costs a part of the time to process what it evicts, and the wait for requests that other hosts may have sent since their last states; their number is drawn at random for each target. The predicted finish no longer counts cached tokens.

--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -31,9 +31,10 @@
 func (s *Scheduler) selectTarget(now time.Time, p *pool, w *queuedRequest, targets []*target) *target {
 	r := w.request
 	limit := s.firstEventLimit(now, w)
-	needsFast, anyFinishes := p.needsFastTarget(now, r, targets)
+	needsFast, anyFinishes := s.needsFastTarget(now, p, r, targets)
 	suspect := s.crashes.IsSuspect(now, r.Content)
 	meanInterval := p.meanEventInterval(now)
+	unseen := s.unseenArrivals(now, p, r)
 	var best *target
 	bestCost := 0.0
 	for _, t := range targets {
@@ -43,10 +44,10 @@
 		if p.engine != nil && t.busySlots(now) > 0 && p.firstEventTime(now, t, s.uncached(now, p, r, t)) > limit {
 			continue
 		}
-		if anyFinishes && !p.finishesInTime(now, r, t) {
+		if anyFinishes && !s.finishesInTime(now, p, r, t) {
 			continue
 		}
-		cost := s.cost(now, p, r, t)
+		cost := s.cost(now, p, r, t) + s.prefixCost(now, p, r, t, unseen)
 		if t.limited() {
 			cost -= limitedBonus
 		}
@@ -86,11 +87,15 @@
 
 // finishesInTime reports whether a response of the expected length is predicted to end
 // before the deadline on a target.
-func (p *pool) finishesInTime(now time.Time, r *Request, t *target) bool {
+func (s *Scheduler) finishesInTime(now time.Time, p *pool, r *Request, t *target) bool {
 	if p.engine == nil {
 		return true
 	}
-	return !now.Add(p.firstEventTime(now, t, r.PromptTokens) + p.decodeTime(now, t, float64(r.OutputTokens))).After(r.Deadline)
+	uncached := r.PromptTokens
+	if p.knowsMemory() {
+		uncached = s.uncached(now, p, r, t)
+	}
+	return !now.Add(p.firstEventTime(now, t, uncached) + p.decodeTime(now, t, float64(r.OutputTokens))).After(r.Deadline)
 }
 
 // decodeTime predicts the time that a target takes for the output after the first event.
@@ -101,7 +106,7 @@
 
 // needsFastTarget reports whether the response may be too long for some of the targets,
 // and whether any target is predicted to finish it before the deadline.
-func (p *pool) needsFastTarget(now time.Time, r *Request, targets []*target) (needs, anyFinishes bool) {
+func (s *Scheduler) needsFastTarget(now time.Time, p *pool, r *Request, targets []*target) (needs, anyFinishes bool) {
 	if p.engine == nil {
 		return false, false
 	}
@@ -110,7 +115,7 @@
 		if now.Add(decode).After(r.Deadline) {
 			needs = true
 		}
-		anyFinishes = anyFinishes || p.finishesInTime(now, r, t)
+		anyFinishes = anyFinishes || s.finishesInTime(now, p, r, t)
 	}
 	return needs, anyFinishes
 }
