--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -114,15 +114,16 @@
 func (s *Scheduler) dispatch(now time.Time, p *pool, w *queuedRequest, t *target) Action {
 	r := w.request
 	inputs := s.inputs(now, p, w)
-	prefill := 0
+	prefill, cached := 0, 0
 	if p.engine != nil {
-		prefill = s.prefixes.uncached(now, r, t.Name)
+		prefill, cached = s.uncached(now, p, r, t), s.predictedCached(now, p, r, t)
 	}
 	run := &runningRequest{
 		request:      r,
 		target:       t,
 		dispatchedAt: now,
 		prefill:      prefill,
+		cached:       cached,
 		prefillAhead: t.prefill + t.peers.PrefillTokens + prefill,
 		kv:           r.PromptTokens + r.OutputTokens,
 		startUnixMs:  t.StartUnixMs,
@@ -151,6 +152,7 @@
 		Target:        t.Target,
 		VersionUnsure: t.mayHaveRestarted(now),
 		QueueTime:     now.Sub(r.Arrived),
+		CachedTokens:  run.cached,
 		Inputs:        inputs,
 	}
 }
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -42,9 +42,7 @@
 	before := s.peers[host]
 	s.peers[host] = s.replacePeerState(before, after)
 	s.updatePeerOrder(before, after)
-	for _, p := range state.PrefixLocations {
-		s.prefixes.record(now, p.Hash, p.Target)
-	}
+	s.applyPrefixLocations(now, state.PrefixLocations)
 	s.MergeCrashes(now, state.Crashes)
 	s.applyTeamLoads(now, s.peers[host])
 	s.applyLimits(now, s.peers[host])
