Move the decisions on a rollout when their host loses the store

A host that decided and alone lost the store kept the role, since others still heard it: no step followed and a good version missed its deadline. It now sends that it lost the store, as a share of zero with a step, and the next host by hashing decides; it decides again only if no other can. A host that begins to decide confirms nothing before the store responds. The end of a rollout is stored by further hosts if the first does not.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -176,4 +176,6 @@
 	EventRolloutStep    = "rollout-step"
 	EventRolloutJudged  = "rollout-judged"
 	EventRolloutEnded   = "rollout-ended"
+	// EventRolloutDecider is about the part of a host in the decisions on a rollout.
+	EventRolloutDecider = "rollout-decider"
 )
--- a/gateway/pool_rollout.go
+++ b/gateway/pool_rollout.go
@@ -23,9 +23,14 @@
 	stored      platform.StoredRollout
 	confirmedAt time.Time
 	readAt      time.Time
-	// saving and reading are set during calls to the store.
+	// failedAt is when a call to the store last failed.
+	failedAt time.Time
+	// saving and reading are set during calls to the store. savedAt is when the progress was last
+	// sent to it.
 	saving  bool
 	reading bool
+	savedAt time.Time
+	role    rolloutRole
 
 	controller *rollout.Controller
 	evidence   rollout.Evidence
@@ -33,6 +38,9 @@
 	// host last sent anything about the rollout.
 	reports    map[ident.Host]rollout.Report
 	receivedAt map[ident.Host]time.Time
+	// storeLost holds the hosts that said last that the store doesn't respond to them. Its keys
+	// are among those of receivedAt.
+	storeLost map[ident.Host]bool
 	// outcome is the last judgement that was logged.
 	outcome rollout.Outcome
 	// blocked says that this host's own evidence is against the version.
@@ -46,6 +54,8 @@
 	p.evidence = rollout.Evidence{}
 	p.reports = make(map[ident.Host]rollout.Report)
 	p.receivedAt = make(map[ident.Host]time.Time)
+	p.storeLost = make(map[ident.Host]bool)
+	p.role = rolloutRole{}
 	p.outcome, p.blocked = rollout.Undecided, false
 }
 
--- a/gateway/rollout_duty.go
+++ b/gateway/rollout_duty.go
@@ -73,15 +73,20 @@
 	if inProgress {
 		r.recordOwn(pool, p)
 	}
-	if !inProgress && !p.unstored() || !r.first(now, p, pool, r.self) {
+	if !inProgress {
+		if p.unstored() && r.mayStoreEnd(now, p, pool) {
+			g.saveProgress(ctx, now, pool, p, p.current())
+		}
 		return
 	}
-	if inProgress {
-		g.refreshProgress(ctx, now, pool, p)
-		g.decide(ctx, now, pool, p)
+	first := r.updateRole(now, p, pool)
+	if !first && !p.role.lost {
+		return
 	}
-	if p.unstored() {
-		g.saveProgress(ctx, pool, p, p.current())
+	g.refreshProgress(ctx, now, pool, p, p.readInterval(first))
+	g.decide(ctx, now, pool, p, first)
+	if first && p.unstored() {
+		g.saveProgress(ctx, now, pool, p, p.current())
 	}
 }
 
@@ -98,8 +103,9 @@
 }
 
 // decide takes the next step of a rollout. Steps forward are stored before they are applied; a
-// rollback takes effect at once.
-func (g *Gateway) decide(ctx context.Context, now time.Time, pool ident.Pool, p *poolRollout) {
+// rollback takes effect at once. A host that gave up its role still takes a version back that its
+// evidence is against, because the host that follows knows only what it received since then.
+func (g *Gateway) decide(ctx context.Context, now time.Time, pool ident.Pool, p *poolRollout, first bool) {
 	r := g.state.rollouts
 	storeMs := g.directory.NowMs(now)
 	if storeMs == 0 || p.order.Duration == 0 {
@@ -114,19 +120,20 @@
 	r.logVerdict(pool, p, &verdict)
 	switch {
 	case !changed:
+	case !first && (next.Phase != rollout.RolledBack || verdict.Reason == rollout.ReasonDeadline):
 	case next.Phase == rollout.RolledBack:
 		r.merge(now, p, pool, next)
 	default:
-		g.saveProgress(ctx, pool, p, next)
+		g.saveProgress(ctx, now, pool, p, next)
 	}
 }
 
 // saveProgress stores a progress and then applies what the store holds.
-func (g *Gateway) saveProgress(ctx context.Context, pool ident.Pool, p *poolRollout, next rollout.Progress) {
+func (g *Gateway) saveProgress(ctx context.Context, now time.Time, pool ident.Pool, p *poolRollout, next rollout.Progress) {
 	if p.saving {
 		return
 	}
-	p.saving = true
+	p.saving, p.savedAt = true, now
 	saved := platform.StoredRollout{Pool: pool, Progress: next, Duration: p.order.Duration, Revision: p.stored.Revision}
 	go func() {
 		stored, err := g.directory.SaveProgress(ctx, saved)
@@ -140,8 +147,8 @@
 
 // refreshProgress reads the stored progress at intervals, and lets this host use the share in
 // force while the store responds.
-func (g *Gateway) refreshProgress(ctx context.Context, now time.Time, pool ident.Pool, p *poolRollout) {
-	if p.reading || p.saving || now.Sub(p.readAt) < progressReadInterval {
+func (g *Gateway) refreshProgress(ctx context.Context, now time.Time, pool ident.Pool, p *poolRollout, interval time.Duration) {
+	if p.reading || p.saving || now.Sub(p.readAt) < interval {
 		return
 	}
 	p.reading, p.readAt = true, now
@@ -159,7 +166,10 @@
 func (g *Gateway) applyCall(now time.Time, pool ident.Pool, p *poolRollout, stored platform.StoredRollout, err error) {
 	r := g.state.rollouts
 	if err != nil {
-		p.readAt = time.Time{}
+		p.failedAt = now
+		if !p.role.lost {
+			p.readAt = time.Time{}
+		}
 		r.logger.Warn().Err(err).Str(eventlog.FieldPool, string(pool)).Msg("Store call for a rollout failed; will retry.")
 		return
 	}
@@ -167,6 +177,7 @@
 		r.applyStored(now, p, stored)
 	}
 	p.confirmedAt = now
+	r.regainStore(now, p, pool)
 	if current := p.current(); current.Phase == rollout.InProgress {
 		r.dispatcher.SetRollout(now, pool, current, true)
 		r.onChange()
@@ -180,7 +191,7 @@
 		if o.Version == "" || r.rejected[o.Pool] == o.ID || len(r.rejected) >= maxRolloutPools {
 			continue
 		}
-		if firstByHash(o.Pool, r.self, r.peers.activeHosts(now)) != r.self {
+		if firstByHash(o.Pool, append(r.peers.activeHosts(now), r.self)) != r.self {
 			continue
 		}
 		r.rejected[o.Pool] = o.ID
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
 	"github.com/cornelyard/cornelyard/eventlog"
@@ -176,32 +175,37 @@
 }
 
 func (r *rollouts) receiveRollout(now time.Time, p *poolRollout, m *hoststate.Message, got *hoststate.Rollout) {
-	unconfirmed := got.Progress.Phase == rollout.InProgress && got.Progress.ShareMilli == 0
-	if !unconfirmed {
+	confirmed := got.Confirmation == hoststate.Confirmed
+	if confirmed {
 		r.merge(now, p, got.Pool, got.Progress)
 	}
 	if got.Progress.Order != p.order.ID {
 		return
 	}
-	p.record(now, m, got.Report)
-	if !unconfirmed && got.Progress == p.current() && r.first(now, p, got.Pool, m.Host) {
+	p.record(now, m, got)
+	if confirmed && got.Progress == p.current() && r.first(now, p, got.Pool, m.Host) {
 		r.dispatcher.SetRollout(now, got.Pool, got.Progress, true)
 	}
 }
 
 // record records the evidence of a message. Several hosts send the aggregate of a data centre, so
 // its newest report replaces the one before, whatever process sent it.
-func (p *poolRollout) record(now time.Time, m *hoststate.Message, report rollout.Report) {
+func (p *poolRollout) record(now time.Time, m *hoststate.Message, got *hoststate.Rollout) {
 	if _, known := p.receivedAt[m.Host]; !known && len(p.receivedAt) >= maxRolloutHosts {
 		return
 	}
 	p.receivedAt[m.Host] = now
+	if got.Confirmation == hoststate.StoreLost {
+		p.storeLost[m.Host] = true
+	} else {
+		delete(p.storeLost, m.Host)
+	}
 	if m.AggregateOf != "" {
-		p.evidence.Record("data centre "+string(m.AggregateOf), 0, report)
+		p.evidence.Record("data centre "+string(m.AggregateOf), 0, got.Report)
 		return
 	}
-	p.reports[m.Host] = report
-	p.evidence.Record(string(m.Host), m.Incarnation, report)
+	p.reports[m.Host] = got.Report
+	p.evidence.Record(string(m.Host), m.Incarnation, got.Report)
 }
 
 // messages returns what this host sends of rollouts. The aggregate includes the evidence of the
@@ -218,14 +222,15 @@
 		if p.order.ID == (rollout.OrderID{}) || progress.Phase != rollout.InProgress && now.Sub(p.changedAt) > rolloutReportTime {
 			continue
 		}
-		if progress.Phase == rollout.InProgress && r.first(now, p, pool, r.self) && now.Sub(p.confirmedAt) > confirmationTime {
-			progress.ShareMilli = 0
+		confirmation := hoststate.Confirmed
+		if progress.Phase == rollout.InProgress {
+			confirmation = r.confirmation(now, p, pool)
 		}
 		report := r.dispatcher.RolloutReport(pool, p.order.ID)
 		if aggregate {
 			report = p.sum(report)
 		}
-		messages = append(messages, hoststate.Rollout{Pool: pool, Progress: progress, Report: report})
+		messages = append(messages, hoststate.Rollout{Pool: pool, Progress: progress, Confirmation: confirmation, Report: report})
 	}
 	return messages
 }
@@ -240,38 +245,6 @@
 	return sum.Total()
 }
 
-// first reports whether a host decides on the rollout of a pool: it is the first by rendezvous
-// hashing of all hosts of which something was received, or of those that send rollouts.
-func (r *rollouts) first(now time.Time, p *poolRollout, pool ident.Pool, host ident.Host) bool {
-	active := r.peers.activeHosts(now)
-	supporters := make([]ident.Host, 0, len(active))
-	for _, other := range active {
-		if now.Sub(p.receivedAt[other]) < peerTimeout {
-			supporters = append(supporters, other)
-		}
-	}
-	if firstByHash(pool, r.self, active) == host {
-		return true
-	}
-	if len(supporters) == 0 && p.announced().Phase != rollout.InProgress {
-		// Hosts send nothing about rollouts that ended long ago.
-		return false
-	}
-	return now.Sub(p.orderAt) > supporterWait && firstByHash(pool, r.self, supporters) == host
-}
-
-// firstByHash returns the host with the highest hash together with the pool.
-func firstByHash(pool ident.Pool, self ident.Host, others []ident.Host) ident.Host {
-	best := self
-	highest := xxhash.Sum64String(string(pool) + "\x00" + string(self))
-	for _, host := range others {
-		if hash := xxhash.Sum64String(string(pool) + "\x00" + string(host)); hash > highest {
-			best, highest = host, hash
-		}
-	}
-	return best
-}
-
 func (r *rollouts) logOrder(o *rollout.Order) {
 	r.logger.Info().Str(eventlog.FieldEvent, eventlog.EventRolloutOrdered).Str(eventlog.FieldPool, string(o.Pool)).
 		Str(eventlog.FieldVersion, o.Version).Uint64(eventlog.FieldOrder, o.ID.Row).
--- a/hoststate/rollout_codec.go
+++ b/hoststate/rollout_codec.go
@@ -23,7 +23,7 @@
 }
 
 func encodeRollout(r *Rollout) *hostpb.Rollout {
-	p := &r.Progress
+	p := withConfirmation(r)
 	encoded := &hostpb.Rollout{
 		Pool: hashName(r.Pool), Era: p.Order.Era, Order: p.Order.Row, Version: p.Version, Phase: clampUint32(int(p.Phase)),
 		Step: clampUint32(p.Step), ShareMilli: clampUint32(p.ShareMilli), StartedMs: p.StartedMs,
@@ -37,6 +37,33 @@
 	return encoded
 }
 
+// withConfirmation returns the progress as it is sent. Without confirmation the share is zero, and
+// the step is zero unless the store is lost.
+func withConfirmation(r *Rollout) rollout.Progress {
+	p := r.Progress
+	switch {
+	case r.Confirmation == Confirmed || p.Phase != rollout.InProgress:
+	case r.Confirmation == StoreLost:
+		p.Step, p.ShareMilli = max(p.Step, 1), 0
+	default:
+		p.Step, p.ShareMilli = 0, 0
+	}
+	return p
+}
+
+// decodeConfirmation is the reverse of withConfirmation. Hosts of earlier builds send the step
+// also when they have not heard from the store for a second, which counts as lost.
+func decodeConfirmation(p *rollout.Progress) Confirmation {
+	switch {
+	case p.Phase != rollout.InProgress || p.ShareMilli != 0:
+		return Confirmed
+	case p.Step > 0:
+		return StoreLost
+	default:
+		return Unconfirmed
+	}
+}
+
 func encodeRolloutCount(key rollout.CountKey, c *rollout.Counts) *hostpb.RolloutCount {
 	return &hostpb.RolloutCount{
 		Route: uint32(key.Route), Candidate: key.Side == rollout.New,
@@ -57,7 +84,10 @@
 		if !known || phase < rollout.InProgress || phase > rollout.RolledBack {
 			continue
 		}
-		rollouts = append(rollouts, Rollout{Pool: pool, Progress: decodeProgress(r, phase), Report: decodeReport(r)})
+		progress := decodeProgress(r, phase)
+		rollouts = append(rollouts, Rollout{
+			Pool: pool, Progress: progress, Confirmation: decodeConfirmation(&progress), Report: decodeReport(r),
+		})
 	}
 	return rollouts
 }
--- a/hoststate/rollout_codec_test.go
+++ b/hoststate/rollout_codec_test.go
@@ -39,3 +39,24 @@
 		t.Errorf("got %+v, want %+v", got, sent)
 	}
 }
+
+// Guards against hosts that take a share for confirmed, or a host that lost the store for one that
+// can decide, and against hosts of earlier builds, which know only a share of zero, that use it.
+func TestConfirmationsSurviveTransmission(t *testing.T) {
+	for _, confirmation := range []Confirmation{Confirmed, Unconfirmed, StoreLost} {
+		for _, step := range []int{0, 4} {
+			sent := Rollout{
+				Progress:     rollout.Progress{Version: "v2", Phase: rollout.InProgress, Step: step, ShareMilli: 40 * step},
+				Confirmation: confirmation,
+			}
+			progress := decodeProgress(encodeRollout(&sent), rollout.InProgress)
+			want := confirmation
+			if want == Confirmed && step == 0 {
+				want = Unconfirmed // before the first step there is no share
+			}
+			if got := decodeConfirmation(&progress); got != want || got != Confirmed && progress.ShareMilli != 0 {
+				t.Errorf("step %d, confirmation %d: got %d with %+v", step, confirmation, got, progress)
+			}
+		}
+	}
+}
