Keep the rejection of an order beside an earlier one in progress

The next step of the earlier order overwrote the state rolled_back of a malformed order, and a restart after the earlier order's end wrote the rejection over that end. The rejection now stays until the earlier order ends. An order that names the version in progress gets no state, since the operator would take it for the end and drain the new targets.

The operator of the tests drains new targets only if the state names their version.

--- a/gateway/rollout_duty.go
+++ b/gateway/rollout_duty.go
@@ -133,11 +133,12 @@
 	if p.saving {
 		return
 	}
+	r := g.state.rollouts
 	p.saving, p.savedAt = true, now
 	saved := platform.StoredRollout{Pool: pool, Progress: next, Duration: p.order.Duration, Revision: p.stored.Revision}
+	saved.KeepsState = next.Phase == rollout.InProgress && r.rejectsBeside(p, pool)
 	go func() {
 		stored, err := g.directory.SaveProgress(ctx, saved)
-		r := g.state.rollouts
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		p.saving = false
@@ -184,28 +185,6 @@
 	}
 }
 
-// rejectInvalid stores the state of orders that can't be followed.
-func (g *Gateway) rejectInvalid(ctx context.Context, now time.Time) {
-	r := g.state.rollouts
-	for _, o := range r.invalid {
-		if o.Version == "" || r.rejected[o.Pool] == o.ID || len(r.rejected) >= maxRolloutPools {
-			continue
-		}
-		if firstByHash(o.Pool, append(r.peers.activeHosts(now), r.self)) != r.self {
-			continue
-		}
-		r.rejected[o.Pool] = o.ID
-		go func() {
-			if err := g.directory.RejectOrder(ctx, o.Order); err != nil {
-				r.logger.Warn().Err(err).Str(eventlog.FieldPool, string(o.Pool)).Msg("Storing that an order is not valid failed; will retry.")
-				r.mu.Lock()
-				defer r.mu.Unlock()
-				delete(r.rejected, o.Pool)
-			}
-		}()
-	}
-}
-
 // updateRolloutGauges updates the gauges of rollouts.
 func (g *Gateway) updateRolloutGauges() {
 	r := g.state.rollouts
