Complete after a return in time, and hold the step before the full share longer

After a false suspicion, the ramp repeated a share that had been held for long enough, so that one of six good versions with two targets on each side completed at 10.1 s of 12 s (bound 10.0). With little time left it now goes on above such a share.

TestGoodVersionCompletesDespiteDisturbances/few_targets passes (6 of 6).

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -82,6 +82,10 @@
 // suspicion; the evidence that led to it continues to count then.
 func (c *Controller) beginStep(now time.Time, s Situation) {
 	isReturn := isRamp(s.Progress.ShareMilli) && s.Progress.ShareMilli < c.shareMilli
+	if isReturn && now.Sub(c.stepAt) >= reactionTime {
+		// The share was held for long enough; the ramp goes on above it if time is short.
+		c.reachedMilli = nextRampShare(c.shareMilli)
+	}
 	c.step, c.shareMilli, c.stepAt = s.Progress.Step, s.Progress.ShareMilli, now
 	if isReturn {
 		return
--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -73,7 +73,7 @@
 	case isRamp(share):
 		return d.ramp()
 	case d.mayRamp():
-		return d.withShare(nextRampShare(share))
+		return d.withShare(d.plan.firstRampShare(share))
 	default:
 		return d.hold()
 	}
@@ -95,7 +95,7 @@
 // mayRamp reports whether traffic may move: the version is good, or undecided for want of
 // requests until the latest time, with nothing against it.
 func (d *decision) mayRamp() bool {
-	skipped := skippedSteps(d.Progress.ShareMilli)
+	skipped := d.plan.skippedSteps(d.Progress.ShareMilli)
 	if d.elapsed < d.plan.rampAt+skipped*d.plan.stepTime || !d.hasCandidates() || !d.hasFreshEvidence(time.Second) {
 		return false
 	}
@@ -148,6 +148,9 @@
 		if isLate := d.elapsed > d.plan.completeAt-2*minStepTime; isLate {
 			next = max(next, c.reachedMilli)
 		}
+		if next == 1000 && d.elapsed < d.plan.lastFullAt && d.judgement(d.Evidence.since(c.stepTotal)).isDoubtful() {
+			return d.Progress
+		}
 		return d.withShare(next)
 	}
 	if isReady := d.OldRunning == 0 && d.verdict.Outcome == Good; !isReady && d.elapsed < d.plan.completeAt {
@@ -171,16 +174,21 @@
 // stepTime returns how long the current step of the ramp is held: shorter than planned if
 // the steps left would otherwise not end in time.
 func (d *decision) stepTime() time.Duration {
-	stepsLeft := 1
+	var stepsBelow time.Duration // this step and those after it that are below the full share
 	for share := d.Progress.ShareMilli; share < 1000; share = nextRampShare(share) {
-		stepsLeft++
+		stepsBelow++
 	}
-	held := d.now.Sub(d.controller.stepAt)
-	left := (d.plan.completeAt - d.elapsed + held) / time.Duration(stepsLeft)
-	if stepsLeft == 1 {
+	left := d.plan.completeAt - d.elapsed + d.now.Sub(d.controller.stepAt)
+	switch {
+	case stepsBelow == 0:
 		return min(max(left, minStepTime), fullShareTime)
+	case stepsBelow == 1:
+		// The last step before the full share shows most, and the longer it is held, the more
+		// of its evidence has arrived when all requests follow.
+		return min(max(left-fullShareTime-stepDelays/4, minStepTime), maxStepTime)
+	default:
+		return min(max(left/(stepsBelow+1), minStepTime), d.plan.stepTime)
 	}
-	return min(max(left, minStepTime), d.plan.stepTime)
 }
 
 func (d *decision) withShare(shareMilli int) Progress {
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -11,6 +11,8 @@
 	latestRampAt time.Duration
 	// completeAt is when old targets that still have work no longer delay the completion.
 	completeAt time.Duration
+	// lastFullAt is until when few failures that may be chance delay the full share.
+	lastFullAt time.Duration
 	// stepTime is how long each step of the ramp is held.
 	stepTime time.Duration
 }
@@ -42,6 +44,7 @@
 		completeAt: duration - min(part, reserveTime) - writeTime,
 		stepTime:   stepTime,
 	}
+	p.lastFullAt = p.completeAt - minStepTime - writeTime
 	p.latestRampAt = max(p.completeAt-3*minStepTime-stepDelays, 0)
 	return p
 }
@@ -65,13 +68,23 @@
 	return shareMilli
 }
 
-// skippedSteps returns how many steps of the ramp are below a share that was held before the
-// ramp. With few requests such a share is within the exposure bound; the ramp then starts
-// later, so that the evidence is as long as with all steps.
-func skippedSteps(shareMilli int) time.Duration {
+// firstRampShare returns the share at which the ramp starts. In short rollouts the lowest one is
+// left out if it is less than twice the share held before: it shows little that is new, and the
+// evidence of the next one needs the time.
+func (p *plan) firstRampShare(heldMilli int) int {
+	lowest := rampShares[0]
+	if p.stepTime < reactionTime && lowest < 2*heldMilli {
+		return nextRampShare(max(heldMilli, lowest))
+	}
+	return nextRampShare(heldMilli)
+}
+
+// skippedSteps returns how many steps of the ramp are left out after a share that was held before
+// the ramp. The ramp then starts later, so that the evidence is as long as with all steps.
+func (p *plan) skippedSteps(heldMilli int) time.Duration {
 	var skipped time.Duration
 	for _, share := range rampShares {
-		if share <= shareMilli {
+		if share < p.firstRampShare(heldMilli) {
 			skipped++
 		}
 	}
--- a/rollout/suspicion.go
+++ b/rollout/suspicion.go
@@ -12,6 +12,9 @@
 	// less suffices: there is one comparison instead of many.
 	suspectLikelihood  = 4
 	minSuspectFailures = 3
+	// doubtfulLikelihood and doubtfulDeviation are exceeded by about one good version in ten.
+	doubtfulLikelihood = 0.8
+	doubtfulDeviation  = 1.3
 	// suspectDeviation is the number of standard errors that a mean may be off by chance.
 	suspectDeviation = 2.5
 	// minSuspectDurations is the number of durations from which their mean is looked at.
@@ -33,6 +36,15 @@
 	return j.isSlow(suspectDeviation)
 }
 
+// isDoubtful reports whether the candidates did worse, though quite possibly by chance. It delays
+// the full share while there is time: a version that is bad under load shows its first failures
+// just when the share is to grow, and most requests would reach it before the next ones arrive.
+func (j judgement) isDoubtful() bool {
+	old, candidates, _ := j.compared(j.total())
+	isFailing := candidates.Failures > 1 && riseLikelihood(old, candidates, toleratedRise) >= doubtfulLikelihood
+	return isFailing || j.isSlow(doubtfulDeviation)
+}
+
 // isFailingSuspect is about one route.
 func (j judgement) isFailingSuspect(p pair) bool {
 	old, candidates, otherPeriod := j.compared(p)
