--- /dev/null
+++ b/internal/former/doc.go
@@ -0,0 +1,3 @@
+// Package former builds former commits of this repository from its history, so that they can be
+// run beside this build.
+package former
