Upgrade hosts from a former build in the soak test

Cause: decisions/015 says what a mixed system promises, but no test ran two builds. Halfway, a target drains, a key is revoked, an order of a rollout is given, a request or a part of a prompt crashes targets, and streams break off; one team is at its quota all along. Two promises are added: a revoked key is refused, and the order ends. In systems of more than 16 hosts, callers take up streams at hosts of the same data centre, since others don't know where a stream began (decisions/011); smaller systems are unchanged.

--- a/bench/main.go
+++ b/bench/main.go
@@ -20,6 +20,7 @@
 	"github.com/cornelyard/cornelyard/bench/report"
 	"github.com/cornelyard/cornelyard/bench/slopes"
 	"github.com/cornelyard/cornelyard/bench/soak"
+	"github.com/cornelyard/cornelyard/internal/former"
 	"github.com/cornelyard/cornelyard/internal/testbed"
 )
 
@@ -57,6 +58,7 @@
 	var group run.Group
 	group.Add(func() error {
 		defer testbed.RemoveBinaries()
+		defer former.RemoveAll()
 		result, err := c.Run(ctx)
 		if err != nil {
 			return err
--- a/internal/soak/call.go
+++ b/internal/soak/call.go
@@ -13,9 +13,11 @@
 	host        *host
 	incarnation int
 	limited     bool
-	started     time.Time
-	finished    time.Time
-	reply       platformtest.Reply
+	// guest marks the calls with the key that is revoked during an upgrade.
+	guest    bool
+	started  time.Time
+	finished time.Time
+	reply    platformtest.Reply
 	// version is the configuration version that declares the path, or zero.
 	version int
 	// takesUp is the call whose stream this one takes up, or nil.
@@ -41,7 +43,7 @@
 }
 
 func (c *call) String() string {
-	return fmt.Sprintf("%s %s %s through %s (life %d) from %s to %s: status %d, body %q, error %v",
-		c.request.ID, c.request.Method, c.request.Path, c.host.Name, c.incarnation, c.started.Format("15:04:05.000"),
+	return fmt.Sprintf("%s %s %s through %s (life %d, %s) from %s to %s: status %d, body %q, error %v",
+		c.request.ID, c.request.Method, c.request.Path, c.host.Name, c.incarnation, c.host.buildOf(c.incarnation), c.started.Format("15:04:05.000"),
 		c.finished.Format("15:04:05.000"), c.reply.Status, c.reply.Body, c.reply.Err)
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -56,8 +56,9 @@
 
 // pickHost returns a random host that is in the load balancer's rotation, or any host
 // if there is none.
-func (c *callers) pickHost(random *rand.Rand) *host {
-	hosts := c.system.hosts
+func (c *callers) pickHost(random *rand.Rand) *host { return pickInRotation(random, c.system.hosts) }
+
+func pickInRotation(random *rand.Rand, hosts []*host) *host {
 	start := random.IntN(len(hosts))
 	for i := range hosts {
 		if h := hosts[(start+i)%len(hosts)]; !h.isOutOfRotation() {
@@ -102,8 +103,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+callTimeoutSlack)
 	defer cancel()
 	sender := issued.host.caller
-	if issued.limited {
+	switch {
+	case issued.limited:
 		sender = issued.host.limitedCaller
+	case issued.guest:
+		sender = issued.host.guestCaller
 	}
 	issued.incarnation = issued.host.currentIncarnation()
 	issued.started = time.Now()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -32,6 +32,9 @@
 		r.checkCrashingRequests(), r.checkAnswered(), r.checkAttempts(), r.checkForwardedTimeouts(), r.checkRetryBudget(),
 	}
 	result.Promises = append(result.Promises, r.checkStreamVersions(), r.checkTakenUpStreams())
+	if r.upgrade != nil {
+		result.Promises = append(result.Promises, r.upgrade.checkRevokedKey(r.callers.calls, received), r.upgrade.checkRollout())
+	}
 	return result
 }
 
--- a/internal/soak/check_answered.go
+++ b/internal/soak/check_answered.go
@@ -24,7 +24,7 @@
 // answered reports whether a call has the whole response, a refusal, or used up its time.
 func (c *call) answered() bool {
 	return c.reply.Succeeded() || c.reply.Refused() || c.finished.Sub(c.started) >= deadline ||
-		c.reply.Err == nil && c.reply.Status == http.StatusNotFound
+		c.reply.Err == nil && (c.reply.Status == http.StatusNotFound || c.guest && c.reply.Status == http.StatusUnauthorized)
 }
 
 // targetFault reports whether a target of the call's service was at fault during the call.
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -35,10 +35,13 @@
 // host is a host and its current process.
 type host struct {
 	*testbed.Process
-	settings      config.Gateway
+	settings config.Gateway
+	// settingsPath is the path of the settings file.
+	settingsPath  string
 	storeLink     *faultproxy.Link
 	caller        *platformtest.Caller
 	limitedCaller *platformtest.Caller
+	guestCaller   *platformtest.Caller
 	// faultLock is held while a host fault is active, so that there is only one at a
 	// time. faultSpans are the periods with such a fault.
 	faultLock  sync.Mutex
@@ -49,6 +52,10 @@
 	outOfRotation bool
 	// incarnation counts the process starts.
 	incarnation int
+	// builds holds the name of the build of each incarnation.
+	builds []string
+	// build is that of the next incarnation.
+	build *build
 	// plannedStops are the times at which planned stops began.
 	plannedStops []time.Time
 	// unexpectedExits are the incarnations that exited without an order to.
@@ -58,8 +65,8 @@
 	exitExpected bool
 }
 
-// newHost writes the host's settings file; it does not start the process.
-func newHost(dir, binary, name, dataCentre string, store *faultproxy.Link) (*host, error) {
+// newHost returns a host that runs a build. It does not start the process.
+func newHost(dir string, b *build, name, dataCentre string, store *faultproxy.Link) (*host, error) {
 	addresses := make([]string, 4)
 	for i := range addresses {
 		address, err := loopback.FreeAddress()
@@ -81,16 +88,34 @@
 	h.settings.Host, h.settings.DataCentre = ident.Host(name), ident.DataCentre(dataCentre)
 	h.caller = platformtest.NewCaller(h.settings.CallerAddress, platformtest.Key)
 	h.limitedCaller = platformtest.NewCaller(h.settings.CallerAddress, platformtest.LimitedKey)
-	path := filepath.Join(dir, name+".json")
-	data, err := json.MarshalIndent(h.settings, "", "  ")
+	h.guestCaller = platformtest.NewCaller(h.settings.CallerAddress, platformtest.GuestKey)
+	h.settingsPath = filepath.Join(dir, name+".json")
+	h.Process = testbed.NewProcess(dir, name, b.binary, "--settings", h.settingsPath)
+	return h, h.setBuild(b)
+}
+
+// setBuild replaces the build and writes its settings file, for the next incarnation. The
+// process must not run.
+func (h *host) setBuild(b *build) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.build = b
+	h.SetBinary(b.binary)
+	data, err := json.MarshalIndent(b.settingsOf(h.settings), "", "  ")
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return Error.Wrap(err)
 	}
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		return nil, Error.Wrap(err)
+	return Error.Wrap(os.WriteFile(h.settingsPath, data, 0o600))
+}
+
+// buildOf returns the name of the build of an incarnation.
+func (h *host) buildOf(incarnation int) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if incarnation < 1 || incarnation > len(h.builds) {
+		return "no build"
 	}
-	h.Process = testbed.NewProcess(dir, name, binary, "--settings", path)
-	return h, nil
+	return h.builds[incarnation-1]
 }
 
 // startProcess starts a new incarnation of the host.
@@ -98,6 +123,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.incarnation++
+	h.builds = append(h.builds, h.build.name)
 	h.exitExpected = false
 	return h.Start()
 }
--- a/internal/soak/host_fault.go
+++ b/internal/soak/host_fault.go
@@ -52,17 +52,26 @@
 			return nil
 		}
 		defer h.faultLock.Unlock()
-		end := h.faultSpans.start()
-		defer end()
-		if err := act(ctx, s, h, random); err != nil {
-			return err
-		}
-		// The fault lasts until the host is ready, also at the end of the run.
-		readyCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readyTimeout)
-		defer cancel()
-		h.waitReady(readyCtx)
-		return nil
+		return injectHostFault(ctx, s, h, random, act)
+	}
+}
+
+// injectHostFault injects a fault into a host and waits until it is ready again. The caller
+// holds the host's faultLock.
+func injectHostFault(
+	ctx context.Context, s *system, h *host, random *rand.Rand,
+	act func(ctx context.Context, s *system, h *host, random *rand.Rand) error,
+) error {
+	end := h.faultSpans.start()
+	defer end()
+	if err := act(ctx, s, h, random); err != nil {
+		return err
 	}
+	// The fault lasts until the host is ready, also at the end of the run.
+	readyCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readyTimeout)
+	defer cancel()
+	h.waitReady(readyCtx)
+	return nil
 }
 
 // waitReady waits until the host reports that it is ready, or ctx ends.
@@ -74,6 +83,14 @@
 
 // shutdownAndRestart shuts a host down gracefully and starts it again.
 func shutdownAndRestart(_ context.Context, s *system, h *host, _ *rand.Rand) error {
+	if err := shutDown(h); err != nil {
+		return err
+	}
+	return s.startHost(h)
+}
+
+// shutDown shuts a host down gracefully.
+func shutDown(h *host) error {
 	h.mu.Lock()
 	h.exitExpected = true
 	h.plannedStops = append(h.plannedStops, time.Now())
@@ -88,5 +105,5 @@
 	if status != 0 {
 		return Error.New("%s ended with status %d after it was told to stop", h.Name, status)
 	}
-	return s.startHost(h)
+	return nil
 }
--- a/internal/soak/promise.go
+++ b/internal/soak/promise.go
@@ -20,5 +20,7 @@
 	NoUnexpectedExit         verdict.Promise = "hosts-end-only-when-told"
 	OneVersionPerStream      verdict.Promise = "one-version-per-stream"
 	TakenUpStreamGoesOn      verdict.Promise = "taken-up-streams-go-on"
+	RevokedKeyRefused        verdict.Promise = "revoked-key-is-refused"
+	RolloutEnds              verdict.Promise = "rollout-ends-by-its-deadline"
 	RecoversAfterFaults      verdict.Promise = "serves-after-the-faults"
 )
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -29,7 +29,11 @@
 	o = o.withDefaults()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s, err := startSystem(ctx, o)
+	builds, err := newBuilds(o.Former)
+	if err != nil {
+		return nil, err
+	}
+	s, err := startSystem(ctx, o, builds.first())
 	if s == nil {
 		return nil, err
 	}
@@ -44,6 +48,9 @@
 		callers:  &callers{system: s, seed: o.Seed},
 		injector: &injector{system: s, seed: o.Seed, counts: make(map[faultKind]int)},
 	}
+	if builds.former != nil {
+		r.upgrade = &upgrade{builds: builds, runner: r}
+	}
 	if err := r.run(ctx); err != nil {
 		keep = true
 		return nil, Error.New("%v; logs are in %s", err, s.dir)
@@ -62,6 +69,8 @@
 	system   *system
 	callers  *callers
 	injector *injector
+	// upgrade is nil if the hosts run this build only.
+	upgrade *upgrade
 	// recoveryCalls are the calls made after the system had time to recover.
 	recoveryCalls []*call
 }
@@ -108,6 +117,12 @@
 	if r.options.Storms {
 		injecting.Go(func() { r.runStorms(injectCtx) })
 	}
+	if r.upgrade != nil {
+		injecting.Go(func() {
+			defer cancel()
+			r.injector.fail(r.upgrade.run(injectCtx))
+		})
+	}
 	if r.options.Versions > 1 {
 		injecting.Go(func() { r.system.breakStreams(injectCtx, r.options.Seed) })
 	}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -12,7 +12,6 @@
 	"github.com/cornelyard/cornelyard/internal/loopback"
 	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/internal/standin/faultproxy"
-	"github.com/cornelyard/cornelyard/internal/testbed"
 	"github.com/cornelyard/cornelyard/platform/platformtest"
 )
 
@@ -37,6 +36,8 @@
 
 	mu      sync.Mutex
 	version int
+	// guestRevoked says that the key of the guests is missing from the configuration.
+	guestRevoked bool
 	// faultErrs holds errors of faults that targets injected themselves.
 	faultErrs []error
 }
@@ -51,13 +52,9 @@
 	s.faultErrs = append(s.faultErrs, err)
 }
 
-// startSystem starts all processes. If it returns a system, the caller must stop it,
+// startSystem starts all processes. All hosts run the build b. If it returns a system, the caller must stop it,
 // also after an error.
-func startSystem(ctx context.Context, o Options) (*system, error) {
-	binaries, err := testbed.Build()
-	if err != nil {
-		return nil, err
-	}
+func startSystem(ctx context.Context, o Options, b *build) (*system, error) {
 	dir, err := os.MkdirTemp("", "cornelyard-soak-")
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -70,7 +67,7 @@
 	}
 	s.writeConfiguration()
 	for i := range o.Hosts {
-		if err := s.addHost(i, binaries.Gateway); err != nil {
+		if err := s.addHost(i, b); err != nil {
 			return s, err
 		}
 	}
@@ -118,22 +115,34 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
+	if s.guestRevoked {
+		s.store.PutConfiguration(platformtest.ConfigurationWithoutGuests(s.version))
+		return
+	}
 	s.store.PutConfiguration(platformtest.Configuration(s.version))
 }
 
+// revokeGuestKey removes the key of the guests from this configuration and all later ones.
+func (s *system) revokeGuestKey() {
+	s.mu.Lock()
+	s.guestRevoked = true
+	s.mu.Unlock()
+	s.writeConfiguration()
+}
+
 func (s *system) currentVersion() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.version
 }
 
-func (s *system) addHost(i int, binary string) error {
+func (s *system) addHost(i int, b *build) error {
 	name := fmt.Sprintf("h-%d", i)
 	link, err := s.addLink("store-"+name, s.store.Address())
 	if err != nil {
 		return err
 	}
-	h, err := newHost(s.dir, binary, name, string(dataCentreOf(i)), link)
+	h, err := newHost(s.dir, b, name, string(dataCentreOf(i)), link)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/take_up.go
+++ b/internal/soak/take_up.go
@@ -15,12 +15,15 @@
 const (
 	// maxTakeUps is how often a caller takes up a stream that broke off.
 	maxTakeUps = 4
+	// maxHostsOfOneMesh is the number of hosts up to which all hosts know where a stream began. In
+	// larger systems, only those of the same data centre do (docs/decisions/011).
+	maxHostsOfOneMesh = 16
 	// takeUpDelay is the time before each of them.
 	takeUpDelay = 100 * time.Millisecond
 )
 
 // takeUp takes up a resumable stream that broke off after events, each time at a random
-// host.
+// host that can know where it began.
 func (c *callers) takeUp(ctx context.Context, random *rand.Rand, first *call) {
 	last, events := first, first.eventCount()
 	for n := 1; n <= maxTakeUps && last.canBeTakenUp(events) && ctx.Err() == nil; n++ {
@@ -28,7 +31,7 @@
 		request := first.request
 		request.ID = fmt.Sprintf("%s-%d", first.request.ID, n)
 		request.FirstAttempt, request.LastEvent = first.request.ID, events
-		next := &call{request: request, host: c.pickHost(random), takesUp: first}
+		next := &call{request: request, host: c.pickTakeUpHost(random, first.host), takesUp: first}
 		c.send(next)
 		c.mu.Lock()
 		c.calls = append(c.calls, next)
@@ -38,6 +41,19 @@
 	}
 }
 
+func (c *callers) pickTakeUpHost(random *rand.Rand, first *host) *host {
+	if len(c.system.hosts) <= maxHostsOfOneMesh {
+		return c.pickHost(random)
+	}
+	var near []*host
+	for _, h := range c.system.hosts {
+		if h.settings.DataCentre == first.settings.DataCentre {
+			near = append(near, h)
+		}
+	}
+	return pickInRotation(random, near)
+}
+
 // canBeTakenUp reports whether the stream, of which the caller has some events, broke off, or
 // was not taken up.
 func (c *call) canBeTakenUp(events int) bool {
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -29,6 +30,8 @@
 	dataCentre ident.DataCentre
 	fake       *platformtest.Target
 	link       *faultproxy.Link
+	// statements holds headers that the target adds to each response, or is nil.
+	statements atomic.Pointer[http.Header]
 	// stormy is set while the target fails most of its runs.
 	stormy atomic.Bool
 	// faultSpans are the periods in which the target was at fault, other than by a pause or in
@@ -74,6 +77,9 @@
 // events.
 func (t *target) serve(w http.ResponseWriter, r *http.Request) {
 	id := platformtest.RequestID(r)
+	if statements := t.statements.Load(); statements != nil {
+		maps.Copy(w.Header(), *statements)
+	}
 	if t.service != platformtest.ModelService {
 		if t.delayResponse(r) {
 			_, _ = io.WriteString(w, serviceBody(id, r.URL.Path))
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -27,6 +27,9 @@
 	return &Process{Name: name, Log: filepath.Join(dir, name+".log"), binary: binary, args: args}
 }
 
+// SetBinary replaces the program, from the next start on.
+func (p *Process) SetBinary(binary string) { p.binary = binary }
+
 // Start starts the program.
 func (p *Process) Start() error {
 	log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
