--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -71,7 +71,7 @@
 		h := &host{
 			name:           ident.Host(strconv.Itoa(i)),
 			dataCentre:     s.dataCentreOf(i),
-			scheduler:      schedule.New(schedule.Options{Random: m.random.Float64, Host: ident.Host(strconv.Itoa(i)), DataCentre: s.dataCentreOf(i), FairShares: s.hasTeams()}),
+			scheduler:      schedule.New(schedule.Options{Random: m.random.Float64, Host: ident.Host(strconv.Itoa(i)), DataCentre: s.dataCentreOf(i), FairShares: s.sharesAt(i)}),
 			receivedCounts: make([]int, s.Hosts),
 		}
 		h.scheduler.SetPeers(clock(0), m.othersThan(i))
--- a/internal/loadmodel/scenario.go
+++ b/internal/loadmodel/scenario.go
@@ -13,6 +13,8 @@
 	Seed   uint64
 	Length time.Duration
 	Hosts  int
+	// HostsWithoutShares is how many of them don't know fair shares, like hosts of a former build.
+	HostsWithoutShares int
 	// DataCentres is the number of data centres that hosts and engines are distributed
 	// over in turn; zero means one.
 	DataCentres int
@@ -46,6 +48,9 @@
 	Policy        Policy
 }
 
+// sharesAt reports whether the host with index i applies fair shares.
+func (s *Scenario) sharesAt(i int) bool { return i >= s.HostsWithoutShares && s.hasTeams() }
+
 // hasTeams reports whether any class of requests belongs to a team.
 func (s *Scenario) hasTeams() bool {
 	return slices.ContainsFunc(s.Classes, func(c RequestClass) bool { return c.Team != "" })
