--- a/internal/soak/upgrade.go
+++ b/internal/soak/upgrade.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -53,6 +55,7 @@
 // run replaces all hosts, with events when half of them are replaced, until ctx ends.
 func (u *upgrade) run(ctx context.Context) error {
 	u.random = rand.New(rand.NewPCG(u.runner.options.Seed, 1<<35))
+	u.runner.system.stateMachines(u.random)
 	hosts := append([]*host(nil), u.runner.system.hosts...)
 	u.random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	first, rest := hosts[:len(hosts)/2], hosts[len(hosts)/2:]
@@ -89,6 +92,18 @@
 	return nil
 }
 
+// maxMachinePercent is the longest time that work takes by what targets state, as the fourth
+// figure of their load, which former builds don't know.
+const maxMachinePercent = 250
+
+// stateMachines lets targets state how long work takes on their machines.
+func (s *system) stateMachines(random *rand.Rand) {
+	for _, t := range s.targets {
+		percent := 100 + random.IntN(maxMachinePercent-100)
+		t.statements.Store(&http.Header{"Instance-Load": {fmt.Sprintf("1,0,4,%d", percent)}})
+	}
+}
+
 // mix holds half of the hosts at either build, during events.
 func (u *upgrade) mix(ctx context.Context, events *sync.WaitGroup) {
 	drain := rand.New(rand.NewPCG(u.random.Uint64(), 0))
