--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -23,15 +23,19 @@
 )
 
 const (
-	// recordTime is how long datagrams are recorded, which covers the life of a crashing request.
-	recordTime = 12 * time.Second
+	// loadTime is how long calls are made. Datagrams are recorded, and targets fail, after calmTime,
+	// in which teams use up their quotas.
+	loadTime = 20 * time.Second
+	calmTime = 8 * time.Second
+	// faultTime is how long all targets of one service can't be reached, and the time before.
+	faultTime = 3 * time.Second
 	// recorderName is the name under which the recorder is listed as a host.
 	recorderName     = "recorder"
 	maxDatagramBytes = 16 << 10
 )
 
 // tablesOfGateway are the tables of the store whose rows gateways write.
-var tablesOfGateway = []string{"cornelyard-hosts", "cornelyard-trials"}
+var tablesOfGateway = []string{"cornelyard-hosts", "cornelyard-trials", "cornelyard-busy"}
 
 // Record runs hosts of a former build under load and with faults, and writes samples of their
 // datagrams and rows, and the schema of the datagrams, to a directory.
@@ -76,7 +80,7 @@
 }
 
 func (r *recorder) run(ctx context.Context, s *system, o Options) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout+recordTime)
+	ctx, cancel := context.WithTimeout(ctx, startTimeout+loadTime)
 	defer cancel()
 	if err := s.waitReady(ctx); err != nil {
 		return err
@@ -89,35 +93,40 @@
 		return Error.Wrap(err)
 	}
 	defer func() { _ = conn.Close() }()
-	s.store.Put("cornelyard-hosts", recorderName, fmt.Sprintf(`{"dataCentre":"east","address":%q}`, conn.LocalAddr()))
 	go r.receive(conn)
-	loadCtx, stop := context.WithTimeout(ctx, recordTime)
+	loadCtx, stop := context.WithTimeout(ctx, loadTime)
 	defer stop()
-	return r.load(loadCtx, s, o)
+	return r.load(loadCtx, s, o, conn.LocalAddr().String())
 }
 
 // load makes calls and injects the faults of which hosts tell each other.
-func (r *recorder) load(ctx context.Context, s *system, o Options) error {
+func (r *recorder) load(ctx context.Context, s *system, o Options, address string) error {
 	c := &callers{system: s, seed: o.Seed}
 	var group sync.WaitGroup
-	for caller := range 4 * o.Callers {
+	for caller := range o.Callers {
 		group.Go(func() { c.run(ctx, caller) })
 	}
 	group.Go(func() { c.runPrompts(ctx) })
+	for caller := range o.Callers {
+		group.Go(func() { c.runLimited(ctx, caller) })
+	}
+	periodic.Sleep(ctx, calmTime)
+	// A host that sends nothing is assumed to use its part of the quotas.
+	s.store.Put("cornelyard-hosts", recorderName, fmt.Sprintf(`{"dataCentre":"east","address":%q}`, address))
 	group.Go(func() {
 		for seed := uint64(0); ctx.Err() == nil; seed++ {
 			s.injectError(sendCrashingRequest(ctx, s, rand.New(rand.NewPCG(seed, 0))))
 		}
 	})
 	s.makeStatements()
-	periodic.Sleep(ctx, recordTime/4)
+	periodic.Sleep(ctx, faultTime)
 	for _, faults := range []faultproxy.Faults{{Refuse: true}, {}} {
 		for _, t := range s.targets {
 			if t.service == platformtest.ModelService {
 				s.injectError(t.link.SetFaults(faults))
 			}
 		}
-		periodic.Sleep(ctx, recordTime/4)
+		periodic.Sleep(ctx, faultTime)
 	}
 	// A stopping host says that it is leaving.
 	err := shutDown(s.hosts[0])
@@ -150,6 +159,18 @@
 	}
 }
 
+// runLimited makes calls of the team with a quota, until ctx ends.
+func (c *callers) runLimited(ctx context.Context, caller int) {
+	random := rand.New(rand.NewPCG(c.seed, 1<<39+uint64(caller)))
+	for n := 0; ctx.Err() == nil; n++ {
+		c.issue(&call{host: c.pickHost(random), limited: true, request: platformtest.Request{
+			ID: fmt.Sprintf("limited-%d-%d", caller, n), Method: http.MethodGet, HostName: platformtest.HostName,
+			Path: platformtest.PathLimited, Deadline: deadline,
+		}})
+		periodic.Sleep(ctx, callInterval)
+	}
+}
+
 // receive keeps the datagrams with fields that no other one has, until the connection is closed.
 func (r *recorder) receive(conn net.PacketConn) {
 	buffer := make([]byte, maxDatagramBytes)
--- a/internal/soak/upgrade.go
+++ b/internal/soak/upgrade.go
@@ -52,7 +52,8 @@
 	rollout rolloutOrder
 }
 
-// run replaces all hosts, with events when half of them are replaced, until ctx ends.
+// run replaces all hosts, with events when half of them are replaced. It returns an error if ctx
+// ends before.
 func (u *upgrade) run(ctx context.Context) error {
 	u.random = rand.New(rand.NewPCG(u.runner.options.Seed, 1<<35))
 	u.runner.system.stateMachines(u.random)
@@ -69,22 +70,14 @@
 	periodic.Sleep(ctx, steadyTime)
 	events.Go(func() { u.event(ctx, fault{requestCrashes, sendCrashingRequest}) })
 	u.runner.system.writeConfiguration()
-	if err := u.replace(ctx, first, u.builds.current); err != nil {
-		return err
-	}
+	u.replace(ctx, first, u.builds.current)
 	u.mix(ctx, &events)
 	if kind == upgradeReverted {
-		if err := u.replace(ctx, first, u.builds.former); err != nil {
-			return err
-		}
+		u.replace(ctx, first, u.builds.former)
 		periodic.Sleep(ctx, steadyTime)
-		if err := u.replace(ctx, first, u.builds.current); err != nil {
-			return err
-		}
-	}
-	if err := u.replace(ctx, rest, u.builds.current); err != nil {
-		return err
+		u.replace(ctx, first, u.builds.current)
 	}
+	u.replace(ctx, rest, u.builds.current)
 	periodic.Sleep(ctx, steadyTime)
 	if ctx.Err() != nil {
 		return Error.New("the upgrade took longer than %v", u.runner.options.Duration)
@@ -126,31 +119,24 @@
 }
 
 // replace replaces the builds of hosts, a tenth of all hosts at a time.
-func (u *upgrade) replace(ctx context.Context, hosts []*host, b *build) error {
+func (u *upgrade) replace(ctx context.Context, hosts []*host, b *build) {
 	batch := max(len(u.runner.system.hosts)/10, 1)
 	for len(hosts) > 0 && ctx.Err() == nil {
 		n := min(batch, len(hosts))
-		errs := make([]error, n)
 		var group sync.WaitGroup
-		for i, h := range hosts[:n] {
+		for _, h := range hosts[:n] {
 			life := time.Duration(u.random.Int64N(int64(maxLifeOfKilled)))
-			group.Go(func() { errs[i] = u.replaceHost(ctx, h, b, life) })
+			group.Go(func() { u.replaceHost(ctx, h, b, life) })
 		}
 		group.Wait()
-		for _, err := range errs {
-			if err != nil {
-				return err
-			}
-		}
 		hosts = hosts[n:]
 		periodic.Sleep(ctx, replacementInterval)
 	}
-	return nil
 }
 
 // replaceHost stops a host and starts it with another build. In an upgrade that is killed
 // halfway, both the process and its first replacement are killed, which has then run for life.
-func (u *upgrade) replaceHost(ctx context.Context, h *host, b *build, life time.Duration) error {
+func (u *upgrade) replaceHost(ctx context.Context, h *host, b *build, life time.Duration) {
 	s, kind := u.runner.system, hostStopped
 	restart := func(context.Context, *system, *host, *rand.Rand) error { return stopAndStart(s, h, b) }
 	if upgradeKindOf(u.runner.options.Seed) == upgradeKilled {
@@ -161,9 +147,7 @@
 	}
 	h.faultLock.Lock()
 	defer h.faultLock.Unlock()
-	err := injectHostFault(ctx, s, h, nil, restart)
-	u.runner.injector.record(kind, nil)
-	return err
+	u.runner.injector.record(kind, injectHostFault(ctx, s, h, nil, restart))
 }
 
 // stopAndStart shuts a host down gracefully and starts it with a build.
