--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -29,7 +29,11 @@
 	o = o.withDefaults()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s, err := startSystem(ctx, o)
+	builds, err := newBuilds(o.Former)
+	if err != nil {
+		return nil, err
+	}
+	s, err := startSystem(ctx, o, builds.first())
 	if s == nil {
 		return nil, err
 	}
@@ -44,6 +48,9 @@
 		callers:  &callers{system: s, seed: o.Seed},
 		injector: &injector{system: s, seed: o.Seed, counts: make(map[faultKind]int)},
 	}
+	if builds.former != nil {
+		r.upgrade = &upgrade{builds: builds, runner: r}
+	}
 	if err := r.run(ctx); err != nil {
 		keep = true
 		return nil, Error.New("%v; logs are in %s", err, s.dir)
@@ -62,6 +69,8 @@
 	system   *system
 	callers  *callers
 	injector *injector
+	// upgrade is nil if the hosts run this build only.
+	upgrade *upgrade
 	// recoveryCalls are the calls made after the system had time to recover.
 	recoveryCalls []*call
 }
@@ -79,7 +88,9 @@
 		return err
 	}
 	go r.injector.watchExits(watchCtx)
-	r.injectFaults(ctx)
+	if err := r.injectFaults(ctx); err != nil {
+		return err
+	}
 	if err := r.clearFaults(); err != nil {
 		return err
 	}
@@ -89,8 +100,8 @@
 }
 
 // injectFaults injects faults for the configured duration while callers make calls. The
-// calls stop after the last fault has ended.
-func (r *runner) injectFaults(ctx context.Context) {
+// calls stop after the last fault has ended. An upgrade that isn't completed is an error.
+func (r *runner) injectFaults(ctx context.Context) error {
 	callCtx, stopCalls := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for caller := range r.options.Callers {
@@ -99,6 +110,7 @@
 	injectCtx, cancel := context.WithTimeout(ctx, r.options.Duration)
 	defer cancel()
 	var injecting sync.WaitGroup
+	var upgradeErr error
 	for stream := range r.options.Faults {
 		injecting.Go(func() { r.injector.run(injectCtx, stream, faults()) })
 	}
@@ -108,12 +120,19 @@
 	if r.options.Storms {
 		injecting.Go(func() { r.runStorms(injectCtx) })
 	}
+	if r.upgrade != nil {
+		injecting.Go(func() {
+			defer cancel()
+			upgradeErr = r.upgrade.run(injectCtx)
+		})
+	}
 	if r.options.Versions > 1 {
 		injecting.Go(func() { r.system.breakStreams(injectCtx, r.options.Seed) })
 	}
 	injecting.Wait()
 	stopCalls()
 	callers.Wait()
+	return upgradeErr
 }
 
 // clearFaults clears all faults that may still be in effect.
