Admit requests by rates where hosts know each other's load late

Cause: with more hosts than exchange all their states, several hosts see the same slot free and fill targets beyond their slots. In CrowdedPool (89 hosts, three times the load, a fifth of the engines lost), 1,409 of 1,722 late requests had been sent in time to an engine without a free slot.

With more than 16 hosts, each host now computes the max-min fair rate of each team and rank from the demand of all hosts and refuses the rest on arrival while capacity is scarce. The demand is sent in TeamLoad, in the same unit as before. The granted part is corrected by the known load of the targets, so that it does not depend on predicted slot times. Targets known late are chosen with a random addition to their cost. Each rank keeps at least a quarter of the part of all demand that is granted. Up to 16 hosts, nothing changes.

In the load model, streams have one event per token instead of one per step, and refusals are no longer delayed until the next change.

--- /dev/null
+++ b/fairshare/rates.go
@@ -0,0 +1,187 @@
+package fairshare
+
+import (
+	"cmp"
+	"iter"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// rateTimeConstant is that of the estimated rates. It is a few times the age of reports, and
+	// short enough that requests are no longer refused some tenths of a second after a burst.
+	rateTimeConstant = 400 * time.Millisecond
+	// minRate is the demand, in slots, below which an entry is dropped.
+	minRate = 1e-5
+	// minRankRatio is the least fraction of a rank's demand that is granted, relative to that of
+	// all demand. It keeps lower ranks from starving.
+	minRankRatio = 0.25
+)
+
+// Rates divides the capacity of one pool among ranks and teams by rates: each host grants the
+// same fraction of a team's requests on arrival, so that no order over hosts is needed. Rates are
+// in slots, that is in seconds of slot time per second.
+type Rates struct {
+	byKey     map[Key]*rate
+	ordered   []*rate
+	updatedAt time.Time
+}
+
+// rate is the demand of one team at one rank.
+type rate struct {
+	key Key
+	// demand and refused are decayed sums at this host, in seconds.
+	demand  float64
+	refused float64
+	// others is the demand that the other hosts report, in slots.
+	others float64
+	// fraction is the fraction of the demand that is granted.
+	fraction float64
+}
+
+// NewRates returns rates without demand.
+func NewRates() *Rates { return &Rates{byKey: make(map[Key]*rate)} }
+
+// Record adds the slot time, in seconds, of a request that arrives.
+func (r *Rates) Record(now time.Time, key Key, cost float64) {
+	r.advance(now)
+	if known := r.open(key); known != nil {
+		known.demand += cost
+	}
+}
+
+// RecordRefused adds the slot time of a request that is refused because of its rate.
+func (r *Rates) RecordRefused(key Key, cost float64) {
+	if known := r.byKey[key]; known != nil {
+		known.refused += cost
+	}
+}
+
+// Fraction returns the fraction of a team's requests that is granted.
+func (r *Rates) Fraction(key Key) float64 {
+	if known := r.byKey[key]; known != nil {
+		return known.fraction
+	}
+	return 1
+}
+
+// Divide divides a capacity, in slots, among the demand of this host and that of the others, in
+// seconds over the time constant of Accounts. The reports of the others cover the given part of
+// all demand.
+func (r *Rates) Divide(now time.Time, capacity float64, others map[Key]Load, scale float64) (allGranted bool) {
+	r.advance(now)
+	for _, known := range r.ordered {
+		known.others = 0
+	}
+	for key, load := range others {
+		if known := r.open(key); known != nil {
+			known.others = (load.Used + load.Queued) / timeConstant.Seconds()
+		}
+	}
+	all := 0.0
+	for _, known := range r.ordered {
+		all += known.total(scale)
+	}
+	if all <= capacity {
+		for _, known := range r.ordered {
+			known.fraction = 1
+		}
+		return true
+	}
+	least := minRankRatio * capacity / all
+	left := capacity - least*all
+	for _, rank := range r.ranks() {
+		left -= divideRank(rank, scale, least, left)
+	}
+	return false
+}
+
+// divideRank sets the fractions of the teams of a rank by max-min fairness, each at least a given
+// one, and returns what they get of the capacity that is left.
+func divideRank(rank []*rate, scale, least, left float64) (used float64) {
+	sum := 0.0
+	for _, team := range rank {
+		sum += team.total(scale)
+	}
+	capacity := min(least*sum+left, sum)
+	used = capacity - least*sum
+	slices.SortFunc(rank, func(a, b *rate) int {
+		return cmp.Or(cmp.Compare(a.total(scale), b.total(scale)), a.key.compare(b.key))
+	})
+	for i, team := range rank {
+		granted := min(team.total(scale), capacity/float64(len(rank)-i))
+		team.fraction = granted / max(team.total(scale), minRate)
+		capacity -= granted
+	}
+	return used
+}
+
+// ranks returns the entries of each rank, the most urgent first.
+func (r *Rates) ranks() [][]*rate {
+	var ranks [][]*rate
+	for i, known := range r.ordered {
+		if i == 0 || !known.key.sameRank(r.ordered[i-1].key) {
+			ranks = append(ranks, nil)
+		}
+		ranks[len(ranks)-1] = append(ranks[len(ranks)-1], known)
+	}
+	return ranks
+}
+
+// Own iterates over the demand of this host: what is granted and, as queued, what is refused, in
+// seconds over the time constant of Accounts.
+func (r *Rates) Own(now time.Time) iter.Seq2[Key, Load] {
+	r.advance(now)
+	unit := timeConstant.Seconds() / rateTimeConstant.Seconds()
+	return func(yield func(Key, Load) bool) {
+		for _, known := range r.ordered {
+			load := Load{Used: max(known.demand-known.refused, 0) * unit, Queued: known.refused * unit}
+			if known.demand > 0 && !yield(known.key, load) {
+				return
+			}
+		}
+	}
+}
+
+func (r *rate) total(scale float64) float64 {
+	return scale * (r.demand/rateTimeConstant.Seconds() + r.others)
+}
+
+func (r *Rates) open(key Key) *rate {
+	known := r.byKey[key]
+	if known == nil && len(r.byKey) < maxAccounts {
+		known = &rate{key: key, fraction: 1}
+		r.byKey[key] = known
+		at, _ := slices.BinarySearchFunc(r.ordered, key, func(other *rate, key Key) int { return other.key.compare(key) })
+		r.ordered = slices.Insert(r.ordered, at, known)
+	}
+	return known
+}
+
+// advance lets past demand decay until now.
+func (r *Rates) advance(now time.Time) {
+	if !now.After(r.updatedAt) {
+		return
+	}
+	factor := 0.0
+	if !r.updatedAt.IsZero() {
+		factor = math.Exp(-now.Sub(r.updatedAt).Seconds() / rateTimeConstant.Seconds())
+	}
+	r.updatedAt = now
+	for _, known := range r.ordered {
+		known.demand *= factor
+		known.refused *= factor
+	}
+}
+
+// DropUnused removes the entries without demand.
+func (r *Rates) DropUnused() {
+	r.ordered = slices.DeleteFunc(r.ordered, func(known *rate) bool {
+		unused := known.demand < minRate && known.others < minRate
+		if unused {
+			delete(r.byKey, known.key)
+		}
+		return unused
+	})
+}
--- a/internal/loadmodel/arrivals.go
+++ b/internal/loadmodel/arrivals.go
@@ -67,7 +67,7 @@
 	r.prefillLeft, r.tokensLeft, r.firstEvent, r.lastEvent = float64(r.prompt), float64(r.output), 0, 0
 	m.active[r.id] = r
 	h := m.hosts[r.host]
-	h.changed = true
+	h.changed, h.arrival = true, true
 	if m.scenario.Policy == LeastLocalRequests {
 		h.leastLocalEngine(m.engines).accept(r)
 		return
--- a/internal/loadmodel/engine.go
+++ b/internal/loadmodel/engine.go
@@ -60,8 +60,11 @@
 			r.firstEvent = now
 			first = append(first, r)
 		}
-		r.lastEvent = now
+		before := int(r.tokensLeft)
 		r.tokensLeft -= decode
+		if r.newTokens = before - int(r.tokensLeft); r.newTokens > 0 || r.firstEvent == now {
+			r.lastEvent = now
+		}
 		if r.tokensLeft <= 0 {
 			ended = append(ended, r)
 		}
--- a/internal/loadmodel/host.go
+++ b/internal/loadmodel/host.go
@@ -20,6 +20,8 @@
 	scheduler *schedule.Scheduler
 	// changed is set if the state has changed since it was last published.
 	changed bool
+	// arrival is set if a request has arrived since the last decision.
+	arrival bool
 	// sentStates are the states published to the hosts of the same cell, and farStates those
 	// published to the others of the data centre.
 	sentStates sentStates
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -165,8 +165,8 @@
 			m.hosts[r.host].scheduler.RecordFirstEvent(clock(m.now), r.id)
 		}
 		for _, r := range e.running {
-			if r.lastEvent == m.now {
-				m.hosts[r.host].scheduler.RecordProgress(clock(m.now), r.id, 1)
+			if r.newTokens > 0 && r.prefillLeft <= 0 {
+				m.hosts[r.host].scheduler.RecordProgress(clock(m.now), r.id, r.newTokens)
 			}
 		}
 		for _, r := range ended {
--- a/internal/loadmodel/request.go
+++ b/internal/loadmodel/request.go
@@ -25,7 +25,9 @@
 
 	prefillLeft float64
 	tokensLeft  float64
-	firstEvent  time.Duration
+	// newTokens is the number of tokens that the last step has produced.
+	newTokens  int
+	firstEvent time.Duration
 	// lastEvent is the time of the latest event.
 	lastEvent time.Duration
 	engine    *engine
--- a/internal/loadmodel/schedulers.go
+++ b/internal/loadmodel/schedulers.go
@@ -17,9 +17,10 @@
 	m.exchangeAggregates()
 	for i, h := range m.hosts {
 		m.receivePeerStates(i, h)
-		if h.scheduler.Queued() == 0 && !h.changed {
+		if h.scheduler.Queued() == 0 && !h.changed && !h.arrival {
 			continue
 		}
+		h.arrival = false
 		for _, action := range h.scheduler.Decide(clock(m.now)) {
 			h.changed = true
 			m.apply(action)
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -89,7 +89,7 @@
 // yieldsToPeers reports whether the free slots are left to other hosts because their
 // requests come first. It stops yielding after maxYield if they take none.
 func (s *Scheduler) yieldsToPeers(now time.Time, p *pool, w *queuedRequest, free int) bool {
-	if s.peersAhead(now, p.name, w) < free {
+	if s.admitsByRate(now, p) || s.peersAhead(now, p.name, w) < free {
 		p.yieldingSince = time.Time{}
 		return false
 	}
@@ -120,6 +120,7 @@
 	}
 	run := &runningRequest{
 		request:      r,
+		late:         w.late,
 		target:       t,
 		dispatchedAt: now,
 		prefill:      prefill,
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -208,6 +208,9 @@
 func (s *Scheduler) SetPeers(now time.Time, others map[ident.Host]ident.DataCentre) {
 	s.peerCount = len(others)
 	s.hostDataCentres = others
+	for _, p := range s.pools {
+		p.shares.rated = s.ratedHosts()
+	}
 	s.updatePeersMissing(now)
 	s.shareAllSlots(now)
 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cornelyard/cornelyard/fairshare"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/route"
 )
@@ -30,6 +31,8 @@
 
 	// shares divides the capacity among teams while it is scarce.
 	shares teamShares
+	// control admits requests by rates where there are many hosts.
+	control rateControl
 
 	// meanService is the mean service time in seconds.
 	meanService float64
@@ -66,6 +69,7 @@
 	return &pool{
 		name:          name,
 		shares:        newTeamShares(fairShares),
+		control:       rateControl{rates: fairshare.NewRates()},
 		meanService:   defaultPlainService.Seconds(),
 		prefillRate:   defaultPrefillRate,
 		eventInterval: defaultEventInterval,
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -28,6 +28,9 @@
 	r.target.prefill -= r.prefill
 	r.prefill = 0
 	p := s.pools[r.target.Pool]
+	if s.ratedHosts() && !r.late && now.After(r.request.Objective) {
+		p.shares.recordShortage(now)
+	}
 	elapsed := now.Sub(r.dispatchedAt) - firstEventOverhead
 	if r.prefillAhead >= minPrefillSample && elapsed > 0 {
 		rate := float64(r.prefillAhead) / elapsed.Seconds()
--- a/schedule/running_request.go
+++ b/schedule/running_request.go
@@ -8,6 +8,8 @@
 
 // runningRequest is a request of this host that was dispatched to a target.
 type runningRequest struct {
+	// late says that it was dispatched too late to be on time.
+	late         bool
 	request      *Request
 	target       *target
 	dispatchedAt time.Time
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -214,6 +214,7 @@
 	p := s.pools[name]
 	if p == nil {
 		p = newPool(name, s.fairShares)
+		p.shares.rated = s.ratedHosts()
 		s.pools[name] = p
 		at, _ := slices.BinarySearchFunc(s.poolOrder, name, func(p *pool, name ident.Pool) int { return cmp.Compare(p.name, name) })
 		s.poolOrder = slices.Insert(s.poolOrder, at, p)
@@ -249,7 +250,12 @@
 	}
 	w.late = !now.Before(w.latestStart)
 	p.reconsiderSide(now, &r)
+	s.recordDemand(now, p, &r)
 	s.updateShares(now, p, w)
+	if s.exceedsRate(now, p, &r) {
+		s.pendingActions = append(s.pendingActions, s.refuse(now, p, w, "capacity is scarce and the team or rank exceeds its part"))
+		return
+	}
 	if s.cannotBeServed(now, p, w) || !p.hasCandidate(now, &r) {
 		s.pendingActions = append(s.pendingActions, s.refuse(now, p, w, "the queue is too long for this request"))
 		return
--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -14,6 +14,9 @@
 	// centre are only known in aggregate: this host knows an older state of those targets
 	// than they do.
 	aggregatedPenalty = 0.1
+	// costSpread is the random addition to a cost, relative to it, while the states of other hosts
+	// are too old to know which slots are free. Otherwise all hosts would select the same target.
+	costSpread = 1.0
 	// limitedBonus is the advantage, in seconds, of a target with a limit that may get a
 	// request now. Otherwise it would get nothing while others are idle.
 	limitedBonus = 0.01
@@ -34,6 +37,7 @@
 	needsFast, anyFinishes := p.needsFastTarget(now, r, targets)
 	suspect := s.crashes.IsSuspect(now, r.Content)
 	meanInterval := p.meanEventInterval(now)
+	spread := s.admitsByRate(now, p)
 	var best *target
 	bestCost := 0.0
 	for _, t := range targets {
@@ -56,6 +60,9 @@
 		if !needsFast && t.isFast(now, meanInterval) && t.freeSlots(now) <= fastSlotReserve {
 			cost += fastPenalty
 		}
+		if spread && s.isKnownLate(t) {
+			cost *= 1 + costSpread*s.random()
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
--- a/schedule/share_order.go
+++ b/schedule/share_order.go
@@ -26,12 +26,13 @@
 			p.clearTags()
 		}
 	}
-	if !scarce {
+	if !scarce || s.ratedHosts() {
 		return
 	}
 	if p.shares.peersChanged {
 		p.shares.peersChanged = false
-		p.shares.accounts.ReplaceOthers(now, s.peerTeamLoads(now, p))
+		others, _ := s.peerTeamLoads(now, p)
+		p.shares.accounts.ReplaceOthers(now, others)
 	}
 	s.tagRequests(now, p, arriving)
 }
@@ -93,11 +94,15 @@
 		return p.meanService
 	}
 	service := firstEventOverhead.Seconds() + float64(uncached)/p.prefillRate + float64(r.OutputTokens)*p.eventInterval/p.tokensPerEvent()
+	return service * p.memorySlots(r)
+}
+
+// memorySlots returns the slots' worth of memory that a request takes, at least one.
+func (p *pool) memorySlots(r *Request) float64 {
 	if p.engine.KVCacheTokens == 0 {
-		return service
+		return 1
 	}
-	slots := float64(p.engine.Slots) * float64(r.PromptTokens+r.OutputTokens) / float64(p.engine.KVCacheTokens)
-	return service * max(slots, 1)
+	return max(float64(p.engine.Slots)*float64(r.PromptTokens+r.OutputTokens)/float64(p.engine.KVCacheTokens), 1)
 }
 
 // cannotBeServed reports whether a request that arrives is refused: it would still wait at
--- a/schedule/team_loads.go
+++ b/schedule/team_loads.go
@@ -21,8 +21,12 @@
 	if !p.shares.scarce(now) {
 		return nil
 	}
+	own := p.shares.accounts.Own
+	if p.shares.rated {
+		own = p.control.rates.Own
+	}
 	var list []TeamLoad
-	for key, load := range p.shares.accounts.Own(now) {
+	for key, load := range own(now) {
 		l := TeamLoad{Pool: p.name, Team: key.Team, Rank: Rank{Team: key.TeamRank, Route: key.RouteRank}, Used: seconds(load.Used)}
 		if p.shares.short(now) {
 			l.Queued = max(seconds(load.Queued), minTeamLoad)
@@ -59,15 +63,18 @@
 	}
 }
 
-// peerTeamLoads returns the loads of the other hosts' teams in a pool.
-func (s *Scheduler) peerTeamLoads(now time.Time, p *pool) map[fairshare.Key]fairshare.Load {
-	totals := make(map[fairshare.Key]fairshare.Load)
+// peerTeamLoads returns the loads of the other hosts' teams in a pool, and the number of hosts that
+// report any.
+func (s *Scheduler) peerTeamLoads(now time.Time, p *pool) (totals map[fairshare.Key]fairshare.Load, hosts int) {
+	totals = make(map[fairshare.Key]fairshare.Load)
 	for peer := range s.peerStates() {
 		age := now.Sub(peer.receivedAt)
+		reports := false
 		for _, l := range peer.state.TeamLoads {
 			if l.Pool != p.name {
 				continue
 			}
+			reports = true
 			key := fairshare.Key{TeamRank: l.Rank.Team, RouteRank: l.Rank.Route, Team: l.Team}
 			total := totals[key]
 			total.Used += fairshare.Decayed(l.Used.Seconds(), age)
@@ -76,8 +83,11 @@
 			}
 			totals[key] = total
 		}
+		if reports {
+			hosts += peer.hosts
+		}
 	}
-	return totals
+	return totals, hosts
 }
 
 // directTeamLoads returns the loads of the teams at this host and its direct peers.
--- a/schedule/team_shares.go
+++ b/schedule/team_shares.go
@@ -13,7 +13,9 @@
 // teamShares divides the capacity of a pool among teams while it is scarce.
 type teamShares struct {
 	// enabled says that capacity is ever shared among teams.
-	enabled  bool
+	enabled bool
+	// rated says that requests are admitted by rates while capacity is scarce.
+	rated    bool
 	accounts *fairshare.Accounts
 	// shortageUntil is until when this host counts the capacity as scarce because requests of
 	// its own could not start in time, and peerShortageUntil the same for other hosts.
@@ -37,7 +39,7 @@
 
 // scarce reports whether requests of any host could not start in time lately.
 func (t *teamShares) scarce(now time.Time) bool {
-	return t.enabled && (t.short(now) || now.Before(t.peerShortageUntil))
+	return (t.enabled || t.rated) && (t.short(now) || now.Before(t.peerShortageUntil))
 }
 
 // shareKey returns the account of a request.
