Reserve capacity for callers that return when they are told to

A refusal that is due to the rate of a team or rank now points into a time in which the request is due: a hash of its content and the store's clock give 200 ms in each 800 ms, at any host, without a message. Which requests are due at all follows the granted fraction, taken at its steady lower level, since it swings with states that are late. What can't be promised gets the longest useful Retry-After. Requests that are not due are drawn once per cycle, so that another attempt within it has the same result. Without the clock, for 2 s after it jumps, and up to 16 hosts, refusals are as before. Refusals carry 'reserved' in the log; the gauge granted_share shows the part of the demand that is granted.

The load model tells hosts the objective of the attempt, as callers do, and counts requests that are late only from their first attempt.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -61,6 +61,7 @@
 	FieldOutputTokens = "output_tokens"
 	FieldDeadlineMs   = "deadline_ms"
 	FieldRetryAfterMs = "retry_after_ms"
+	FieldReserved     = "reserved"
 	FieldQuotaCost    = "quota_cost"
 	FieldQuotaUsed    = "quota_used"
 	FieldQuotaLimit   = "quota_limit"
--- a/eventlog/request_logger.go
+++ b/eventlog/request_logger.go
@@ -115,7 +115,7 @@
 	case relay.StepShed:
 		addSchedulerInputs(entry, step).Str(FieldEvent, EventShed).Str(FieldReason, string(step.Reason)).
 			Int64(FieldWaitMs, step.Inputs.PredictedWait.Milliseconds()).
-			Int64(FieldRetryAfterMs, step.RetryAfter.Milliseconds()).Msg("Request refused by the scheduler.")
+			Int64(FieldRetryAfterMs, step.RetryAfter.Milliseconds()).Bool(FieldReserved, step.Reserved).Msg("Request refused by the scheduler.")
 	case relay.StepAttemptEnded:
 		entry.Str(FieldEvent, EventAttemptEnded).Str(FieldTarget, string(step.Target)).
 			Str(FieldResult, step.Result.String()).Int64(FieldDurationMs, step.Duration.Milliseconds()).
--- a/fairshare/rates.go
+++ b/fairshare/rates.go
@@ -12,6 +12,9 @@
 	// rateTimeConstant is that of the estimated rates. It is a few times the age of reports, and
 	// short enough that requests are no longer refused some tenths of a second after a burst.
 	rateTimeConstant = 400 * time.Millisecond
+	// steadyRise and steadyFall are the time constants of SteadyFraction.
+	steadyRise = 2 * time.Second
+	steadyFall = 200 * time.Millisecond
 	// minRate is the demand, in slots, below which an entry is dropped.
 	minRate = 1e-5
 	// minRankRatio is the least fraction of a rank's demand that is granted, relative to that of
@@ -26,6 +29,7 @@
 	byKey     map[Key]*rate
 	ordered   []*rate
 	updatedAt time.Time
+	dividedAt time.Time
 }
 
 // rate is the demand of one team at one rank.
@@ -38,6 +42,8 @@
 	others float64
 	// fraction is the fraction of the demand that is granted.
 	fraction float64
+	// steady follows fraction down fast and up slowly.
+	steady float64
 }
 
 // NewRates returns rates without demand.
@@ -66,11 +72,38 @@
 	return 1
 }
 
+// SteadyFraction returns a fraction that follows Fraction down fast and up slowly. It differs less
+// between hosts and moments, and more than that is seldom granted to what was promised.
+func (r *Rates) SteadyFraction(key Key) float64 {
+	if known := r.byKey[key]; known != nil {
+		return known.steady
+	}
+	return 1
+}
+
+// updateSteady updates the steady fractions. After a pause, they start again.
+func (r *Rates) updateSteady(now time.Time) {
+	elapsed := now.Sub(r.dividedAt)
+	r.dividedAt = now
+	for _, known := range r.ordered {
+		timeConstant := steadyRise
+		if known.fraction < known.steady {
+			timeConstant = steadyFall
+		}
+		weight := 1.0
+		if elapsed < steadyRise {
+			weight = 1 - math.Exp(-elapsed.Seconds()/timeConstant.Seconds())
+		}
+		known.steady += weight * (known.fraction - known.steady)
+	}
+}
+
 // Divide divides a capacity, in slots, among the demand of this host and that of the others, in
 // seconds over the time constant of Accounts. The reports of the others cover the given part of
 // all demand.
 func (r *Rates) Divide(now time.Time, capacity float64, others map[Key]Load, scale float64) (allGranted bool) {
 	r.advance(now)
+	defer r.updateSteady(now)
 	for _, known := range r.ordered {
 		known.others = 0
 	}
@@ -129,6 +162,19 @@
 	return ranks
 }
 
+// GrantedShare returns the part of the known demand that is granted.
+func (r *Rates) GrantedShare() float64 {
+	demand, granted := 0.0, 0.0
+	for _, known := range r.ordered {
+		demand += known.total(1)
+		granted += known.total(1) * known.fraction
+	}
+	if demand == 0 {
+		return 1
+	}
+	return granted / demand
+}
+
 // Own iterates over the demand of this host: what is granted and, as queued, what is refused, in
 // seconds over the time constant of Accounts.
 func (r *Rates) Own(now time.Time) iter.Seq2[Key, Load] {
@@ -151,7 +197,7 @@
 func (r *Rates) open(key Key) *rate {
 	known := r.byKey[key]
 	if known == nil && len(r.byKey) < maxAccounts {
-		known = &rate{key: key, fraction: 1}
+		known = &rate{key: key, fraction: 1, steady: 1}
 		r.byKey[key] = known
 		at, _ := slices.BinarySearchFunc(r.ordered, key, func(other *rate, key Key) int { return other.key.compare(key) })
 		r.ordered = slices.Insert(r.ordered, at, known)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,6 +126,10 @@
 	return g
 }
 
+// sharedNow returns the time of the store's clock, which all hosts share, in milliseconds, or 0 while
+// it is unknown.
+func (g *Gateway) sharedNow(now time.Time) int64 { return g.directory.NowMs(now) }
+
 func (g *Gateway) buildState() {
 	state := &clusterState{
 		self: g.self(),
@@ -141,7 +145,7 @@
 		peers:         newPeerMonitor(g.logs.For("peers")),
 		crashes:       &crashRecords{logger: g.logs.For("quarantine")},
 	}
-	scheduler := schedule.New(schedule.Options{Host: g.config.Host, DataCentre: g.config.DataCentre, FairShares: platform.CallsForFairShares(g.config.Contracts)})
+	scheduler := schedule.New(schedule.Options{Host: g.config.Host, DataCentre: g.config.DataCentre, FairShares: platform.CallsForFairShares(g.config.Contracts), SharedClock: g.sharedNow})
 	state.dispatcher = relay.NewDispatcher(relay.DispatcherOptions{
 		Scheduler:          scheduler,
 		OnStateChange:      func() { state.exchange.TriggerSend() },
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -39,6 +39,7 @@
 		pool.Gauge(metrics.GatewayMachinesKnown).Update(float64(load.MachinesKnown))
 		pool.Gauge(metrics.GatewayMachinesSlow).Update(float64(load.MachinesSlow))
 		pool.Gauge(metrics.GatewayScarce).Update(scarcityGauge(load.Scarce))
+		pool.Gauge(metrics.GatewayGrantedShare).Update(load.GrantedShare)
 		pool.Gauge(metrics.GatewaySlotsFree).Update(float64(load.Free))
 	}
 	g.traffic.update(now, scope, state.exchange)
--- a/internal/loadmodel/arrivals.go
+++ b/internal/loadmodel/arrivals.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/schedule"
 )
 
@@ -21,7 +22,7 @@
 		c := &m.scenario.Classes[i]
 		for range m.poisson(c.PerSecond * factor * step.Seconds()) {
 			r := &request{
-				class: c, submitted: m.now,
+				class: c, submitted: m.now, content: uint64(m.requestCount) + 1, atOnce: c.RetriesAtOnce,
 				prompt: m.drawLength(c.Prompt, c.PromptSpread), output: m.drawLength(c.Output, c.OutputSpread),
 			}
 			r.estimatedOutput = max(1, int(float64(r.output)*math.Exp(estimateSpread*m.random.NormFloat64())))
@@ -78,11 +79,12 @@
 		Team:         r.class.Team,
 		Rank:         schedule.Rank{Route: r.class.Priority},
 		Arrived:      clock(m.now),
-		Objective:    clock(r.submitted + r.class.Objective),
+		Objective:    clock(r.arrived + r.class.Objective),
 		Deadline:     clock(r.submitted + r.class.Deadline),
 		AbandonTime:  clock(r.abandonTime()),
 		PromptTokens: r.prompt,
 		OutputTokens: r.estimatedOutput,
 		Retryable:    r.class.Retryable,
+		Content:      quarantine.NewContent(quarantine.Digest(r.content), nil),
 	})
 }
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -82,7 +82,7 @@
 		h := &host{
 			name:           ident.Host(strconv.Itoa(i)),
 			dataCentre:     s.dataCentreOf(i),
-			scheduler:      schedule.New(schedule.Options{Random: m.decisions.Float64, Host: ident.Host(strconv.Itoa(i)), DataCentre: s.dataCentreOf(i), FairShares: s.hasTeams()}),
+			scheduler:      schedule.New(schedule.Options{Random: m.decisions.Float64, Host: ident.Host(strconv.Itoa(i)), DataCentre: s.dataCentreOf(i), FairShares: s.hasTeams(), SharedClock: s.sharedClock()}),
 			receivedCounts: make([]int, s.Hosts),
 		}
 		h.scheduler.SetPeers(clock(0), m.othersThan(i))
@@ -181,12 +181,18 @@
 	if r.retry {
 		o.RetriesServed++
 	}
+	if r.reserved {
+		o.ReservedServed++
+	}
 	if r.firstEvent <= r.submitted+r.class.Objective {
 		o.OnTime++
 		o.EarnedValue += r.class.Value
 		return
 	}
 	o.Late++
+	if r.retry && r.firstEvent <= r.arrived+r.class.Objective {
+		o.LateByRefusal++
+	}
 	o.EarnedValue += r.class.LateValue
 }
 
--- a/internal/loadmodel/outcome.go
+++ b/internal/loadmodel/outcome.go
@@ -6,6 +6,9 @@
 	OnTime  int
 	Late    int
 	Refused int
+	// LateByRefusal counts the late requests that would be on time if their objective began with
+	// the attempt that was served, as hosts see it.
+	LateByRefusal int
 	// Abandoned counts requests whose callers gave up waiting.
 	Abandoned int
 	// Failed counts requests whose engine crashed.
@@ -18,6 +21,10 @@
 	// were served.
 	Retries       int
 	RetriesServed int
+	// Reserved counts the retries for which capacity was reserved, and ReservedServed those of
+	// them that were served.
+	Reserved       int
+	ReservedServed int
 	// EarnedValue and MaxValue are in the units of RequestClass.Value.
 	EarnedValue float64
 	MaxValue    float64
--- a/internal/loadmodel/report.go
+++ b/internal/loadmodel/report.go
@@ -22,6 +22,7 @@
 		sum.Arrived += o.Arrived
 		sum.OnTime += o.OnTime
 		sum.Late += o.Late
+		sum.LateByRefusal += o.LateByRefusal
 		sum.Refused += o.Refused
 		sum.Abandoned += o.Abandoned
 		sum.Failed += o.Failed
@@ -29,6 +30,8 @@
 		sum.EarlyRefusals += o.EarlyRefusals
 		sum.Retries += o.Retries
 		sum.RetriesServed += o.RetriesServed
+		sum.Reserved += o.Reserved
+		sum.ReservedServed += o.ReservedServed
 	}
 	return sum
 }
--- a/internal/loadmodel/request.go
+++ b/internal/loadmodel/request.go
@@ -18,8 +18,14 @@
 	submitted time.Duration
 	arrived   time.Duration
 	retry     bool
-	prompt    int
-	output    int
+	// content identifies the request over its attempts, and reserved says that capacity was
+	// reserved for its retry.
+	content  uint64
+	reserved bool
+	// atOnce is the number of retries that the caller sends without regard to Retry-After.
+	atOnce int
+	prompt int
+	output int
 	// estimatedOutput is the caller's estimate of output.
 	estimatedOutput int
 
--- a/internal/loadmodel/request_class.go
+++ b/internal/loadmodel/request_class.go
@@ -25,6 +25,9 @@
 	OutputSpread float64
 	// Retryable requests may be retried on another engine.
 	Retryable bool
+	// RetriesAtOnce is the number of retries that a caller sends retryPause after a refusal,
+	// without regard to Retry-After. Otherwise it sends one.
+	RetriesAtOnce int
 	// Value is earned by a response that starts within the objective, LateValue by a
 	// later one.
 	Value     float64
--- a/internal/loadmodel/scenario.go
+++ b/internal/loadmodel/scenario.go
@@ -47,7 +47,9 @@
 	// announced.
 	LostEngines int
 	LoseAt      time.Duration
-	Policy      Policy
+	// NoSharedClock says that hosts share no clock.
+	NoSharedClock bool
+	Policy        Policy
 }
 
 // hasTeams reports whether any class of requests belongs to a team.
@@ -55,6 +57,14 @@
 	return slices.ContainsFunc(s.Classes, func(c RequestClass) bool { return c.Team != "" })
 }
 
+// sharedClock returns the clock that all hosts share, or nil.
+func (s *Scenario) sharedClock() func(time.Time) int64 {
+	if s.NoSharedClock {
+		return nil
+	}
+	return time.Time.UnixMilli
+}
+
 func (s *Scenario) dataCentres() int { return max(s.DataCentres, 1) }
 
 // dataCentreOf returns the data centre of the host or engine with index i.
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -49,6 +49,9 @@
 	// GatewayScarce is 1 while teams get shares of a pool because its capacity is scarce, and
 	// otherwise 0.
 	GatewayScarce = "gateway_scarce"
+	// GatewayGrantedShare is the part of the demand for a pool that is granted, from 0 to 1, where
+	// requests are admitted by rates.
+	GatewayGrantedShare = "gateway_granted_share"
 
 	// GatewayTargetsLimited is the number of targets that state limits, and GatewayLimitRate
 	// the requests per second that this host may send them, by pool.
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -289,7 +289,7 @@
 // schedulerRefusal returns the final response to a request that the scheduler
 // refused.
 func (x *execution) schedulerRefusal(a *schedule.Refuse) *outcome.Refusal {
-	x.recordStep(Step{Kind: StepShed, Inputs: a.Inputs, Reason: a.Reason, RetryAfter: a.RetryAfter})
+	x.recordStep(Step{Kind: StepShed, Inputs: a.Inputs, Reason: a.Reason, RetryAfter: a.RetryAfter, Reserved: a.Reserved})
 	if x.mayHaveRun && a.Reason == outcome.Quarantined {
 		return unknownOutcome(outcome.Quarantined, a.Message)
 	}
--- a/relay/step.go
+++ b/relay/step.go
@@ -62,6 +62,8 @@
 	Quota      quota.Decision
 	Reason     outcome.Reason
 	RetryAfter time.Duration
+	// Reserved says that capacity is reserved for a caller that returns after RetryAfter.
+	Reserved bool
 	// TrialNumber is how many trials of the content there were since it was last cleared, or
 	// zero if that is not known.
 	TrialNumber int
--- a/schedule/action.go
+++ b/schedule/action.go
@@ -34,7 +34,9 @@
 	Reason     outcome.Reason
 	Message    string
 	RetryAfter time.Duration
-	Inputs     Inputs
+	// Reserved says that capacity is reserved for a caller that returns after RetryAfter.
+	Reserved bool
+	Inputs   Inputs
 }
 
 // RequestID implements Action.
--- a/schedule/pool_load.go
+++ b/schedule/pool_load.go
@@ -26,8 +26,10 @@
 	// half as long again as usual.
 	MachinesKnown int
 	MachinesSlow  int
-	// Scarce says that the capacity is shared among teams.
-	Scarce bool
+	// Scarce says that the capacity is shared among teams, and GrantedShare is the part of the
+	// demand that is granted.
+	Scarce       bool
+	GrantedShare float64
 	// Queued and Running count the requests of this host.
 	Queued  int
 	Running int
@@ -50,6 +52,8 @@
 			Free:    freeSlots(now, targets),
 			Scarce:  p.shares.scarce(now),
 			Queued:  len(p.queue.items),
+
+			GrantedShare: s.grantedShare(now, p),
 		}
 		for _, t := range p.targets {
 			load.Running += t.running
--- a/schedule/queued_request.go
+++ b/schedule/queued_request.go
@@ -15,6 +15,14 @@
 	// refuseAt is when the request is refused if it is still queued.
 	refuseAt time.Time
 	late     bool
+	// due says that the request was refused before and has returned when it was told to, or might
+	// have been: capacity is reserved for it.
+	due bool
+	// reservedWait is the time after which a refused request is to return because capacity is
+	// reserved for it then, or zero.
+	reservedWait time.Duration
+	// unreserved says that no capacity could be reserved for a refused request.
+	unreserved bool
 	// startTag orders the requests of one rank by the shares of their teams, in seconds of slot
 	// time. It is zero unless the capacity of the pool is scarce.
 	startTag float64
--- a/schedule/rate_control.go
+++ b/schedule/rate_control.go
@@ -79,7 +79,8 @@
 
 // exceedsRate reports whether a request that arrives is refused because its team or rank exceeds
 // its part of the capacity.
-func (s *Scheduler) exceedsRate(now time.Time, p *pool, r *Request) bool {
+func (s *Scheduler) exceedsRate(now time.Time, p *pool, w *queuedRequest) bool {
+	r := w.request
 	if !s.ratedHosts() || !r.refusedEarly() || !p.hasUnlimited(now, r) {
 		return false
 	}
@@ -88,7 +89,7 @@
 		return false
 	}
 	key := s.rateKey(r)
-	if s.random() < p.control.rates.Fraction(key) {
+	if s.isGranted(now, p, w, p.control.rates.Fraction(key), p.control.rates.SteadyFraction(key)) {
 		return false
 	}
 	p.shares.recordShortage(now)
@@ -96,6 +97,30 @@
 	return true
 }
 
+// isGranted decides whether a request is granted if a fraction of its team's requests is, and the
+// given one steadily. If its
+// content and the shared clock are known, it also decides whether capacity is reserved for its
+// return.
+func (s *Scheduler) isGranted(now time.Time, p *pool, w *queuedRequest, fraction, steady float64) bool {
+	if fraction >= 1 {
+		return true
+	}
+	nowMs := s.sharedClock.now(now)
+	if nowMs == 0 || w.request.Content.Whole == 0 {
+		return s.random() < fraction
+	}
+	reservation := fairshare.NewReservation(string(p.name), uint64(w.request.Content.Whole), nowMs, steady)
+	if w.due = reservation.Due(); w.due || reservation.Granted(fraction) {
+		return true
+	}
+	if wait, reserved := reservation.Promise(longestRetryAfter(now, w)); reserved {
+		w.reservedWait = wait
+	} else {
+		w.unreserved = true
+	}
+	return false
+}
+
 // divideCapacity divides the capacity of the pool among teams from time to time.
 func (s *Scheduler) divideCapacity(now time.Time, p *pool) {
 	c := &p.control
@@ -210,3 +235,11 @@
 func (s *Scheduler) isKnownLate(t *target) bool {
 	return s.cells == 1 || t.otherCell || t.DataCentre != s.dataCentre
 }
+
+// grantedShare returns the part of the demand for the pool that is granted.
+func (s *Scheduler) grantedShare(now time.Time, p *pool) float64 {
+	if !s.admitsByRate(now, p) {
+		return 1
+	}
+	return p.control.rates.GrantedShare()
+}
--- a/schedule/refusal.go
+++ b/schedule/refusal.go
@@ -119,6 +119,7 @@
 		Reason:     reason,
 		Message:    message,
 		RetryAfter: s.retryAfter(now, w, retry),
+		Reserved:   w.reservedWait > 0,
 		Inputs:     inputs,
 	}
 }
@@ -154,7 +155,17 @@
 // retryAfter returns the retry delay of a refused request. It spreads retries over the
 // time after the predicted end of the queue, and leaves each caller time for its retry.
 func (s *Scheduler) retryAfter(now time.Time, w *queuedRequest, wait time.Duration) time.Duration {
+	switch {
+	case w.reservedWait > 0:
+		return w.reservedWait
+	case w.unreserved:
+		return max(longestRetryAfter(now, w), minRetryAfter)
+	}
 	spread := seconds(s.random() * (wait + minRetryAfter).Seconds())
-	remaining := seconds(retryDeadlineRatio * w.request.Deadline.Sub(now).Seconds())
-	return max(min(wait+minRetryAfter+spread, remaining), minRetryAfter)
+	return max(min(wait+minRetryAfter+spread, longestRetryAfter(now, w)), minRetryAfter)
+}
+
+// longestRetryAfter returns the longest retry delay that leaves time for the retry itself.
+func longestRetryAfter(now time.Time, w *queuedRequest) time.Duration {
+	return seconds(retryDeadlineRatio * w.request.Deadline.Sub(now).Seconds())
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -20,6 +20,8 @@
 	dataCentre ident.DataCentre
 	random     func() float64
 	fairShares bool
+	// sharedClock tells when requests are due for which capacity is reserved.
+	sharedClock sharedClock
 	// leaving is set while this host stops.
 	leaving bool
 
@@ -103,6 +105,9 @@
 	// FairShares says that teams of one rank share scarce capacity by the time that their requests
 	// take. Otherwise requests are ordered without regard to the team.
 	FairShares bool
+	// SharedClock returns the time of a clock that all hosts share, in milliseconds, or 0 while it
+	// is unknown. Without it, refusals reserve no capacity.
+	SharedClock func(now time.Time) int64
 	// Random returns numbers in [0, 1); nil selects the global generator.
 	Random func() float64
 }
@@ -117,6 +122,7 @@
 		dataCentre:   o.DataCentre,
 		random:       o.Random,
 		fairShares:   o.FairShares,
+		sharedClock:  sharedClock{read: o.SharedClock},
 		pools:        make(map[ident.Pool]*pool),
 		targets:      make(map[ident.Target]*target),
 		peers:        make(map[ident.Host]*peerState),
@@ -252,7 +258,7 @@
 	p.reconsiderSide(now, &r)
 	s.recordDemand(now, p, &r)
 	s.updateShares(now, p, w)
-	if s.exceedsRate(now, p, &r) {
+	if s.exceedsRate(now, p, w) {
 		s.pendingActions = append(s.pendingActions, s.refuse(now, p, w, "capacity is scarce and the team or rank exceeds its part"))
 		return
 	}
--- a/schedule/share_order.go
+++ b/schedule/share_order.go
@@ -117,7 +117,7 @@
 	}
 	wasScarce := p.shares.inForce
 	p.shares.recordShortage(now)
-	return start.After(w.refuseAt) || wasScarce && w.request.refusedEarly()
+	return start.After(w.refuseAt) || wasScarce && !w.due && w.request.refusedEarly()
 }
 
 // hasUnlimited reports whether a target without a limit may get the request. Those with limits
@@ -148,7 +148,7 @@
 // first by their rank or share arrived after it and leave no slot in time.
 func (s *Scheduler) isRefusedForShares(now time.Time, p *pool, w *queuedRequest) bool {
 	r := w.request
-	if w.late || !r.refusedEarly() {
+	if w.late || w.due || !r.refusedEarly() {
 		return false
 	}
 	if now.Sub(r.Arrived) > time.Duration(earlyRefusalRatio*float64(r.Objective.Sub(r.Arrived))) {
