--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -93,7 +93,7 @@
 		h := &host{
 			name:           ident.Host(strconv.Itoa(i)),
 			dataCentre:     s.dataCentreOf(i),
-			scheduler:      schedule.New(schedule.Options{Random: m.decisions.Float64, Host: ident.Host(strconv.Itoa(i)), DataCentre: s.dataCentreOf(i), FairShares: s.sharesAt(i)}),
+			scheduler:      schedule.New(schedule.Options{Random: m.decisions.Float64, Host: ident.Host(strconv.Itoa(i)), DataCentre: s.dataCentreOf(i), FairShares: s.sharesAt(i), SharedClock: s.sharedClock()}),
 			receivedCounts: make([]int, s.Hosts),
 		}
 		if s.KVCacheTokens > 0 {
@@ -180,8 +180,8 @@
 			m.hosts[r.host].scheduler.RecordFirstEvent(clock(m.now), r.id)
 		}
 		for _, r := range e.running {
-			if r.lastEvent == m.now {
-				m.hosts[r.host].scheduler.RecordProgress(clock(m.now), r.id, 1)
+			if r.newTokens > 0 && r.prefillLeft <= 0 {
+				m.hosts[r.host].scheduler.RecordProgress(clock(m.now), r.id, r.newTokens)
 			}
 		}
 		for _, r := range ended {
@@ -199,12 +199,18 @@
 	if r.retry {
 		o.RetriesServed++
 	}
+	if r.reserved {
+		o.ReservedServed++
+	}
 	if r.firstEvent <= r.submitted+r.class.Objective {
 		o.OnTime++
 		o.EarnedValue += r.class.Value
 		return
 	}
 	o.Late++
+	if r.retry && r.firstEvent <= r.arrived+r.class.Objective {
+		o.LateByRefusal++
+	}
 	o.EarnedValue += r.class.LateValue
 }
 
--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -14,6 +14,9 @@
 	// centre are only known in aggregate: this host knows an older state of those targets
 	// than they do.
 	aggregatedPenalty = 0.1
+	// costSpread is the random addition to a cost, relative to it, while the states of other hosts
+	// are too old to know which slots are free. Otherwise all hosts would select the same target.
+	costSpread = 1.0
 	// limitedBonus is the advantage, in seconds, of a target with a limit that may get a
 	// request now. Otherwise it would get nothing while others are idle.
 	limitedBonus = 0.01
@@ -35,6 +38,8 @@
 	suspect := s.crashes.IsSuspect(now, r.Content)
 	meanInterval := p.meanEventInterval(now)
 	unseen := s.unseenArrivals(now, p, r)
+	// Where prefixes are weighed, the unseen arrivals already spread the requests.
+	spread := s.admitsByRate(now, p) && !p.weighsPrefixes(r)
 	var best *target
 	bestCost := 0.0
 	for _, t := range targets {
@@ -57,6 +62,9 @@
 		if !needsFast && t.isFast(now, meanInterval) && t.freeSlots(now) <= fastSlotReserve {
 			cost += fastPenalty
 		}
+		if spread && s.isKnownLate(t) {
+			cost *= 1 + costSpread*s.random()
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
