Let states of other cells wait for the link, and align periodic loops

Cause: the states for far peers and the aggregates had no limit of their own on a host's link. Change: all states together use a fifth of a link whose bandwidth is known. States for the cell keep their tenth; messages to far peers and aggregates wait while nothing is left, at most 200 ms, and far messages then leave out crashes, observations and locations of prefixes, which follow later. Loops with fixed intervals are aligned to the start of the process, so that one wake-up serves several of them.

--- a/hoststate/coalescer.go
+++ b/hoststate/coalescer.go
@@ -59,6 +59,21 @@
 	return m
 }
 
+// TakeShort is like Take, without what is large and can wait for the next message: crashes, which the
+// store has too, observations and locations of prefixes.
+func (c *Coalescer) TakeShort() Message {
+	pending := c.message.Schedule
+	m := c.Take()
+	m.Schedule.Crashes, m.Schedule.PrefixLocations = nil, nil
+	m.Schedule.Observed, m.Schedule.Observations = false, nil
+	c.pending = true
+	c.message.Schedule = schedule.State{
+		Crashes: pending.Crashes, PrefixLocations: pending.PrefixLocations,
+		Observed: pending.Observed, Observations: pending.Observations,
+	}
+	return m
+}
+
 // mergeCrashes returns the reports of both messages, each of which may hold only what changed.
 // Of more than maxCoalescedRuns runs, the newest reports are kept.
 func mergeCrashes(before, after []quarantine.Crash) []quarantine.Crash {
--- a/hoststate/datagram_reader.go
+++ b/hoststate/datagram_reader.go
@@ -9,13 +9,15 @@
 	"time"
 
 	"golang.org/x/net/ipv4"
+
+	"github.com/cornelyard/cornelyard/internal/periodic"
 )
 
 const (
 	// readInterval is the time between two reads of datagrams in a divided system, while no decision
 	// has to be made. Each read wakes up the process, which costs more than what it reads. What
 	// waits in the socket buffer meanwhile, some twenty states of a kilobyte, takes a part of it.
-	readInterval = 40 * time.Millisecond
+	readInterval = 50 * time.Millisecond
 	// minReadInterval is the age up to which a decision uses what was read before.
 	minReadInterval = 5 * time.Millisecond
 )
@@ -100,7 +102,7 @@
 
 // sleep waits until the next read is due, datagrams become urgent or ctx is done.
 func (r *datagramReader) sleep(ctx context.Context) {
-	timer := time.NewTimer(readInterval)
+	timer := time.NewTimer(periodic.UntilNext(time.Now(), readInterval))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -86,7 +86,12 @@
 	// exchange them, and nearBytes counts those since the last delay.
 	pacer     sendPacer
 	nearBytes int64
-	traffic   traffic
+	// budget limits the bytes of all states together in such systems. farBytes and aggregateBytes
+	// are what the last messages to the far peers and the last aggregates took.
+	budget         linkBudget
+	farBytes       int64
+	aggregateBytes int64
+	traffic        traffic
 }
 
 // New returns an exchange without peers. It sends and receives only while Run runs.
@@ -94,6 +99,7 @@
 	e := &Exchange{
 		options:        o,
 		pacer:          newSendPacer(o.LinkMbps),
+		budget:         newLinkBudget(o.LinkMbps),
 		sendNow:        make(chan struct{}, 1),
 		reader:         newDatagramReader(),
 		nearUsage:      usageFilter{fullInterval: nearUsageInterval},
@@ -258,24 +264,50 @@
 		e.farState.Add(&state)
 		e.sendFar(conn, peers, now)
 	}
-	if len(peers.aggregateReceivers) > 0 && now.Sub(e.lastAggregate) >= peers.AggregateInterval() {
+	if len(peers.aggregateReceivers) > 0 && e.aggregateDue(now, peers.AggregateInterval()) {
 		e.lastAggregate = now
 		aggregate := e.options.AggregateState(now)
 		aggregate.TeamUsage = e.aggregateUsage.changes(now, aggregate.TeamUsage)
-		e.broadcast(now, conn, &aggregate, peers.toAggregateReceivers)
+		e.aggregateBytes = e.broadcast(now, conn, &aggregate, peers.toAggregateReceivers)
 	}
 }
 
 // sendFar sends the far peers what has changed since their last message, if that is due.
 func (e *Exchange) sendFar(conn *ipv4.PacketConn, peers *receivers, now time.Time) {
-	if now.Sub(e.lastFar) < peers.minFarInterval() {
+	if !e.farDue(now, peers.minFarInterval()) {
 		return
 	}
 	e.lastFar = now
-	state := e.farState.Take()
+	state := e.takeFarState(now)
 	state.TeamUsage = e.farUsage.changes(now, state.TeamUsage)
 	e.farObservations.apply(now, &state.Schedule)
-	e.broadcast(now, conn, &state, peers.toFar)
+	e.farBytes = e.broadcast(now, conn, &state, peers.toFar)
+}
+
+// takeFarState returns the message to the far peers, without what can wait while the link is busy.
+func (e *Exchange) takeFarState(now time.Time) Message {
+	if e.budget.covers(now, e.farBytes) {
+		return e.farState.Take()
+	}
+	return e.farState.TakeShort()
+}
+
+// farDue reports whether the far peers get a message, which may wait beyond the interval for the link.
+func (e *Exchange) farDue(now time.Time, interval time.Duration) bool {
+	return now.Sub(e.lastFar) >= e.deferred(now, interval, e.farBytes)
+}
+
+// aggregateDue is like farDue for the aggregate.
+func (e *Exchange) aggregateDue(now time.Time, interval time.Duration) bool {
+	return now.Sub(e.lastAggregate) >= e.deferred(now, interval, e.aggregateBytes)
+}
+
+// deferred returns the interval until the link has room for a number of bytes.
+func (e *Exchange) deferred(now time.Time, interval time.Duration, bytes int64) time.Duration {
+	if e.budget.covers(now, bytes) {
+		return interval
+	}
+	return max(interval, maxDeferredInterval)
 }
 
 // broadcast sends a message to the members. It returns the number of bytes that took.
@@ -291,7 +323,9 @@
 	}
 	to.send(conn, data, e.logSendFailure)
 	e.traffic.sent.Add(int64(len(to.members)))
-	return int64(len(to.members)) * int64(len(data)+datagramOverhead)
+	bytes := int64(len(to.members)) * int64(len(data)+datagramOverhead)
+	e.budget.spend(now, bytes)
+	return bytes
 }
 
 func (e *Exchange) logSendFailure(to Member, err error) {
