Judge on a crash only once all its runs are known

Cause: reports between the full ones hold only the runs of a crash that have changed. A host that missed the full report recorded a crash with these runs alone, blamed them without the others of their group, and took other crashes at that time for ones with a common cause, for up to 1.5 s. Change: such a report states how many runs the sender knows, as a run without a digest, which the former build skips. A crash first heard of in part is left out of verdicts until the rest has arrived, at most 3 s. What was judged on before is not left out again.

--- a/quarantine/codec.go
+++ b/quarantine/codec.go
@@ -23,6 +23,10 @@
 				DurationMs: run.Duration.Milliseconds(), Cleared: run.Cleared, Trial: run.Trial,
 			})
 		}
+		if c.Total > 0 {
+			// Hosts of the former build skip a run without a digest.
+			report.Runs = append(report.Runs, &crashpb.Run{DurationMs: int64(c.Total)})
+		}
 		encoded = append(encoded, report)
 	}
 	return encoded
@@ -41,6 +45,10 @@
 			At:      now.Add(-milliseconds(report.GetAgeMs())),
 		}
 		for _, run := range report.GetRuns() {
+			if run.GetDigest() == 0 {
+				c.Total = int(min(max(run.GetDurationMs(), 0), maxRuns))
+				continue
+			}
 			c.Runs = append(c.Runs, Run{
 				Digest: Digest(run.GetDigest()), Part: run.GetPart(),
 				Duration: milliseconds(run.GetDurationMs()), Cleared: run.GetCleared(), Trial: run.GetTrial(),
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -18,6 +18,9 @@
 	// Runs holds what was running on the target, one for each digest. It is empty if the
 	// crash is only known because the target was probed.
 	Runs []Run
+	// Total is the number of runs that the reporting host knew of, if the report holds only some of
+	// them, and zero otherwise.
+	Total int
 }
 
 // Run is a request, or a part of its prompt, that was running on a target when it crashed.
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -13,6 +13,34 @@
 	// each run.
 	changedAt     time.Time
 	runsChangedAt map[Digest]time.Time
+	// missing is set while only a part of the runs has been reported: their number, and since when.
+	missing      int
+	missingSince time.Time
+}
+
+// partialReportWait is how long a crash of which only a part was reported is left out of verdicts. The
+// other hosts report it in full within half of that, unless the message is lost.
+const partialReportWait = 3 * time.Second
+
+// isPartial reports whether the crash is known from a part of its runs and the others may still come.
+// Of a group of digests, that part would be blamed alone, and one that runs elsewhere would
+// seem to have had a common cause.
+func (r *record) isPartial(now time.Time) bool {
+	return r.missing > 0 && now.Sub(r.missingSince) < partialReportWait
+}
+
+// begin records how much of the crash the first report about it holds.
+func (r *record) begin(now time.Time, c *Crash) {
+	if c.Total > len(c.Runs) {
+		r.missing, r.missingSince = c.Total, now
+	}
+}
+
+// complete records whether a further report has brought the missing runs.
+func (r *record) complete(c *Crash) {
+	if c.Total == 0 || len(r.crash.Runs) >= r.missing {
+		r.missing = 0
+	}
 }
 
 // recordChange records that something was added to a run.
@@ -29,6 +57,9 @@
 func (r *record) changesSince(since time.Time) Crash {
 	c := r.crash
 	c.Runs = slices.DeleteFunc(slices.Clone(c.Runs), func(run Run) bool { return !r.runsChangedAt[run.Digest].After(since) })
+	if len(c.Runs) < len(r.crash.Runs) {
+		c.Total = len(r.crash.Runs)
+	}
 	return c
 }
 
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -33,6 +33,8 @@
 	// judgement follows from the records. It is out of date if stale is set.
 	judgement judgement
 	stale     bool
+	// partialUntil is when the first crash that is known in part only has to be judged on, or zero.
+	partialUntil time.Time
 }
 
 // NewTracker returns a tracker that knows of no crash.
@@ -51,7 +53,14 @@
 		return false
 	}
 	r, isNew := t.recordOf(&c)
-	if !r.add(now, &c) && !isNew {
+	if isNew {
+		r.begin(now, &c)
+	}
+	added, wasPartial := r.add(now, &c), r.isPartial(now)
+	if !isNew {
+		r.complete(&c)
+	}
+	if !added && !isNew && wasPartial == r.isPartial(now) {
 		return false
 	}
 	r.changedAt = now
@@ -132,12 +141,30 @@
 // current returns what follows from the records as they are now.
 func (t *Tracker) current(now time.Time) *judgement {
 	t.expire(now)
-	if t.stale {
-		t.judgement, t.stale = judge(t.records), false
+	if t.stale || !t.partialUntil.IsZero() && !now.Before(t.partialUntil) {
+		t.judge(now)
 	}
 	return &t.judgement
 }
 
+// judge renews the judgement, without the crashes that are known in part only.
+func (t *Tracker) judge(now time.Time) {
+	t.stale, t.partialUntil = false, time.Time{}
+	var whole []*record
+	for _, r := range t.records {
+		if !r.isPartial(now) {
+			whole = append(whole, r)
+			continue
+		}
+		if until := r.missingSince.Add(partialReportWait); t.partialUntil.IsZero() || until.Before(t.partialUntil) {
+			t.partialUntil = until
+		}
+	}
+	t.judgement = judge(whole)
+	// A request that is served clears its digests of these crashes too.
+	t.judgement.implicated = implicatedIn(t.records)
+}
+
 // QuarantinedUntil returns the end of the quarantine of requests with the content, and
 // whether they are quarantined now.
 func (t *Tracker) QuarantinedUntil(now time.Time, c Content) (time.Time, bool) {
