--- a/rollout/controller_test.go
+++ b/rollout/controller_test.go
@@ -99,6 +99,8 @@
 		"store is slow": func(sc *scenario) { sc.storeDown = 500 * time.Millisecond },
 		"hosts start":   func(sc *scenario) { sc.lateHosts = true },
 		"few targets":   func(sc *scenario) { sc.targets = 2 },
+		"targets crash": func(sc *scenario) { sc.crash = true },
+		"hosts restart": func(sc *scenario) { sc.restart = true },
 	} {
 		t.Run(name, func(t *testing.T) { run(t, 6, with(change), good) })
 	}
@@ -156,6 +158,8 @@
 		"store is slow": func(sc *scenario) { sc.storeDown = 500 * time.Millisecond },
 		"cut off":       func(sc *scenario) { sc.cut = true },
 		"hosts start":   func(sc *scenario) { sc.lateHosts = true },
+		"targets crash": func(sc *scenario) { sc.crash = true },
+		"hosts restart": func(sc *scenario) { sc.restart = true },
 	} {
 		for _, after := range []time.Duration{0, 4 * time.Second} {
 			sc := with(change)
--- a/schedule/rollout.go
+++ b/schedule/rollout.go
@@ -233,7 +233,7 @@
 		run.recordDurations(now, &counts)
 	case p.cutOff:
 		return
-	case result == Failed, result == Broken, result == Abandoned && run.outOfTime:
+	case result == Failed, result == Broken, result == Abandoned && run.missedDeadline():
 		counts.Failures = 1
 	default:
 		return
@@ -241,6 +241,13 @@
 	p.rollout.add(run, counts)
 }
 
+// missedDeadline reports whether the deadline passed and the target had most of the request's time.
+// If the request waited at the host for most of it, an overloaded host or pool is the cause, and
+// no fault of the target's version.
+func (r *runningRequest) missedDeadline() bool {
+	return r.outOfTime && r.request.Deadline.Sub(r.dispatchedAt) >= r.dispatchedAt.Sub(r.request.Arrived)
+}
+
 // recordDurations adds the time to the first event, or to the end of a plain response, and the
 // mean time between the events of a stream.
 func (r *runningRequest) recordDurations(now time.Time, counts *rollout.Counts) {
--- a/schedule/rollout_test.go
+++ b/schedule/rollout_test.go
@@ -181,3 +181,29 @@
 		t.Errorf("got %+v, want 7 dispatched, 1 success, 3 failures and 1 duration", got)
 	}
 }
+
+// Guards against an overloaded host that is taken for a bad version: requests that waited at the
+// host until little of their time was left run out of time at any target.
+func TestRunsThatBeganTooLateAreNoEvidence(t *testing.T) {
+	drawn := 0.05
+	for waitedMs, want := range map[int]int{0: 1, 2900: 1, 3100: 0, 5900: 0} {
+		s := versionedScheduler(&drawn, "v1", "v2")
+		p := progressOf("v2", rollout.InProgress, 1000)
+		s.SetRollout(at(0), "p", p, true)
+		r := request("r", -waitedMs, 0)
+		r.AbandonTime, r.Objective = r.Deadline, r.Deadline
+		s.Enqueue(at(1), r)
+		if got := dispatched(t, s, 1)[r.ID]; got != "t1" {
+			t.Fatalf("waited %d ms: the request went to %q, want t1", waitedMs, got)
+		}
+		s.RecordOutOfTime(r.ID)
+		s.Finish(at(6000-waitedMs), r.ID, Abandoned)
+		failures := 0
+		for _, counts := range s.RolloutReport("p", p.Order) {
+			failures += counts.Failures
+		}
+		if failures != want {
+			t.Errorf("waited %d of 6000 ms: %d failures, want %d", waitedMs, failures, want)
+		}
+	}
+}
