Count the periods of leaving targets that are checked, and name the upgrade in results

Cause: hosts may stop sending to a leaving target before it receives another request; the promise then counted nothing, as if it had not been checked.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -127,6 +127,7 @@
 			if !r.noFaultDuring(period[0], period[1]) {
 				continue
 			}
+			v.Check(true, nil)
 			for _, received := range t.fake.Requests() {
 				if received.At.After(period[0]) && received.At.Before(period[1]) {
 					v.Check(received.At.Before(from), func() string {
--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -26,10 +26,11 @@
 
 // WriteText implements report.Report.
 func (r *Result) WriteText(w io.Writer) error {
-	fmt.Fprintf(w, "seed %d, %v under faults, %d calls, %d answered whole\n", r.Options.Seed, r.Options.Duration, r.Calls, r.Succeeded)
+	during := fmt.Sprintf("%v under faults", r.Options.Duration)
 	if r.Options.Former != "" {
-		fmt.Fprintf(w, "upgrade of %d hosts from %s, %s\n", r.Options.Hosts, r.Options.Former, upgradeKindOf(r.Options.Seed))
+		during = fmt.Sprintf("upgrade of %d hosts from %s, %s", r.Options.Hosts, r.Options.Former, upgradeKindOf(r.Options.Seed))
 	}
+	fmt.Fprintf(w, "seed %d, %s, %d calls, %d answered whole\n", r.Options.Seed, during, r.Calls, r.Succeeded)
 	if err := verdict.WriteTable(w, r.Promises); err != nil {
 		return Error.Wrap(err)
 	}
