Check predictions of cached prefixes against the first event

Nothing showed whether a predicted prefix was cached, and a wrong prediction made the target seem slow.

Where a prediction saves 20 ms or more, the time to the first event confirms or refutes it. Predictions of a target that were refuted count less, by a fifth for each and for half as long every 20 s; a late first event counts less the more unseen prompts of other hosts may explain it. The sample of the target's speed is corrected. Tokens predicted, confirmed, refuted and evicted are gauges per pool; a wrong prediction is logged at most every 10 s.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -30,6 +30,12 @@
 	FieldLimitBefore = "limit_before"
 	// FieldPercent is the time that work takes on a machine, in percent of the usual time.
 	FieldPercent = "percent"
+	// FieldTokens is the number of tokens that a target was predicted to have cached, FieldTrust the
+	// part of such predictions that counts, and FieldWrong the number of wrong ones since the line
+	// before.
+	FieldTokens = "tokens"
+	FieldTrust  = "trust"
+	FieldWrong  = "wrong"
 	// FieldRate is the part of a limit that this host uses. It depends on FieldConnectedHosts, the
 	// hosts that receive each other's states, of FieldHosts.
 	FieldRate           = "rate"
@@ -121,6 +127,8 @@
 	EventTargetUnlimited = "target-unlimited"
 	// EventMachineState says that a target has begun to state how long work takes on its machine.
 	EventMachineState = "machine-state"
+	// EventPrefixMissed says that a target did not have cached what was predicted.
+	EventPrefixMissed = "prefix-missed"
 	// EventLimitRate says that this host has got a part of a target's limit, or lost it.
 	EventLimitRate = "limit-rate"
 	// EventCapacityScarce and EventCapacitySufficient are about a pool whose capacity is shared
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,6 +155,7 @@
 		OnRateEvents:       state.logRateEvents,
 		OnMachineEvents:    state.logMachineEvents,
 		OnScarcityEvents:   state.logScarcityEvents,
+		OnPrefixEvents:     state.logPrefixEvents,
 	})
 	state.exchange = hoststate.New(hoststate.Options{
 		Self:           g.self(),
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -40,6 +40,7 @@
 		pool.Gauge(metrics.GatewayMachinesSlow).Update(float64(load.MachinesSlow))
 		pool.Gauge(metrics.GatewayScarce).Update(scarcityGauge(load.Scarce))
 		pool.Gauge(metrics.GatewaySlotsFree).Update(float64(load.Free))
+		updatePrefixGauges(pool, load.Prefixes)
 	}
 	g.traffic.update(now, scope, state.exchange)
 	g.updateRolloutGauges()
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -55,6 +55,7 @@
 		m.abandonExpired()
 		m.runSchedulers()
 	}
+	m.countPredictions()
 	return m.report
 }
 
@@ -71,7 +72,7 @@
 	for i, speed := range s.EngineSpeeds {
 		e := &engine{name: ident.Target("engine-" + strconv.Itoa(i)), speed: speed, slots: s.Slots}
 		if s.KVCacheTokens > 0 {
-			e.cache = newPrefixCache(s.KVCacheTokens, m.processed, &m.report.Prefixes)
+			e.cache = newPrefixCache(s.cacheOf(i), m.processed, &m.report.Prefixes)
 		}
 		m.engines = append(m.engines, e)
 		m.byName[e.name] = e
--- a/internal/loadmodel/prefix_pool.go
+++ b/internal/loadmodel/prefix_pool.go
@@ -50,6 +50,26 @@
 	}
 }
 
+// cacheOf returns the memory that the engine with index i uses to cache prefixes.
+func (s *Scenario) cacheOf(i int) int {
+	if i < s.UncachedEngines {
+		return 0
+	}
+	return s.KVCacheTokens
+}
+
+// countPredictions adds up what the hosts found out about their predictions.
+func (m *model) countPredictions() {
+	for _, h := range m.hosts {
+		for _, load := range h.scheduler.PoolLoads(clock(m.now)) {
+			m.report.Prefixes.Counts.Predicted += load.Prefixes.Predicted
+			m.report.Prefixes.Counts.Confirmed += load.Prefixes.Confirmed
+			m.report.Prefixes.Counts.Refuted += load.Prefixes.Refuted
+			m.report.Prefixes.Counts.Evicted += load.Prefixes.Evicted
+		}
+	}
+}
+
 // pools returns the configuration of the hosts.
 func (s *Scenario) pools() map[ident.Pool]*route.Pool {
 	engine := &route.Engine{Slots: s.Slots}
--- a/internal/loadmodel/prefix_report.go
+++ b/internal/loadmodel/prefix_report.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cornelyard/cornelyard/schedule"
 )
 
 // PrefixReport says what was predicted of the caches of engines and what was true.
@@ -23,6 +25,8 @@
 	RereadTokens int
 	// FirstEvents holds the times from submission to the first event.
 	FirstEvents []time.Duration
+	// Counts holds what the hosts counted themselves.
+	Counts schedule.PrefixCounts
 }
 
 // wrongTokens is the least error of a prediction that counts as wrong: about 2 ms of an engine.
--- a/internal/loadmodel/scenario.go
+++ b/internal/loadmodel/scenario.go
@@ -44,6 +44,8 @@
 	KVCacheTokens int
 	// HidesMemory leaves the memory out of the configuration of the hosts.
 	HidesMemory bool
+	// UncachedEngines is how many engines cache nothing although their memory is stated.
+	UncachedEngines int
 	// RestartedEngines is how many engines restart at RestartAt.
 	RestartedEngines int
 	RestartAt        time.Duration
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -59,6 +59,14 @@
 	// by pool.
 	GatewayMachinesKnown = "gateway_machines_known"
 	GatewayMachinesSlow  = "gateway_machines_slow"
+	// GatewayPrefixPredicted counts tokens of prompts that targets were predicted to have cached,
+	// GatewayPrefixConfirmed and GatewayPrefixRefuted those of them of which the time to the first
+	// event showed whether they were, and GatewayPrefixEvicted those that targets are estimated
+	// to have evicted. All are gauges by pool that count from the start of the host.
+	GatewayPrefixPredicted = "gateway_prefix_tokens_predicted"
+	GatewayPrefixConfirmed = "gateway_prefix_tokens_confirmed"
+	GatewayPrefixRefuted   = "gateway_prefix_tokens_refuted"
+	GatewayPrefixEvicted   = "gateway_prefix_tokens_evicted"
 	// GatewayRolloutRequests and GatewayRolloutFailures count the requests that this host sent to
 	// the ordered version since it learned of the order, and those that failed.
 	// GatewayRolloutShare is the share in force. All are gauges by pool and version.
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -39,6 +39,8 @@
 	OnMachineEvents func([]schedule.MachineEvent)
 	// OnScarcityEvents is called when the capacity of pools becomes scarce, or no longer is.
 	OnScarcityEvents func([]schedule.ScarcityEvent)
+	// OnPrefixEvents is called when targets did not have cached what was predicted.
+	OnPrefixEvents func([]schedule.PrefixEvent)
 	// OnTrialEnd is called when a trial of content has ended.
 	OnTrialEnd func(digest quarantine.Digest, to ident.Target, result trial.Result)
 	// OnProbe is called with what a probe found of a target that broke off a request.
@@ -240,6 +242,9 @@
 	if events := d.scheduler.TakeScarcityEvents(); len(events) > 0 {
 		d.options.OnScarcityEvents(events)
 	}
+	if events := d.scheduler.TakePrefixEvents(); len(events) > 0 {
+		d.options.OnPrefixEvents(events)
+	}
 	if events := d.scheduler.TakeSuspicionEvents(); len(events) > 0 {
 		d.options.OnSuspicionEvents(events)
 	}
--- a/schedule/cache_trust.go
+++ b/schedule/cache_trust.go
@@ -28,11 +28,11 @@
 	return 1 - c.doubt*math.Exp2(-now.Sub(c.updatedAt).Seconds()/cacheTrustHalfLife.Seconds())
 }
 
-// record adds a checked prediction.
-func (c *cacheTrust) record(now time.Time, confirmed bool) {
+// record adds a checked prediction. A less certain result counts less.
+func (c *cacheTrust) record(now time.Time, confirmed bool, certainty float64) {
 	doubt, observed := 1-c.value(now), 1.0
 	if confirmed {
 		observed = 0
 	}
-	c.doubt, c.updatedAt = doubt+cacheTrustWeight*(observed-doubt), now
+	c.doubt, c.updatedAt = doubt+cacheTrustWeight*certainty*(observed-doubt), now
 }
--- a/schedule/cached_prefixes.go
+++ b/schedule/cached_prefixes.go
@@ -40,6 +40,7 @@
 // they contain, which are evicted later.
 func (s *Scheduler) recordPrefixes(now time.Time, p *pool, r *Request, t *target) {
 	p.memory.recordUse(r)
+	p.memory.counts.Predicted += int64(s.predictedCached(now, p, r, t))
 	prefixes := r.promptPrefixes()
 	for i := len(prefixes) - 1; i >= 0; i-- {
 		prefix := prefixes[i]
--- a/schedule/pool_load.go
+++ b/schedule/pool_load.go
@@ -28,6 +28,8 @@
 	MachinesSlow  int
 	// Scarce says that the capacity is shared among teams.
 	Scarce bool
+	// Prefixes counts tokens of prompts. It is zero if the memory of the targets is not known.
+	Prefixes PrefixCounts
 	// Queued and Running count the requests of this host.
 	Queued  int
 	Running int
@@ -43,13 +45,14 @@
 	for _, p := range s.pools {
 		targets := p.usableTargets(now)
 		load := PoolLoad{
-			Pool:    p.name,
-			Targets: len(p.targets),
-			Usable:  len(targets),
-			Slots:   totalSlots(targets),
-			Free:    freeSlots(now, targets),
-			Scarce:  p.shares.scarce(now),
-			Queued:  len(p.queue.items),
+			Pool:     p.name,
+			Prefixes: p.memory.counts,
+			Targets:  len(p.targets),
+			Usable:   len(targets),
+			Slots:    totalSlots(targets),
+			Free:     freeSlots(now, targets),
+			Scarce:   p.shares.scarce(now),
+			Queued:   len(p.queue.items),
 		}
 		for _, t := range p.targets {
 			load.Running += t.running
--- a/schedule/pool_memory.go
+++ b/schedule/pool_memory.go
@@ -1,11 +1,16 @@
 package schedule
 
+import "time"
+
 // poolMemory describes how the requests of a pool use the memory of its targets.
 type poolMemory struct {
 	// privateShare is the mean part of a request's memory that is not a block of its prompt,
 	// and so is free after its end.
 	privateShare float64
 	counts       PrefixCounts
+	// wrong counts the wrong predictions since the last event, which was at eventAt.
+	wrong   int
+	eventAt time.Time
 }
 
 // PrefixCounts counts tokens of the prompts that this host sent to the targets of a pool since its
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -25,10 +25,11 @@
 	}
 	r.firstEventAt = now
 	r.target.lastResponseAt = now
-	r.target.prefill -= r.prefill
-	r.prefill = 0
 	p := s.pools[r.target.Pool]
 	elapsed := now.Sub(r.dispatchedAt) - firstEventOverhead
+	r.prefillAhead += s.checkPrefix(now, p, r, elapsed)
+	r.target.prefill -= r.prefill
+	r.prefill = 0
 	if r.prefillAhead >= minPrefillSample && elapsed > 0 {
 		rate := float64(r.prefillAhead) / elapsed.Seconds()
 		p.learnPrefillRate(now, r, rate)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -59,6 +59,7 @@
 	rateEvents          []RateEvent
 	machineEvents       []MachineEvent
 	scarcityEvents      []ScarcityEvent
+	prefixEvents        []PrefixEvent
 
 	// crashes holds the known crashes of targets. crashesChanged says that they changed
 	// since the queue was last checked for quarantined requests, crashesUrgent that this
