--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -25,13 +25,14 @@
 	}
 	r.firstEventAt = now
 	r.target.lastResponseAt = now
-	r.target.prefill -= r.prefill
-	r.prefill = 0
 	p := s.pools[r.target.Pool]
 	if s.ratedHosts() && !r.late && now.After(r.request.Objective) {
 		p.shares.recordShortage(now)
 	}
 	elapsed := now.Sub(r.dispatchedAt) - firstEventOverhead
+	r.prefillAhead += s.checkPrefix(now, p, r, elapsed)
+	r.target.prefill -= r.prefill
+	r.prefill = 0
 	if r.prefillAhead >= minPrefillSample && elapsed > 0 {
 		rate := float64(r.prefillAhead) / elapsed.Seconds()
 		p.learnPrefillRate(now, r, rate)
