Show when states wait for the link, and describe the cost of wake-ups

A gauge counts messages to far peers that left out what could wait, and a log line tells when that begins and ends. Datagrams are read every 40 ms rather than 50, so that a state after a lost one is read within the 250 ms after which a host counts as missing; the test of the ages covers that.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -176,4 +176,6 @@
 	EventRolloutStep    = "rollout-step"
 	EventRolloutJudged  = "rollout-judged"
 	EventRolloutEnded   = "rollout-ended"
+	// EventStatesLimited: states for hosts of other cells begin to wait for the link, or end it.
+	EventStatesLimited = "states-limited"
 )
--- a/hoststate/cost_test.go
+++ b/hoststate/cost_test.go
@@ -35,7 +35,8 @@
 	}
 }
 
-// Guards against reports that are older than what the headroom of a quota covers, 30 ms, and
+// Guards against reports that are older than what the headroom of a quota covers, 30 ms, when a request
+// is decided on, which is preceded by a read unless there was one minReadInterval before, and
 // against states of other cells for which the former build does not wait: it counts a host as
 // missing after 250 ms, or 2.5 times 5 ms for each far peer, so one message may be lost.
 func TestStatesOfDividedSystemsAreNotTooOld(t *testing.T) {
@@ -46,6 +47,9 @@
 			if age := p.nearInterval(false) + minReadInterval; age > 30*time.Millisecond {
 				t.Errorf("%d hosts in %d data centres: reports of the cell are %v old", hosts, dataCentres, age)
 			}
+			if age := 2*heartbeatInterval + readInterval; age >= 250*time.Millisecond {
+				t.Errorf("a state after a lost one is read when the last is %v old", age)
+			}
 			missingAfter := max(250*time.Millisecond, time.Duration(len(p.far))*12500*time.Microsecond)
 			if 5*p.farInterval()/2 > missingAfter {
 				t.Errorf("%d hosts in %d data centres: far interval %v, missing after %v", hosts, dataCentres, p.farInterval(), missingAfter)
--- a/hoststate/datagram_reader.go
+++ b/hoststate/datagram_reader.go
@@ -16,8 +16,10 @@
 const (
 	// readInterval is the time between two reads of datagrams in a divided system, while no decision
 	// has to be made. Each read wakes up the process, which costs more than what it reads. What
-	// waits in the socket buffer meanwhile, some twenty states of a kilobyte, takes a part of it.
-	readInterval = 50 * time.Millisecond
+	// waits in the socket buffer meanwhile, some twenty states of a kilobyte, takes a part of it. A
+	// state that is read this late after a lost one is still newer than 250 ms, the time after which
+	// a host counts as missing.
+	readInterval = 40 * time.Millisecond
 	// minReadInterval is the age up to which a decision uses what was read before.
 	minReadInterval = 5 * time.Millisecond
 )
--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -132,6 +132,10 @@
 	return e.traffic.sent.Load(), e.traffic.received.Load(), !e.peers.Load().fullMesh() && e.pressure.High(now)
 }
 
+// Shortened returns the number of messages to far peers since the start that had to wait for the link
+// and left out what could wait longer.
+func (e *Exchange) Shortened() int64 { return e.traffic.shortened.Load() }
+
 // Run sends and receives until ctx is done.
 func (e *Exchange) Run(ctx context.Context) error {
 	address, err := netip.ParseAddrPort(e.options.Self.Address)
@@ -289,6 +293,7 @@
 	if e.budget.covers(now, e.farBytes) {
 		return e.farState.Take()
 	}
+	e.traffic.shortened.Add(1)
 	return e.farState.TakeShort()
 }
 
--- a/hoststate/traffic.go
+++ b/hoststate/traffic.go
@@ -6,4 +6,6 @@
 type traffic struct {
 	sent     atomic.Int64
 	received atomic.Int64
+	// shortened counts the messages to far peers that left out what could wait for the link.
+	shortened atomic.Int64
 }
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -76,10 +76,12 @@
 	GatewayLogLinesDropped = "gateway_log_lines_dropped"
 	// GatewayStatesSent and GatewayStatesReceived are the numbers of datagrams with states since
 	// the start. GatewayStatesFrequent is 1 while a divided system exchanges them more often
-	// because requests wait.
-	GatewayStatesSent     = "gateway_states_sent"
-	GatewayStatesReceived = "gateway_states_received"
-	GatewayStatesFrequent = "gateway_states_frequent"
+	// because requests wait. GatewayStatesShortened is the number of messages to hosts of other
+	// cells since the start that left out what could wait, because the link is busy with states.
+	GatewayStatesSent      = "gateway_states_sent"
+	GatewayStatesReceived  = "gateway_states_received"
+	GatewayStatesFrequent  = "gateway_states_frequent"
+	GatewayStatesShortened = "gateway_states_shortened"
 )
 
 // Tag keys used only by the metrics of a gateway.
