--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -187,4 +187,6 @@
 	EventRolloutEnded   = "rollout-ended"
 	// EventRolloutDecider is about the part of a host in the decisions on a rollout.
 	EventRolloutDecider = "rollout-decider"
+	// EventStatesLimited: states for hosts of other cells begin to wait for the link, or end it.
+	EventStatesLimited = "states-limited"
 )
