--- a/internal/loadmodel/arrivals.go
+++ b/internal/loadmodel/arrivals.go
@@ -28,6 +28,7 @@
 			r.estimatedOutput = max(1, int(float64(r.output)*math.Exp(estimateSpread*m.random.NormFloat64())))
 			m.submit(r, m.random)
 			m.report.Classes[c.Name].Arrived++
+			m.report.Classes[c.Name].BySize[c.sizeOf(r.output)].Arrived++
 			m.report.Classes[c.Name].MaxValue += c.Value
 		}
 	}
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -178,6 +178,7 @@
 
 func (m *model) recordServed(r *request) {
 	o := m.report.Classes[r.class.Name]
+	o.BySize[r.class.sizeOf(r.output)].Served++
 	if r.retry {
 		o.RetriesServed++
 	}
--- a/internal/loadmodel/outcome.go
+++ b/internal/loadmodel/outcome.go
@@ -25,6 +25,8 @@
 	// them that were served.
 	Reserved       int
 	ReservedServed int
+	// BySize counts the requests by the length of their output.
+	BySize [sizes]SizeOutcome
 	// EarnedValue and MaxValue are in the units of RequestClass.Value.
 	EarnedValue float64
 	MaxValue    float64
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -24,6 +24,9 @@
 	skipped := 0
 	for i := 0; i < len(p.queue.items) && skipped < maxSkipped; {
 		w := p.queue.items[i]
+		if s.isLeftForOthers(now, p, w) {
+			break
+		}
 		if !w.request.RequiresVersion && free <= s.reservedSlots(now, p, w, targets) || free > 0 && s.yieldsToPeers(now, p, w, free) {
 			break
 		}
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -28,7 +28,7 @@
 	r.target.prefill -= r.prefill
 	r.prefill = 0
 	p := s.pools[r.target.Pool]
-	if s.ratedHosts() && !r.late && now.After(r.request.Objective) {
+	if s.ratedHosts() && !r.late && now.After(r.request.Objective) && p.control.load > pressedLoad {
 		p.shares.recordShortage(now)
 	}
 	elapsed := now.Sub(r.dispatchedAt) - firstEventOverhead
--- a/schedule/rate_control.go
+++ b/schedule/rate_control.go
@@ -14,7 +14,7 @@
 	maxOrderedHosts = 16
 	// ratedLoad is the part of the capacity that is granted while requests are admitted by
 	// rates.
-	ratedLoad = 0.9
+	ratedLoad = 0.85
 	// drainFactor is how much the rate falls with the load. More than 1 would oscillate, since the
 	// load is known late. minGranted is the least part of the capacity that is granted; it leaves
 	// teams with little demand their part while requests wait at targets.
@@ -27,6 +27,9 @@
 	maxGain  = 5.0
 	// maxLoadError bounds the deviation that is corrected at once.
 	maxLoadError = 0.5
+	// pressedLoad is the load up to which a request that is late although it was sent in time is no
+	// sign of overload.
+	pressedLoad = 0.5
 	// overload is the load from which on capacity counts as scarce.
 	overload = 1.2
 	// divideInterval is the time between two divisions of the capacity among teams.
@@ -157,7 +160,11 @@
 	c := &p.control
 	all, slots, busy := 0.0, 0, 0
 	for _, t := range p.usableTargets(now) {
-		all += float64(t.usableSlots(now)) * c.relativeSpeed(now, t)
+		usable := float64(t.usableSlots(now))
+		if t.limited() {
+			usable = min(usable, t.limit.PerSecond*p.meanService)
+		}
+		all += usable * c.relativeSpeed(now, t)
 		slots += t.Slots
 		busy += t.busySlots(now)
 	}
@@ -243,3 +250,13 @@
 	}
 	return p.control.rates.GrantedShare()
 }
+
+// isLeftForOthers reports whether a late request waits because requests of other hosts that can
+// still be on time may need the free slots. Late requests are the last of the queue.
+func (s *Scheduler) isLeftForOthers(now time.Time, p *pool, w *queuedRequest) bool {
+	if !w.late || w.request.RequiresVersion || !s.admitsByRate(now, p) {
+		return false
+	}
+	s.divideCapacity(now, p)
+	return p.control.load > ratedLoad
+}
