--- a/internal/loadmodel/arrivals.go
+++ b/internal/loadmodel/arrivals.go
@@ -31,6 +31,7 @@
 			}
 			m.submit(r, m.random)
 			m.report.Classes[c.Name].Arrived++
+			m.report.Classes[c.Name].BySize[c.sizeOf(r.output)].Arrived++
 			m.report.Classes[c.Name].MaxValue += c.Value
 		}
 	}
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -197,6 +197,7 @@
 		m.continueSession(r.session)
 	}
 	o := m.report.Classes[r.class.Name]
+	o.BySize[r.class.sizeOf(r.output)].Served++
 	if r.retry {
 		o.RetriesServed++
 	}
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -26,7 +26,7 @@
 	r.firstEventAt = now
 	r.target.lastResponseAt = now
 	p := s.pools[r.target.Pool]
-	if s.ratedHosts() && !r.late && now.After(r.request.Objective) {
+	if s.ratedHosts() && !r.late && now.After(r.request.Objective) && p.control.load > pressedLoad {
 		p.shares.recordShortage(now)
 	}
 	elapsed := now.Sub(r.dispatchedAt) - firstEventOverhead
