Record the queue time of requests that get no slot

A request that was refused after waiting, or whose caller left the queue, had a time in the queue of zero in its summary, so that the log could not say who waited. The summary now has the wait of each request. It also has the latency objective of the route and whether the caller asks for the remainder of a stream, so that the log can say which requests were late and which are known to be retries. Requests that get a slot do no more work than before.

--- a/relay/execution.go
+++ b/relay/execution.go
@@ -183,12 +183,15 @@
 		x.releaseRetry()
 		return r, nil
 	}
-	action, err := x.relay.options.Dispatcher.acquire(ctx, x.request())
+	request := x.request()
+	action, err := x.relay.options.Dispatcher.acquire(ctx, request)
 	if err != nil {
+		x.queueTime += time.Since(request.Arrived)
 		return nil, x.cancelledRefusal(ctx)
 	}
 	switch a := action.(type) {
 	case *schedule.Refuse:
+		x.queueTime += time.Since(request.Arrived)
 		return nil, x.schedulerRefusal(a)
 	case *schedule.Divert:
 		x.divertedTo = a.Hosts
--- a/relay/observer.go
+++ b/relay/observer.go
@@ -38,7 +38,8 @@
 	Target     ident.Target
 	Dispatches int
 	// Result is the result of the last dispatch, if there was one.
-	Result           schedule.Result
+	Result schedule.Result
+	// QueueTime is the time that the request waited for slots, whether it got one or not.
 	QueueTime        time.Duration
 	TotalTime        time.Duration
 	TimeToFirstEvent time.Duration
@@ -51,12 +52,28 @@
 	OutputTokens int
 	// Deadline is the time from the request's arrival to its deadline.
 	Deadline time.Duration
+	// Objective is the latency objective of the route, or zero if it has none.
+	Objective time.Duration
+	// Resumes is set if the caller asked for the remainder of a stream, so that the request
+	// is known to be a retry. Other retries of callers are not marked as such.
+	Resumes bool
 	// Steps are the decisions about the request in chronological order.
 	Steps []Step
 	// Truncated reports that the response ended prematurely.
 	Truncated bool
 }
 
+// Late reports whether the response, or its first event, came after the objective.
+func (s *Summary) Late() bool {
+	if s.Objective == 0 {
+		return false
+	}
+	if s.TimeToFirstEvent > 0 {
+		return s.TimeToFirstEvent > s.Objective
+	}
+	return s.TotalTime > s.Objective
+}
+
 func (x *execution) summary(refusal *outcome.Refusal) Summary {
 	s := Summary{
 		Request:    x.call.ID,
@@ -76,12 +93,14 @@
 		Steps:      x.takeSteps(),
 
 		PromptTokens: x.call.PromptTokens,
+		Resumes:      x.call.Resumes,
 	}
 	if x.route != nil {
 		s.Route = x.route.Name
 		s.Kind = x.route.Kind
 		s.OutputTokens = x.expectedOutput()
 		s.Deadline = x.deadline.Sub(x.call.ArrivalTime)
+		s.Objective = x.route.LatencyObjective
 	}
 	if x.team != nil {
 		s.Priority = x.team.Priority
