Log what a table of the load needs

The line about the end of a request lacked its pool, target, prompt tokens, data centre and whether it was late, and samples of served requests did not say for how many requests they stand. Both lines about a request now have these fields; they are written where the lines are, so requests without lines cost nothing.

Lines about refusals shared the limit of those about served requests: after 150 lines in a second, none was written about served ones.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -13,6 +13,10 @@
 	FieldPool    = "pool"
 	FieldTeam    = "team"
 	FieldTarget  = "target"
+	// FieldDataCentre is the data centre of the host that wrote the line, FieldHostClass its
+	// memory and the bandwidth of its link.
+	FieldDataCentre = "data_centre"
+	FieldHostClass  = "host_class"
 	// FieldVersion is the version of a target's software.
 	FieldVersion = "version"
 	// FieldDigest identifies the content of a request. All attempts with the same content
@@ -93,8 +97,16 @@
 	FieldStatus       = "status"
 	FieldEvents       = "events"
 	FieldTruncated    = "broken_off"
-	FieldUntilMs      = "until_ms"
-	FieldDropped      = "dropped"
+	// FieldLate says whether a served request was later than the objective of its route.
+	FieldLate = "late"
+	// FieldRetry is true if the caller states that the request is a retry.
+	FieldRetry = "retry"
+	// FieldRepresents is the number of requests that the lines of one request stand for.
+	FieldRepresents = "represents"
+	FieldUntilMs    = "until_ms"
+	FieldDropped    = "dropped"
+	// FieldRequests is the number of requests whose lines were dropped.
+	FieldRequests = "requests"
 
 	// FieldOrder is the row version of the order of a rollout. FieldPhase, FieldStep and
 	// FieldShareMilli say how far the rollout has come, FieldRouteHash identifies a route in
--- a/eventlog/reader.go
+++ b/eventlog/reader.go
@@ -1,8 +1,6 @@
 package eventlog
 
 import (
-	"bufio"
-	"bytes"
 	"io"
 	"slices"
 	"time"
@@ -13,9 +11,6 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("eventlog")
 
-// maxLineBytes bounds the length of a line that is read.
-const maxLineBytes = 1 << 20
-
 // Reader collects the log lines that concern one request: those about the request
 // itself, and state changes of the targets it was sent to, from around the time of
 // the request.
@@ -33,21 +28,15 @@
 // Read reads one log. Text before the JSON object of a line is ignored, because log
 // collectors add prefixes.
 func (r *Reader) Read(log io.Reader) error {
-	scanner := bufio.NewScanner(log)
-	scanner.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
+	scanner := NewScanner(log)
 	for scanner.Scan() {
-		r.addLine(scanner.Bytes())
+		r.addLine(scanner.Object())
 	}
-	return Error.Wrap(scanner.Err())
+	return scanner.Err()
 }
 
-func (r *Reader) addLine(text []byte) {
-	brace := bytes.IndexByte(text, '{')
-	if brace < 0 {
-		r.Skipped++
-		return
-	}
-	line, ok := parseLine(text[brace:])
+func (r *Reader) addLine(object []byte) {
+	line, ok := parseLine(object)
 	if !ok {
 		r.Skipped++
 		return
--- a/eventlog/request_logger.go
+++ b/eventlog/request_logger.go
@@ -6,14 +6,15 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/relay"
 )
 
 const (
-	// servedSampleInterval is the sampling interval for requests served at the first
+	// ServedSampleInterval is the sampling interval for requests served at the first
 	// attempt: the lines of one in this many are written.
-	servedSampleInterval = 32
+	ServedSampleInterval = 32
 	// maxLinesPerSecond limits the lines about requests. Lines beyond the limit are
 	// dropped and counted.
 	maxLinesPerSecond = 600
@@ -27,28 +28,37 @@
 // requests, and of a sample of the others.
 type RequestLogger struct {
 	logger *log.Logger
+	host   HostFields
 
-	mu           sync.Mutex
-	servedCount  uint64
-	secondStart  time.Time
-	linesWritten int
-	linesDropped int
+	mu          sync.Mutex
+	servedCount uint64
+	// representedCount is the part of servedCount that the written lines represent.
+	representedCount uint64
+	secondStart      time.Time
+	linesWritten     int
+	// servedLines is the part of linesWritten about served requests.
+	servedLines     int
+	linesDropped    int
+	requestsDropped int
 }
 
 var _ relay.Observer = (*RequestLogger)(nil)
 
 // NewRequestLogger returns a RequestLogger that writes to the logger.
-func NewRequestLogger(logger *log.Logger) *RequestLogger { return &RequestLogger{logger: logger} }
+func NewRequestLogger(logger *log.Logger, host HostFields) *RequestLogger {
+	return &RequestLogger{logger: logger, host: host}
+}
 
 // Finished implements relay.Observer.
 func (r *RequestLogger) Finished(s relay.Summary) {
-	if !r.admit(time.Now(), servedAtFirstAttempt(&s), len(s.Steps)+1) {
+	represented := r.admit(time.Now(), servedAtFirstAttempt(&s), len(s.Steps)+1)
+	if represented == 0 {
 		return
 	}
 	for i := range s.Steps {
 		r.writeStep(&s, &s.Steps[i])
 	}
-	r.writeEnd(&s)
+	r.writeEnd(&s, represented)
 }
 
 // servedAtFirstAttempt reports whether a request was served without a retry or an
@@ -57,27 +67,39 @@
 	return s.Refusal == nil && s.Dispatches <= 1 && s.Status < 500
 }
 
-// admit reports whether the lines of a request are to be written.
-func (r *RequestLogger) admit(now time.Time, served bool, lines int) bool {
+// admit returns the number of requests that the lines of a request represent, or zero if
+// they are not to be written. Those of a served request represent all served requests since
+// the last one that was written.
+func (r *RequestLogger) admit(now time.Time, served bool, lines int) uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.startSecond(now)
-	limit := maxLinesPerSecond
 	if served {
-		r.servedCount++
-		if r.servedCount%servedSampleInterval != 0 {
-			return false
-		}
-		limit = maxServedLinesPerSecond
+		return r.admitServed(lines)
 	}
-	if r.linesWritten+lines > limit {
-		if !served {
-			r.linesDropped += lines
-		}
-		return false
+	if r.linesWritten+lines > maxLinesPerSecond {
+		r.linesDropped += lines
+		r.requestsDropped++
+		return 0
 	}
 	r.linesWritten += lines
-	return true
+	return 1
+}
+
+// admitServed is admit for a request that was served at the first attempt.
+func (r *RequestLogger) admitServed(lines int) uint64 {
+	r.servedCount++
+	if r.servedCount%ServedSampleInterval != 0 {
+		return 0
+	}
+	if r.servedLines+lines > maxServedLinesPerSecond || r.linesWritten+lines > maxLinesPerSecond {
+		return 0
+	}
+	r.servedLines += lines
+	r.linesWritten += lines
+	represented := r.servedCount - r.representedCount
+	r.representedCount = r.servedCount
+	return represented
 }
 
 // startSecond resets the counts when a second has passed, and logs how many lines
@@ -88,18 +110,19 @@
 	}
 	if r.linesDropped > 0 {
 		r.logger.Warn().Str(FieldEvent, EventLinesDropped).Int(FieldDropped, r.linesDropped).
-			Msg("Request log lines were dropped because of the rate limit.")
+			Int(FieldRequests, r.requestsDropped).Msg("Request log lines were dropped because of the rate limit.")
 	}
-	r.secondStart, r.linesWritten, r.linesDropped = now, 0, 0
+	r.secondStart, r.linesWritten, r.servedLines = now, 0, 0
+	r.linesDropped, r.requestsDropped = 0, 0
 }
 
 func (r *RequestLogger) writeStep(s *relay.Summary, step *relay.Step) {
 	entry := r.logger.Info().Time(FieldAt, step.At).Str(FieldRequest, truncate(string(s.Request)))
 	switch step.Kind {
 	case relay.StepAccepted:
-		addRequestFields(entry, s, step).Msg("Request accepted.")
+		r.addRequestFields(entry, s, step).Msg("Request accepted.")
 	case relay.StepQuotaExceeded:
-		addRequestFields(entry, s, step).Str(FieldEvent, EventQuotaExceeded).Msg("Request refused because the team's quota is exhausted.")
+		r.addRequestFields(entry, s, step).Str(FieldEvent, EventQuotaExceeded).Msg("Request refused because the team's quota is exhausted.")
 	case relay.StepQuarantined:
 		entry.Str(FieldEvent, EventQuarantineRefused).Stringer(FieldDigest, s.Digest).
 			Int64(FieldRetryAfterMs, step.RetryAfter.Milliseconds()).Msg("Request refused because requests with its content crashed targets.")
@@ -139,14 +162,18 @@
 	}
 }
 
-func addRequestFields(entry *log.Entry, s *relay.Summary, step *relay.Step) *log.Entry {
+func (r *RequestLogger) addRequestFields(entry *log.Entry, s *relay.Summary, step *relay.Step) *log.Entry {
 	if step.Kind == relay.StepAccepted {
 		entry = entry.Str(FieldEvent, EventAccepted)
 	}
+	if s.Resumes {
+		entry = entry.Bool(FieldRetry, true)
+	}
 	return entry.
 		Str(FieldRoute, s.Route).
 		Str(FieldPool, string(s.Pool)).
 		Str(FieldTeam, string(s.Team)).
+		Str(FieldDataCentre, string(r.host.DataCentre)).
 		Uint64(FieldTableVersion, s.TableVersion).
 		Int(FieldPromptTokens, s.PromptTokens).
 		Int(FieldOutputTokens, s.OutputTokens).
@@ -168,19 +195,34 @@
 		Int64(FieldPeerStateAgeMs, in.PeerStateAge.Milliseconds())
 }
 
-func (r *RequestLogger) writeEnd(s *relay.Summary) {
+func (r *RequestLogger) writeEnd(s *relay.Summary, represented uint64) {
 	entry := r.logger.Info().
 		Str(FieldRequest, truncate(string(s.Request))).
 		Str(FieldEvent, EventEnded).
 		Str(FieldRoute, s.Route).
+		Str(FieldPool, string(s.Pool)).
 		Str(FieldTeam, string(s.Team)).
+		Str(FieldTarget, string(s.Target)).
+		Str(FieldDataCentre, string(r.host.DataCentre)).
+		Str(FieldHostClass, r.host.Class).
+		Int(FieldPromptTokens, s.PromptTokens).
 		Stringer(FieldDigest, s.Digest).
 		Int(FieldDispatches, s.Dispatches).
 		Int64(FieldQueuedMs, s.QueueTime.Milliseconds()).
 		Int64(FieldFirstEventMs, s.TimeToFirstEvent.Milliseconds()).
 		Int64(FieldTotalMs, s.TotalTime.Milliseconds()).
 		Int(FieldStatus, s.Status).
-		Int(FieldEvents, s.Events)
+		Int(FieldEvents, s.Events).
+		Uint64(FieldRepresents, represented)
+	if s.Resumes {
+		entry = entry.Bool(FieldRetry, true)
+	}
+	if peer := servingHost(s.Steps); peer != "" {
+		entry = entry.Str(FieldPeer, string(peer))
+	}
+	if s.Refusal == nil && s.Objective > 0 {
+		entry = entry.Bool(FieldLate, s.Late())
+	}
 	if len(s.Parts) > 0 {
 		entry = entry.Strs(FieldParts, partTexts(s.Parts))
 	}
@@ -194,6 +236,16 @@
 	entry.Msg("Request ended.")
 }
 
+// servingHost returns the host that responded to a request which was passed on, or "".
+func servingHost(steps []relay.Step) ident.Host {
+	for i := range steps {
+		if steps[i].Kind == relay.StepPassedOn && steps[i].Cause == "" {
+			return steps[i].Host
+		}
+	}
+	return ""
+}
+
 // maxParts bounds the parts in a line.
 const maxParts = 8
 
--- a/eventlog/request_logger_test.go
+++ b/eventlog/request_logger_test.go
@@ -21,7 +21,7 @@
 	t.Helper()
 	var out bytes.Buffer
 	logs := logging.NewStructured(logging.Options{Output: &out})
-	r := NewRequestLogger(logs.For("request"))
+	r := NewRequestLogger(logs.For("request"), HostFields{DataCentre: "dc1", Class: "536MB"})
 	for _, s := range summaries {
 		r.Finished(s)
 	}
@@ -83,7 +83,7 @@
 
 func TestServedRequestsAreSampled(t *testing.T) {
 	var summaries []relay.Summary
-	for range 10 * servedSampleInterval {
+	for range 10 * ServedSampleInterval {
 		summaries = append(summaries, relay.Summary{Request: "a", Status: 200, Dispatches: 1})
 	}
 	if got := len(lines(t, summaries...)); got < 8 || got > 10 {
@@ -94,12 +94,12 @@
 func TestLineRateIsLimitedAndDropsAreLogged(t *testing.T) {
 	var out bytes.Buffer
 	logs := logging.NewStructured(logging.Options{Output: &out})
-	r := NewRequestLogger(logs.For("request"))
+	r := NewRequestLogger(logs.For("request"), HostFields{DataCentre: "dc1", Class: "536MB"})
 	start := time.Now()
 	r.admit(start, false, 0)
 	admitted := 0
 	for range 1000 {
-		if r.admit(start, false, 4) {
+		if r.admit(start, false, 4) > 0 {
 			admitted += 4
 		}
 	}
@@ -135,3 +135,19 @@
 		}
 	})
 }
+
+// TestServedRequestsAreSampledUnderRefusals guards against an overload whose refused requests
+// use up the lines for served ones, so that the log shows nobody as served.
+func TestServedRequestsAreSampledUnderRefusals(t *testing.T) {
+	r := NewRequestLogger(nil, HostFields{})
+	const refusedLines = maxServedLinesPerSecond
+	now := time.Now()
+	r.admit(now, false, refusedLines)
+	represented := uint64(0)
+	for range ServedSampleInterval {
+		represented += r.admit(now, true, 4)
+	}
+	if represented != ServedSampleInterval {
+		t.Errorf("the lines represent %d served requests after %d lines about refused ones, want %d", represented, refusedLines, ServedSampleInterval)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -206,7 +206,7 @@
 		Trials:       g.trials,
 		Budget:       g.responseBudget,
 		Observer: multiObserver{
-			eventlog.NewRequestLogger(g.logs.For("request")),
+			eventlog.NewRequestLogger(g.logs.For("request"), eventlog.HostFields{DataCentre: g.config.DataCentre, Class: g.config.HostClass()}),
 			&requestMetrics{scope: g.metrics.Scope},
 		},
 	})
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -34,7 +34,7 @@
 // fails, for instance because the address of a listener is in use.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.logger.Info().Str(eventlog.FieldEvent, eventlog.EventStarted).
-		Str("data_centre", string(g.config.DataCentre)).Int("memory_mb", g.config.MemoryMB).
+		Str(eventlog.FieldDataCentre, string(g.config.DataCentre)).Int("memory_mb", g.config.MemoryMB).
 		Int("processors", runtime.GOMAXPROCS(0)).Msg("Host is starting.")
 	callers, err := listenForCallers(ctx, g.config.CallerAddress)
 	if err != nil {
