Add the command load: who waited, and who was refused

After an overload, nothing said which teams, routes or prompts waited or were refused, but the lines of single requests. The command cornelyard load reads gateway logs and prints a table by the properties that --by names, as text or JSON lines. It says that counts are estimated, and what was skipped or dropped. Files are read as by story, with shared code.

--- a/cli/command.go
+++ b/cli/command.go
@@ -26,6 +26,7 @@
 		&statusCommand{},
 		&timelineCommand{},
 		&storyCommand{},
+		&loadCommand{},
 		&usageCommand{},
 		&schemaCommand{},
 		&versionCommand{},
--- a/cli/story.go
+++ b/cli/story.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"os"
+	"io"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -34,7 +34,8 @@
 // Run implements Command.
 func (c *storyCommand) Run(_ context.Context, s *Session) error {
 	reader := eventlog.NewReader(c.request)
-	if err := c.read(s, reader); err != nil {
+	read := func(_ string, log io.Reader) error { return reader.Read(log) }
+	if err := readLogs(s, c.files, read); err != nil {
 		return err
 	}
 	story := reader.Lines()
@@ -49,25 +50,3 @@
 	}
 	return nil
 }
-
-func (c *storyCommand) read(s *Session, reader *eventlog.Reader) error {
-	if len(c.files) == 0 {
-		return reader.Read(s.Stdin)
-	}
-	for _, path := range c.files {
-		if err := readLog(reader, path); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func readLog(reader *eventlog.Reader, path string) error {
-	file, err := os.Open(path)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	// The file is only read, so an error on closing is harmless.
-	defer func() { _ = file.Close() }()
-	return reader.Read(file)
-}
--- a/cli/timeline.go
+++ b/cli/timeline.go
@@ -42,7 +42,7 @@
 
 // Run implements Command.
 func (c *timelineCommand) Run(ctx context.Context, s *Session) error {
-	since, err := parseSince(c.since, time.Now())
+	since, err := parseTime("--since", c.since, time.Now())
 	if err != nil {
 		return err
 	}
@@ -54,7 +54,7 @@
 	reader := &timelineReader{
 		session:     s,
 		hostClient:  hostClient,
-		query:       api.TimelineQuery{Since: since, Request: ident.Request(c.request), Limit: c.limit},
+		query:       api.TimelineQuery{Since: timestampAt(since), Request: ident.Request(c.request), Limit: c.limit},
 		dropped:     make(map[ident.Host]uint64),
 		unreachable: make(map[ident.Host]bool),
 	}
@@ -76,16 +76,10 @@
 	return err
 }
 
-func parseSince(text string, now time.Time) (timeline.Timestamp, error) {
-	if text == "" {
-		return timeline.Timestamp{}, nil
+// timestampAt returns the earliest timestamp at a time, or the zero timestamp for the zero time.
+func timestampAt(at time.Time) timeline.Timestamp {
+	if at.IsZero() {
+		return timeline.Timestamp{}
 	}
-	if ago, err := time.ParseDuration(text); err == nil {
-		return timeline.TimestampAt(now.Add(-ago)), nil
-	}
-	at, err := time.Parse(time.RFC3339Nano, text)
-	if err != nil {
-		return timeline.Timestamp{}, &usageError{message: "--since is neither a time (RFC 3339) nor a duration"}
-	}
-	return timeline.TimestampAt(at), nil
+	return timeline.TimestampAt(at)
 }
