Parse only the lines that a load table needs

Most lines of a log are not about the end of a request, and were decoded only to find that out; the others were decoded twice. Now the name of the event is searched first.

go test ./eventlog ./loadtable, and the scripts load and story of ./cli: ok.

--- a/cli/load_reader.go
+++ b/cli/load_reader.go
@@ -1,6 +1,8 @@
 package cli
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 
@@ -41,22 +43,32 @@
 	return nil
 }
 
+// addLine parses only the lines that the table needs; the others must be JSON.
 func (r *loadReader) addLine(object []byte) error {
-	header, err := eventlog.ParseEventHeader(object)
-	if err != nil || !r.period.Contains(header.At) {
+	switch {
+	case eventlog.Mentions(object, eventlog.EventEnded):
+		return r.addRequest(object)
+	case eventlog.Mentions(object, eventlog.EventLinesDropped):
+		return r.addDropped(object)
+	case !json.Valid(object):
+		return errNoJSON
+	default:
+		return nil
+	}
+}
+
+var errNoJSON = errors.New("the line is not JSON")
+
+func (r *loadReader) addDropped(object []byte) error {
+	dropped, err := eventlog.ParseDroppedLines(object)
+	if err != nil {
 		return err
 	}
-	switch header.Event {
-	case eventlog.EventEnded:
-		return r.addRequest(object)
-	case eventlog.EventLinesDropped:
-		dropped, err := eventlog.ParseDroppedLines(object)
+	if dropped.Event == eventlog.EventLinesDropped && r.period.Contains(dropped.At) {
 		r.droppedLines += dropped.Lines
 		r.droppedRequests += dropped.Requests
-		return err
-	default:
-		return nil
 	}
+	return nil
 }
 
 func (r *loadReader) addRequest(object []byte) error {
@@ -64,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	if request.Event != eventlog.EventEnded || !r.period.Contains(request.At) {
+		return nil
+	}
 	if request.Peer != "" {
 		r.passedOn++
 		return nil
--- a/eventlog/ended_request.go
+++ b/eventlog/ended_request.go
@@ -3,20 +3,18 @@
 import (
 	"encoding/json"
 	"errors"
-	"time"
 )
 
 // EndedRequest is a line with the event EventEnded: how a request ended. Fields that the line
 // lacks are zero.
 type EndedRequest struct {
-	At         time.Time `json:"time"`
-	Host       string    `json:"host"`
-	HostClass  string    `json:"host_class"`
-	DataCentre string    `json:"data_centre"`
-	Team       string    `json:"team"`
-	Route      string    `json:"route"`
-	Pool       string    `json:"pool"`
-	Target     string    `json:"target"`
+	EventHeader
+	HostClass  string `json:"host_class"`
+	DataCentre string `json:"data_centre"`
+	Team       string `json:"team"`
+	Route      string `json:"route"`
+	Pool       string `json:"pool"`
+	Target     string `json:"target"`
 	// PromptTokens is zero if the caller didn't state it.
 	PromptTokens int `json:"prompt_tokens"`
 	Dispatches   int `json:"dispatches"`
@@ -36,7 +34,10 @@
 	Represents int64 `json:"represents"`
 }
 
-var errNegative = errors.New("a count or a time is negative")
+var (
+	errNoTime   = errors.New("the line has no time")
+	errNegative = errors.New("a count or a time is negative")
+)
 
 // ParseEndedRequest parses a line with the event EventEnded.
 func ParseEndedRequest(object []byte) (EndedRequest, error) {
@@ -44,6 +45,9 @@
 	if err := json.Unmarshal(object, &r); err != nil {
 		return r, Error.Wrap(err)
 	}
+	if r.At.IsZero() {
+		return r, Error.Wrap(errNoTime)
+	}
 	if min(r.Represents, r.Queued, r.FirstEvent, r.Total, int64(r.PromptTokens), int64(r.Dispatches)) < 0 {
 		return r, Error.Wrap(errNegative)
 	}
--- a/eventlog/ended_request_test.go
+++ b/eventlog/ended_request_test.go
@@ -38,7 +38,8 @@
 	}
 	got.At, got.Late = time.Time{}, nil
 	want := EndedRequest{
-		HostClass: "536MB", DataCentre: "dc1", Team: "acme", Route: "r", Pool: "p", Target: "t1",
+		EventHeader: EventHeader{Event: EventEnded},
+		HostClass:   "536MB", DataCentre: "dc1", Team: "acme", Route: "r", Pool: "p", Target: "t1",
 		PromptTokens: 90, Dispatches: 2, Queued: 5, FirstEvent: 80, Total: 1000, Status: 200, Represents: 1,
 	}
 	if got != want {
@@ -87,18 +88,21 @@
 
 func TestLinesWithoutCountAreRecognized(t *testing.T) {
 	for text, want := range map[string]int64{
-		`{"status":200,"dispatches":1}`:                 ServedSampleInterval,
-		`{"status":200,"dispatches":2}`:                 1,
-		`{"status":0,"outcome":"not-run"}`:              1,
-		`{"status":200,"dispatches":1,"represents":31}`: 31,
+		`"status":200,"dispatches":1}`:                 ServedSampleInterval,
+		`"status":200,"dispatches":2}`:                 1,
+		`"status":0,"outcome":"not-run"}`:              1,
+		`"status":200,"dispatches":1,"represents":31}`: 31,
 	} {
-		if got, err := ParseEndedRequest([]byte(text)); err != nil || got.Represents != want {
+		if got, err := ParseEndedRequest([]byte(`{"time":"2026-02-20T04:07:19Z",` + text)); err != nil || got.Represents != want {
 			t.Errorf("%s represents %d requests (%v), want %d", text, got.Represents, err, want)
 		}
 	}
-	if _, err := ParseEndedRequest([]byte(`{"queued_ms":-1}`)); err == nil {
+	if _, err := ParseEndedRequest([]byte(`{"time":"2026-02-20T04:07:19Z","queued_ms":-1}`)); err == nil {
 		t.Error("a negative time is accepted")
 	}
+	if _, err := ParseEndedRequest([]byte(`{"status":200}`)); err == nil {
+		t.Error("a line without a time is accepted")
+	}
 }
 
 // TestScannerBoundsLines guards against a line without end that is read into memory, and
