--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -22,7 +22,7 @@
 	capacity uint64
 
 	mu sync.Mutex
-	// records holds the event with sequence s at (s-1) % limit.
+	// records holds the event with sequence s at (s-1) % capacity.
 	records []record
 	last    uint64
 }
--- a/timeline/text.go
+++ b/timeline/text.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"strings"
-	"time"
 )
 
 // textTimeLayout formats an event's time, in UTC.
@@ -62,8 +61,3 @@
 	}
 	return nil
 }
-
-// TimestampAt returns the earliest timestamp with the wall time t.
-func TimestampAt(t time.Time) Timestamp {
-	return Timestamp{Wall: t.UnixNano()}
-}
--- a/timeline/timestamp.go
+++ b/timeline/timestamp.go
@@ -12,6 +12,11 @@
 	Logical uint32 `json:"logical,omitempty"`
 }
 
+// TimestampAt returns the earliest timestamp with the wall time t.
+func TimestampAt(t time.Time) Timestamp {
+	return Timestamp{Wall: t.UnixNano()}
+}
+
 // Before reports whether t is earlier than u.
 func (t Timestamp) Before(u Timestamp) bool {
 	if t.Wall != u.Wall {
