Give shared parts of commands files of their own

The functions that print tables and unreachable hosts stood in the command status, and parts of them again in others. eventlog.Reader, which collects the lines of one request, is now RequestReader, as there is a Scanner of all lines. Output is unchanged.

--- a/cli/load_output.go
+++ b/cli/load_output.go
@@ -10,9 +10,6 @@
 	"github.com/cornelyard/cornelyard/loadtable"
 )
 
-// noValue is shown where there is no value.
-const noValue = "-"
-
 // loadOutput prints the rows of a load table.
 type loadOutput struct {
 	session *Session
--- a/cli/status.go
+++ b/cli/status.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"text/tabwriter"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -17,9 +14,6 @@
   cornelyard status --output json
 `
 
-// columnGap is the number of spaces between two columns.
-const columnGap = 2
-
 // statusCommand shows the status of all hosts and pools.
 type statusCommand struct{}
 
@@ -44,7 +38,7 @@
 	}
 	printHosts(s, status)
 	printPools(s, status)
-	reportUnreachable(s, status.Unreachable)
+	reportUnreachable(s, status.Unreachable...)
 	return nil
 }
 
@@ -90,24 +84,3 @@
 	}
 	return queued, inService, slots
 }
-
-func reportUnreachable(s *Session, hosts []api.Unreachable) {
-	for _, host := range hosts {
-		s.PrintErrf("not reached: %s: %s\n", host.Host, host.Reason)
-	}
-}
-
-func newTable(out io.Writer) *tabwriter.Writer {
-	return tabwriter.NewWriter(out, 0, 0, columnGap, ' ', 0)
-}
-
-// writeRow writes one row of a table.
-func writeRow(table io.Writer, cells ...any) {
-	for i, cell := range cells {
-		if i > 0 {
-			_, _ = io.WriteString(table, "\t")
-		}
-		_, _ = fmt.Fprint(table, cell)
-	}
-	_, _ = io.WriteString(table, "\n")
-}
--- a/cli/story.go
+++ b/cli/story.go
@@ -33,7 +33,7 @@
 
 // Run implements Command.
 func (c *storyCommand) Run(_ context.Context, s *Session) error {
-	reader := eventlog.NewReader(c.request)
+	reader := eventlog.NewRequestReader(c.request)
 	read := func(_ string, log io.Reader) error { return reader.Read(log) }
 	if err := readLogs(s, c.files, read); err != nil {
 		return err
--- a/cli/timeline_reader.go
+++ b/cli/timeline_reader.go
@@ -56,7 +56,7 @@
 	}
 	for _, host := range page.Unreachable {
 		if !r.unreachable[host.Host] {
-			r.session.PrintErrf("not reached: %s: %s\n", host.Host, host.Reason)
+			reportUnreachable(r.session, host)
 		}
 		r.unreachable[host.Host] = true
 	}
--- a/cli/usage.go
+++ b/cli/usage.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -59,10 +60,7 @@
 	table := newTable(s.Stdout)
 	writeRow(table, "TEAM", "TIER", "POOL", "TARGET", "QUEUED", "SERVED", "GOOD", "SHED", "INFEASIBLE", "PREEMPTED", "REFUSED", "FAILED", "TOKENS", "TOKEN-SECONDS", "WASTED PREFILL")
 	for _, r := range used.Rows {
-		target := r.Target
-		if target == "" {
-			target = "-"
-		}
+		target := cmp.Or(r.Target, noValue)
 		writeRow(table, r.Team, r.Tier, r.Pool, target, r.Queued, r.Served, r.ServedInTime, r.Shed, r.Infeasible, r.Preempted, r.Refused, r.Failed, r.Tokens, int64(r.TokenSeconds), r.WastedPrefill)
 	}
 	_ = table.Flush()
--- a/eventlog/reader.go
+++ b/eventlog/request_reader.go
@@ -11,10 +11,10 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("eventlog")
 
-// Reader collects the log lines that concern one request: those about the request
+// RequestReader collects the log lines that concern one request: those about the request
 // itself, and state changes of the targets it was sent to, from around the time of
 // the request.
-type Reader struct {
+type RequestReader struct {
 	request      string
 	requestLines []Line
 	targetLines  []Line
@@ -22,12 +22,12 @@
 	Skipped int
 }
 
-// NewReader returns a Reader for the request with this ID.
-func NewReader(request string) *Reader { return &Reader{request: request} }
+// NewRequestReader returns a RequestReader for the request with this ID.
+func NewRequestReader(request string) *RequestReader { return &RequestReader{request: request} }
 
 // Read reads one log. Text before the JSON object of a line is ignored, because log
 // collectors add prefixes.
-func (r *Reader) Read(log io.Reader) error {
+func (r *RequestReader) Read(log io.Reader) error {
 	scanner := NewScanner(log)
 	for scanner.Scan() {
 		r.addLine(scanner.Object())
@@ -35,7 +35,7 @@
 	return scanner.Err()
 }
 
-func (r *Reader) addLine(object []byte) {
+func (r *RequestReader) addLine(object []byte) {
 	line, ok := parseLine(object)
 	if !ok {
 		r.Skipped++
@@ -50,7 +50,7 @@
 }
 
 // Lines returns the collected lines in chronological order.
-func (r *Reader) Lines() []Line {
+func (r *RequestReader) Lines() []Line {
 	if len(r.requestLines) == 0 {
 		return nil
 	}
