--- a/eventlog/ended_request.go
+++ b/eventlog/ended_request.go
@@ -34,9 +34,14 @@
 	Represents int64 `json:"represents"`
 }
 
+// maxRepresented bounds what one line represents, so that the sum over millions of lines does not
+// overflow.
+const maxRepresented = 1 << 32
+
 var (
 	errNoTime   = errors.New("the line has no time")
 	errNegative = errors.New("a count or a time is negative")
+	errTooMany  = errors.New("the line represents more requests than a host can serve")
 )
 
 // ParseEndedRequest parses a line with the event EventEnded.
@@ -51,6 +56,9 @@
 	if min(r.Represents, r.Queued, r.FirstEvent, r.Total, int64(r.PromptTokens), int64(r.Dispatches)) < 0 {
 		return r, Error.Wrap(errNegative)
 	}
+	if r.Represents > maxRepresented {
+		return r, Error.Wrap(errTooMany)
+	}
 	if r.Represents == 0 {
 		r.Represents = r.sampleInterval()
 	}
--- a/eventlog/ended_request_test.go
+++ b/eventlog/ended_request_test.go
@@ -97,11 +97,18 @@
 			t.Errorf("%s represents %d requests (%v), want %d", text, got.Represents, err, want)
 		}
 	}
-	if _, err := ParseEndedRequest([]byte(`{"time":"2026-02-20T04:07:19Z","queued_ms":-1}`)); err == nil {
-		t.Error("a negative time is accepted")
-	}
-	if _, err := ParseEndedRequest([]byte(`{"status":200}`)); err == nil {
-		t.Error("a line without a time is accepted")
+}
+
+// TestFaultyEndsAreRejected guards against single lines that spoil the sums.
+func TestFaultyEndsAreRejected(t *testing.T) {
+	for _, text := range []string{
+		`{"status":200}`,
+		`{"time":"2026-02-20T04:07:19Z","queued_ms":-1}`,
+		`{"time":"2026-02-20T04:07:19Z","represents":9000000000000000000}`,
+	} {
+		if _, err := ParseEndedRequest([]byte(text)); err == nil {
+			t.Errorf("%s is accepted", text)
+		}
 	}
 }
 
