Keep summaries of concurrent requests apart in a test

The test of the queue time used an observer without a lock, which its other requests write when they end; the race detector found it. It now has its own observer.

go test -race ./relay -run TestSummaryHas -count=10: ok; without the recorded waits it fails with a queue time of 0.

--- a/relay/queue_time_test.go
+++ b/relay/queue_time_test.go
@@ -15,6 +15,8 @@
 	const patience = 200 * time.Millisecond
 	f := newFixture(t, route.Route{Kind: route.NonIdempotent, Timeout: time.Minute, LatencyObjective: 30 * time.Second}, hang)
 	f.keepTargets(1)
+	observer := &waitingObserver{}
+	f.relay.options.Observer = observer
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -28,9 +30,9 @@
 	}
 	waiting, leave := context.WithTimeout(context.Background(), patience)
 	defer leave()
-	f.call(waiting, nil)
-	got := f.observer.last
-	if got.Dispatches != 0 || got.TotalTime < patience {
+	f.call(waiting, func(c *Call) { c.ID = waitingID })
+	got := observer.summary()
+	if got.Request != waitingID || got.Dispatches != 0 || got.TotalTime < patience {
 		t.Fatalf("the request was dispatched %d times and ended after %v, want it to wait %v in the queue", got.Dispatches, got.TotalTime, patience)
 	}
 	if got.QueueTime < patience/2 {
@@ -38,6 +40,31 @@
 	}
 }
 
+// waitingID is the ID of the request that waits.
+const waitingID = "waiting"
+
+// waitingObserver is an Observer that keeps the summary of the request that waits. Other requests
+// end at the same time.
+type waitingObserver struct {
+	mu   sync.Mutex
+	last Summary
+}
+
+func (o *waitingObserver) Finished(s Summary) {
+	if s.Request != waitingID {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.last = s
+}
+
+func (o *waitingObserver) summary() Summary {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.last
+}
+
 func (c *scriptedClient) dispatchCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
