--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -6,6 +6,7 @@
 
 	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/metrics"
+	"github.com/cornelyard/cornelyard/platform"
 )
 
 // gaugeInterval is the time between two updates of the gauges.
@@ -54,12 +55,12 @@
 	}
 }
 
-// countStoreCall counts a call to the store by table and result.
-func (g *Gateway) countStoreCall(table string, err error) {
+// countStoreCall counts a call to the store by kind, table and result.
+func (g *Gateway) countStoreCall(call platform.StoreCall) {
 	result := "answered"
-	if err != nil {
+	if call.Err != nil {
 		result = "failed"
 	}
-	tags := map[string]string{metrics.TagTable: table, metrics.TagResult: result}
+	tags := map[string]string{metrics.TagKind: string(call.Kind), metrics.TagTable: call.Table, metrics.TagResult: result}
 	g.metrics.Scope.Tagged(tags).Counter(metrics.GatewayStoreCalls).Inc(1)
 }
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -24,7 +24,7 @@
 	GatewayTargets       = "gateway_targets"
 	GatewayTargetsUsable = "gateway_targets_usable"
 	GatewaySlotsFree     = "gateway_slots_free"
-	// GatewayStoreCalls counts calls to the store by table and result.
+	// GatewayStoreCalls counts calls to the store by kind, table and result.
 	GatewayStoreCalls = "gateway_store_calls"
 	// GatewayStoreReturns is how often the store returned from an older copy since the start.
 	GatewayStoreReturns = "gateway_store_returns"
