Mark busy teams together

Cause: each busy team was marked in the store every 4 s at its own time, so a host with several busy teams made up to two calls a second. Change: when one mark is due, those older than 2 s are written with it.

--- a/gateway/busy_teams.go
+++ b/gateway/busy_teams.go
@@ -11,8 +11,10 @@
 const (
 	// busyCheckInterval is the time between two checks for busy teams.
 	busyCheckInterval = 500 * time.Millisecond
-	// busyMarkInterval is the age at which a mark is written again.
-	busyMarkInterval = 4 * time.Second
+	// busyMarkInterval is the age at which a mark is written again. Marks older than
+	// earlyMarkInterval are then written with it, so that teams don't need a call each.
+	busyMarkInterval  = 4 * time.Second
+	earlyMarkInterval = busyMarkInterval / 2
 	// restoreRetryDelay is the delay before another attempt to read the marks.
 	restoreRetryDelay = 100 * time.Millisecond
 	// busyMarkWriters is how many hosts of a group of connected peers write marks. It is
@@ -55,12 +57,7 @@
 	if g.state.peers.activeBefore(now, g.config.Host) >= busyMarkWriters {
 		return
 	}
-	var due []ident.Team
-	for _, team := range g.state.quotas.BusyTeams(now) {
-		if now.Sub(lastMarked[team]) > busyMarkInterval {
-			due = append(due, team)
-		}
-	}
+	due := teamsToMark(now, g.state.quotas.BusyTeams(now), lastMarked)
 	if len(due) == 0 {
 		return
 	}
@@ -72,3 +69,20 @@
 		lastMarked[team] = now
 	}
 }
+
+// teamsToMark returns the busy teams whose marks are to be written now, in one call.
+func teamsToMark(now time.Time, busy []ident.Team, lastMarked map[ident.Team]time.Time) []ident.Team {
+	isDue := false
+	var teams []ident.Team
+	for _, team := range busy {
+		age := now.Sub(lastMarked[team])
+		isDue = isDue || age > busyMarkInterval
+		if age > earlyMarkInterval {
+			teams = append(teams, team)
+		}
+	}
+	if !isDue {
+		return nil
+	}
+	return teams
+}
