--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -104,6 +104,13 @@
 	}
 }
 
+// TargetsConfirmed implements platform.Listener.
+func (s *clusterState) TargetsConfirmed() {
+	now := time.Now()
+	s.targetsConfirmed.set(now)
+	s.streams.ConfirmTargets(now)
+}
+
 // TableConfirmed implements platform.Listener.
 func (s *clusterState) TableConfirmed() { s.tableConfirmed.set(time.Now()) }
 
