Reuse more connections to targets

New connections came from hosts that chose another target each time, of which an idle connection was not open or had been closed after 4 s. In pools without engine, an idle connection counts as an advantage of what a new one costs, 1.5 ms, which is less than a busy slot, so it decides between targets of equal load.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,7 +150,10 @@
 		peers:         newPeerMonitor(g.logs.For("peers")),
 		crashes:       &crashRecords{logger: g.logs.For("quarantine")},
 	}
-	scheduler := schedule.New(schedule.Options{Host: g.config.Host, DataCentre: g.config.DataCentre, FairShares: platform.CallsForFairShares(g.config.Contracts), SharedClock: g.sharedNow})
+	scheduler := schedule.New(schedule.Options{
+		Host: g.config.Host, DataCentre: g.config.DataCentre, FairShares: platform.CallsForFairShares(g.config.Contracts),
+		SharedClock: g.sharedNow, ConnectionIdleTime: targetIdleTimeout,
+	})
 	state.dispatcher = relay.NewDispatcher(relay.DispatcherOptions{
 		Scheduler:          scheduler,
 		OnStateChange:      func() { state.exchange.TriggerSend() },
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -137,6 +137,7 @@
 		p.shares.accounts.Charge(now, shareKey(r), p.slotTime(r, prefill))
 	}
 	t.running++
+	t.connections.take(now, s.connectionIdleTime)
 	if t.limited() {
 		t.pacer.RecordSent(now)
 	}
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -93,6 +93,7 @@
 	}
 	if result == Served || result == Failed || result == Rejected {
 		t.lastResponseAt = now
+		t.connections.release(now)
 	}
 	if result == Unreachable {
 		t.lostAt = now
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -41,6 +41,8 @@
 	hostDataCentres map[ident.Host]ident.DataCentre
 	// stateTTL is how long the state of another host counts as up to date.
 	stateTTL time.Duration
+	// connectionIdleTime is how long idle connections to targets are kept, or zero.
+	connectionIdleTime time.Duration
 	// cell is this host's cell of cells, the number of cells of its data centre.
 	cell  int
 	cells int
@@ -109,6 +111,9 @@
 	// SharedClock returns the time of a clock that all hosts share, in milliseconds, or 0 while it
 	// is unknown. Without it, refusals reserve no capacity.
 	SharedClock func(now time.Time) int64
+	// ConnectionIdleTime is how long this host keeps idle connections to targets. Zero means that this
+	// is unknown; the cost of connections then does not count.
+	ConnectionIdleTime time.Duration
 	// Random returns numbers in [0, 1); nil selects the global generator.
 	Random func() float64
 }
@@ -134,6 +139,8 @@
 		running:      make(map[ident.Request]*runningRequest),
 		prefixes:     newPrefixIndex(),
 		crashes:      quarantine.NewTracker(),
+
+		connectionIdleTime: o.ConnectionIdleTime,
 	}
 }
 
@@ -188,6 +195,7 @@
 	}
 	if t.StartUnixMs != announced.StartUnixMs || t.Address != announced.Address {
 		t.health = health{}
+		t.connections = connections{}
 		t.speeds = Speeds{}
 		t.forgetMachine()
 		t.lostAt = time.Time{}
--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -53,6 +53,9 @@
 			continue
 		}
 		cost := s.cost(now, p, r, t) + s.prefixCost(now, p, r, t, unseen)
+		if p.engine == nil && s.connectionIdleTime > 0 && !t.connections.hasIdle(now, s.connectionIdleTime) {
+			cost += newConnectionCost
+		}
 		if t.limited() {
 			cost -= limitedBonus
 		}
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -28,7 +28,8 @@
 	// otherCell says that the target belongs to another cell of this host's data centre.
 	otherCell bool
 
-	running int
+	running     int
+	connections connections
 	// suspects is the number of running requests of this host whose content is a suspect.
 	suspects int
 	prefill  int
