Share the memory of targets among many hosts by turns

Requests for which the memory doesn't suffice four times over now take turns: an order of the hosts per target and window of 250 ms, in which a host leaves room for those before it and as much for the window before. Once a request has waited for a window, only hosts that report queued requests count, so a lone prompt waits for 250 ms at most. Bodies count as tokens of 16 bytes, so no message changes.

The line memory-scarce and the gauge memory_waits show requests that wait.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -36,6 +36,10 @@
 	FieldTokens = "tokens"
 	FieldTrust  = "trust"
 	FieldWrong  = "wrong"
+	// FieldLeft is the largest room in the memory of a target, in tokens, and FieldWaits the number
+	// of requests that waited for memory since the line before.
+	FieldLeft  = "left"
+	FieldWaits = "waits"
 	// FieldRate is the part of a limit that this host uses. It depends on FieldConnectedHosts, the
 	// hosts that receive each other's states, of FieldHosts.
 	FieldRate           = "rate"
@@ -130,6 +134,8 @@
 	EventMachineState = "machine-state"
 	// EventPrefixMissed says that a target did not have cached what was predicted.
 	EventPrefixMissed = "prefix-missed"
+	// EventMemoryScarce says that requests wait for the memory of targets with free slots.
+	EventMemoryScarce = "memory-scarce"
 	// EventLimitRate says that this host has got a part of a target's limit, or lost it.
 	EventLimitRate = "limit-rate"
 	// EventCapacityScarce and EventCapacitySufficient are about a pool whose capacity is shared
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -167,6 +167,7 @@
 		OnMachineEvents:    state.logMachineEvents,
 		OnScarcityEvents:   state.logScarcityEvents,
 		OnPrefixEvents:     state.logPrefixEvents,
+		OnMemoryEvents:     state.logMemoryEvents,
 	})
 	state.exchange = hoststate.New(hoststate.Options{
 		Self:           g.self(),
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -42,6 +42,7 @@
 		pool.Gauge(metrics.GatewayGrantedShare).Update(load.GrantedShare)
 		pool.Gauge(metrics.GatewaySlotsFree).Update(float64(load.Free))
 		updatePrefixGauges(pool, load.Prefixes)
+		pool.Gauge(metrics.GatewayMemoryWaits).Update(float64(load.MemoryWaits))
 	}
 	g.traffic.update(now, scope, state.exchange)
 	g.updateRolloutGauges()
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -70,6 +70,9 @@
 	GatewayPrefixConfirmed = "gateway_prefix_tokens_confirmed"
 	GatewayPrefixRefuted   = "gateway_prefix_tokens_refuted"
 	GatewayPrefixEvicted   = "gateway_prefix_tokens_evicted"
+	// GatewayMemoryWaits counts the requests that waited for the memory of targets with free slots. It
+	// is a gauge by pool that counts from the start of the host.
+	GatewayMemoryWaits = "gateway_memory_waits"
 	// GatewayRolloutRequests and GatewayRolloutFailures count the requests that this host sent to
 	// the ordered version since it learned of the order, and those that failed.
 	// GatewayRolloutShare is the share in force. All are gauges by pool and version.
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -47,6 +47,8 @@
 	OnScarcityEvents func([]schedule.ScarcityEvent)
 	// OnPrefixEvents is called when targets did not have cached what was predicted.
 	OnPrefixEvents func([]schedule.PrefixEvent)
+	// OnMemoryEvents is called when requests wait for the memory of targets.
+	OnMemoryEvents func([]schedule.MemoryEvent)
 	// OnTrialEnd is called when a trial of content has ended.
 	OnTrialEnd func(digest quarantine.Digest, to ident.Target, result trial.Result)
 	// OnProbe is called with what a probe found of a target that broke off a request.
@@ -268,6 +270,9 @@
 	if events := d.scheduler.TakePrefixEvents(); len(events) > 0 {
 		d.options.OnPrefixEvents(events)
 	}
+	if events := d.scheduler.TakeMemoryEvents(); len(events) > 0 {
+		d.options.OnMemoryEvents(events)
+	}
 	if events := d.scheduler.TakeSuspicionEvents(); len(events) > 0 {
 		d.options.OnSuspicionEvents(events)
 	}
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -216,6 +216,7 @@
 		AbandonTime:     x.abandonTime(),
 		PromptTokens:    x.call.PromptTokens,
 		OutputTokens:    x.expectedOutput(),
+		BodyBytes:       len(x.call.Body),
 		PromptBlocks:    x.call.PromptBlocks,
 		Retryable:       x.retryable() && x.dispatches+1 < x.route.MaxAttempts,
 		ExcludedTargets: x.excludedTargets,
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -32,6 +32,7 @@
 		}
 		t := s.selectOfVersion(now, p, w, targets)
 		if t == nil {
+			s.recordMemoryWait(now, p, w)
 			skipped++
 			i++
 			continue
@@ -129,13 +130,14 @@
 		prefill:      prefill,
 		cached:       cached,
 		prefillAhead: t.prefill + t.peers.PrefillTokens + prefill,
-		kv:           r.PromptTokens + r.OutputTokens,
+		kv:           r.memoryTokens(),
 		startUnixMs:  t.StartUnixMs,
 		suspect:      s.crashes.IsSuspect(now, r.Content),
 	}
 	if p.shares.scarce(now) {
 		p.shares.accounts.Charge(now, shareKey(r), p.slotTime(r, prefill))
 	}
+	s.recordTurn(now, p, r, t)
 	t.running++
 	if t.limited() {
 		t.pacer.RecordSent(now)
--- /dev/null
+++ b/schedule/memory_share.go
@@ -0,0 +1,165 @@
+package schedule
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelyard/cornelyard/ident"
+)
+
+const (
+	// memoryWindow is the time within which other hosts learn what this one has sent or queued.
+	// States are sent to far hosts every 100 to 200 ms and then travel for some milliseconds.
+	memoryWindow = 250 * time.Millisecond
+	// lateSlotFactor is how many times the slots of a target count as filled while states are
+	// late, since several hosts may see the same slot free. Memory is ample if it suffices for that.
+	lateSlotFactor = 4
+	// maxBytesPerToken is the largest size of a token in a request body. One takes about four
+	// bytes of text, and up to four times as many if its characters are escaped in JSON.
+	maxBytesPerToken = 16
+)
+
+// memoryTurn is this host's place in the order in which hosts fill the memory of a target during
+// one window.
+type memoryTurn struct {
+	window int64
+	ahead  int
+	// sentIn is the last window in which this host sent the target a request that took a turn.
+	sentIn int64
+}
+
+// memoryTokens returns the memory that a request needs on a target, in tokens. A body that is larger
+// than its tokens explain counts by its bytes.
+func (r *Request) memoryTokens() int {
+	return max(r.PromptTokens, r.BodyBytes/maxBytesPerToken) + r.OutputTokens
+}
+
+// fitsMemory reports whether the target has room for the request. A request that is too large for
+// any target is sent to an idle one, which may reject it.
+//
+// The states of many hosts are so late that several may fill the same room at once. Unless it
+// suffices for all of them, they take turns: an order of the hosts that changes with each window
+// and differs between targets. A host leaves room for those before it, and as much again for those
+// of the window before, whose requests it may not know yet.
+func (s *Scheduler) fitsMemory(now time.Time, p *pool, w *queuedRequest, t *target) bool {
+	if !p.knowsMemory() {
+		return true
+	}
+	need, left := w.request.memoryTokens(), p.memoryLeft(t)
+	switch {
+	case need > left && t.kv+t.peers.KVTokens != 0:
+		return false
+	case !s.takesTurn(now, p, w.request, t):
+		return true
+	}
+	window := s.memoryWindowAt(now)
+	if t.memoryTurn.sentIn == window {
+		return false
+	}
+	ahead := s.hostsAhead(now, p, w, t, window)
+	if need+(2*ahead+1)*max(need, p.meanMemory()) <= left {
+		return true
+	}
+	// The room suffices for one request. Only the first host of every second window may fill it,
+	// because the one before may have sent what is not known yet.
+	return ahead == 0 && window%2 == 0
+}
+
+// takesTurn reports whether hosts take turns to send the target requests like r, because its memory
+// doesn't suffice for all that may be sent while states are late.
+func (s *Scheduler) takesTurn(now time.Time, p *pool, r *Request, t *target) bool {
+	if !s.ratedHosts() || !p.knowsMemory() {
+		return false
+	}
+	need, free := lateSlotFactor*r.memoryTokens(), max(t.Slots-t.busySlots(now), 1)
+	return need*t.Slots > p.memoryRoom() || need*free > p.memoryLeft(t)
+}
+
+// memoryRoom returns how many tokens of running requests fit into an idle target of the pool.
+func (p *pool) memoryRoom() int { return int(float64(p.engine.KVCacheTokens) * (1 - kvReserve)) }
+
+// memoryLeft returns how many tokens the target has room for beside the requests that this host
+// knows of.
+func (p *pool) memoryLeft(t *target) int { return p.memoryRoom() - t.kv - t.peers.KVTokens }
+
+// hostsAhead returns how many hosts that come before this one may send the target a request
+// within the window. Once a request has been queued for a window, only hosts that have reported
+// queued requests count.
+func (s *Scheduler) hostsAhead(now time.Time, p *pool, w *queuedRequest, t *target, window int64) int {
+	own := turnOf(t.Name, window, s.host)
+	all := s.turnAhead(t, window, own)
+	if s.peersMissing || now.Sub(w.request.Arrived) < memoryWindow {
+		return all
+	}
+	ahead := 0
+	for host, peer := range s.peers {
+		if peer.queues(p.name) > 0 && turnOf(t.Name, window, host) < own {
+			ahead++
+		}
+	}
+	for _, dc := range s.dcAggregates {
+		ahead += dc.queues(p.name)
+	}
+	return min(ahead, all)
+}
+
+// turnAhead returns how many hosts come before this one, whose place in the order is own.
+func (s *Scheduler) turnAhead(t *target, window int64, own uint64) int {
+	if t.memoryTurn.window != window {
+		t.memoryTurn.window, t.memoryTurn.ahead = window, 0
+		for host := range s.hostDataCentres {
+			if turnOf(t.Name, window, host) < own {
+				t.memoryTurn.ahead++
+			}
+		}
+	}
+	return t.memoryTurn.ahead
+}
+
+// recordTurn records that this host sends the target a request.
+func (s *Scheduler) recordTurn(now time.Time, p *pool, r *Request, t *target) {
+	if s.takesTurn(now, p, r, t) {
+		t.memoryTurn.sentIn = s.memoryWindowAt(now)
+	}
+}
+
+// memoryWindowAt returns the number of the window, by the clock that all hosts share if it is known.
+func (s *Scheduler) memoryWindowAt(now time.Time) int64 {
+	ms := s.sharedClock.now(now)
+	if ms == 0 {
+		ms = now.UnixMilli()
+	}
+	return ms / memoryWindow.Milliseconds()
+}
+
+// turnOf returns the place of a host in the order of a window.
+func turnOf(t ident.Target, window int64, host ident.Host) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(window)))
+	_, _ = d.WriteString(string(t) + "\x00" + string(host))
+	return d.Sum64()
+}
+
+// queues returns how many requests the hosts of a state have queued in a pool.
+func (p *peerState) queues(name ident.Pool) int {
+	count := 0
+	for i := range p.state.Backlogs {
+		if b := &p.state.Backlogs[i]; b.Pool == name {
+			count += b.Count
+		}
+	}
+	return count
+}
+
+// meanMemory returns the mean memory of the requests that all hosts run in the pool, in tokens.
+func (p *pool) meanMemory() int {
+	tokens, running := 0, 0
+	for _, t := range p.targets {
+		tokens += t.kv + t.peers.KVTokens
+		running += t.running + t.peers.Running
+	}
+	return tokens / max(running, 1)
+}
--- a/schedule/pool_load.go
+++ b/schedule/pool_load.go
@@ -32,6 +32,8 @@
 	GrantedShare float64
 	// Prefixes counts tokens of prompts. It is zero if the memory of the targets is not known.
 	Prefixes PrefixCounts
+	// MemoryWaits counts the requests of this host that waited for memory since its start.
+	MemoryWaits int
 	// Queued and Running count the requests of this host.
 	Queued  int
 	Running int
@@ -49,6 +51,7 @@
 		load := PoolLoad{
 			Pool:         p.name,
 			Prefixes:     p.memory.counts,
+			MemoryWaits:  p.memory.waits,
 			Targets:      len(p.targets),
 			Usable:       len(targets),
 			Slots:        totalSlots(targets),
--- a/schedule/pool_memory.go
+++ b/schedule/pool_memory.go
@@ -11,6 +11,11 @@
 	// wrong counts the wrong predictions since the last event, which was at eventAt.
 	wrong   int
 	eventAt time.Time
+	// waits counts the requests that had to wait for memory, and waitsReported those of them up to
+	// the last event about it, which was at waitEventAt.
+	waits         int
+	waitsReported int
+	waitEventAt   time.Time
 }
 
 // PrefixCounts counts tokens of the prompts that this host sent to the targets of a pool since its
--- a/schedule/queued_request.go
+++ b/schedule/queued_request.go
@@ -28,6 +28,10 @@
 	startTag float64
 	// linkTrial says that the request is to find out whether this host gets responses again.
 	linkTrial bool
+	// lacksMemory says that a target with a free slot had no room for the request, and countedWait
+	// that this was counted.
+	lacksMemory bool
+	countedWait bool
 }
 
 // compare orders requests for service: those that can still be on time first, then by
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -29,6 +29,8 @@
 	// estimate.
 	PromptTokens int
 	OutputTokens int
+	// BodyBytes is the size of the request's body.
+	BodyBytes int
 	// PromptBlocks lists the blocks of the prompt in order.
 	PromptBlocks []PromptBlock
 	// Retryable says that the request may be retried on another target if this one
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -71,6 +71,7 @@
 	machineEvents       []MachineEvent
 	scarcityEvents      []ScarcityEvent
 	prefixEvents        []PrefixEvent
+	memoryEvents        []MemoryEvent
 
 	// crashes holds the known crashes of targets. crashesChanged says that they changed
 	// since the queue was last checked for quarantined requests, crashesUrgent that this
--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -74,7 +74,11 @@
 
 // eligible reports whether a target may get the request at all.
 func (s *Scheduler) eligible(now time.Time, p *pool, w *queuedRequest, t *target) bool {
-	if t.freeSlots(now) <= 0 || excludes(w.request, t.Name) || !w.request.mayServe(now, t) || !p.fitsKVCache(w.request, t) {
+	if t.freeSlots(now) <= 0 || excludes(w.request, t.Name) || !w.request.mayServe(now, t) {
+		return false
+	}
+	if !s.fitsMemory(now, p, w, t) {
+		w.lacksMemory = true
 		return false
 	}
 	return !t.health.probation || p.mayProbe(now, w.request)
@@ -159,17 +163,6 @@
 	return w.request.Objective.Sub(now)
 }
 
-// fitsKVCache reports whether the KV cache of the target has room for the request. A
-// request that is too large for any target is sent to an idle one, which may reject it.
-func (p *pool) fitsKVCache(r *Request, t *target) bool {
-	if p.engine == nil || p.engine.KVCacheTokens == 0 {
-		return true
-	}
-	used := t.kv + t.peers.KVTokens
-	room := float64(p.engine.KVCacheTokens) * (1 - kvReserve)
-	return used == 0 || float64(used+r.PromptTokens+r.OutputTokens) <= room
-}
-
 // cost predicts the cost of a request on a target, in seconds: the time that it takes
 // there, and the delay that its prompt causes to the requests running beside it.
 func (s *Scheduler) cost(now time.Time, p *pool, r *Request, t *target) float64 {
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -33,6 +33,8 @@
 	suspects int
 	prefill  int
 	kv       int
+	// memoryTurn is this host's turn to fill the target's memory.
+	memoryTurn memoryTurn
 
 	// peers is the total of what the other hosts report about the target.
 	peers peerAggregate
