--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -109,10 +109,11 @@
 	FieldShareMilli = "share_milli"
 	FieldRouteHash  = "route_hash"
 
-	// FieldKind is the kind of buffers, FieldRefused how often they found no memory, and
-	// FieldBytes the memory that they use.
+	// FieldKind is the kind of buffers, FieldRefused how often they found no memory, FieldEvicted how
+	// often they lost it to more urgent requests, and FieldBytes the memory that they use.
 	FieldKind    = "kind"
 	FieldRefused = "refused"
+	FieldEvicted = "evicted"
 	FieldBytes   = "bytes"
 )
 
--- a/gateway/buffer_monitor.go
+++ b/gateway/buffer_monitor.go
@@ -20,8 +20,9 @@
 	kind   string
 	budget *bytebudget.Budget
 	logger *log.Logger
-	// refused is what was reported last.
+	// refused and evicted are what was reported last.
 	refused uint64
+	evicted uint64
 }
 
 // update updates the gauges, and logs that memory was refused since the last call.
@@ -30,9 +31,12 @@
 	scope = scope.Tagged(map[string]string{metrics.TagKind: m.kind})
 	scope.Gauge(metrics.GatewayBufferedBytes).Update(float64(m.budget.Used()))
 	scope.Gauge(metrics.GatewayBuffersRefused).Update(float64(refused))
+	evicted := m.budget.Evicted()
+	scope.Gauge(metrics.GatewayBuffersEvicted).Update(float64(evicted))
 	if refused > m.refused {
 		m.logger.Warn().Str(eventlog.FieldEvent, eventlog.EventBuffersFull).Str(eventlog.FieldKind, m.kind).
-			Uint64(eventlog.FieldRefused, refused-m.refused).Int64(eventlog.FieldBytes, m.budget.Used()).Msg("The memory for buffers is used up.")
+			Uint64(eventlog.FieldRefused, refused-m.refused).Uint64(eventlog.FieldEvicted, evicted-m.evicted).
+			Int64(eventlog.FieldBytes, m.budget.Used()).Msg("The memory for buffers is used up.")
 	}
-	m.refused = refused
+	m.refused, m.evicted = refused, evicted
 }
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -83,9 +83,11 @@
 	GatewayTrials = "gateway_trials"
 	// GatewayBufferedBytes is the memory for bodies of requests and for responses, without
 	// what is free for each, and GatewayBuffersRefused how often there was none left since
-	// the start. Both are by kind.
+	// the start. GatewayBuffersEvicted counts those of them that lost it to more urgent requests.
+	// All are by kind.
 	GatewayBufferedBytes  = "gateway_buffered_bytes"
 	GatewayBuffersRefused = "gateway_buffers_refused"
+	GatewayBuffersEvicted = "gateway_buffers_evicted"
 	// GatewayLogLinesDropped is the number of log lines that were not written.
 	GatewayLogLinesDropped = "gateway_log_lines_dropped"
 	// GatewayStatesSent and GatewayStatesReceived are the numbers of datagrams with states since
