Read long plain responses ahead for slow callers

A plain response over 256 KB was forwarded with backpressure only: the target kept it until its caller read again, and where it aborted the unread response, that counted as the target's failure.

While a write to the caller blocks for half a second, up to 256 KB are read ahead, charged to the budget for responses; the rest waits at the target. Unlike a stream, the response isn't ended when the buffer is full. A target that gives up after a second unread has not failed: the caller's response ends truncated, and the result is abandoned.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -98,7 +98,7 @@
 		return brokenError(err)
 	}
 	if exhausted || len(body) == maxBufferedBytes {
-		response.Body = io.NopCloser(io.MultiReader(bytes.NewReader(body), response.Body))
+		response.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), response.Body), Closer: response.Body}
 		return x.forwardUnbuffered(response)
 	}
 	if errorForStatus(response.Status) != nil && x.mayRetryErrorResponse() {
@@ -113,16 +113,20 @@
 	return errorForStatus(response.Status)
 }
 
-// forwardUnbuffered writes a long response to the caller as it arrives.
+// forwardUnbuffered writes a long response to the caller as it arrives. If the caller is slow, a part
+// of the rest is read ahead, and the target waits with what follows.
 func (x *execution) forwardUnbuffered(response *Response) error {
 	if err := x.writeHead(response, response.Length); err != nil {
 		return err
 	}
+	body := newReadAheadBody(response.Body, x.relay.options.Budget.Reserve())
+	body.leavesUnread = true
+	defer func() { _ = body.Close() }()
 	buffer := make([]byte, copyBufferBytes)
 	for {
-		n, err := response.Body.Read(buffer)
+		n, err := body.Read(buffer)
 		if n > 0 {
-			if err := x.writeBody(buffer[:n]); err != nil {
+			if err := body.write(func() error { return x.writeBody(buffer[:n]) }); err != nil {
 				return err
 			}
 		}
@@ -130,7 +134,7 @@
 			return errorForStatus(response.Status)
 		}
 		if err != nil {
-			return brokenError(err)
+			return streamError(err)
 		}
 	}
 }
@@ -168,7 +172,7 @@
 	}
 }
 
-// streamError returns the error of a stream whose next event could not be read. A caller that
+// streamError returns the error of a response whose next part could not be read. A caller that
 // reads too slowly is no failure of the target.
 func streamError(err error) error {
 	if errors.Is(err, errCallerTooSlow) {
