Count what hosts learned late when they share memory by turns

What grew in the last 0.35 s is subtracted, as others may not have known it. Requests sent at once and those that waited fill a quarter of the room each, or the latter half where a quarter holds no request. While states are missing all hosts count, and of hosts known in aggregate a part.

--- a/schedule/memory_share.go
+++ b/schedule/memory_share.go
@@ -16,6 +16,11 @@
 	// lateSlotFactor is how many times the slots of a target count as filled while states are
 	// late, since several hosts may see the same slot free. Memory is ample if it suffices for that.
 	lateSlotFactor = 4
+	// waitedParts is into how many parts the room is divided for requests that have waited for a
+	// window: those of this window, and those of the one before, which are not known yet.
+	waitedParts = 2
+	// atOnceParts is the same while requests may also be sent at once, which use as much.
+	atOnceParts = 4
 	// maxBytesPerToken is the largest size of a token in a request body. One takes about four
 	// bytes of text, and up to four times as many if its characters are escaped in JSON.
 	maxBytesPerToken = 16
@@ -41,8 +46,9 @@
 //
 // The states of many hosts are so late that several may fill the same room at once. Unless it
 // suffices for all of them, they take turns: an order of the hosts that changes with each window
-// and differs between targets. A host leaves room for those before it, and as much again for those
-// of the window before, whose requests it may not know yet.
+// and differs between targets. At once, a host sends only if the room suffices for all hosts that
+// come before it. Once its request has waited for a window, all know it, and only hosts that have
+// reported queued requests count.
 func (s *Scheduler) fitsMemory(now time.Time, p *pool, w *queuedRequest, t *target) bool {
 	if !p.knowsMemory() {
 		return true
@@ -58,13 +64,23 @@
 	if t.memoryTurn.sentIn == window {
 		return false
 	}
-	ahead := s.hostsAhead(now, p, w, t, window)
-	if need+(2*ahead+1)*max(need, p.meanMemory()) <= left {
+	// Others saw more room if they hadn't learned yet what this host has.
+	growth, size := t.memoryGrowth.total(now), max(need, p.meanMemory())
+	atOnce := left+growth >= atOnceParts*size
+	parts := waitedParts
+	if atOnce {
+		parts = atOnceParts
+	}
+	if now.Sub(w.request.Arrived) < memoryWindow {
+		return atOnce && parts*(s.turnAhead(t, window)+1)*size <= left-growth
+	}
+	ahead := s.queuedAhead(p, t, window)
+	if parts*(ahead+1)*size <= left-growth {
 		return true
 	}
-	// The room suffices for one request. Only the first host of every second window may fill it,
-	// because the one before may have sent what is not known yet.
-	return ahead == 0 && window%2 == 0
+	// The room suffices for one request. Only the first host of every second window may fill it, if
+	// the hosts of the one before can't have sent a request.
+	return ahead == 0 && window%2 == 0 && left+growth < waitedParts*size
 }
 
 // takesTurn reports whether hosts take turns to send the target requests like r, because its memory
@@ -84,30 +100,10 @@
 // knows of.
 func (p *pool) memoryLeft(t *target) int { return p.memoryRoom() - t.kv - t.peers.KVTokens }
 
-// hostsAhead returns how many hosts that come before this one may send the target a request
-// within the window. Once a request has been queued for a window, only hosts that have reported
-// queued requests count.
-func (s *Scheduler) hostsAhead(now time.Time, p *pool, w *queuedRequest, t *target, window int64) int {
-	own := turnOf(t.Name, window, s.host)
-	all := s.turnAhead(t, window, own)
-	if s.peersMissing || now.Sub(w.request.Arrived) < memoryWindow {
-		return all
-	}
-	ahead := 0
-	for host, peer := range s.peers {
-		if peer.queues(p.name) > 0 && turnOf(t.Name, window, host) < own {
-			ahead++
-		}
-	}
-	for _, dc := range s.dcAggregates {
-		ahead += dc.queues(p.name)
-	}
-	return min(ahead, all)
-}
-
-// turnAhead returns how many hosts come before this one, whose place in the order is own.
-func (s *Scheduler) turnAhead(t *target, window int64, own uint64) int {
+// turnAhead returns how many hosts come before this one in the order of a window.
+func (s *Scheduler) turnAhead(t *target, window int64) int {
 	if t.memoryTurn.window != window {
+		own := turnOf(t.Name, window, s.host)
 		t.memoryTurn.window, t.memoryTurn.ahead = window, 0
 		for host := range s.hostDataCentres {
 			if turnOf(t.Name, window, host) < own {
@@ -118,11 +114,33 @@
 	return t.memoryTurn.ahead
 }
 
+// queuedAhead returns how many hosts that come before this one have reported queued requests. Of those
+// known in aggregate, a part according to this host's place counts, rounded up. While the states of
+// some hosts are missing, all hosts count.
+func (s *Scheduler) queuedAhead(p *pool, t *target, window int64) int {
+	own, ahead, place := turnOf(t.Name, window, s.host), 0, s.turnAhead(t, window)
+	if s.peersMissing {
+		return place
+	}
+	for host, peer := range s.peers {
+		if peer.queues(p.name) > 0 && turnOf(t.Name, window, host) < own {
+			ahead++
+		}
+	}
+	for _, dc := range s.dcAggregates {
+		ahead += (dc.queues(p.name)*place + s.peerCount - 1) / max(s.peerCount, 1)
+	}
+	return min(ahead, place)
+}
+
 // recordTurn records that this host sends the target a request.
 func (s *Scheduler) recordTurn(now time.Time, p *pool, r *Request, t *target) {
 	if s.takesTurn(now, p, r, t) {
 		t.memoryTurn.sentIn = s.memoryWindowAt(now)
 	}
+	if s.ratedHosts() && p.knowsMemory() {
+		t.memoryGrowth.add(now, r.memoryTokens())
+	}
 }
 
 // memoryWindowAt returns the number of the window, by the clock that all hosts share if it is known.
@@ -139,7 +157,9 @@
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(window)))
-	_, _ = d.WriteString(string(t) + "\x00" + string(host))
+	_, _ = d.WriteString(string(t))
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(string(host))
 	return d.Sum64()
 }
 
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -70,11 +70,12 @@
 // only sent at intervals are carried over from the older state, and then their totals stay.
 func (s *Scheduler) replacePeerState(before, after *peerState) *peerState {
 	if before == nil {
-		s.addToAggregates(after, added)
+		s.replaceLoads(after.receivedAt, nil, after)
+		s.addObservations(after, added)
+		s.addDemands(after, added)
 		return after
 	}
-	s.addLoads(before, removed)
-	s.addLoads(after, added)
+	s.replaceLoads(after.receivedAt, before, after)
 	if after.state.Observed {
 		s.addObservations(before, removed)
 		s.addObservations(after, added)
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -34,7 +34,8 @@
 	prefill  int
 	kv       int
 	// memoryTurn is this host's turn to fill the target's memory.
-	memoryTurn memoryTurn
+	memoryTurn   memoryTurn
+	memoryGrowth memoryGrowth
 
 	// peers is the total of what the other hosts report about the target.
 	peers peerAggregate
