--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -70,6 +70,9 @@
 	GatewayPrefixConfirmed = "gateway_prefix_tokens_confirmed"
 	GatewayPrefixRefuted   = "gateway_prefix_tokens_refuted"
 	GatewayPrefixEvicted   = "gateway_prefix_tokens_evicted"
+	// GatewayMemoryWaits counts the requests that waited for the memory of targets with free slots. It
+	// is a gauge by pool that counts from the start of the host.
+	GatewayMemoryWaits = "gateway_memory_waits"
 	// GatewayRolloutRequests and GatewayRolloutFailures count the requests that this host sent to
 	// the ordered version since it learned of the order, and those that failed.
 	// GatewayRolloutShare is the share in force. All are gauges by pool and version.
@@ -80,9 +83,11 @@
 	GatewayTrials = "gateway_trials"
 	// GatewayBufferedBytes is the memory for bodies of requests and for responses, without
 	// what is free for each, and GatewayBuffersRefused how often there was none left since
-	// the start. Both are by kind.
+	// the start. GatewayBuffersEvicted counts those of them that lost it to more urgent requests.
+	// All are by kind.
 	GatewayBufferedBytes  = "gateway_buffered_bytes"
 	GatewayBuffersRefused = "gateway_buffers_refused"
+	GatewayBuffersEvicted = "gateway_buffers_evicted"
 	// GatewayLogLinesDropped is the number of log lines that were not written.
 	GatewayLogLinesDropped = "gateway_log_lines_dropped"
 	// GatewayStatesSent and GatewayStatesReceived are the numbers of datagrams with states since
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -34,6 +34,9 @@
 	suspects int
 	prefill  int
 	kv       int
+	// memoryTurn is this host's turn to fill the target's memory.
+	memoryTurn   memoryTurn
+	memoryGrowth memoryGrowth
 
 	// peers is the total of what the other hosts report about the target.
 	peers peerAggregate
