Reduce exposure of bad versions in short rollouts

Cause: in a rollout of 6 s the step before the full share ended before the first failures that began in it were reported, failures of one route counted only among those of all routes, and a suspect version kept 0.15 of the requests until the deadline although it could no longer complete in time.

A suspect version for which it is too late for the full share gets only what the exposure before the ramp allows.

TestVersionBadInPartIsRolledBackInShortRollouts: cases "at more load, 208" and "later, 60" pass; "on one route, 60" still fails and stays listed. All other tests of the package pass.

--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -128,14 +128,13 @@
 
 // ramp returns the next step of the ramp once the current one was held for long enough and
 // its evidence was received, or the completion. While the candidates are suspect, it waits,
-// or returns to the lowest share of the ramp if waiting could exceed the exposure bound.
+// or returns to a smaller share if waiting could exceed the exposure bound.
 func (d *decision) ramp() Progress {
 	c := d.controller
 	isFull := d.Progress.ShareMilli == 1000
 	isSuspect := d.judgement(d.Evidence.since(c.stepTotal)).isSuspect()
-	if lowest := rampShares[0]; isSuspect && d.Progress.ShareMilli > lowest && !d.isAffordable() {
-		// Fewer requests are exposed while what is running shows how the candidates do.
-		return d.withShare(lowest)
+	if share, isReduced := d.reducedShare(isSuspect); isReduced {
+		return d.withShare(share)
 	}
 	if d.now.Sub(c.stepAt) < d.stepTime() || !d.hasCandidates() || !d.hasFreshEvidence(time.Second) {
 		return d.Progress
@@ -148,7 +147,7 @@
 		if isLate := d.elapsed > d.plan.completeAt-2*minStepTime; isLate {
 			next = max(next, c.reachedMilli)
 		}
-		if next == 1000 && d.elapsed < d.plan.lastFullAt && d.judgement(d.Evidence.since(c.stepTotal)).isDoubtful() {
+		if next == 1000 && d.elapsed < d.plan.lastFullAt && d.isDoubtful() {
 			return d.Progress
 		}
 		return d.withShare(next)
@@ -162,6 +161,29 @@
 	return d.ended(Completed)
 }
 
+// isDoubtful reports whether few failures, or durations, delay the full share. In short rollouts a
+// route has too few failures in one step, so those since the order count.
+func (d *decision) isDoubtful() bool {
+	return d.judgement(d.Evidence.since(d.controller.stepTotal)).isDoubtful() ||
+		d.plan.isShort() && d.judgement(d.Evidence).hasDoubtfulRoute()
+}
+
+// reducedShare returns the share to which a suspect version returns if waiting could exceed the
+// exposure bound: the lowest one of the ramp, at which what is running shows how the candidates do
+// while fewer requests are exposed. Once it is too late to complete with a margin, more evidence
+// changes nothing, and only what is left of the exposure before the ramp may be used.
+func (d *decision) reducedShare(isSuspect bool) (shareMilli int, isReduced bool) {
+	lowest := rampShares[0]
+	switch {
+	case !isSuspect || d.isAffordable():
+		return 0, false
+	case d.elapsed > d.plan.lastFullAt:
+		return min(d.holdShareMilli(), lowest-1), true
+	default:
+		return lowest, d.Progress.ShareMilli > lowest
+	}
+}
+
 // isAffordable reports whether the exposure stays within its bound, counted until now, if the
 // current share stays in force until the next decision on more evidence.
 func (d *decision) isAffordable() bool {
@@ -181,11 +203,11 @@
 	left := d.plan.completeAt - d.elapsed + d.now.Sub(d.controller.stepAt)
 	switch {
 	case stepsBelow == 0:
-		return min(max(left, minStepTime), fullShareTime)
+		return min(max(left, minStepTime), d.plan.fullTime)
 	case stepsBelow == 1:
 		// The last step before the full share shows most, and the longer it is held, the more
 		// of its evidence has arrived when all requests follow.
-		return min(max(left-fullShareTime-stepDelays/4, minStepTime), maxStepTime)
+		return min(max(left-d.plan.fullTime-stepDelays/4, minStepTime), maxStepTime)
 	default:
 		return min(max(left/(stepsBelow+1), minStepTime), d.plan.stepTime)
 	}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -13,8 +13,10 @@
 	completeAt time.Duration
 	// lastFullAt is until when few failures that may be chance delay the full share.
 	lastFullAt time.Duration
-	// stepTime is how long each step of the ramp is held.
+	// stepTime is how long each step of the ramp is held, and fullTime how long the full share is
+	// held at most before the completion.
 	stepTime time.Duration
+	fullTime time.Duration
 }
 
 const (
@@ -28,7 +30,10 @@
 	minStepTime = 600 * time.Millisecond
 	maxStepTime = 1500 * time.Millisecond
 	// fullShareTime is how long the candidates have all traffic before the completion.
-	fullShareTime = time.Second
+	// shortFullShareTime is the same in short rollouts, where the step before it needs the time:
+	// with 1 s, failures that began in that step were reported after all traffic had moved.
+	fullShareTime      = time.Second
+	shortFullShareTime = 800 * time.Millisecond
 	// writeTime is from a decision until it is stored.
 	writeTime = 300 * time.Millisecond
 	// stepDelays is what reports, decisions and conditional writes of a ramp add up to.
@@ -43,8 +48,14 @@
 		rampAt:     max(planned-2*stepTime-fullShareTime-stepDelays, part),
 		completeAt: duration - min(part, reserveTime) - writeTime,
 		stepTime:   stepTime,
+		fullTime:   fullShareTime,
 	}
 	p.lastFullAt = p.completeAt - minStepTime - writeTime
+	if p.isShort() {
+		p.fullTime = shortFullShareTime
+		// Old targets still finish their requests before the deadline's margin is used up.
+		p.lastFullAt = p.completeAt - reportDelay - writeTime
+	}
 	p.latestRampAt = max(p.completeAt-3*minStepTime-stepDelays, 0)
 	return p
 }
@@ -52,6 +63,9 @@
 // rampShares are the shares that follow the judgement, in thousandths.
 var rampShares = [...]int{150, 400, 1000}
 
+// isShort reports whether a step of the ramp is over before decisions based on it are in force.
+func (p *plan) isShort() bool { return p.stepTime < reactionTime }
+
 // isRamp reports whether the share is one of the ramp. A host that takes over the decisions
 // knows by it how far the rollout is.
 func isRamp(shareMilli int) bool {
@@ -73,7 +87,7 @@
 // evidence of the next one needs the time.
 func (p *plan) firstRampShare(heldMilli int) int {
 	lowest := rampShares[0]
-	if p.stepTime < reactionTime && lowest < 2*heldMilli {
+	if p.isShort() && lowest < 2*heldMilli {
 		return nextRampShare(max(heldMilli, lowest))
 	}
 	return nextRampShare(heldMilli)
--- a/rollout/suspicion.go
+++ b/rollout/suspicion.go
@@ -15,6 +15,9 @@
 	// doubtfulLikelihood and doubtfulDeviation are exceeded by about one good version in ten.
 	doubtfulLikelihood = 0.8
 	doubtfulDeviation  = 1.3
+	// doubtfulRouteLikelihood is the same for a route of several, from minDoubtfulFailures on.
+	doubtfulRouteLikelihood = 2
+	minDoubtfulFailures     = 2
 	// suspectDeviation is the number of standard errors that a mean may be off by chance.
 	suspectDeviation = 2.5
 	// minSuspectDurations is the number of durations from which their mean is looked at.
@@ -45,6 +48,18 @@
 	return isFailing || j.isSlow(doubtfulDeviation)
 }
 
+// hasDoubtfulRoute reports whether the candidates did worse on a route, though quite possibly by
+// chance. A version that is bad on one route shows few failures among those of all routes.
+func (j judgement) hasDoubtfulRoute() bool {
+	for _, route := range j.routes() {
+		old, candidates, _ := j.compared(j.route(route))
+		if candidates.Failures >= minDoubtfulFailures && riseLikelihood(old, candidates, toleratedRise) >= doubtfulRouteLikelihood {
+			return true
+		}
+	}
+	return false
+}
+
 // isFailingSuspect is about one route.
 func (j judgement) isFailingSuspect(p pair) bool {
 	old, candidates, otherPeriod := j.compared(p)
