Serve while requests of hosts that are cut off hold all slots

Cause, traced from the logs of TestHostsWhoseConnectionsToTargetsAreAcceptedServe, case "five of six, silent": the requests of the hosts that were cut off counted as running on all 32 slots until their deadline of 3 s. The sixth host sent nothing until then, no host got a response, and the five couldn't find out that they were cut off; they did 3.1 s after the cut, and their last requests held slots for a second more.

If no host got a response from a plain pool for a second, about one host a second whose own requests were all answered sends one retryable request beside those that hold the slots. What a host reports as running in a plain pool from which it is cut off is not counted. Both only where four service times are shorter than the silence.

--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -20,6 +20,9 @@
 	if free == 0 {
 		// The other hosts have taken the slots that were left to them.
 		p.yieldingSince = time.Time{}
+		if a := s.dispatchBesideHeld(now, p, targets); a != nil {
+			actions = append(actions, a)
+		}
 	}
 	skipped := 0
 	for i := 0; i < len(p.queue.items) && skipped < maxSkipped; {
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -38,6 +38,7 @@
 
 // ApplyPeerState replaces the known state of another host.
 func (s *Scheduler) ApplyPeerState(now time.Time, host ident.Host, state State) {
+	state.Loads = s.withoutLostLoads(&state)
 	after := &peerState{state: state, receivedAt: now, hosts: 1, direct: true}
 	before := s.peers[host]
 	s.peers[host] = s.replacePeerState(before, after)
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -53,6 +53,9 @@
 	// nevertheless.
 	unheardSince time.Time
 	linkTrialAt  time.Time
+	// heldTrialAt is when this host last might send a request although those of other hosts
+	// held all slots.
+	heldTrialAt time.Time
 	// rollout is the newest order of the pool, or nil. barred holds the versions that get no
 	// requests because they were rolled back, or replaced by a newer order before their end.
 	rollout  *poolRollout
