--- a/rollout/controller_test.go
+++ b/rollout/controller_test.go
@@ -214,3 +214,29 @@
 		t.Errorf("got %+v, want the first share at step 6", next)
 	}
 }
+
+// Guards against a version that can no longer complete in time but gets a part of the requests until
+// the deadline, which exceeds the exposure bound.
+func TestSuspectVersionGetsNoMoreOnceItIsTooLate(t *testing.T) {
+	for _, c := range []struct {
+		atMs int64
+		want int
+	}{{3500, 150}, {3900, 1}} {
+		controller := NewController(testOptions)
+		now := time.Unix(1_000_000, 0)
+		order := Order{ID: OrderID{Row: 2}, Version: version, Duration: 6 * time.Second}
+		s := Situation{
+			Order: order, OldTargets: 6, Candidates: 6, NowMs: c.atMs - 100, Evidence: Report{},
+			Progress: Progress{Order: order.ID, Version: version, Phase: InProgress, Step: 5, ShareMilli: 150},
+		}
+		controller.Decide(now, s)
+		s.NowMs = c.atMs
+		s.Evidence = Report{
+			{Side: Old}: {Dispatched: 200, Successes: 198, Failures: 2},
+			{Side: New}: {Dispatched: 90, Successes: 75, Failures: 9},
+		}
+		if next, _, v := controller.Decide(now.Add(100*time.Millisecond), s); next.Phase != InProgress || next.ShareMilli != c.want {
+			t.Errorf("at %d ms: got %+v, want a share of %d; verdict %+v", c.atMs, next, c.want, v)
+		}
+	}
+}
