Load engines by what their prompts leave of the objective

Cause: engines whose prompts take little of the objective serve on time with all slots occupied, but were granted 0.75 of them.

Change: the granted load rises by a tenth of the ratio of the time that is left beside the prompts of all slots to the time that these take, up to all slots.

--- a/schedule/rate_control.go
+++ b/schedule/rate_control.go
@@ -39,6 +39,10 @@
 	// time that they may wait in the mean, and maxWaitingLoad bounds the load that results from it.
 	waitRatio      = 0.25
 	maxWaitingLoad = 0.4
+	// promptWaitRatio and maxFullLoad are the same for engines. There the first event waits for the
+	// prompts of the other slots, whose times differ more.
+	promptWaitRatio = 0.1
+	maxFullLoad     = 0.25
 	// divideInterval is the time between two divisions of the capacity among teams.
 	divideInterval = 20 * time.Millisecond
 	// reportWait is how long after the begin of scarcity some hosts may not have reported their
@@ -62,6 +66,8 @@
 	load float64
 	// slack is the mean time between the arrival of requests and their latency objective, in seconds.
 	slack float64
+	// promptTime is the mean time that an engine takes for a prompt, in seconds.
+	promptTime float64
 	// expected is the number of slots that the granted requests occupy according to their predicted
 	// slot times.
 	expected float64
@@ -80,19 +86,26 @@
 func (s *Scheduler) recordDemand(now time.Time, p *pool, r *Request) {
 	if s.ratedHosts() {
 		updateEWMA(&p.control.slack, r.Objective.Sub(r.Arrived).Seconds(), poolSampleWeight)
+		if p.prefillRate > 0 {
+			updateEWMA(&p.control.promptTime, float64(r.PromptTokens)/p.prefillRate, poolSampleWeight)
+		}
 		p.control.rates.Record(now, s.rateKey(r), p.ratedCost(r))
 	}
 }
 
-// grantedLoad returns the load of the slots up to which requests are granted. In pools without
-// engines, the objective may be many times the service time, so that some requests can wait.
-// On engines, prompts ahead delay the first event before the slots are occupied.
+// grantedLoad returns the load of the slots up to which requests are granted. The objective may be
+// many times what a request takes until it counts as on time, so that some requests can wait: the
+// service time in pools without engines, the prompts of all slots on engines.
 func (p *pool) grantedLoad() float64 {
-	if p.engine != nil || p.meanService <= 0 {
+	ratio, most, needed := waitRatio, maxWaitingLoad, p.meanService
+	if p.engine != nil {
+		ratio, most, needed = promptWaitRatio, maxFullLoad, float64(p.engine.Slots)*p.control.promptTime
+	}
+	if needed <= 0 {
 		return ratedLoad
 	}
-	waiting := waitRatio * (p.control.slack - p.meanService) / p.meanService
-	return ratedLoad + min(max(waiting, 0), maxWaitingLoad)
+	waiting := ratio * (p.control.slack - needed) / needed
+	return ratedLoad + min(max(waiting, 0), most)
 }
 
 // rateKey returns the key under which a request is admitted. Teams share only where that is
--- a/schedule/rate_gain_test.go
+++ b/schedule/rate_gain_test.go
@@ -53,16 +53,19 @@
 		name           string
 		engine         *route.Engine
 		slack, service float64
+		prompt         float64
 		want           float64
 	}{
-		{"objective of several service times", nil, 0.2, 0.04, ratedLoad + maxWaitingLoad},
-		{"objective of two service times", nil, 0.08, 0.04, ratedLoad + waitRatio},
-		{"objective of one service time", nil, 0.04, 0.04, ratedLoad},
-		{"engine", &route.Engine{}, 0.8, 0.1, ratedLoad},
+		{"objective of several service times", nil, 0.2, 0.04, 0, ratedLoad + maxWaitingLoad},
+		{"objective of two service times", nil, 0.08, 0.04, 0, ratedLoad + waitRatio},
+		{"objective of one service time", nil, 0.04, 0.04, 0, ratedLoad},
+		{"engine with short prompts", &route.Engine{Slots: 5}, 0.6, 0.3, 0.02, ratedLoad + maxFullLoad},
+		{"engine with prompts of half the objective", &route.Engine{Slots: 6}, 0.48, 0.4, 0.04, ratedLoad + promptWaitRatio},
+		{"engine with long prompts", &route.Engine{Slots: 6}, 0.5, 0.4, 0.1, ratedLoad},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := &pool{engine: c.engine, meanService: c.service}
-			p.control.slack = c.slack
+			p.control.slack, p.control.promptTime = c.slack, c.prompt
 			if got := p.grantedLoad(); got < c.want-1e-9 || got > c.want+1e-9 {
 				t.Errorf("granted load %.3f, want %.3f", got, c.want)
 			}
