Record a request's outcome before its slot is returned

Cause of the failure of TestNoHigherTierIsShedWhileALowerOneIsServed: an entry told the pool's owner that a request had ended, and recorded the outcome in the time line afterwards. On a busy machine the owner refused urgent requests in between, and the time line showed the ended request as still in service. The outcome of completed and failed runs is now recorded before the owner is told; the test is unchanged.

The fake grants of the package entry check the order; without the change tests there fail.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -98,6 +98,7 @@
 	tokens, prefill := d.progress.finish()
 	if err == nil {
 		d.x.endTrial(trial.Survived)
+		d.x.recordFinished(nil)
 		d.grant.End(d.newEnd(outcome.Completed, "", tokens, prefill))
 		return completedResult()
 	}
--- a/entry/dispatch_failure.go
+++ b/entry/dispatch_failure.go
@@ -26,6 +26,7 @@
 	e := d.newEnd(refusal.Outcome, refusal.Reason, tokens, prefill)
 	e.ConnectionLost = refusal.Reason == outcome.TargetFailed && failure != nil && failure.Kind == target.FailedConnection
 	e.TargetCrashed = e.ConnectionLost && d.targetEnded()
+	d.x.recordFinished(refusal)
 	d.end(e)
 	d.cancelOnTarget()
 	return failedResult(refusal)
--- a/entry/execution.go
+++ b/entry/execution.go
@@ -42,6 +42,8 @@
 	trial    *trial.Run
 	witness  *trial.Witness
 	recorder *responseRecorder
+	// finishRecorded says that the outcome is in the time line.
+	finishRecorded bool
 }
 
 const (
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -42,6 +42,11 @@
 	reports  []admission.Progress
 	declines []admission.DeclineCause
 	ends     []admission.End
+
+	// finished returns how many requests have an outcome in the time line, and finishedAtEnd is
+	// what it returned when the grant ended.
+	finished      func() int
+	finishedAtEnd int
 }
 
 func (g *fakeGrant) Target() settings.Target            { return g.target }
@@ -52,7 +57,9 @@
 	g.update(func() { g.declines = append(g.declines, cause) })
 }
 
-func (g *fakeGrant) End(e admission.End) { g.update(func() { g.ends = append(g.ends, e) }) }
+func (g *fakeGrant) End(e admission.End) {
+	g.update(func() { g.ends, g.finishedAtEnd = append(g.ends, e), g.finished() })
+}
 
 func (g *fakeGrant) Progress(p admission.Progress) {
 	g.update(func() { g.reports = append(g.reports, p) })
@@ -85,6 +92,8 @@
 	block   bool
 	// suspects are those of the grants.
 	suspects []quarantine.Digest
+	// finished is that of the grants.
+	finished func() int
 
 	requests []admission.Request
 	grants   []*fakeGrant
@@ -109,6 +118,7 @@
 		expires:   time.Now().Add(a.lease),
 		preempted: make(chan *outcome.Refusal, 1),
 		suspects:  a.suspects,
+		finished:  a.finished,
 	}
 	a.grants = append(a.grants, grant)
 	return grant, nil
@@ -171,6 +181,7 @@
 func newFixture(t *testing.T, change func(*Options), targets ...settings.Target) *fixture {
 	t.Helper()
 	f := &fixture{t: t, events: new(eventLog), admitter: &fakeAdmitter{targets: targets, lease: time.Minute}}
+	f.admitter.finished = func() int { return f.events.count(timeline.Finished) }
 	options := Options{
 		Host:     "host-1",
 		Settings: &fakeSource{testSnapshot()},
@@ -229,6 +240,13 @@
 	if len(ends) != 1 {
 		f.t.Fatalf("ends are %+v, want one", ends)
 	}
+	// Otherwise the time line shows that the owner refuses more urgent requests during this one.
+	grant := f.admitter.grant(0)
+	grant.update(func() {
+		if grant.finishedAtEnd == 0 {
+			f.t.Error("the owner was told of the end before it was recorded")
+		}
+	})
 	return ends[0]
 }
 
--- a/entry/run_execution.go
+++ b/entry/run_execution.go
@@ -141,12 +141,28 @@
 
 // finish records the outcome in the time line and the metrics.
 func (x *execution) finish(r *refusal) {
-	result, reason := outcome.Completed, outcome.Reason("")
-	if r != nil {
-		result, reason = r.Outcome, r.Reason
+	x.recordFinished(r)
+	result, reason := finalOutcome(r)
+	x.entry.metrics.recordFinished(x.call, result, reason)
+}
+
+// recordFinished records the outcome in the time line, once. It is called before the owner is told
+// that the request ended: the owner may refuse others from then on, and in the time line that
+// must not come before the end of this one.
+func (x *execution) recordFinished(r *refusal) {
+	if x.finishRecorded {
+		return
 	}
+	x.finishRecorded = true
+	result, reason := finalOutcome(r)
 	x.record(timeline.Event{Kind: timeline.Finished, Detail: finishDetail(result, reason)})
-	x.entry.metrics.recordFinished(x.call, result, reason)
+}
+
+func finalOutcome(r *refusal) (outcome.Outcome, outcome.Reason) {
+	if r == nil {
+		return outcome.Completed, ""
+	}
+	return r.Outcome, r.Reason
 }
 
 func finishDetail(result outcome.Outcome, reason outcome.Reason) string {
