Place plain requests by measured distance and by loads that allow for late states

Cause: with more than 16 hosts, states of far hosts are 0.1 to 0.2 s old, and requests of a plain service take 30 ms. Slots were counted by the newest state, loads that targets report counted for 0.7 s beside those of the hosts, and constants stood for the distance (3 ms) and for late states (100 ms). So a data centre refused requests while other targets had free slots. The cost of a request contained its wait at the target, and the first division of scarce capacity granted 0.3 of it whatever the load.

Change: the distance is the excess of the shortest responses. Where states are older than a service time, the load is the mean of what is known, corrected by what the target reported last; a short wait at a target is allowed instead of a wait for news; the cost of late states is the expected wait for unseen requests, drawn at random. Refusals, waits and rates use the same loads. Up to 16 hosts, only a measured distance above 3 ms changes a choice. Scenario.ConstantDistances compares.

--- a/internal/loadmodel/arrivals.go
+++ b/internal/loadmodel/arrivals.go
@@ -12,12 +12,7 @@
 
 // generateArrivals submits new requests and the retries that are due.
 func (m *model) generateArrivals() {
-	factor := 1.0
-	for _, b := range m.scenario.Bursts {
-		if m.now >= b.From && m.now < b.To {
-			factor *= b.Factor
-		}
-	}
+	factors, factor := m.arrivalFactors()
 	for i := range m.scenario.Classes {
 		c := &m.scenario.Classes[i]
 		for range m.poisson(c.PerSecond * factor * step.Seconds()) {
@@ -29,7 +24,7 @@
 			if c.Prompts != nil {
 				m.beginPrompt(r)
 			}
-			m.submit(r, m.random)
+			m.submit(r, factors, m.random)
 			m.report.Classes[c.Name].Arrived++
 			m.report.Classes[c.Name].BySize[c.sizeOf(r.output)].Arrived++
 			m.report.Classes[c.Name].MaxValue += c.Value
@@ -42,7 +37,7 @@
 			remaining = append(remaining, r)
 			continue
 		}
-		m.submit(r, m.decisions)
+		m.submit(r, factors, m.decisions)
 	}
 	m.pendingRetries = remaining
 }
@@ -64,14 +59,17 @@
 }
 
 // submit submits a request to a host drawn from random.
-func (m *model) submit(r *request, random *rand.Rand) {
+func (m *model) submit(r *request, factors []float64, random *rand.Rand) {
 	m.requestCount++
 	r.sequence = m.requestCount
 	r.id = ident.Request(strconv.Itoa(m.requestCount))
 	r.arrived = m.now
-	r.host = random.IntN(len(m.hosts))
+	r.host = m.drawHost(factors, random)
 	r.prefilling, r.predicted = false, 0
 	r.prefillLeft, r.tokensLeft, r.firstEvent, r.lastEvent = float64(r.prompt), float64(r.output), 0, 0
+	if m.scenario.Plain {
+		r.prefillLeft = 0
+	}
 	m.active[r.id] = r
 	h := m.hosts[r.host]
 	h.changed, h.arrival = true, true
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -48,6 +48,8 @@
 	report       Report
 	roster       *route.TargetSnapshot
 	pools        map[ident.Pool]*route.Pool
+	// transfers are the messages between data centres that have not arrived yet.
+	transfers []transfer
 }
 
 // Run simulates a scenario.
@@ -58,6 +60,7 @@
 		m.failEngines()
 		m.loseEngines()
 		m.restartEngines()
+		m.deliverTransfers()
 		m.generateArrivals()
 		m.runEngines()
 		m.abandonExpired()
@@ -94,7 +97,7 @@
 		h := &host{
 			name:           ident.Host(strconv.Itoa(i)),
 			dataCentre:     s.dataCentreOf(i),
-			scheduler:      schedule.New(schedule.Options{Random: m.decisions.Float64, Host: ident.Host(strconv.Itoa(i)), DataCentre: s.dataCentreOf(i), FairShares: s.sharesAt(i), SharedClock: s.sharedClock()}),
+			scheduler:      schedule.New(schedule.Options{Random: m.decisions.Float64, Host: ident.Host(strconv.Itoa(i)), DataCentre: s.dataCentreOf(i), FairShares: s.sharesAt(i), SharedClock: s.sharedClock(), ConstantDistances: s.ConstantDistances}),
 			receivedCounts: make([]int, s.Hosts),
 		}
 		if s.KVCacheTokens > 0 {
@@ -176,6 +179,10 @@
 func (m *model) runEngines() {
 	for _, e := range m.engines {
 		first, ended := e.step(&m.scenario, m.now, step)
+		if m.scenario.Plain {
+			m.respond(e, ended)
+			continue
+		}
 		for _, r := range first {
 			m.reportFirstEvent(e, r)
 			m.hosts[r.host].scheduler.RecordFirstEvent(clock(m.now), r.id)
--- a/internal/loadmodel/prefix_pool.go
+++ b/internal/loadmodel/prefix_pool.go
@@ -72,6 +72,9 @@
 
 // pools returns the configuration of the hosts.
 func (s *Scenario) pools() map[ident.Pool]*route.Pool {
+	if s.Plain {
+		return map[ident.Pool]*route.Pool{poolName: {Name: poolName}}
+	}
 	engine := &route.Engine{Slots: s.Slots}
 	if !s.HidesMemory {
 		engine.KVCacheTokens = s.KVCacheTokens
--- a/internal/loadmodel/scenario.go
+++ b/internal/loadmodel/scenario.go
@@ -62,6 +62,14 @@
 	// NoSharedClock says that hosts share no clock.
 	NoSharedClock bool
 	Policy        Policy
+	// Plain makes the pool a plain service: a request takes the time of its output tokens, engines
+	// report their load with each response, and a response is on time if its end is.
+	Plain bool
+	// ConstantDistances makes hosts use the constant costs of targets elsewhere.
+	ConstantDistances bool
+	// DataCentreDelay is the one-way delay of requests, responses and aggregate states between data
+	// centres.
+	DataCentreDelay time.Duration
 }
 
 // sharesAt reports whether the host with index i applies fair shares.
--- a/internal/loadmodel/schedulers.go
+++ b/internal/loadmodel/schedulers.go
@@ -11,20 +11,36 @@
 	if m.scenario.Policy != Scheduled {
 		return
 	}
+	if m.scenario.Plain {
+		// A host decides on a request before it sends a state in which the request is queued.
+		m.decide()
+	}
 	for _, h := range m.hosts {
 		h.publishState(m.now, h.minInterval(m.now, &m.scenario), m.scenario.FarPeerStateInterval)
 	}
 	m.exchangeAggregates()
 	for i, h := range m.hosts {
 		m.receivePeerStates(i, h)
-		if h.scheduler.Queued() == 0 && !h.changed && !h.arrival {
-			continue
-		}
-		h.arrival = false
-		for _, action := range h.scheduler.Decide(clock(m.now)) {
-			h.changed = true
-			m.apply(action)
-		}
+		m.decideAt(h)
+	}
+}
+
+// decide applies the decisions of all hosts.
+func (m *model) decide() {
+	for _, h := range m.hosts {
+		m.decideAt(h)
+	}
+}
+
+// decideAt applies the decisions of a host.
+func (m *model) decideAt(h *host) {
+	if h.scheduler.Queued() == 0 && !h.changed && !h.arrival {
+		return
+	}
+	h.arrival = false
+	for _, action := range h.scheduler.Decide(clock(m.now)) {
+		h.changed = true
+		m.apply(action)
 	}
 }
 
@@ -47,7 +63,9 @@
 		sum, count := sender.scheduler.AggregateState(clock(m.now))
 		for _, h := range m.hosts {
 			if h.dataCentre != sender.dataCentre {
-				h.scheduler.ApplyDataCentreState(clock(m.now), sender.dataCentre, count, sum)
+				m.transfer(sender.dataCentre, h.dataCentre, func() {
+					h.scheduler.ApplyDataCentreState(clock(m.now), sender.dataCentre, count, sum)
+				})
 			}
 		}
 	}
@@ -61,7 +79,8 @@
 	switch a := action.(type) {
 	case *schedule.Dispatch:
 		r.predicted = a.CachedTokens
-		m.byName[a.Target.Name].accept(r)
+		e := m.byName[a.Target.Name]
+		m.transfer(m.hosts[r.host].dataCentre, a.Target.DataCentre, func() { m.deliver(r, e) })
 	case *schedule.Refuse:
 		delete(m.active, r.id)
 		o := m.report.Classes[r.class.Name]
--- a/internal/loadmodel/session.go
+++ b/internal/loadmodel/session.go
@@ -71,6 +71,7 @@
 
 // submitTurns submits the prompts of sessions that are due.
 func (m *model) submitTurns() {
+	factors, _ := m.arrivalFactors()
 	remaining := m.pendingTurns[:0]
 	for _, s := range m.pendingTurns {
 		if s.next > m.now {
@@ -84,7 +85,7 @@
 		}
 		r.estimatedOutput = max(1, int(float64(r.output)*math.Exp(estimateSpread*m.random.NormFloat64())))
 		m.extendPrompt(r, s)
-		m.submit(r, m.decisions)
+		m.submit(r, factors, m.decisions)
 		m.report.Classes[c.Name].Arrived++
 		m.report.Classes[c.Name].MaxValue += c.Value
 	}
--- a/schedule/machine_state_test.go
+++ b/schedule/machine_state_test.go
@@ -142,7 +142,7 @@
 		}
 		r := request("r", 9, 0)
 		rate, concurrent := target.speeds.PrefillRate, float64(target.busySlots(at(9)))
-		want := s.localityCost(target) + 0/rate + 1000/rate*(1+concurrent) + 50*0.0123
+		want := s.localityCost(at(9), p, target) + 0/rate + 1000/rate*(1+concurrent) + 50*0.0123
 		if got := s.cost(at(9), p, &r, target); got != want {
 			t.Errorf("%s: cost %v, want %v", name, got, want)
 		}
--- a/schedule/peers.go
+++ b/schedule/peers.go
@@ -38,6 +38,7 @@
 
 // ApplyPeerState replaces the known state of another host.
 func (s *Scheduler) ApplyPeerState(now time.Time, host ident.Host, state State) {
+	s.updateLateMeans(now)
 	after := &peerState{state: state, receivedAt: now, hosts: 1, direct: true}
 	before := s.peers[host]
 	s.peers[host] = s.replacePeerState(before, after)
@@ -54,6 +55,7 @@
 // ApplyDataCentreState replaces the known aggregate state of the hosts of another data
 // centre.
 func (s *Scheduler) ApplyDataCentreState(now time.Time, dc ident.DataCentre, hosts int, state State) {
+	s.updateLateMeans(now)
 	after := &peerState{state: state, receivedAt: now, hosts: hosts}
 	before := s.dcAggregates[dc]
 	s.dcAggregates[dc] = s.replacePeerState(before, after)
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -36,11 +36,20 @@
 
 	// meanService is the mean service time in seconds.
 	meanService float64
+	// plainTime is the mean time in seconds for which a request of a plain service occupies a slot, or
+	// zero until one was served.
+	plainTime float64
+	// objective is the mean time in seconds that requests have left until their objective when they
+	// arrive, or zero if none has arrived.
+	objective float64
 	// prefillRate is the prompt tokens per second that an average target processes.
 	prefillRate float64
 	// eventInterval is the mean time between the events of a stream in seconds.
 	eventInterval float64
 
+	// shortestResponses holds the shortest response times of the targets in each data centre.
+	shortestResponses map[ident.DataCentre]*shortestResponse
+
 	// retryableArrivedAt is when the last retryable request arrived; only such requests
 	// are used as probes while they keep arriving.
 	retryableArrivedAt time.Time
@@ -69,12 +78,13 @@
 
 func newPool(name ident.Pool, fairShares bool) *pool {
 	return &pool{
-		name:          name,
-		shares:        newTeamShares(fairShares),
-		control:       rateControl{rates: fairshare.NewRates()},
-		meanService:   defaultPlainService.Seconds(),
-		prefillRate:   defaultPrefillRate,
-		eventInterval: defaultEventInterval,
+		name:              name,
+		shares:            newTeamShares(fairShares),
+		control:           rateControl{rates: fairshare.NewRates()},
+		meanService:       defaultPlainService.Seconds(),
+		prefillRate:       defaultPrefillRate,
+		eventInterval:     defaultEventInterval,
+		shortestResponses: make(map[ident.DataCentre]*shortestResponse),
 	}
 }
 
@@ -244,3 +254,15 @@
 const firstEventOverhead = 25 * time.Millisecond
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// recordObjective takes in how long a request may take. One that is late already says nothing.
+func (p *pool) recordObjective(r *Request) {
+	left := r.Objective.Sub(r.Arrived).Seconds()
+	switch {
+	case left <= 0:
+	case p.objective == 0:
+		p.objective = left
+	default:
+		updateEWMA(&p.objective, left, poolSampleWeight)
+	}
+}
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -55,6 +55,7 @@
 func (s *Scheduler) ReportLoad(now time.Time, id ident.Request, load int) {
 	if r := s.running[id]; r != nil {
 		r.target.lastResponseAt = now
+		r.reportedLoad = load
 		r.target.recordReportedLoad(now, load)
 	}
 }
@@ -113,6 +114,10 @@
 	elapsed := now.Sub(r.dispatchedAt).Seconds()
 	updateEWMA(&p.meanService, elapsed, poolSampleWeight)
 	p.demandOf(r.request.Rank).recordServiceTime(elapsed)
+	p.recordResponseTime(now, r)
+	if s.ratedHosts() {
+		s.learnSlotTime(now, p, r)
+	}
 	if r.events < minIntervalEvents || r.firstEventAt.IsZero() {
 		return
 	}
--- a/schedule/rate_control.go
+++ b/schedule/rate_control.go
@@ -165,12 +165,18 @@
 			usable = min(usable, t.limit.PerSecond*p.meanService)
 		}
 		all += usable * c.relativeSpeed(now, t)
-		slots += t.Slots
+		slots += t.Slots + t.late.queueable
 		busy += t.busySlots(now)
 	}
 	waiting := len(p.queue.items) + s.peersQueued(now, p)
 	c.load = float64(busy+waiting) / float64(max(slots, 1))
-	return all * max(c.gain*ratedLoad*math.Exp(-drainFactor*(c.load-ratedLoad)), minGranted)
+	gain := c.gain
+	if gain == 0 && p.engine == nil {
+		// Before the first correction. Engines get minGranted until then, because their slots stay
+		// occupied for long; a plain service would refuse requests that it has free slots for.
+		gain = 1
+	}
+	return all * max(gain*ratedLoad*math.Exp(-drainFactor*(c.load-ratedLoad)), minGranted)
 }
 
 // adjustGain corrects the prediction of slot times so that the known load of the targets becomes
@@ -225,7 +231,7 @@
 // ratedCost predicts the time for which a request occupies a slot of a mean target, in seconds.
 func (p *pool) ratedCost(r *Request) float64 {
 	if p.engine == nil {
-		return p.meanService
+		return p.plainSlotTime()
 	}
 	prompt, event := p.control.promptTokenTime, p.control.eventInterval
 	if prompt == 0 {
--- a/schedule/running_request.go
+++ b/schedule/running_request.go
@@ -22,7 +22,10 @@
 	// cached is the number of prompt tokens that were predicted to be cached.
 	cached int
 	kv     int
-	events int
+	// reportedLoad is the number of requests that the target had when it responded, or zero if it did
+	// not say so.
+	reportedLoad int
+	events       int
 	// startUnixMs identifies the process that got the request, and machine is the state of its
 	// machine over the events.
 	startUnixMs int64
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -41,6 +41,12 @@
 	hostDataCentres map[ident.Host]ident.DataCentre
 	// stateTTL is how long the state of another host counts as up to date.
 	stateTTL time.Duration
+	// constantDistances selects the constant costs of targets elsewhere.
+	constantDistances bool
+	// localities holds what is known of data centres since localitiesAt.
+	localities   []locality
+	localitiesAt time.Time
+	lateLoadsAt  time.Time
 	// cell is this host's cell of cells, the number of cells of its data centre.
 	cell  int
 	cells int
@@ -109,6 +115,9 @@
 	// SharedClock returns the time of a clock that all hosts share, in milliseconds, or 0 while it
 	// is unknown. Without it, refusals reserve no capacity.
 	SharedClock func(now time.Time) int64
+	// ConstantDistances selects the constant costs of targets in other cells and data centres, as
+	// where nothing was measured. It is for comparisons.
+	ConstantDistances bool
 	// Random returns numbers in [0, 1); nil selects the global generator.
 	Random func() float64
 }
@@ -119,21 +128,22 @@
 		o.Random = rand.Float64
 	}
 	return &Scheduler{
-		host:         o.Host,
-		dataCentre:   o.DataCentre,
-		random:       o.Random,
-		fairShares:   o.FairShares,
-		sharedClock:  sharedClock{read: o.SharedClock},
-		pools:        make(map[ident.Pool]*pool),
-		targets:      make(map[ident.Target]*target),
-		peers:        make(map[ident.Host]*peerState),
-		dcAggregates: make(map[ident.DataCentre]*peerState),
-		stateTTL:     minStateTTL,
-		cells:        1,
-		queued:       make(map[ident.Request]*queuedRequest),
-		running:      make(map[ident.Request]*runningRequest),
-		prefixes:     newPrefixIndex(),
-		crashes:      quarantine.NewTracker(),
+		host:              o.Host,
+		dataCentre:        o.DataCentre,
+		random:            o.Random,
+		fairShares:        o.FairShares,
+		sharedClock:       sharedClock{read: o.SharedClock},
+		constantDistances: o.ConstantDistances,
+		pools:             make(map[ident.Pool]*pool),
+		targets:           make(map[ident.Target]*target),
+		peers:             make(map[ident.Host]*peerState),
+		dcAggregates:      make(map[ident.DataCentre]*peerState),
+		stateTTL:          minStateTTL,
+		cells:             1,
+		queued:            make(map[ident.Request]*queuedRequest),
+		running:           make(map[ident.Request]*runningRequest),
+		prefixes:          newPrefixIndex(),
+		crashes:           quarantine.NewTracker(),
 	}
 }
 
@@ -237,6 +247,7 @@
 	if r.Retryable {
 		p.retryableArrivedAt = now
 	}
+	p.recordObjective(&r)
 	s.sequence++
 	w := &queuedRequest{request: &r, sequence: s.sequence}
 	s.assignSide(now, p, &r)
@@ -303,6 +314,7 @@
 	s.pendingActions = nil
 	actions = s.refuseQuarantined(now, actions)
 	s.updatePeersMissing(now)
+	s.updateLateLoads(now)
 	s.updateRates(now)
 	s.ejectUnresponsive(now)
 	s.ejectOutliers(now)
--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -5,15 +5,6 @@
 )
 
 const (
-	// otherCellPenalty is the cost, in seconds, of using a target of another cell. This host
-	// knows an older state of it, and seldom has a connection to it.
-	otherCellPenalty = 0.02
-	// remotePenalty is the cost, in seconds, of using a target in another data centre.
-	remotePenalty = 0.003
-	// aggregatedPenalty is the additional cost, in seconds, if the hosts of that data
-	// centre are only known in aggregate: this host knows an older state of those targets
-	// than they do.
-	aggregatedPenalty = 0.1
 	// costSpread is the random addition to a cost, relative to it, while the states of other hosts
 	// are too old to know which slots are free. Otherwise all hosts would select the same target.
 	costSpread = 1.0
@@ -65,6 +56,7 @@
 		if spread && s.isKnownLate(t) {
 			cost *= 1 + costSpread*s.random()
 		}
+		cost += t.queueCost(now)
 		if best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
@@ -173,7 +165,7 @@
 // cost predicts the cost of a request on a target, in seconds: the time that it takes
 // there, and the delay that its prompt causes to the requests running beside it.
 func (s *Scheduler) cost(now time.Time, p *pool, r *Request, t *target) float64 {
-	cost := s.localityCost(t)
+	cost := s.localityCost(now, p, t)
 	if p.engine == nil {
 		ahead := p.meanService * float64(t.busySlots(now)) / float64(max(t.Slots, 1))
 		return cost + ahead + t.machine.delay(now, ahead+p.meanService)
@@ -186,17 +178,3 @@
 	delay := t.machine.delay(now, ahead+prefill+decode) + concurrent*t.machine.delay(now, prefill)
 	return cost + ahead + prefill*(1+concurrent) + decode + delay
 }
-
-// localityCost returns the cost of the target's data centre, in seconds.
-func (s *Scheduler) localityCost(t *target) float64 {
-	switch {
-	case t.otherCell:
-		return otherCellPenalty
-	case t.DataCentre == s.dataCentre:
-		return 0
-	case s.dcAggregates[t.DataCentre] != nil:
-		return remotePenalty + aggregatedPenalty
-	default:
-		return remotePenalty
-	}
-}
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -47,6 +47,8 @@
 	meanUnattributed float64
 	// peersMissing says that the state of some hosts is missing.
 	peersMissing bool
+	// late estimates the load if its state is known too late for slots to be counted.
+	late lateLoad
 
 	// limit is the newest known statement about the target's limit, and heardLimit the newest
 	// one that this host received itself.
@@ -93,6 +95,9 @@
 
 // busySlots returns the number of slots that the requests of all hosts occupy.
 func (t *target) busySlots(now time.Time) int {
+	if t.late.inUse() {
+		return t.running + t.lateOthers(now)
+	}
 	busy := t.running + t.peers.Running
 	switch {
 	case now.Sub(t.unattributedAt) < unattributedTTL:
@@ -105,7 +110,7 @@
 
 // freeSlots returns how many requests this host may send the target now.
 func (t *target) freeSlots(now time.Time) int {
-	free := min(t.Slots-t.busySlots(now), t.usableSlots(now)-t.running)
+	free := min(t.Slots+t.late.queueable-t.busySlots(now), t.usableSlots(now)-t.running)
 	switch {
 	case !t.limited():
 		return free
@@ -121,6 +126,7 @@
 func (t *target) recordReportedLoad(now time.Time, load int) {
 	t.unattributed = max(0, load-t.running-t.peers.Running)
 	t.unattributedAt = now
+	t.late.recordReport(now, load-t.running, t.peers.Running)
 	updateEWMA(&t.meanUnattributed, float64(t.unattributed), unattributedWeight)
 }
 
