Refuse the least urgent new requests at a saturated host, and report distances

Cause: a host whose loops run late, or whose link's queue is full, went on accepting requests and delayed the streams that it had.

Not measured with hosts that are really short of processor time or bandwidth.

--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -11,8 +11,10 @@
 	FieldRequest = "request"
 	FieldRoute   = "route"
 	FieldPool    = "pool"
-	FieldTeam    = "team"
-	FieldTarget  = "target"
+	// FieldDataCentre is another data centre.
+	FieldDataCentre = "data_centre"
+	FieldTeam       = "team"
+	FieldTarget     = "target"
 	// FieldVersion is the version of a target's software.
 	FieldVersion = "version"
 	// FieldDigest identifies the content of a request. All attempts with the same content
@@ -189,4 +191,10 @@
 	EventRolloutDecider = "rollout-decider"
 	// EventStatesLimited: states for hosts of other cells begin to wait for the link, or end it.
 	EventStatesLimited = "states-limited"
+	// EventDistance: the distance to a data centre is measured, or no longer.
+	EventDistance = "distance-measured"
+	// EventHostSaturated: a host can't keep up and begins to refuse new requests. EventHostRelieved: it
+	// no longer refuses any for that.
+	EventHostSaturated = "host-saturated"
+	EventHostRelieved  = "host-relieved"
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,8 @@
 	responseBudget *bytebudget.Budget
 	buffers        []*bufferMonitor
 	traffic        trafficMonitor
+	saturation     *saturationMonitor
+	distances      distanceMonitor
 	// reloaded holds the settings of the last successful reload.
 	reloaded atomic.Pointer[config.Gateway]
 	// stopping is set once the host drains: callers are directed to other hosts.
@@ -121,8 +123,10 @@
 	}
 	store := platform.NewStoreClient(c.StoreAddress, g.countStoreCall)
 	g.trials = trial.NewLedger(trial.Options{Table: store.TrialTable(), Host: c.Host, Logger: g.logs.For("quarantine"), Now: time.Now})
+	g.saturation = newSaturationMonitor(g.logs.For("saturation"))
 	g.buildState()
 	g.buildRelay()
+	g.saturation.inFlight, g.saturation.sendTime = g.relay.InFlight, g.state.exchange.TakeSendTime
 	g.directory = platform.NewDirectory(store, g.state, c.DrainTime.Std(), g.logs.For("directory"))
 	g.state.rereadTable = g.directory.RereadTable
 	if g.state.rollouts != nil {
@@ -178,6 +182,7 @@
 		LinkMbps:       g.config.LinkMbps,
 	})
 	g.traffic.logger = g.logs.For("hoststate")
+	g.distances.logger = g.logs.For("placement")
 	state.rollouts = g.newRollouts(state)
 	g.state = state
 }
@@ -205,6 +210,7 @@
 		Streams:      g.state.streams,
 		Trials:       g.trials,
 		Budget:       g.responseBudget,
+		Gate:         g.saturation,
 		Observer: multiObserver{
 			eventlog.NewRequestLogger(g.logs.For("request")),
 			&requestMetrics{scope: g.metrics.Scope},
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -44,6 +44,8 @@
 		updatePrefixGauges(pool, load.Prefixes)
 	}
 	g.traffic.update(now, scope, state.exchange)
+	g.saturation.update(scope)
+	g.distances.update(scope, state.dispatcher.Distances(now))
 	g.updateRolloutGauges()
 	for _, monitor := range g.buffers {
 		monitor.update(scope)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -52,6 +52,7 @@
 	addActor(&group, g.watchTrials)
 	addActor(&group, g.decideRollouts)
 	addActor(&group, g.reportGauges)
+	addActor(&group, g.saturation.run)
 	addActor(&group, g.state.peers.run)
 	addActor(&group, g.watchLinks)
 	addActor(&group, g.servePeers)
--- a/hoststate/exchange.go
+++ b/hoststate/exchange.go
@@ -136,6 +136,10 @@
 // and left out what could wait longer.
 func (e *Exchange) Shortened() int64 { return e.traffic.shortened.Load() }
 
+// TakeSendTime returns the longest time that it took to hand a message for all its receivers to the
+// system since the last call. It is long while the queue of the link is full.
+func (e *Exchange) TakeSendTime() time.Duration { return time.Duration(e.traffic.sendTime.Swap(0)) }
+
 // Run sends and receives until ctx is done.
 func (e *Exchange) Run(ctx context.Context) error {
 	address, err := netip.ParseAddrPort(e.options.Self.Address)
@@ -326,7 +330,11 @@
 		e.options.Logger.Error().Err(err).Msg("Encoding the host state failed; it is not sent.")
 		return 0
 	}
+	begun := time.Now()
 	to.send(conn, data, e.logSendFailure)
+	if took := int64(time.Since(begun)); took > e.traffic.sendTime.Load() {
+		e.traffic.sendTime.Store(took)
+	}
 	e.traffic.sent.Add(int64(len(to.members)))
 	bytes := int64(len(to.members)) * int64(len(data)+datagramOverhead)
 	e.budget.spend(now, bytes)
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -93,11 +93,22 @@
 	GatewayStatesReceived  = "gateway_states_received"
 	GatewayStatesFrequent  = "gateway_states_frequent"
 	GatewayStatesShortened = "gateway_states_shortened"
+	// GatewaySaturation is the share of the new requests that this host refuses because it can't
+	// keep up, from 0 to 1, and GatewayHostDelay the typical delay of its loops in seconds.
+	GatewaySaturation = "gateway_saturation"
+	GatewayHostDelay  = "gateway_host_delay_seconds"
+	// GatewayDistance is by how much responses of a data centre take longer than local ones, in
+	// seconds, and GatewayDistanceMeasured 1 if that is known. GatewayStateAge is the mean age of what
+	// is known of the load that its hosts put on targets, in seconds. All are by data centre.
+	GatewayDistance         = "gateway_distance_seconds"
+	GatewayDistanceMeasured = "gateway_distance_measured"
+	GatewayStateAge         = "gateway_state_age_seconds"
 )
 
 // Tag keys used only by the metrics of a gateway.
 const (
-	TagKind  = "kind"
-	TagClass = "class"
-	TagTable = "table"
+	TagKind       = "kind"
+	TagClass      = "class"
+	TagTable      = "table"
+	TagDataCentre = "data_centre"
 )
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -282,3 +282,10 @@
 	defer d.mu.Unlock()
 	return d.scheduler.PoolLoads(now)
 }
+
+// Distances returns what is known of the other data centres.
+func (d *Dispatcher) Distances(now time.Time) []schedule.Distance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.Distances(now)
+}
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -110,6 +110,9 @@
 		return outcome.Refuse(outcome.Unauthorized, "unknown API key", 0)
 	}
 	x.team = team
+	if refusal := x.gateRefusal(); refusal != nil {
+		return refusal
+	}
 	x.content = quarantine.NewContent(quarantine.ContentDigest(x.teamName(), x.call.RequestURI, x.call.Body), x.call.promptParts())
 	x.deadline = requestDeadline(x.call, x.route)
 	x.pool = x.route.ChoosePool(randomFraction())
@@ -209,7 +212,7 @@
 		Route:           x.route.Name,
 		Pool:            x.pool,
 		Content:         x.content,
-		Rank:            schedule.Rank{Route: x.route.Priority},
+		Rank:            x.rank(),
 		Arrived:         time.Now(),
 		Objective:       x.objective(),
 		Deadline:        x.deadline,
@@ -226,7 +229,6 @@
 	}
 	if x.team != nil {
 		r.Team = x.team.Name
-		r.Rank.Team = x.team.Priority
 	}
 	return r
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,7 +17,7 @@
 	"github.com/cornelyard/cornelyard/trial"
 )
 
-// Options configures a Relay. All fields but Budget and PeerClient are required.
+// Options configures a Relay. All fields but Budget, Gate and PeerClient are required.
 type Options struct {
 	// Table returns the configuration in force, or nil.
 	Table        func() *route.Table
@@ -32,6 +32,8 @@
 	Observer    Observer
 	// Budget bounds the sum of the bytes that all responses buffer; nil means no limit.
 	Budget *bytebudget.Budget
+	// Gate refuses new requests while this host can't keep up; nil admits all.
+	Gate Gate
 }
 
 // Relay forwards callers' requests to targets.
