--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -13,8 +13,8 @@
 	FieldPool    = "pool"
 	FieldTeam    = "team"
 	FieldTarget  = "target"
-	// FieldDataCentre is the data centre of the host that wrote the line, FieldHostClass its
-	// memory and the bandwidth of its link.
+	// FieldDataCentre is the data centre of the host that wrote the line, or the one that the line is
+	// about. FieldHostClass is the memory of the host and the bandwidth of its link.
 	FieldDataCentre = "data_centre"
 	FieldHostClass  = "host_class"
 	// FieldVersion is the version of a target's software.
@@ -208,4 +208,10 @@
 	EventRolloutDecider = "rollout-decider"
 	// EventStatesLimited: states for hosts of other cells begin to wait for the link, or end it.
 	EventStatesLimited = "states-limited"
+	// EventDistance: the distance to a data centre is measured, or no longer.
+	EventDistance = "distance-measured"
+	// EventHostSaturated: a host can't keep up and begins to refuse new requests. EventHostRelieved: it
+	// no longer refuses any for that.
+	EventHostSaturated = "host-saturated"
+	EventHostRelieved  = "host-relieved"
 )
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -46,6 +46,8 @@
 		pool.Gauge(metrics.GatewayMemoryWaits).Update(float64(load.MemoryWaits))
 	}
 	g.traffic.update(now, scope, state.exchange)
+	g.saturation.update(scope)
+	g.distances.update(scope, state.dispatcher.Distances(now))
 	g.updateRolloutGauges()
 	for _, monitor := range g.buffers {
 		monitor.update(scope)
--- a/schedule/connections_test.go
+++ b/schedule/connections_test.go
@@ -8,9 +8,9 @@
 	"github.com/cornelyard/cornelyard/route"
 )
 
-// plainScheduler returns a scheduler of targets that are no engines, for a host that keeps idle
+// idleConnectionScheduler returns a scheduler of targets that are no engines, for a host that keeps idle
 // connections for 4 s.
-func plainScheduler(slots ...int) *Scheduler {
+func idleConnectionScheduler(slots ...int) *Scheduler {
 	s := New(Options{DataCentre: "near", Random: func() float64 { return 0 }, ConnectionIdleTime: 4 * time.Second})
 	s.Configure(start, map[ident.Pool]*route.Pool{"p": {Name: "p"}}, engines(slots...))
 	return s
@@ -30,7 +30,7 @@
 // Guards against a connection that is opened to an idle target although another idle one has one, and
 // against an advantage that outweighs a busy slot or outlasts the connection.
 func TestOpenConnectionDecidesBetweenTargetsOfEqualLoad(t *testing.T) {
-	s := plainScheduler(6, 6, 6)
+	s := idleConnectionScheduler(6, 6, 6)
 	first := run(t, s, "a", 0)
 	second := run(t, s, "b", 10)
 	if second == first {
--- a/schedule/rate_control.go
+++ b/schedule/rate_control.go
@@ -207,13 +207,19 @@
 			usable = min(usable, t.limit.PerSecond*p.meanService)
 		}
 		all += usable * c.relativeSpeed(now, t)
-		slots += t.Slots
+		slots += t.Slots + t.late.queueable
 		busy += t.busySlots(now)
 	}
 	waiting := len(p.queue.items) + s.peersQueued(now, p)
 	c.load, c.slots = float64(busy+waiting)/float64(max(slots, 1)), slots
+	gain := c.gain
+	if gain == 0 && p.engine == nil {
+		// Before the first correction. Engines get minGranted until then, because their slots stay
+		// occupied for long; a plain service would refuse requests that it has free slots for.
+		gain = 1
+	}
 	load := p.grantedLoad()
-	return all * max(c.gain*load*math.Exp(-drainFactor*(c.load-load)), minGranted)
+	return all * max(gain*load*math.Exp(-drainFactor*(c.load-load)), minGranted)
 }
 
 // updateGain compares the load that the granted requests are expected to cause with the known one,
@@ -274,7 +280,7 @@
 // request does so beyond its deadline.
 func (p *pool) ratedCost(r *Request) float64 {
 	if p.engine == nil {
-		return p.meanService
+		return p.plainSlotTime()
 	}
 	prompt, event := p.control.promptTokenTime, p.control.eventInterval
 	if prompt == 0 {
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -43,6 +43,12 @@
 	stateTTL time.Duration
 	// connectionIdleTime is how long idle connections to targets are kept, or zero.
 	connectionIdleTime time.Duration
+	// constantDistances selects the constant costs of targets elsewhere.
+	constantDistances bool
+	// localities holds what is known of data centres since localitiesAt.
+	localities   []locality
+	localitiesAt time.Time
+	lateLoadsAt  time.Time
 	// cell is this host's cell of cells, the number of cells of its data centre.
 	cell  int
 	cells int
@@ -115,6 +121,9 @@
 	// ConnectionIdleTime is how long this host keeps idle connections to targets. Zero means that this
 	// is unknown; the cost of connections then does not count.
 	ConnectionIdleTime time.Duration
+	// ConstantDistances selects the constant costs of targets in other cells and data centres, as
+	// where nothing was measured. It is for comparisons.
+	ConstantDistances bool
 	// Random returns numbers in [0, 1); nil selects the global generator.
 	Random func() float64
 }
@@ -142,6 +151,7 @@
 		crashes:      quarantine.NewTracker(),
 
 		connectionIdleTime: o.ConnectionIdleTime,
+		constantDistances:  o.ConstantDistances,
 	}
 }
 
@@ -246,6 +256,7 @@
 	if r.Retryable {
 		p.retryableArrivedAt = now
 	}
+	p.recordObjective(&r)
 	s.sequence++
 	w := &queuedRequest{request: &r, sequence: s.sequence}
 	s.assignSide(now, p, &r)
@@ -312,6 +323,7 @@
 	s.pendingActions = nil
 	actions = s.refuseQuarantined(now, actions)
 	s.updatePeersMissing(now)
+	s.updateLateLoads(now)
 	s.updateRates(now)
 	s.ejectUnresponsive(now)
 	s.ejectOutliers(now)
