--- a/eventlog/step_lines.go
+++ b/eventlog/step_lines.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/phuslu/log"
 
+	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/relay"
 )
 
@@ -27,9 +28,12 @@
 		addSchedulerInputs(entry, step).Str(FieldEvent, EventPlaced).Str(FieldTarget, string(step.Target)).
 			Str(FieldVersion, step.Version).Msg("Request placed.")
 	case relay.StepShed:
-		addSchedulerInputs(entry, step).Str(FieldEvent, EventShed).Str(FieldReason, string(step.Reason)).
+		if step.Reason != outcome.EntryOverloaded {
+			entry = addSchedulerInputs(entry, step)
+		}
+		entry.Str(FieldEvent, EventShed).Str(FieldReason, string(step.Reason)).
 			Int64(FieldWaitMs, step.Inputs.PredictedWait.Milliseconds()).
-			Int64(FieldRetryAfterMs, step.RetryAfter.Milliseconds()).Bool(FieldReserved, step.Reserved).Msg("Request refused by the scheduler.")
+			Int64(FieldRetryAfterMs, step.RetryAfter.Milliseconds()).Bool(FieldReserved, step.Reserved).Msg("Request refused before it was sent.")
 	case relay.StepAttemptEnded:
 		entry.Str(FieldEvent, EventAttemptEnded).Str(FieldTarget, string(step.Target)).
 			Str(FieldResult, step.Result.String()).Int64(FieldDurationMs, step.Duration.Milliseconds()).
--- a/fairshare/rates.go
+++ b/fairshare/rates.go
@@ -14,7 +14,8 @@
 	// steadyRise and steadyFall are the time constants of SteadyFraction.
 	steadyRise = 2 * time.Second
 	steadyFall = 200 * time.Millisecond
-	// minRate is the demand, in slots, below which an entry is dropped.
+	// minRate is the demand, in slots, below which an entry is dropped. It is also the least divisor
+	// of fractions.
 	minRate = 1e-5
 )
 
@@ -62,7 +63,8 @@
 	}
 }
 
-// Fraction returns the fraction of a team's requests that is granted.
+// Fraction returns the fraction of a team's requests that is granted. It is 1 for teams beyond
+// maxAccounts, whose demand is not counted.
 func (r *Rates) Fraction(key Key) float64 {
 	if known := r.byKey[key]; known != nil {
 		return known.fraction
@@ -97,8 +99,8 @@
 }
 
 // Divide divides a capacity, in slots, among the demand of this host and that of the others, in
-// seconds over the time constant of Accounts. The reports of the others cover the given part of
-// all demand.
+// seconds over the time constant of Accounts. All demand is multiplied by scale, which exceeds 1 while
+// some hosts have not reported theirs. It reports whether all demand is granted.
 func (r *Rates) Divide(now time.Time, capacity float64, others map[Key]Load, scale float64) (allGranted bool) {
 	r.advance(now)
 	defer r.updateSteady(now)
@@ -193,7 +195,7 @@
 // DropUnused removes the entries without demand.
 func (r *Rates) DropUnused() {
 	r.ordered = slices.DeleteFunc(r.ordered, func(known *rate) bool {
-		unused := known.demand < minRate && known.others < minRate
+		unused := known.demand/RateTimeConstant.Seconds() < minRate && known.others < minRate
 		if unused {
 			delete(r.byKey, known.key)
 		}
--- a/gateway/buffer_monitor.go
+++ b/gateway/buffer_monitor.go
@@ -36,7 +36,7 @@
 	if refused > m.refused {
 		m.logger.Warn().Str(eventlog.FieldEvent, eventlog.EventBuffersFull).Str(eventlog.FieldKind, m.kind).
 			Uint64(eventlog.FieldRefused, refused-m.refused).Uint64(eventlog.FieldEvicted, evicted-m.evicted).
-			Int64(eventlog.FieldBytes, m.budget.Used()).Msg("The memory for buffers is used up.")
+			Int64(eventlog.FieldBytes, m.budget.Used()).Msg("Request bodies were refused or responses not buffered for lack of memory.")
 	}
 	m.refused, m.evicted = refused, evicted
 }
--- a/gateway/busy_teams.go
+++ b/gateway/busy_teams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
@@ -68,6 +69,8 @@
 	for _, team := range due {
 		lastMarked[team] = now
 	}
+	// A mark that is due again counts as none.
+	maps.DeleteFunc(lastMarked, func(_ ident.Team, at time.Time) bool { return now.Sub(at) > busyMarkInterval })
 }
 
 // teamsToMark returns the busy teams whose marks are to be written now, in one call.
--- a/gateway/distance_monitor.go
+++ b/gateway/distance_monitor.go
@@ -23,14 +23,35 @@
 	for _, d := range distances {
 		tagged := scope.Tagged(map[string]string{metrics.TagDataCentre: string(d.DataCentre)})
 		tagged.Gauge(metrics.GatewayDistance).Update(d.Excess.Seconds())
-		tagged.Gauge(metrics.GatewayDistanceMeasured).Update(scarcityGauge(d.Measured))
+		tagged.Gauge(metrics.GatewayDistanceMeasured).Update(boolGauge(d.Measured))
 		tagged.Gauge(metrics.GatewayStateAge).Update(d.StateAge.Seconds())
 		measured[d.DataCentre] = d.Measured
 		if d.Measured != m.measured[d.DataCentre] {
+			message := "The distance to a data centre is no longer measured; the default applies."
+			if d.Measured {
+				message = "The distance to a data centre is measured."
+			}
 			m.logger.Info().Str(eventlog.FieldEvent, eventlog.EventDistance).Str(eventlog.FieldDataCentre, string(d.DataCentre)).
-				Bool("measured", d.Measured).Dur("excess", d.Excess).Dur("state_age", d.StateAge).
-				Msg("The distance to a data centre is measured now, or no longer.")
+				Bool("measured", d.Measured).Dur("excess", d.Excess).Dur("state_age", d.StateAge).Msg(message)
 		}
 	}
+	m.reportRemoved(scope, measured)
 	m.measured = measured
 }
+
+// reportRemoved resets the gauges of data centres that have no more targets.
+func (m *distanceMonitor) reportRemoved(scope tally.Scope, listed map[ident.DataCentre]bool) {
+	for dc, measured := range m.measured {
+		if _, isListed := listed[dc]; isListed {
+			continue
+		}
+		tagged := scope.Tagged(map[string]string{metrics.TagDataCentre: string(dc)})
+		tagged.Gauge(metrics.GatewayDistance).Update(0)
+		tagged.Gauge(metrics.GatewayDistanceMeasured).Update(0)
+		tagged.Gauge(metrics.GatewayStateAge).Update(0)
+		if measured {
+			m.logger.Info().Str(eventlog.FieldEvent, eventlog.EventDistance).Str(eventlog.FieldDataCentre, string(dc)).
+				Bool("measured", false).Msg("A data centre has no more targets.")
+		}
+	}
+}
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -39,7 +39,7 @@
 		pool.Gauge(metrics.GatewayLimitRate).Update(load.LimitRate)
 		pool.Gauge(metrics.GatewayMachinesKnown).Update(float64(load.MachinesKnown))
 		pool.Gauge(metrics.GatewayMachinesSlow).Update(float64(load.MachinesSlow))
-		pool.Gauge(metrics.GatewayScarce).Update(scarcityGauge(load.Scarce))
+		pool.Gauge(metrics.GatewayScarce).Update(boolGauge(load.Scarce))
 		pool.Gauge(metrics.GatewayGrantedShare).Update(load.GrantedShare)
 		pool.Gauge(metrics.GatewaySlotsFree).Update(float64(load.Free))
 		updatePrefixGauges(pool, load.Prefixes)
--- a/gateway/saturation_monitor.go
+++ b/gateway/saturation_monitor.go
@@ -17,11 +17,11 @@
 )
 
 const (
-	// sampleInterval is the time between two samples of the delay. It is no divisor of the 100 ms for
-	// which the system allots processor time to a limited process, so samples fall on all parts of
-	// them.
+	// sampleInterval is the time between two samples of the delay. It does not divide the 100 ms
+	// period of Linux's processor quotas, so that samples fall on different parts of the period.
 	sampleInterval = 30 * time.Millisecond
-	// idleSampleInterval is the same while no requests are in progress. Other loops wake up then, too.
+	// idleSampleInterval is used while no requests are in progress. It is aligned with other periodic
+	// loops, to save wake-ups.
 	idleSampleInterval = 100 * time.Millisecond
 )
 
@@ -71,11 +71,11 @@
 	if !changed {
 		return
 	}
-	event, message := eventlog.EventHostRelieved, "The host keeps up again; no new requests are refused for it."
+	entry, event, message := m.logger.Info(), eventlog.EventHostRelieved, "Host is no longer saturated; it refuses no new requests."
 	if level > 0 {
-		event, message = eventlog.EventHostSaturated, "The host can't keep up; refusing the least urgent new requests."
+		entry, event, message = m.logger.Warn(), eventlog.EventHostSaturated, "Host is saturated; refusing the least urgent new requests."
 	}
-	m.logger.Warn().Str(eventlog.FieldEvent, event).Dur("delay", delay).Dur("lateness", s.Lateness).
+	entry.Str(eventlog.FieldEvent, event).Dur("delay", delay).Dur("lateness", s.Lateness).
 		Dur("send_time", s.SendTime).Int("requests", s.InFlight).Msg(message)
 }
 
--- a/gateway/scarcity_log.go
+++ b/gateway/scarcity_log.go
@@ -18,9 +18,9 @@
 	}
 }
 
-// scarcityGauge converts a state to the value of its gauge.
-func scarcityGauge(scarce bool) float64 {
-	if scarce {
+// boolGauge returns 1 if set, else 0.
+func boolGauge(set bool) float64 {
+	if set {
 		return 1
 	}
 	return 0
--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -49,7 +49,8 @@
 	return b.used + b.evicting
 }
 
-// Refused returns how often a reservation was refused or evicted.
+// Refused returns how often a reservation could not grow or was evicted. A holder that tries again is
+// counted again.
 func (b *Budget) Refused() uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -110,7 +111,9 @@
 }
 
 // evict evicts reservations that are less urgent than u and may be, the least urgent and of these
-// the newest first, until they have held n bytes. If that is not possible, it evicts none.
+// the newest first, until they have held n bytes. If that is not possible, it evicts none. It never
+// evicts more than 1/maxEvictingPart of the limit at a time, so that a larger reservation stays. The
+// mutex is held, so that no reservation is released or kept meanwhile; onEvict does not block.
 func (b *Budget) evict(u Urgency, n int64) bool {
 	var candidates []*Reservation
 	for _, r := range b.reading {
--- a/loadtable/memory_test.go
+++ b/loadtable/memory_test.go
@@ -14,15 +14,17 @@
 // TestMemoryIsBounded guards against a table that exceeds the memory stated for it.
 func TestMemoryIsBounded(t *testing.T) {
 	before := heapBytes()
-	table := New(Team)
+	table := New(Prompt, Team)
 	for i := range 2 * MaxGroups {
-		r := &eventlog.EndedRequest{Team: fmt.Sprint(i), Dispatches: 1, Queued: 1, FirstEvent: 2, Represents: 1}
+		r := &eventlog.EndedRequest{Team: fmt.Sprint(i / 2), PromptTokens: 1000 * (1 + i%2), Dispatches: 1, Queued: 1, FirstEvent: 2, Represents: 1}
 		table.Add(r)
 	}
+	rows := table.Rows()
 	if used := heapBytes() - before; used > maxTableBytes {
 		t.Errorf("a full table uses %d bytes, want at most %d", used, maxTableBytes)
 	}
 	runtime.KeepAlive(table)
+	runtime.KeepAlive(rows)
 }
 
 func heapBytes() int64 {
--- a/loadtable/prompt_deciles.go
+++ b/loadtable/prompt_deciles.go
@@ -47,7 +47,7 @@
 	before := int64(0)
 	for _, class := range slices.Sorted(maps.Keys(d)) {
 		sizes := d[class]
-		decile := int(float64(before) / float64(total) * decileCount)
+		decile := min(int(float64(before)/float64(total)*decileCount), decileCount-1)
 		decileOf[class] = decile
 		before += sizes.requests
 		r := &ranges[decile]
--- a/loadtable/table.go
+++ b/loadtable/table.go
@@ -6,11 +6,13 @@
 	"github.com/cornelyard/cornelyard/eventlog"
 )
 
-// MaxGroups bounds the groups of a table: with two histograms of 14 KB each, it uses at most
-// 140 MB. A table with more rows is no use to a reader.
-const MaxGroups = 4000
+// MaxGroups bounds the groups of a table. Two histograms of 14 KB each take 84 MB for all groups, and
+// Rows needs up to half of that in addition if size classes of prompts are merged. A table with more
+// rows is no use to a reader.
+const MaxGroups = 3000
 
-// maxDimensions is the number of dimensions that a table may have.
+// maxDimensions is the number of dimensions in Dimensions. Keys are arrays so that they can be
+// compared.
 const maxDimensions = 10
 
 // key identifies a group by its values.
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -99,7 +99,8 @@
 	GatewayStatesFrequent  = "gateway_states_frequent"
 	GatewayStatesShortened = "gateway_states_shortened"
 	// GatewaySaturation is the share of the new requests that this host refuses because it can't
-	// keep up, from 0 to 1, and GatewayHostDelay the typical delay of its loops in seconds.
+	// keep up, from 0 to 1, and GatewayHostDelay the median delay, over eight samples, of a loop or of
+	// sending states, in seconds.
 	GatewaySaturation = "gateway_saturation"
 	GatewayHostDelay  = "gateway_host_delay_seconds"
 	// GatewayDistance is by how much responses of a data centre take longer than local ones, in
--- a/saturation/controller.go
+++ b/saturation/controller.go
@@ -12,12 +12,12 @@
 	// its turn about four times (arrival, dispatch, response, delivery), so it takes 200 ms longer
 	// then, which is the shortest objective of usual routes.
 	delayLimit = 50 * time.Millisecond
-	// window is the number of samples whose median is compared with the limit. A single long pause,
+	// medianSamples is the number of samples whose median is compared with the limit. A single long pause,
 	// or a few of them, are no saturation: the host catches up afterwards.
-	window = 8
-	// levelStep is by how much the refused share grows with each late sample, and levelDecay by how
-	// much it falls with each one that is in time. It falls more slowly, because callers who were
-	// refused return.
+	medianSamples = 8
+	// levelStep is by how much the refused share grows with a late sample while the median is above
+	// delayLimit, and levelDecay by how much it falls with each sample while the median is below half
+	// of it. Between them it stays. It falls more slowly, because refused callers return.
 	levelStep  = 0.05
 	levelDecay = 0.02
 	// maxLevel bounds the refused share, so that a wrong measurement doesn't close a host.
@@ -27,7 +27,7 @@
 // Controller decides which requests of one host are refused. It is not safe for concurrent use.
 type Controller struct {
 	random  func() float64
-	delays  [window]time.Duration
+	delays  [medianSamples]time.Duration
 	samples int
 	level   float64
 	ranks   rankArrivals
@@ -41,19 +41,19 @@
 
 // Delay returns the median delay of the last samples, or 0 while there are too few.
 func (c *Controller) Delay() time.Duration {
-	if c.samples < window {
+	if c.samples < medianSamples {
 		return 0
 	}
 	sorted := c.delays
 	slices.Sort(sorted[:])
-	return sorted[window/2]
+	return sorted[medianSamples/2]
 }
 
 // Record takes in a sample and adapts the refused share. It reports whether the host has begun to refuse
 // requests, or no longer does.
 func (c *Controller) Record(s Sample) (changed bool) {
 	before := c.level > 0
-	c.delays[c.samples%window] = s.delay()
+	c.delays[c.samples%medianSamples] = s.delay()
 	c.samples++
 	switch delay := c.Delay(); {
 	case delay > delayLimit && s.delay() > delayLimit:
@@ -64,7 +64,8 @@
 	return c.level > 0 != before
 }
 
-// Admits decides on a new request of a rank. The least urgent ones are refused first; of the rank at the
+// Admits counts a new request of a rank and decides whether it is admitted. It must be called once per
+// request. The least urgent ones are refused first; of the rank at the
 // boundary, a part is drawn at random.
 func (c *Controller) Admits(now time.Time, rank schedule.Rank) bool {
 	before, own := c.ranks.record(now, rank)
--- a/saturation/controller_test.go
+++ b/saturation/controller_test.go
@@ -57,7 +57,7 @@
 			c.Record(Sample{Lateness: time.Minute, InFlight: 20})
 		},
 		"few requests": func(c *Controller) { record(c, Sample{Lateness: time.Second, InFlight: minInFlight - 1}, 100) },
-		"started":      func(c *Controller) { record(c, late, window-1) },
+		"started":      func(c *Controller) { record(c, late, medianSamples-1) },
 	}
 	for name, samples := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -77,7 +77,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := newController()
 			// Four steps: a fifth of all requests is refused, all of the last rank.
-			record(c, s, window+3)
+			record(c, s, medianSamples+3)
 			if refused := refusedByRank(c); refused[0] > 0 || refused[1] > 0 || refused[2] < 0.4 || refused[2] > 0.8 {
 				t.Errorf("refused %v at level %v, want three fifths of the last rank", refused, c.Level())
 			}
--- a/schedule/distance.go
+++ b/schedule/distance.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// distanceWindow is the time over which the shortest response is taken, and after which it
-	// expires without a response. It is long enough for a host with one request a second to get
+	// distanceWindow is the length of each of the two windows over which the shortest response is
+	// taken, and the time without a response after which it expires. It is long enough for a host with one request a second to get
 	// responses from several data centres.
 	distanceWindow = 10 * time.Second
 	// minDistanceSamples is the least number of responses of a data centre for its distance. The
--- a/schedule/held_slots.go
+++ b/schedule/held_slots.go
@@ -67,15 +67,16 @@
 	return s.random()*float64(1+s.peersWithoutLoad(p)) < 1
 }
 
-// peersWithoutLoad returns the number of other hosts that have no request on the pool's targets.
+// peersWithoutLoad returns the number of other hosts known to have no request on the pool's targets.
+// Hosts known in aggregate count only if none of them has one.
 func (s *Scheduler) peersWithoutLoad(p *pool) int {
 	n := 0
 	for peer := range s.peerStates() {
-		isInPool := func(l TargetLoad) bool {
+		loadsPool := func(l TargetLoad) bool {
 			t := s.targets[l.Target]
 			return t != nil && t.Pool == p.name && l.Running > 0
 		}
-		if !slices.ContainsFunc(peer.state.Loads, isInPool) {
+		if !slices.ContainsFunc(peer.state.Loads, loadsPool) {
 			n += peer.hosts
 		}
 	}
--- a/schedule/late_loads.go
+++ b/schedule/late_loads.go
@@ -2,13 +2,15 @@
 
 import "time"
 
-// updateLateLoads finds out from time to time for which pools states are older than requests take.
+// updateLateLoads determines, at most once per localityInterval, for which pools states are older than
+// requests take. Their service time contains the distance and the wait at targets, so that the estimate
+// is not used while queues make it longer than that age.
 func (s *Scheduler) updateLateLoads(now time.Time) {
 	if age := now.Sub(s.lateLoadsAt); age >= 0 && age < localityInterval {
 		return
 	}
 	s.lateLoadsAt = now
-	// The states that a far host or an aggregate tells of are as old as an interval, on average: half of
+	// The loads in states of far hosts and in aggregates are as old as an interval, on average: half of
 	// it at the sender and half of it here.
 	age := s.stateTTL.Seconds() / stateTTLIntervals
 	for _, p := range s.poolOrder {
--- a/schedule/locality.go
+++ b/schedule/locality.go
@@ -62,5 +62,9 @@
 			sum += now.Sub(peer.receivedAt)
 		}
 	}
+	if count == 0 && dc != s.dataCentre {
+		// Nothing is known, which counts like the oldest valid state.
+		return s.stateTTL
+	}
 	return sum / time.Duration(max(count, 1))
 }
--- a/schedule/memory_event.go
+++ b/schedule/memory_event.go
@@ -10,7 +10,8 @@
 const memoryEventInterval = 10 * time.Second
 
 // MemoryEvent says that requests of a pool wait although targets have free slots, because the
-// memory there doesn't suffice for them.
+// memory there doesn't suffice for them, or not for those that other hosts may send at the same
+// time. In the second case Left may exceed Tokens.
 type MemoryEvent struct {
 	Pool ident.Pool
 	// Tokens is what the last of these requests needs, and Left the most that a target has room for.
--- a/schedule/memory_share.go
+++ b/schedule/memory_share.go
@@ -16,11 +16,11 @@
 	// lateSlotFactor is how many times the slots of a target count as filled while states are
 	// late, since several hosts may see the same slot free. Memory is ample if it suffices for that.
 	lateSlotFactor = 4
-	// waitedParts is into how many parts the room is divided for requests that have waited for a
-	// window: those of this window, and those of the one before, which are not known yet.
-	waitedParts = 2
-	// atOnceParts is the same while requests may also be sent at once, which use as much.
-	atOnceParts = 4
+	// queuedRoomDivisor divides the room among the requests of this window and those of the one before,
+	// which other hosts do not know yet. immediateRoomDivisor is twice that, because requests that have
+	// not waited use as much.
+	queuedRoomDivisor    = 2
+	immediateRoomDivisor = 4
 	// maxBytesPerToken is the largest size of a token in a request body. One takes about four
 	// bytes of text, and up to four times as many if its characters are escaped in JSON.
 	maxBytesPerToken = 16
@@ -66,10 +66,10 @@
 	}
 	// Others saw more room if they hadn't learned yet what this host has.
 	growth, size := t.memoryGrowth.total(now), max(need, p.meanMemory())
-	atOnce := left+growth >= atOnceParts*size
-	parts := waitedParts
+	atOnce := left+growth >= immediateRoomDivisor*size
+	parts := queuedRoomDivisor
 	if atOnce {
-		parts = atOnceParts
+		parts = immediateRoomDivisor
 	}
 	if now.Sub(w.request.Arrived) < memoryWindow {
 		return atOnce && parts*(s.turnAhead(t, window)+1)*size <= left-growth
@@ -80,7 +80,7 @@
 	}
 	// The room suffices for one request. Only the first host of every second window may fill it, if
 	// the hosts of the one before can't have sent a request.
-	return ahead == 0 && window%2 == 0 && left+growth < waitedParts*size
+	return ahead == 0 && window%2 == 0 && left+growth < queuedRoomDivisor*size
 }
 
 // takesTurn reports whether hosts take turns to send the target requests like r, because its memory
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -62,8 +62,8 @@
 	// nevertheless.
 	unheardSince time.Time
 	linkTrialAt  time.Time
-	// heldTrialAt is when this host last might send a request although those of other hosts
-	// held all slots.
+	// heldTrialAt is when this host last drew whether to send a request to a target whose slots
+	// requests of other hosts hold.
 	heldTrialAt time.Time
 	// rollout is the newest order of the pool, or nil. barred holds the versions that get no
 	// requests because they were rolled back, or replaced by a newer order before their end.
--- a/schedule/rate_control.go
+++ b/schedule/rate_control.go
@@ -21,10 +21,11 @@
 	drainFactor = 1.2
 	minGranted  = 0.3
 	// gainTime is the time constant with which the correction of predicted slot times follows the
-	// known load. Shorter ones follow the clumps in which requests arrive.
+	// known load. Shorter ones follow random clusters of arrivals.
 	gainTime = 400 * time.Millisecond
-	minGain  = 0.3
-	maxGain  = 5.0
+	// minGain and maxGain bound the correction, so that a wrong load can't stop or release all requests.
+	minGain = 0.3
+	maxGain = 5.0
 	// minExpected is the least part of the slots that granted requests must be expected to occupy for
 	// the known load to say something of their predicted slot times.
 	minExpected = 0.2
@@ -45,7 +46,7 @@
 	maxFullLoad     = 0.25
 	// divideInterval is the time between two divisions of the capacity among teams.
 	divideInterval = 20 * time.Millisecond
-	// reportWait is how long after the begin of scarcity some hosts may not have reported their
+	// reportWait is how long after the start of scarcity some hosts may not have reported their
 	// demand yet.
 	reportWait = 500 * time.Millisecond
 )
@@ -64,8 +65,6 @@
 	// occupied, more than 1 if requests wait at targets.
 	gain float64
 	load float64
-	// slack is the mean time between the arrival of requests and their latency objective, in seconds.
-	slack float64
 	// promptTime is the mean time that an engine takes for a prompt, in seconds.
 	promptTime float64
 	// expected is the number of slots that the granted requests occupy according to their predicted
@@ -85,7 +84,6 @@
 // recordDemand records a request that arrives.
 func (s *Scheduler) recordDemand(now time.Time, p *pool, r *Request) {
 	if s.ratedHosts() {
-		updateEWMA(&p.control.slack, r.Objective.Sub(r.Arrived).Seconds(), poolSampleWeight)
 		if p.prefillRate > 0 {
 			updateEWMA(&p.control.promptTime, float64(r.PromptTokens)/p.prefillRate, poolSampleWeight)
 		}
@@ -104,7 +102,7 @@
 	if needed <= 0 {
 		return ratedLoad
 	}
-	waiting := ratio * (p.control.slack - needed) / needed
+	waiting := ratio * (p.objective - needed) / needed
 	return ratedLoad + min(max(waiting, 0), most)
 }
 
@@ -138,10 +136,9 @@
 	return true
 }
 
-// isGranted decides whether a request is granted if a fraction of its team's requests is, and the
-// given one steadily. If its
-// content and the shared clock are known, it also decides whether capacity is reserved for its
-// return.
+// isGranted decides whether a request is granted. Fraction is the part of its team's requests that is
+// granted now, steady the part that is granted steadily. If the content of a refused request and the
+// shared clock are known, it also decides whether capacity is reserved for its return.
 func (s *Scheduler) isGranted(now time.Time, p *pool, w *queuedRequest, fraction, steady float64) bool {
 	if fraction >= 1 {
 		return true
@@ -291,7 +288,7 @@
 	}
 	service := float64(r.PromptTokens)*prompt + float64(r.OutputTokens)*event/p.tokensPerEvent()
 	if !r.Deadline.IsZero() {
-		service = min(service, r.Deadline.Sub(r.Arrived).Seconds())
+		service = min(service, max(r.Deadline.Sub(r.Arrived).Seconds(), 0))
 	}
 	return service * p.memorySlots(r)
 }
--- a/schedule/rate_gain_test.go
+++ b/schedule/rate_gain_test.go
@@ -50,11 +50,12 @@
 // against engines that are loaded until prompts delay each other.
 func TestRequestsMayWaitWhereTheObjectiveAllows(t *testing.T) {
 	for _, c := range []struct {
-		name           string
-		engine         *route.Engine
-		slack, service float64
-		prompt         float64
-		want           float64
+		name      string
+		engine    *route.Engine
+		objective float64
+		service   float64
+		prompt    float64
+		want      float64
 	}{
 		{"objective of several service times", nil, 0.2, 0.04, 0, ratedLoad + maxWaitingLoad},
 		{"objective of two service times", nil, 0.08, 0.04, 0, ratedLoad + waitRatio},
@@ -65,7 +66,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := &pool{engine: c.engine, meanService: c.service}
-			p.control.slack, p.control.promptTime = c.slack, c.prompt
+			p.objective, p.control.promptTime = c.objective, c.prompt
 			if got := p.grantedLoad(); got < c.want-1e-9 || got > c.want+1e-9 {
 				t.Errorf("granted load %.3f, want %.3f", got, c.want)
 			}
