Leave free slots of other targets out of a full one's overload

Change: of a plain target, twice its slots and what may queue there count at most.

go test ./schedule -run 'TestFullLocal|TestPlainR|TestUniformPlain|TestRates|TestSmallTeamIsServedWithMany': passes.

--- a/schedule/rate_control.go
+++ b/schedule/rate_control.go
@@ -205,7 +205,7 @@
 		}
 		all += usable * c.relativeSpeed(now, t)
 		slots += t.Slots + t.late.queueable
-		busy += t.busySlots(now)
+		busy += min(t.busySlots(now), p.maxCountedLoad(t))
 	}
 	waiting := len(p.queue.items) + s.peersQueued(now, p)
 	c.load, c.slots = float64(busy+waiting)/float64(max(slots, 1)), slots
@@ -219,6 +219,16 @@
 	return all * max(gain*load*math.Exp(-drainFactor*(c.load-load)), minGranted)
 }
 
+// maxCountedLoad returns the number of requests at a target beyond which more do not count as load:
+// those that wait at one plain target leave the slots of the others free. Twice the slots still show
+// that all targets are overloaded.
+func (p *pool) maxCountedLoad(t *target) int {
+	if p.engine != nil {
+		return math.MaxInt
+	}
+	return 2*t.Slots + t.late.queueable
+}
+
 // updateGain compares the load that the granted requests are expected to cause with the known one,
 // and so corrects predicted slot times. The load follows the granted rate by the mean time that
 // requests occupy slots, in seconds.
