--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -244,7 +244,7 @@
 	grant := f.admitter.grant(0)
 	grant.update(func() {
 		if grant.finishedAtEnd == 0 {
-			f.t.Error("the owner was told of the end before it was recorded")
+			f.t.Error("the end was reported to the owner before it was recorded")
 		}
 	})
 	return ends[0]
--- a/entry/run_execution.go
+++ b/entry/run_execution.go
@@ -146,7 +146,7 @@
 	x.entry.metrics.recordFinished(x.call, result, reason)
 }
 
-// recordFinished records the outcome in the time line, once. It is called before the owner is told
+// recordFinished records the outcome in the time line, once. It is called before the owner is informed
 // that the request ended: the owner may refuse others from then on, and in the time line that
 // must not come before the end of this one.
 func (x *execution) recordFinished(r *refusal) {
--- a/loadtable/group.go
+++ b/loadtable/group.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// maxRecordedMs is the longest time that is told apart. Callers wait seconds.
+	// maxRecordedMs is the longest time that a histogram distinguishes; longer ones count as this.
 	maxRecordedMs = 600_000
 	// significantDigits of recorded times.
 	significantDigits = 2
--- a/loadtable/row.go
+++ b/loadtable/row.go
@@ -16,7 +16,7 @@
 	Late   int64
 	// LateUnknown is the part of Served for which the log doesn't say whether it was late.
 	LateUnknown int64
-	// Refused counts requests that no target ran and whose callers were told so, Failed all
+	// Refused counts requests that no target ran and whose callers were informed of it, Failed all
 	// others that were not served.
 	Refused int64
 	Failed  int64
--- a/schedule/held_slots.go
+++ b/schedule/held_slots.go
@@ -51,11 +51,11 @@
 // average may send a request in each interval, so that targets that pause get few more than they
 // have slots.
 func (s *Scheduler) mayTryHeldSlots(now time.Time, p *pool) bool {
-	heardAt := p.lastResponseAt()
-	if p.cutOff || heardAt.IsZero() || !p.outlastsService(unheardTime) || now.Sub(p.heldTrialAt) < linkTrialInterval {
+	respondedAt := p.lastResponseAt()
+	if p.cutOff || respondedAt.IsZero() || !p.outlastsService(unheardTime) || now.Sub(p.heldTrialAt) < linkTrialInterval {
 		return false
 	}
-	if now.Sub(heardAt) < unheardTime || now.Sub(s.peersRespondedAt(p.name)) < unheardTime {
+	if now.Sub(respondedAt) < unheardTime || now.Sub(s.peersRespondedAt(p.name)) < unheardTime {
 		return false
 	}
 	for _, r := range s.running {
