--- a/eventlog/names.go
+++ b/eventlog/names.go
@@ -61,6 +61,10 @@
 	FieldPeer  = "peer"
 	// FieldTableVersion is the version of the configuration in force.
 	FieldTableVersion = "table"
+	// FieldTableAgeMs is the time since that configuration was known to be the newest one, and
+	// FieldTableOutdated says that another host has a newer one.
+	FieldTableAgeMs    = "table_age_ms"
+	FieldTableOutdated = "table_outdated"
 	// FieldResult is the result of an exchange with a target.
 	FieldResult = "result"
 	// FieldOutcome and FieldReason are the outcome and the reason reported to the
--- a/eventlog/request_logger.go
+++ b/eventlog/request_logger.go
@@ -7,6 +7,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/cornelyard/cornelyard/ident"
+	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/relay"
 )
@@ -97,9 +98,20 @@
 			Int64(FieldRetryAfterMs, s.Refusal.RetryAfter.Milliseconds()).
 			Bool(FieldTruncated, s.Truncated)
 	}
+	if disallowed(s.Refusal) {
+		entry = entry.
+			Uint64(FieldTableVersion, s.TableVersion).
+			Int64(FieldTableAgeMs, s.TableCurrency.Age.Milliseconds()).
+			Bool(FieldTableOutdated, s.TableCurrency.Outdated)
+	}
 	entry.Msg("Request ended.")
 }
 
+// disallowed reports whether a request was refused because the configuration does not allow it.
+func disallowed(r *outcome.Refusal) bool {
+	return r != nil && (r.Reason == outcome.UnknownPool || r.Reason == outcome.Unauthorized)
+}
+
 // servingHost returns the host that responded to a request which was passed on, or "".
 func servingHost(steps []relay.Step) ident.Host {
 	for i := range steps {
--- a/eventlog/request_logger_test.go
+++ b/eventlog/request_logger_test.go
@@ -81,6 +81,16 @@
 	}
 }
 
+func TestRefusalByConfigurationStatesItsVersionAndAge(t *testing.T) {
+	got := lines(t, relay.Summary{
+		Request: "a-1", TableVersion: 7, TableCurrency: relay.TableCurrency{Age: 1500 * time.Millisecond, Outdated: true},
+		Refusal: &outcome.Refusal{Outcome: outcome.NotRun, Reason: outcome.UnknownPool},
+	})
+	if end := got[0]; end[FieldTableVersion] != 7.0 || end[FieldTableAgeMs] != 1500.0 || end[FieldTableOutdated] != true {
+		t.Errorf("the line is %v, want version 7 that is 1500 ms old and outdated", end)
+	}
+}
+
 func TestServedRequestsAreSampled(t *testing.T) {
 	var summaries []relay.Summary
 	for range 10 * ServedSampleInterval {
--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -114,6 +114,11 @@
 // TableConfirmed implements platform.Listener.
 func (s *clusterState) TableConfirmed() { s.tableConfirmed.set(time.Now()) }
 
+// tableCurrency returns how current the configuration in force is.
+func (s *clusterState) tableCurrency(now time.Time) relay.TableCurrency {
+	return relay.TableCurrency{Age: s.tableConfirmed.age(now), Outdated: s.lag.behind()}
+}
+
 // refreshTargets updates the target snapshot, and schedules another update for when
 // targets that are missing from the store expire. The caller holds s.mu.
 func (s *clusterState) refreshTargets(now time.Time) {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -26,9 +26,10 @@
 	scope.Gauge(metrics.GatewayLogLinesDropped).Update(float64(g.logs.Dropped()))
 	if table := state.table.Load(); table != nil {
 		scope.Gauge(metrics.GatewayTableVersion).Update(float64(table.Version))
+		scope.Gauge(metrics.GatewayTableOutdated).Update(boolGauge(state.lag.behind()))
 	}
-	scope.Gauge(metrics.GatewayTableAge).Update(state.tableConfirmed.age(now))
-	scope.Gauge(metrics.GatewayRosterAge).Update(state.targetsConfirmed.age(now))
+	scope.Gauge(metrics.GatewayTableAge).Update(state.tableConfirmed.age(now).Seconds())
+	scope.Gauge(metrics.GatewayRosterAge).Update(state.targetsConfirmed.age(now).Seconds())
 	for _, load := range state.dispatcher.PoolLoads(now) {
 		pool := scope.Tagged(map[string]string{metrics.TagPool: string(load.Pool)})
 		pool.Gauge(metrics.GatewayQueued).Update(float64(load.Queued))
--- a/gateway/table_lag.go
+++ b/gateway/table_lag.go
@@ -40,6 +40,13 @@
 	return true
 }
 
+// behind reports whether another host is known to have a newer configuration.
+func (l *tableLag) behind() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.behindSince.IsZero()
+}
+
 // catchUp records that a newer configuration was applied.
 func (l *tableLag) catchUp() {
 	l.mu.Lock()
--- a/gateway/timestamp.go
+++ b/gateway/timestamp.go
@@ -12,11 +12,11 @@
 
 func (t *timestamp) set(now time.Time) { t.at.Store(&now) }
 
-// age returns the time since the timestamp in seconds, or 0 if it was never set.
-func (t *timestamp) age(now time.Time) float64 {
+// age returns the time since the timestamp, or 0 if it was never set.
+func (t *timestamp) age(now time.Time) time.Duration {
 	at := t.at.Load()
 	if at == nil {
 		return 0
 	}
-	return now.Sub(*at).Seconds()
+	return now.Sub(*at)
 }
--- a/metrics/gateway_names.go
+++ b/metrics/gateway_names.go
@@ -29,11 +29,13 @@
 	// GatewayStoreReturns is how often the store returned from an older copy since the start.
 	GatewayStoreReturns = "gateway_store_returns"
 	// GatewayTableVersion is the version of the configuration in force.
+	// GatewayTableOutdated is 1 while another host is known to have a newer configuration.
 	// GatewayTableAge and GatewayRosterAge are the time since the store last confirmed
 	// the configuration and the target list.
-	GatewayTableVersion = "gateway_table_version"
-	GatewayTableAge     = "gateway_table_age_seconds"
-	GatewayRosterAge    = "gateway_roster_age_seconds"
+	GatewayTableVersion  = "gateway_table_version"
+	GatewayTableOutdated = "gateway_table_outdated"
+	GatewayTableAge      = "gateway_table_age_seconds"
+	GatewayRosterAge     = "gateway_roster_age_seconds"
 	// GatewayPeersActive is the number of other hosts whose state was received
 	// recently.
 	GatewayPeersActive = "gateway_peers_heard"
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -31,7 +31,10 @@
 	call  *Call
 	sink  Sink
 
-	table    *route.Table
+	table *route.Table
+	// tableCurrency is set if the configuration does not allow the request.
+	tableCurrency TableCurrency
+
 	route    *route.Route
 	team     *route.Team
 	content  quarantine.Content
@@ -103,11 +106,11 @@
 	}
 	x.route = x.table.Match(x.call.HostName, x.call.Path)
 	if x.route == nil {
-		return outcome.Refuse(outcome.UnknownPool, "no route matches", 0)
+		return x.disallow(outcome.UnknownPool, "no route matches")
 	}
 	team, ok := x.table.Authenticate(x.route, x.call.Key)
 	if !ok {
-		return outcome.Refuse(outcome.Unauthorized, "unknown API key", 0)
+		return x.disallow(outcome.Unauthorized, "unknown API key")
 	}
 	x.team = team
 	if refusal := x.gateRefusal(); refusal != nil {
@@ -140,6 +143,12 @@
 	return nil
 }
 
+// disallow refuses a request that the configuration does not allow.
+func (x *execution) disallow(reason outcome.Reason, message string) *outcome.Refusal {
+	x.tableCurrency = x.relay.tableCurrency(time.Now())
+	return outcome.Refuse(reason, message, 0)
+}
+
 // quarantineRefusal returns the refusal of a request whose content is quarantined, or nil.
 // Such a request is not charged to the quota.
 func (x *execution) quarantineRefusal() *outcome.Refusal {
--- a/relay/observer.go
+++ b/relay/observer.go
@@ -32,6 +32,8 @@
 	Parts []quarantine.Digest
 	// TableVersion is the version of the configuration that was applied.
 	TableVersion uint64
+	// TableCurrency is how current it was, for a request that it does not allow.
+	TableCurrency TableCurrency
 	// QuotaCost is the request's cost in units of the team's quota.
 	QuotaCost float64
 	// Target is the last target that the request was dispatched to.
@@ -107,6 +109,7 @@
 	}
 	if x.table != nil {
 		s.TableVersion = x.table.Version
+		s.TableCurrency = x.tableCurrency
 	}
 	if !x.delivery.firstEventTime.IsZero() {
 		s.TimeToFirstEvent = x.delivery.firstEventTime.Sub(x.call.ArrivalTime)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,10 +17,13 @@
 	"github.com/cornelyard/cornelyard/trial"
 )
 
-// Options configures a Relay. All fields but Budget, Gate and PeerClient are required.
+// Options configures a Relay. All fields but TableCurrency, Budget, Gate and PeerClient are required.
 type Options struct {
 	// Table returns the configuration in force, or nil.
-	Table        func() *route.Table
+	Table func() *route.Table
+	// TableCurrency returns how current that configuration is; nil means that it always is.
+	TableCurrency func(now time.Time) TableCurrency
+
 	Dispatcher   *Dispatcher
 	TargetClient TargetClient
 	// PeerClient passes requests on. It is required if the scheduler diverts any.
@@ -65,6 +68,14 @@
 	}
 }
 
+// tableCurrency returns how current the configuration in force is.
+func (r *Relay) tableCurrency(now time.Time) TableCurrency {
+	if r.options.TableCurrency == nil {
+		return TableCurrency{}
+	}
+	return r.options.TableCurrency(now)
+}
+
 func (r *Relay) newID() ident.Request {
 	return ident.Request(strconv.FormatUint(r.lastID.Add(1), 36))
 }
