Notice calls for changes that wait on silent connections

Callers were refused or served as an older configuration says for up to 27 s after the links to the store worked again, and draining targets got requests for up to 7 s.

Cause: a host learns of changes by a call that the store holds for up to 30 s. A connection that has lost bytes stays open and delivers nothing, so the call ends at its own time limit only, and the host counts itself as connected until then. Another host corrects it; if all wait on such connections, nobody does. What corrects a host was read over a kept connection, which may be silent too.

Change: package freshness. A table counts as current up to the moment at which a response has shown it. Hosts state that moment and a digest of their rows to each other: with the same rows a host is as current as the other one, with other rows it reads the table again after 0.5 s. If nothing has confirmed a table for 2.2 s, a host ends its call and asks; of those that ask often all but one stop, so that a group asks as often as one host. A host alone asks by itself. Tables are read over new connections, and after a call without response the kept ones are closed. Aggregates state the version of the configuration too. Builds that don't know the new field ignore it; they state nothing and are asked for nothing.

--- a/config/gateway.go
+++ b/config/gateway.go
@@ -33,6 +33,9 @@
 	// DrainTime is how long the platform lets hosts send requests to a target after it has
 	// announced that it is draining. Zero means that it isn't known.
 	DrainTime settings.Duration `json:"drainTime,omitempty"`
+	// ContactTime is how long the links of a host must have worked until it is expected to know of each
+	// change. Zero means that it isn't known.
+	ContactTime settings.Duration `json:"contactTime,omitempty"`
 	// Contracts names the parts of the platform's terms that are in force. The adapter of the
 	// platform knows what they mean.
 	Contracts []string `json:"contracts,omitempty"`
--- a/config/gateway_checker.go
+++ b/config/gateway_checker.go
@@ -62,6 +62,9 @@
 	if g.DrainTime < 0 {
 		c.add("drainTime", "the time is negative", "0s or more")
 	}
+	if g.ContactTime < 0 {
+		c.add("contactTime", "the time is negative", "0s or more")
+	}
 	c.checkProcessors()
 	c.checkRetryBudget()
 	c.checkQuota()
--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/cornelyard/cornelyard/eventlog"
+	"github.com/cornelyard/cornelyard/freshness"
 	"github.com/cornelyard/cornelyard/hoststate"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/platform"
@@ -21,6 +22,10 @@
 	"github.com/cornelyard/cornelyard/streamversion"
 )
 
+// outdatedTolerance is how long another host may hold newer rows of a table than this one before it
+// reads the table again: mostly, they are on their way.
+const outdatedTolerance = 500 * time.Millisecond
+
 // clusterState is this host's view of the configuration, the targets and the other
 // hosts. It passes each change on to the components that depend on it.
 type clusterState struct {
@@ -40,10 +45,12 @@
 	rereadTable func()
 	logger      *log.Logger
 
-	// tableConfirmed and targetsConfirmed are when the store last responded to a call for
-	// the configuration and for the targets.
-	tableConfirmed   timestamp
-	targetsConfirmed timestamp
+	// freshness is how current the tables of the store are that this host holds, and rereadTables
+	// has one of them read again. The reporters choose which messages state it.
+	freshness         *freshness.Plan
+	rereadTables      func(freshness.Table)
+	reporter          freshness.Reporter
+	aggregateReporter freshness.Reporter
 
 	table atomic.Pointer[route.Table]
 	// storeReturns counts the returns of the store from an older copy.
@@ -99,24 +106,36 @@
 	now := time.Now()
 	s.targetTracker.RecordStoreCall(now, responded)
 	if responded {
-		s.targetsConfirmed.set(now)
 		s.streams.ConfirmTargets(now)
 	}
 }
 
-// TargetsConfirmed implements platform.Listener.
-func (s *clusterState) TargetsConfirmed() {
-	now := time.Now()
-	s.targetsConfirmed.set(now)
-	s.streams.ConfirmTargets(now)
+// tableConfirmed is called when something else than a call of this host for a table has shown that its
+// rows were the newest at a moment.
+func (s *clusterState) tableConfirmed(t freshness.Table, asOf time.Time) {
+	if t == freshness.Targets {
+		s.streams.ConfirmTargets(asOf)
+	}
 }
 
-// TableConfirmed implements platform.Listener.
-func (s *clusterState) TableConfirmed() { s.tableConfirmed.set(time.Now()) }
-
 // tableCurrency returns how current the configuration in force is.
 func (s *clusterState) tableCurrency(now time.Time) relay.TableCurrency {
-	return relay.TableCurrency{Age: s.tableConfirmed.age(now), Outdated: s.lag.behind()}
+	return relay.TableCurrency{
+		Age:      s.freshness.Age(now, freshness.Configuration),
+		Outdated: s.lag.behind() || s.freshness.Outdated(freshness.Configuration),
+	}
+}
+
+// mergeTables compares the tables of the store with those of another host. A table that stays different
+// is read again.
+func (s *clusterState) mergeTables(now time.Time, from ident.Host, statements []freshness.Statement) {
+	for _, t := range s.freshness.Merge(now, from, statements) {
+		time.AfterFunc(outdatedTolerance, func() {
+			if s.freshness.Outdated(t) {
+				s.rereadTables(t)
+			}
+		})
+	}
 }
 
 // refreshTargets updates the target snapshot, and schedules another update for when
@@ -257,6 +276,7 @@
 	if table := s.table.Load(); table != nil && s.lag.observe(now, table.Version, m.TableVersion) {
 		s.rereadTable()
 	}
+	s.mergeTables(now, m.Host, m.Tables)
 	s.rollouts.receive(now, &m)
 	if m.AggregateOf != "" {
 		s.quotas.MergeDataCentre(now, m.AggregateOf, m.Host, m.Incarnation, m.TeamUsage)
@@ -270,17 +290,23 @@
 
 // localState returns this host's state to send to other hosts.
 func (s *clusterState) localState(now time.Time) hoststate.Message {
-	m := hoststate.Message{
-		Host:      s.self.Host,
-		Schedule:  s.dispatcher.LocalState(now),
-		TeamUsage: s.quotas.HostUsage(now),
-		Streams:   s.streams.TakeReport(now),
-		Rollouts:  s.rollouts.messages(now, false),
+	return hoststate.Message{
+		Host:         s.self.Host,
+		TableVersion: s.tableVersion(),
+		Schedule:     s.dispatcher.LocalState(now),
+		TeamUsage:    s.quotas.HostUsage(now),
+		Streams:      s.streams.TakeReport(now),
+		Rollouts:     s.rollouts.messages(now, false),
+		Tables:       s.reporter.Take(now, s.freshness.OwnStatements),
 	}
+}
+
+// tableVersion returns the version of the configuration in force, or 0 if there is none.
+func (s *clusterState) tableVersion() uint64 {
 	if table := s.table.Load(); table != nil {
-		m.TableVersion = table.Version
+		return table.Version
 	}
-	return m
+	return 0
 }
 
 // member returns a registered host.
@@ -299,6 +325,8 @@
 	aggregate, hosts := s.dispatcher.AggregateState(now)
 	return hoststate.Message{
 		Host:            s.self.Host,
+		TableVersion:    s.tableVersion(),
+		Tables:          s.aggregateReporter.Take(now, s.freshness.Statements),
 		AggregateOf:     s.self.DataCentre,
 		AggregatedHosts: hosts,
 		Schedule:        aggregate,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/cornelyard/cornelyard/config"
 	"github.com/cornelyard/cornelyard/eventlog"
+	"github.com/cornelyard/cornelyard/freshness"
 	"github.com/cornelyard/cornelyard/hoststate"
 	"github.com/cornelyard/cornelyard/internal/bytebudget"
 	"github.com/cornelyard/cornelyard/logging"
@@ -127,8 +128,8 @@
 	g.buildState()
 	g.buildRelay()
 	g.saturation.inFlight, g.saturation.sendTime = g.relay.InFlight, g.state.exchange.TakeSendTime
-	g.directory = platform.NewDirectory(store, g.state, c.DrainTime.Std(), g.logs.For("directory"))
-	g.state.rereadTable = g.directory.RereadTable
+	g.directory = platform.NewDirectory(store, g.state, g.state.freshness, c.DrainTime.Std(), g.logs.For("directory"))
+	g.state.rereadTable, g.state.rereadTables = g.directory.RereadTable, g.directory.Reread
 	if g.state.rollouts != nil {
 		g.directory.EnableRollouts()
 	}
@@ -187,6 +188,9 @@
 	})
 	g.traffic.logger = g.logs.For("hoststate")
 	g.distances.logger = g.logs.For("placement")
+	state.freshness = freshness.NewPlan(freshness.Options{
+		Host: g.config.Host, Contact: g.config.ContactTime.Std(), Clock: g.sharedNow, OnConfirm: state.tableConfirmed,
+	})
 	state.rollouts = g.newRollouts(state)
 	g.state = state
 }
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cornelyard/cornelyard/freshness"
 	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/metrics"
 	"github.com/cornelyard/cornelyard/platform"
@@ -28,8 +29,8 @@
 		scope.Gauge(metrics.GatewayTableVersion).Update(float64(table.Version))
 		scope.Gauge(metrics.GatewayTableOutdated).Update(boolGauge(state.lag.behind()))
 	}
-	scope.Gauge(metrics.GatewayTableAge).Update(state.tableConfirmed.age(now).Seconds())
-	scope.Gauge(metrics.GatewayRosterAge).Update(state.targetsConfirmed.age(now).Seconds())
+	scope.Gauge(metrics.GatewayTableAge).Update(state.freshness.Age(now, freshness.Configuration).Seconds())
+	scope.Gauge(metrics.GatewayRosterAge).Update(state.freshness.Age(now, freshness.Targets).Seconds())
 	for _, load := range state.dispatcher.PoolLoads(now) {
 		pool := scope.Tagged(map[string]string{metrics.TagPool: string(load.Pool)})
 		pool.Gauge(metrics.GatewayQueued).Update(float64(load.Queued))
--- a/hoststate/coalescer.go
+++ b/hoststate/coalescer.go
@@ -37,6 +37,9 @@
 	if !after.Schedule.Observed {
 		after.Schedule.Observed, after.Schedule.Observations = before.Schedule.Observed, before.Schedule.Observations
 	}
+	if after.Tables == nil {
+		after.Tables = before.Tables
+	}
 	if after.Schedule.Demands == nil {
 		after.Schedule.Demands = before.Schedule.Demands
 	}
--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -26,6 +26,7 @@
 		Incarnation:  incarnation,
 		Sequence:     sequence,
 		TableVersion: m.TableVersion,
+		Tables:       encodeTables(m.Tables),
 		SumOf:        string(m.AggregateOf),
 		SumHosts:     clampUint32(m.AggregatedHosts),
 	}
@@ -112,6 +113,7 @@
 		Host:            ident.Host(state.GetHost()),
 		Incarnation:     state.GetIncarnation(),
 		TableVersion:    state.GetTableVersion(),
+		Tables:          decodeTables(state.GetTables()),
 		AggregateOf:     ident.DataCentre(state.GetSumOf()),
 		AggregatedHosts: int(state.GetSumHosts()),
 		TeamUsage:       make(map[ident.Team]quota.Usage, len(state.GetUses())),
--- a/hoststate/message.go
+++ b/hoststate/message.go
@@ -1,6 +1,7 @@
 package hoststate
 
 import (
+	"github.com/cornelyard/cornelyard/freshness"
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/quota"
 	"github.com/cornelyard/cornelyard/schedule"
@@ -15,6 +16,8 @@
 	Incarnation uint64
 	// TableVersion is the version of the routing table in force on the host.
 	TableVersion uint64
+	// Tables says what the host holds of the tables of the store, or is nil if it says nothing new.
+	Tables []freshness.Statement
 	// AggregateOf is the data centre whose hosts' states are aggregated in the
 	// message, and AggregatedHosts is their number. AggregateOf is empty if the
 	// message holds the sender's own state.
