Believe a refusal only if something ties it to the request on its connection

Callers were answered 503 for requests that a target ran, or such a request ran at a second target, if a target wrote an earlier refusal once more on a kept connection.

Cause: a 421 without a request ID was taken as the answer to whichever request was sent last over the connection; nothing but its place in the order of bytes tied it to that request.

Change: a response without ID counts only as the first one over its connection.

--- a/target/gated_conn.go
+++ b/target/gated_conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 )
 
@@ -12,6 +13,16 @@
 	gate atomic.Pointer[sendGate]
 	// retired reports that the connection must not be used again.
 	retired atomic.Bool
+
+	mu       sync.Mutex
+	answered answeredRequests
+}
+
+// recordResponse records the response to a request (see answeredRequests.add).
+func (c *gatedConn) recordResponse(id string) (first, repeated bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answered.add(id)
 }
 
 // retire closes the connection so that no later dispatch uses it.
