Take up a stream of unknown origin only after the list of targets was confirmed

Callers got streams with events of two software versions: while targets of a new version joined, streams that had begun there were taken up at a host that was cut off from the store and the other hosts, and went on at the version that it knew.

Cause: a host concluded from a list of targets up to 12 s old that a pool has one version only, and so that this version began the stream. A target that joined later may have begun it. The same holds if targets came and went while the host could not see the changes.

Without a response within 0.5 s the caller is refused as not run.

Cost: one or two calls to the store for the callers that take up streams which no record names.

--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -89,10 +89,13 @@
 }
 
 // TargetsChanged implements platform.Listener.
-func (s *clusterState) TargetsChanged(targets map[ident.Target]route.Target) {
+func (s *clusterState) TargetsChanged(targets map[ident.Target]route.Target, gap bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	if gap {
+		s.streams.RecordGap(now)
+	}
 	s.targetTracker.SetEntries(now, targets)
 	s.targetsLoaded.Store(true)
 	s.streams.ConfirmTargets(now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"runtime/debug"
@@ -195,6 +196,9 @@
 	g.state = state
 }
 
+// confirmTargets returns nil once the newest targets are known.
+func (g *Gateway) confirmTargets(ctx context.Context) error { return g.directory.ConfirmTargets(ctx) }
+
 func (g *Gateway) buildRelay() {
 	g.transport = target.NewTransport(target.TransportOptions{
 		Dial:                g.dial,
@@ -209,17 +213,18 @@
 		UnresponsiveTimeout: unresponsivePeerTimeout,
 	})
 	g.relay = relay.New(relay.Options{
-		PeerClient:    platform.NewPeerClient(g.peerTransport, g.state.member),
-		Table:         g.state.table.Load,
-		TableCurrency: g.state.tableCurrency,
-		Dispatcher:    g.state.dispatcher,
-		TargetClient:  g.targetClient,
-		Quotas:        g.state.quotas,
-		RetryBudget:   g.state.retryBudget,
-		Streams:       g.state.streams,
-		Trials:        g.trials,
-		Budget:        g.responseBudget,
-		Gate:          g.saturation,
+		PeerClient:     platform.NewPeerClient(g.peerTransport, g.state.member),
+		Table:          g.state.table.Load,
+		TableCurrency:  g.state.tableCurrency,
+		Dispatcher:     g.state.dispatcher,
+		TargetClient:   g.targetClient,
+		Quotas:         g.state.quotas,
+		RetryBudget:    g.state.retryBudget,
+		Streams:        g.state.streams,
+		ConfirmTargets: g.confirmTargets,
+		Trials:         g.trials,
+		Budget:         g.responseBudget,
+		Gate:           g.saturation,
 		Observer: multiObserver{
 			eventlog.NewRequestLogger(g.logs.For("request"), eventlog.HostFields{DataCentre: g.config.DataCentre, Class: g.config.HostClass()}),
 			&requestMetrics{scope: g.metrics.Scope},
--- a/hoststate/stream_codec.go
+++ b/hoststate/stream_codec.go
@@ -29,6 +29,8 @@
 			Pool:    hashName(s.Pool),
 			Version: s.Version,
 			AgeMs:   clampUint32(int(s.Age.Milliseconds())),
+
+			ListAgeMs: clampUint32(int(s.ListAge.Milliseconds())),
 		})
 	}
 }
@@ -55,5 +57,6 @@
 		Pool:    pool,
 		Version: s.GetVersion(),
 		Age:     time.Duration(s.GetAgeMs()) * time.Millisecond,
+		ListAge: time.Duration(s.GetListAgeMs()) * time.Millisecond,
 	}
 }
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -85,7 +85,7 @@
 // run serves the request. It returns nil if a target's response was forwarded in
 // full, and otherwise the refusal that ended the request.
 func (x *execution) run(ctx context.Context) *outcome.Refusal {
-	if refusal := x.admit(); refusal != nil {
+	if refusal := x.admit(ctx); refusal != nil {
 		return refusal
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errDeadlineExceeded)
@@ -98,7 +98,7 @@
 }
 
 // admit finds the route, authenticates the team and charges its quota.
-func (x *execution) admit() *outcome.Refusal {
+func (x *execution) admit(ctx context.Context) *outcome.Refusal {
 	x.relay.options.Dispatcher.readStates()
 	x.table = x.relay.options.Table()
 	if x.table == nil {
@@ -125,7 +125,7 @@
 	if refusal := x.trialDenialRefusal(); refusal != nil {
 		return refusal
 	}
-	if refusal := x.findOrigin(); refusal != nil {
+	if refusal := x.findOrigin(ctx); refusal != nil {
 		return refusal
 	}
 	if team == nil {
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -168,8 +168,10 @@
 		Quotas:       f.quotas,
 		RetryBudget:  newRetryBudget(),
 		Streams:      streamversion.NewTracker(),
-		Trials:       trial.NewLedger(trial.Options{Table: f.table, Host: "h1", Logger: discardLogger, Now: time.Now}),
-		Observer:     f.observer,
+
+		ConfirmTargets: func(context.Context) error { return nil },
+		Trials:         trial.NewLedger(trial.Options{Table: f.table, Host: "h1", Logger: discardLogger, Now: time.Now}),
+		Observer:       f.observer,
 	})
 	return f
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -31,8 +31,11 @@
 	Quotas      *quota.Limiter
 	RetryBudget *retrybudget.Budget
 	Streams     *streamversion.Tracker
-	Trials      *trial.Ledger
-	Observer    Observer
+	// ConfirmTargets returns nil once the list of targets is known as of a moment after it was called.
+	ConfirmTargets func(ctx context.Context) error
+
+	Trials   *trial.Ledger
+	Observer Observer
 	// Budget bounds the sum of the bytes that all responses buffer; nil means no limit.
 	Budget *bytebudget.Budget
 	// Gate refuses new requests while this host can't keep up; nil admits all.
--- a/relay/resumption.go
+++ b/relay/resumption.go
@@ -1,18 +1,23 @@
 package relay
 
 import (
+	"context"
 	"slices"
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/route"
+	"github.com/cornelyard/cornelyard/streamversion"
 )
 
 // unknownVersionRetryAfter is the Retry-After if this host does not know where a stream
 // began. Another host may know it.
 const unknownVersionRetryAfter = 100 * time.Millisecond
 
+// confirmTime bounds how long a caller that takes a stream up waits for the newest list of targets.
+const confirmTime = 500 * time.Millisecond
+
 // takesUp reports whether the caller takes up a stream that an earlier response began.
 func (x *execution) takesUp() bool {
 	return x.call.Resumes && x.route.Kind == route.Stream && x.route.Resumable
@@ -21,11 +26,19 @@
 // findOrigin finds the pool and the version that began a stream that the caller takes up.
 // It returns the refusal if they are not known for sure, or if the route no longer allows
 // the pool.
-func (x *execution) findOrigin() *outcome.Refusal {
+func (x *execution) findOrigin(ctx context.Context) *outcome.Refusal {
 	if !x.takesUp() {
 		return nil
 	}
-	origin, known := x.relay.options.Streams.Find(time.Now(), x.call.FirstAttempt, x.route.WeightedPools)
+	origin, known := x.lookUpOrigin()
+	if known && origin.Assumed {
+		// The stream may have begun later than the list of targets was read, at a target that joined
+		// meanwhile.
+		known = x.confirmTargets(ctx) == nil
+		if known {
+			origin, known = x.lookUpOrigin()
+		}
+	}
 	if !known {
 		x.recordStep(Step{Kind: StepShed, Reason: outcome.VersionUnknown, RetryAfter: unknownVersionRetryAfter})
 		return outcome.Refuse(outcome.VersionUnknown, "it is not known at which version the stream began", unknownVersionRetryAfter)
@@ -38,6 +51,17 @@
 	return nil
 }
 
+func (x *execution) lookUpOrigin() (streamversion.Origin, bool) {
+	return x.relay.options.Streams.Find(time.Now(), x.call.FirstAttempt, x.route.WeightedPools)
+}
+
+// confirmTargets returns nil once the list of targets is known as of a moment after the call's arrival.
+func (x *execution) confirmTargets(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTime)
+	defer cancel()
+	return x.relay.options.ConfirmTargets(ctx)
+}
+
 // recordBegin records where a resumable stream began, or went on.
 func (x *execution) recordBegin(r *run) {
 	first := x.firstAttempt()
--- a/streamversion/pool_history.go
+++ b/streamversion/pool_history.go
@@ -11,8 +11,13 @@
 	since time.Time
 	// mixedAt is when this host last saw another version, or zero.
 	mixedAt time.Time
+	// gapAt is when this host began to observe the pool, or last may have missed other versions.
+	gapAt time.Time
 }
 
+// recordGap records that other versions may have served unnoticed.
+func (h *poolHistory) recordGap(now time.Time) { h.since, h.gapAt = now, now }
+
 // observe records the versions of the pool's targets. A pool without targets keeps the
 // version that it had.
 func (h *poolHistory) observe(now time.Time, versions map[string]bool) {
@@ -31,9 +36,10 @@
 	}
 }
 
-// merge applies what another host has observed for longer.
+// merge applies what another host has observed for longer. It must have observed what this one may have
+// missed.
 func (h *poolHistory) merge(now time.Time, s SoleVersion) {
-	if !h.sole || h.version != s.Version {
+	if !h.sole || h.version != s.Version || now.Add(-s.ListAge).Before(h.gapAt) {
 		return
 	}
 	since := now.Add(-s.Age)
--- a/streamversion/sole_version.go
+++ b/streamversion/sole_version.go
@@ -11,4 +11,6 @@
 	Pool    ident.Pool
 	Version string
 	Age     time.Duration
+	// ListAge is the age of the list of targets that shows it.
+	ListAge time.Duration
 }
--- a/streamversion/tracker.go
+++ b/streamversion/tracker.go
@@ -104,7 +104,17 @@
 	if h == nil || !h.sole || now.Sub(h.since) < t.lifetime || now.Sub(t.listedAt) > maxListAge {
 		return Origin{}, false
 	}
-	return Origin{Pool: pools[0].Pool, Version: h.version}, true
+	return Origin{Pool: pools[0].Pool, Version: h.version, Assumed: true}, true
+}
+
+// RecordGap records that targets may have come and gone unnoticed. How long this host has seen one
+// version only counts anew, unless another host has seen no gap.
+func (t *Tracker) RecordGap(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range t.pools {
+		h.recordGap(now)
+	}
 }
 
 // ConfirmTargets records that the store has confirmed the list of targets.
@@ -132,7 +142,7 @@
 	for pool, present := range versions {
 		h := t.pools[pool]
 		if h == nil {
-			h = &poolHistory{}
+			h = &poolHistory{gapAt: now}
 			t.pools[pool] = h
 		}
 		h.observe(now, present)
@@ -194,7 +204,7 @@
 	t.solesReportedAt = now
 	for name, h := range t.pools {
 		if h.sole {
-			report.SoleVersions = append(report.SoleVersions, SoleVersion{Pool: name, Version: h.version, Age: now.Sub(h.since)})
+			report.SoleVersions = append(report.SoleVersions, SoleVersion{Pool: name, Version: h.version, Age: now.Sub(h.since), ListAge: now.Sub(t.listedAt)})
 		}
 	}
 	return report
--- a/streamversion/tracker_test.go
+++ b/streamversion/tracker_test.go
@@ -121,6 +121,25 @@
 	expectFound(t, "this host saw another version", late.found(at(20.2), "s"), "unknown")
 }
 
+func TestVersionsThatMayHaveServedUnnoticedAreNotExcluded(t *testing.T) {
+	here, other := newTracker(), newTracker()
+	for _, tracker := range []*Tracker{here, other} {
+		tracker.list(at(0), targetOf("a", "v1"))
+		tracker.ConfirmTargets(at(20))
+	}
+	here.RecordGap(at(25))
+	here.ConfirmTargets(at(25))
+	expectFound(t, "after a gap", here.found(at(25.1), "s"), "unknown")
+	here.Merge(at(25.2), "other", other.TakeReport(at(25.2)))
+	expectFound(t, "another host's list is older than the end of the gap", here.found(at(25.3), "s"), "unknown")
+	other.ConfirmTargets(at(26))
+	here.Merge(at(26.1), "other", other.TakeReport(at(26.1)))
+	expectFound(t, "another host saw no gap", here.found(at(26.2), "s"), "v1")
+	here.RecordGap(at(30))
+	here.ConfirmTargets(at(38.1))
+	expectFound(t, "a lifetime after a gap", here.found(at(38.1), "s"), "v1")
+}
+
 func TestStreamOfTargetRestartedWithAnotherVersionIsUnsure(t *testing.T) {
 	cases := []struct {
 		name    string
