Bound the numbers that come from outside, and reject negative ones of a configuration

One entry of a target with the largest 64-bit integer as its number of slots stopped the service: no request was served until it went. The class: a number from outside that is valid for its type and meaningless for its use, then summed or multiplied.

--- a/configcheck/problem.go
+++ b/configcheck/problem.go
@@ -41,6 +41,11 @@
 	Keys
 	Burst
 	MaxConnections
+	Timeout
+	Engine
+	Rate
+	DefaultTokens
+	Limits
 )
 
 // problems collects the problems of a configuration.
--- a/hoststate/codec.go
+++ b/hoststate/codec.go
@@ -1,6 +1,7 @@
 package hoststate
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -82,8 +83,8 @@
 	for _, d := range s.Demands {
 		state.Demands = append(state.Demands, &hostpb.Demand{
 			Pool:       hashName(d.Pool),
-			TeamRank:   int32(d.Rank.Team),
-			RouteRank:  int32(d.Rank.Route),
+			TeamRank:   clampInt32(int64(d.Rank.Team)),
+			RouteRank:  clampInt32(int64(d.Rank.Route)),
 			RateMilli:  clampUint32(int(d.ArrivalRate * thousandthsPerUnit)),
 			SlotsMilli: clampUint32(int(d.MeanSlots * thousandthsPerUnit)),
 		})
@@ -91,10 +92,10 @@
 	for _, b := range s.Backlogs {
 		state.Backlogs = append(state.Backlogs, &hostpb.Backlog{
 			Pool:      hashName(b.Pool),
-			TeamRank:  int32(b.Rank.Team),
-			RouteRank: int32(b.Rank.Route),
+			TeamRank:  clampInt32(int64(b.Rank.Team)),
+			RouteRank: clampInt32(int64(b.Rank.Route)),
 			Count:     clampUint32(b.Count),
-			SlackMs:   int32(b.Laxity.Milliseconds()),
+			SlackMs:   clampInt32(b.Laxity.Milliseconds()),
 			SpreadMs:  clampUint32(int(b.Spread.Milliseconds())),
 		})
 	}
@@ -103,9 +104,14 @@
 	}
 }
 
-func clampUint64(x float64) uint64 { return uint64(max(x, 0)) }
+// maxCumulative bounds cumulative usage in messages.
+const maxCumulative = 1 << 62
 
-func clampUint32(n int) uint32 { return uint32(max(n, 0)) }
+func clampUint64(x float64) uint64 { return uint64(min(max(x, 0), maxCumulative)) }
+
+func clampUint32(n int) uint32 { return uint32(min(max(n, 0), math.MaxUint32)) }
+
+func clampInt32(n int64) int32 { return int32(min(max(n, math.MinInt32), math.MaxInt32)) }
 
 // decode converts a message. Items whose name hash is not in the index are omitted.
 func (n *NameIndex) decode(now time.Time, state *hostpb.HostState) Message {
--- a/hoststate/machine_codec.go
+++ b/hoststate/machine_codec.go
@@ -27,7 +27,7 @@
 	return func(target ident.Target, m *hostpb.MachineState) schedule.MachineState {
 		return schedule.MachineState{
 			TargetProcess: schedule.TargetProcess{Target: target, StartUnixMs: m.GetStartUnixMs()},
-			Percent:       int(m.GetPercent()),
+			Percent:       min(int(m.GetPercent()), schedule.MaxMachinePercent),
 			At:            now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
 		}
 	}
--- a/hoststate/team_load_codec.go
+++ b/hoststate/team_load_codec.go
@@ -14,8 +14,8 @@
 		encoded = append(encoded, &hostpb.TeamLoad{
 			Pool:      hashName(l.Pool),
 			Team:      hashName(l.Team),
-			TeamRank:  int32(l.Rank.Team),
-			RouteRank: int32(l.Rank.Route),
+			TeamRank:  clampInt32(int64(l.Rank.Team)),
+			RouteRank: clampInt32(int64(l.Rank.Route)),
 			UsedMs:    clampUint32(int(l.Used.Milliseconds())),
 			QueuedMs:  clampUint32(int(l.Queued.Milliseconds())),
 		})
--- a/quarantine/codec.go
+++ b/quarantine/codec.go
@@ -59,5 +59,10 @@
 	return crashes
 }
 
-// milliseconds converts a number of milliseconds that is not negative.
-func milliseconds(n int64) time.Duration { return time.Duration(max(n, 0)) * time.Millisecond }
+// maxDurationMs bounds durations in messages, in milliseconds.
+const maxDurationMs = 365 * 24 * 60 * 60 * 1000
+
+// milliseconds converts a number of milliseconds, within 0 and maxDurationMs.
+func milliseconds(n int64) time.Duration {
+	return time.Duration(min(max(n, 0), maxDurationMs)) * time.Millisecond
+}
