--- a/configcheck/changes.go
+++ b/configcheck/changes.go
@@ -14,8 +14,9 @@
 // it names their fingerprints.
 func Changes(from, to *route.Configuration) []string {
 	var lines []string
-	if from.Limits != to.Limits {
-		lines = append(lines, fmt.Sprintf("limits: %+v -> %+v", from.Limits, to.Limits))
+	limits := entry{fields: describeLimits(from.Limits)}
+	if differences := limits.differences(entry{fields: describeLimits(to.Limits)}); len(differences) > 0 {
+		lines = append(lines, "limits changed: "+strings.Join(differences, ", "))
 	}
 	lines = append(lines, changedEntries("route", describeRoutes(from), describeRoutes(to))...)
 	lines = append(lines, changedEntries("pool", describePools(from), describePools(to))...)
@@ -72,7 +73,7 @@
 }
 
 func newField(name string, value any) field {
-	return field{name: name, value: fmt.Sprintf("%+v", value)}
+	return field{name: name, value: fmt.Sprint(value)}
 }
 
 func describeRoutes(c *route.Configuration) []entry {
@@ -82,7 +83,7 @@
 			newField("host name", r.HostName), newField("path prefix", r.PathPrefix), newField("kind", r.Kind),
 			newField("resumable", r.Resumable), newField("timeout", r.Timeout), newField("latency objective", r.LatencyObjective),
 			newField("event gap objective", r.EventGapObjective), newField("priority", r.Priority),
-			newField("attempts", r.MaxAttempts), newField("public", r.Public), newField("pools", r.WeightedPools),
+			newField("attempts", r.MaxAttempts), newField("public", r.Public), newField("pools", describeWeights(r.WeightedPools)),
 		}})
 	}
 	return entries
@@ -91,12 +92,8 @@
 func describePools(c *route.Configuration) []entry {
 	entries := make([]entry, 0, len(c.Pools))
 	for _, p := range c.Pools {
-		engine := "none"
-		if p.Engine != nil {
-			engine = fmt.Sprintf("%+v", *p.Engine)
-		}
 		entries = append(entries, entry{name: string(p.Name), fields: []field{
-			newField("connections", p.MaxConnections), newField("engine", engine),
+			newField("connections", p.MaxConnections), newField("engine", describeEngine(p.Engine)),
 		}})
 	}
 	return entries
@@ -106,12 +103,58 @@
 	entries := make([]entry, 0, len(c.Teams))
 	for _, t := range c.Teams {
 		entries = append(entries, entry{name: string(t.Name), fields: []field{
-			newField("priority", t.Priority), newField("keys", fingerprints(t.Keys)), newField("quota", t.Quota),
+			newField("priority", t.Priority), newField("keys", strings.Join(fingerprints(t.Keys), " ")), newField("quota", describeQuota(t.Quota)),
 		}})
 	}
 	return entries
 }
 
+func describeLimits(l route.Limits) []field {
+	return []field{
+		newField("header bytes", l.MaxHeaderBytes), newField("body bytes", l.MaxBodyBytes),
+		newField("header timeout", l.HeaderTimeout), newField("idle timeout", l.IdleTimeout),
+	}
+}
+
+// describeWeights returns each pool with its part of the requests.
+func describeWeights(pools []route.WeightedPool) string {
+	total := 0.0
+	for _, p := range pools {
+		total += p.Weight
+	}
+	texts := make([]string, 0, len(pools))
+	for _, p := range pools {
+		if len(pools) == 1 || total <= 0 {
+			texts = append(texts, string(p.Pool))
+			continue
+		}
+		texts = append(texts, fmt.Sprintf("%s %.3g%%", p.Pool, 100*p.Weight/total))
+	}
+	return strings.Join(texts, " and ")
+}
+
+func describeEngine(e *route.Engine) string {
+	if e == nil {
+		return "none"
+	}
+	return fmt.Sprintf("%d slots with %d tokens of KV cache and %d tokens per event", e.Slots, e.KVCacheTokens, e.TokensPerEvent)
+}
+
+func describeQuota(q route.Quota) string {
+	if !q.Limited() {
+		return "none"
+	}
+	unit := "requests"
+	if q.CountsTokens {
+		unit = "tokens"
+	}
+	text := fmt.Sprintf("%g %s per second and a burst of %g", q.PerSecond, unit, q.Burst)
+	if q.CountsTokens {
+		text += fmt.Sprintf(" (%d for a request that states none)", q.DefaultTokens)
+	}
+	return text
+}
+
 // fingerprintBytes is the length of a fingerprint, enough to tell the keys of one team apart.
 const fingerprintBytes = 4
 
