Ask callers to come back if a configuration that may be outdated does not allow their request

Callers were refused for good (401, 404) by hosts whose configuration was older than the one acknowledged: a host cut off from the store, or one that other hosts say is behind, for instance after it started from a store that is back from an older copy.

Such a refusal now needs a configuration that was confirmed within 5 s and that no other host is known to have replaced; otherwise it is 503 with a Retry-After of 0.5 s, since the request has not run and a newer configuration may allow it. What the known configuration allows is served as before.

--- a/eventlog/request_logger.go
+++ b/eventlog/request_logger.go
@@ -98,7 +98,7 @@
 			Int64(FieldRetryAfterMs, s.Refusal.RetryAfter.Milliseconds()).
 			Bool(FieldTruncated, s.Truncated)
 	}
-	if disallowed(s.Refusal) {
+	if disallowed(s) {
 		entry = entry.
 			Uint64(FieldTableVersion, s.TableVersion).
 			Int64(FieldTableAgeMs, s.TableCurrency.Age.Milliseconds()).
@@ -108,8 +108,9 @@
 }
 
 // disallowed reports whether a request was refused because the configuration does not allow it.
-func disallowed(r *outcome.Refusal) bool {
-	return r != nil && (r.Reason == outcome.UnknownPool || r.Reason == outcome.Unauthorized)
+func disallowed(s *relay.Summary) bool {
+	r := s.Refusal
+	return r != nil && (r.Reason == outcome.UnknownPool || r.Reason == outcome.Unauthorized || r.Reason == outcome.NotReady && s.TableVersion > 0)
 }
 
 // servingHost returns the host that responded to a request which was passed on, or "".
--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -22,9 +22,20 @@
 	"github.com/cornelyard/cornelyard/streamversion"
 )
 
-// outdatedTolerance is how long another host may hold newer rows of a table than this one before it
-// reads the table again: mostly, they are on their way.
-const outdatedTolerance = 500 * time.Millisecond
+const (
+	// ruleTolerance is how long another host may hold newer rows of a table by which requests are
+	// admitted and placed, before this one reads the changes: mostly, they are on their way.
+	ruleTolerance = 500 * time.Millisecond
+	// hostsTolerance is the same for the table of hosts, whose changes are read with a delay.
+	hostsTolerance = 1200 * time.Millisecond
+)
+
+func outdatedTolerance(t freshness.Table) time.Duration {
+	if t == freshness.Hosts {
+		return hostsTolerance
+	}
+	return ruleTolerance
+}
 
 // clusterState is this host's view of the configuration, the targets and the other
 // hosts. It passes each change on to the components that depend on it.
@@ -45,10 +56,10 @@
 	rereadTable func()
 	logger      *log.Logger
 
-	// freshness is how current the tables of the store are that this host holds, and rereadTables
-	// has one of them read again. The reporters choose which messages state it.
+	// freshness is how current the tables of the store are that this host holds, and readChanges
+	// has the changes of one of them read. The reporters choose which messages state it.
 	freshness         *freshness.Plan
-	rereadTables      func(freshness.Table)
+	readChanges       func(freshness.Table)
 	reporter          freshness.Reporter
 	aggregateReporter freshness.Reporter
 
@@ -129,13 +140,13 @@
 	}
 }
 
-// mergeTables compares the tables of the store with those of another host. A table that stays different
-// is read again.
+// mergeTables compares the tables of the store with those of another host. If one stays different, its
+// changes are read.
 func (s *clusterState) mergeTables(now time.Time, from ident.Host, statements []freshness.Statement) {
 	for _, t := range s.freshness.Merge(now, from, statements) {
-		time.AfterFunc(outdatedTolerance, func() {
+		time.AfterFunc(outdatedTolerance(t), func() {
 			if s.freshness.Outdated(t) {
-				s.rereadTables(t)
+				s.readChanges(t)
 			}
 		})
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,7 +130,7 @@
 	g.buildRelay()
 	g.saturation.inFlight, g.saturation.sendTime = g.relay.InFlight, g.state.exchange.TakeSendTime
 	g.directory = platform.NewDirectory(store, g.state, g.state.freshness, c.DrainTime.Std(), g.logs.For("directory"))
-	g.state.rereadTable, g.state.rereadTables = g.directory.RereadTable, g.directory.Reread
+	g.state.rereadTable, g.state.readChanges = g.directory.RereadTable, g.directory.ReadChanges
 	if g.state.rollouts != nil {
 		g.directory.EnableRollouts()
 	}
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -143,9 +143,13 @@
 	return nil
 }
 
-// disallow refuses a request that the configuration does not allow.
+// disallow refuses a request that the configuration does not allow. If a newer one may allow it, the
+// caller is asked to come back.
 func (x *execution) disallow(reason outcome.Reason, message string) *outcome.Refusal {
 	x.tableCurrency = x.relay.tableCurrency(time.Now())
+	if !x.tableCurrency.definite() {
+		return outcome.Refuse(outcome.NotReady, message+" in a configuration that may be outdated", outdatedRetryAfter)
+	}
 	return outcome.Refuse(reason, message, 0)
 }
 
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -10,6 +10,8 @@
 const (
 	// notReadyRetryAfter is the Retry-After of a host without a configuration.
 	notReadyRetryAfter = 300 * time.Millisecond
+	// outdatedRetryAfter is the Retry-After of a host whose configuration may be outdated.
+	outdatedRetryAfter = 500 * time.Millisecond
 	// rejectedRetryAfter is the Retry-After if the targets rejected the request or its
 	// deadline passed.
 	rejectedRetryAfter = 200 * time.Millisecond
--- a/relay/table_currency.go
+++ b/relay/table_currency.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// maxTableAge is the age of a configuration up to which it decides what is not allowed. A host that is
+// connected knows of a newer one earlier.
+const maxTableAge = 5 * time.Second
+
 // TableCurrency says how current the configuration in force is.
 type TableCurrency struct {
 	// Age is the time since the configuration was known to be the newest one.
@@ -9,3 +13,7 @@
 	// Outdated says that another host is known to have a newer configuration.
 	Outdated bool
 }
+
+// definite reports whether a request that the configuration does not allow is not allowed by a newer one
+// either, as far as this host can know.
+func (c TableCurrency) definite() bool { return !c.Outdated && c.Age <= maxTableAge }
