Let TestSoak decide again, with a report of the processor time that its processes got

A run that violates a promise now states what the hosts, and the callers, targets and store, used of the processors and how long they waited for one, with unchanged bounds; package internal/processortime, which the tests of the platform use too.

The wire names in internal/soak (headers of targets, the order of a rollout and its state) move to the stand-in of the platform.

--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -137,7 +137,7 @@
 // makeStatements lets all targets state when they started, one a limit, one that it falls over,
 // and one that it is about to end.
 func (s *system) makeStatements() {
-	headers := []http.Header{{"Server-Limit": {"1000"}}, {"Server-Brittle": {"50"}}, {"Server-Leaving": {"1"}}}
+	headers := []http.Header{platformtest.LimitStatement(1000), platformtest.BrittleStatement(50), platformtest.LeavingStatement()}
 	for i := range headers {
 		s.targets[i].statements.Store(&headers[i])
 	}
--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -17,6 +17,8 @@
 	Succeeded   int               `json:"whole"`
 	FaultCounts map[faultKind]int `json:"faults"`
 	Promises    []verdict.Verdict `json:"promises"`
+	// Machine says what processor time the hosts and the callers got, if a promise was violated.
+	Machine string `json:"machine,omitempty"`
 	// LogDirectory holds the logs and settings of the hosts if a promise was violated.
 	LogDirectory string `json:"logDirectory,omitempty"`
 }
@@ -39,6 +41,9 @@
 		fmt.Fprintf(w, " %s %d", kind, r.FaultCounts[kind])
 	}
 	fmt.Fprintln(w)
+	if r.Machine != "" {
+		fmt.Fprintln(w, r.Machine)
+	}
 	if r.LogDirectory != "" {
 		fmt.Fprintf(w, "logs: %s\n", r.LogDirectory)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/internal/periodic"
+	"github.com/cornelyard/cornelyard/internal/processortime"
 	"github.com/cornelyard/cornelyard/internal/standin/faultproxy"
 )
 
@@ -51,14 +52,17 @@
 	if builds.former != nil {
 		r.upgrade = &upgrade{builds: builds, runner: r}
 	}
-	if err := r.run(ctx); err != nil {
+	meter := processortime.Start()
+	err = r.run(ctx)
+	machine := s.describeHosts() + "; callers, targets and store: " + meter.Stop()
+	if err != nil {
 		keep = true
 		return nil, Error.New("%v; logs are in %s", err, s.dir)
 	}
 	result := r.check()
 	keep = len(result.Violated()) > 0
 	if keep {
-		result.LogDirectory = s.dir
+		result.LogDirectory, result.Machine = s.dir, machine
 	}
 	return result, nil
 }
--- a/internal/soak/upgrade.go
+++ b/internal/soak/upgrade.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cornelyard/cornelyard/internal/periodic"
+	"github.com/cornelyard/cornelyard/platform/platformtest"
 )
 
 // upgradeKind says how the hosts are replaced.
@@ -85,15 +84,16 @@
 	return nil
 }
 
-// maxMachinePercent is the longest time that work takes by what targets state, as the fourth
-// figure of their load, which former builds don't know.
+// maxMachinePercent is the longest time that work takes by what targets state, which former builds don't
+// know.
 const maxMachinePercent = 250
 
 // stateMachines lets targets state how long work takes on their machines.
 func (s *system) stateMachines(random *rand.Rand) {
 	for _, t := range s.targets {
 		percent := 100 + random.IntN(maxMachinePercent-100)
-		t.statements.Store(&http.Header{"Instance-Load": {fmt.Sprintf("1,0,4,%d", percent)}})
+		statement := platformtest.MachineStatement(percent)
+		t.statements.Store(&statement)
 	}
 }
 
--- a/internal/soak/upgrade_checks.go
+++ b/internal/soak/upgrade_checks.go
@@ -61,8 +61,7 @@
 func (u *upgrade) orderRollout() {
 	s := u.runner.system.store
 	u.rollout = rolloutOrder{ordered: time.Now(), store: s}
-	s.Put("op", "rollout/"+platformtest.Service, fmt.Sprintf(`{"service":%q,"target":%q,"duration_s":%g}`,
-		platformtest.Service, rolloutVersion, rolloutTime.Seconds()))
+	s.OrderRollout(rolloutVersion, rolloutTime)
 }
 
 // checkRollout checks that the order has ended. How it ends is not promised while some hosts
@@ -72,9 +71,7 @@
 	if u.rollout.ordered.IsZero() {
 		return v
 	}
-	status := u.rollout.store.Value("status", "rollout/"+platformtest.Service)
-	ended := status == fmt.Sprintf(`{"state":"completed","target":%q}`, rolloutVersion) ||
-		status == fmt.Sprintf(`{"state":"rolled_back","target":%q}`, rolloutVersion)
+	status, ended := u.rollout.store.RolloutState(rolloutVersion)
 	v.Check(ended, func() string {
 		return fmt.Sprintf("the order of %s with a duration of %v has the status %q", u.rollout.ordered.Format("15:04:05.000"), rolloutTime, status)
 	})
