Confirm the table of hosts every 10 s instead of every 1.2 s

By it no request is admitted or placed, and crashes and rollouts also travel between the hosts, so that the calls of the host that asks often are better spent on the configuration and the targets.

--- a/freshness/intervals.go
+++ b/freshness/intervals.go
@@ -13,6 +13,9 @@
 	// ask because no other one has confirmed a table.
 	spreadShare = 0.15
 
+	// hostsWait is the wait for the table of hosts, by which no request is admitted or placed.
+	hostsWait = 10 * time.Second
+
 	// LongWait is how long a call waits at most while other calls confirm its table; the store allows no
 	// more. The waits are up to longWaitSpread shorter, so that calls which begin together after a change
 	// don't end together.
@@ -24,7 +27,7 @@
 	Grace = time.Second
 )
 
-// intervals are the times that follow from the contact time.
+// intervals are the times that decide on the calls for a table.
 type intervals struct {
 	// wait is how long a call waits if only calls of this host confirm its table.
 	wait time.Duration
@@ -34,13 +37,16 @@
 	spread time.Duration
 }
 
-// newIntervals returns the intervals for a contact time: a host whose links have worked for so long is
-// expected to know of each change. By then it must have noticed that a call waits in vain.
-func newIntervals(contact time.Duration) intervals {
+// newIntervals returns the intervals for a table and a contact time: a host whose links have worked for
+// so long is expected to know of each change. By then it must have noticed that a call waits in vain.
+func newIntervals(t Table, contact time.Duration) intervals {
 	if contact <= 0 {
 		contact = defaultContact
 	}
 	wait := max(share(contact, waitShare), minWait)
+	if t == Hosts {
+		wait = max(wait, hostsWait)
+	}
 	return intervals{wait: wait, due: wait + Grace, spread: share(contact, spreadShare)}
 }
 
--- a/freshness/plan.go
+++ b/freshness/plan.go
@@ -14,8 +14,7 @@
 
 // Plan decides how long the calls of one host wait for changes. It is safe for concurrent use.
 type Plan struct {
-	options   Options
-	intervals intervals
+	options Options
 
 	mu     sync.Mutex
 	tables map[Table]*tableState
@@ -26,9 +25,9 @@
 	if o.OnConfirm == nil {
 		o.OnConfirm = func(Table, time.Time) {}
 	}
-	p := &Plan{options: o, intervals: newIntervals(o.Contact), tables: make(map[Table]*tableState, len(tables))}
+	p := &Plan{options: o, tables: make(map[Table]*tableState, len(tables))}
 	for _, t := range tables {
-		p.tables[t] = &tableState{}
+		p.tables[t] = &tableState{intervals: newIntervals(t, o.Contact)}
 	}
 	return p
 }
@@ -38,7 +37,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.tables[t]
-	s.delay = rand.N(p.intervals.spread)
+	s.delay = rand.N(s.intervals.spread)
 	if p.untilDue(now, s) <= 0 {
 		s.leads = true
 		return ShortWait
@@ -47,9 +46,9 @@
 	if s.leads {
 		since = s.yieldsAt
 	}
-	s.leads = now.Sub(since) >= p.intervals.due
+	s.leads = now.Sub(since) >= s.intervals.due
 	if s.leads {
-		return p.intervals.wait
+		return s.intervals.wait
 	}
 	return LongWait - rand.N(longWaitSpread)
 }
@@ -68,8 +67,9 @@
 		if other == t || !o.loaded || o.position != at {
 			continue
 		}
-		o.confirm(now, true, s.leads)
-		if s.leads {
+		frequent := s.leads && s.intervals.wait < o.intervals.due
+		o.confirm(now, true, frequent)
+		if frequent {
 			o.follow(now, t < other)
 		}
 		confirmed = append(confirmed, other)
@@ -89,7 +89,7 @@
 }
 
 func (p *Plan) untilDue(now time.Time, s *tableState) time.Duration {
-	return p.intervals.due + s.delay - now.Sub(s.asOf)
+	return s.intervals.due + s.delay - now.Sub(s.asOf)
 }
 
 // Merge applies what another host states. Of two hosts that ask often, the one whose name sorts last
@@ -109,7 +109,7 @@
 		}
 		s := p.tables[statement.Table]
 		same := s.loaded && statement.Digest == s.digest
-		if same && statement.Frequent && now.Sub(asOf) < p.intervals.due {
+		if same && statement.Frequent && now.Sub(asOf) < s.intervals.due {
 			s.follow(now, from < p.options.Host)
 		}
 		switch {
--- a/freshness/table_state.go
+++ b/freshness/table_state.go
@@ -4,7 +4,8 @@
 
 // tableState is what a host knows of one table.
 type tableState struct {
-	loaded bool
+	intervals intervals
+	loaded    bool
 	// position is where the table was last read, and digest that of its rows.
 	position Position
 	digest   uint32
