--- a/trial/record.go
+++ b/trial/record.go
@@ -37,4 +37,9 @@
 	return r, Error.Wrap(err)
 }
 
-func (r *record) lease() time.Duration { return time.Duration(r.LeaseMs) * time.Millisecond }
+// maxLease bounds the lease of a trial, whatever its row says.
+const maxLease = time.Hour
+
+func (r *record) lease() time.Duration {
+	return time.Duration(min(max(r.LeaseMs, 0), maxLease.Milliseconds())) * time.Millisecond
+}
