Accept answers to requests without an ID over kept connections

The record of a connection took the second answer to requests without an ID for one written once more. Only what says that a request has not run needs a proof that it belongs to it; the ID of other answers is compared as before. The gauge table_outdated now says what refusals use.

TestRequestsWithoutIDAreServedOverKeptConnections passes; TestRefusalWithoutRequestIDOnKeptConnectionIsNotBelieved as before.

--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -27,7 +27,7 @@
 	scope.Gauge(metrics.GatewayLogLinesDropped).Update(float64(g.logs.Dropped()))
 	if table := state.table.Load(); table != nil {
 		scope.Gauge(metrics.GatewayTableVersion).Update(float64(table.Version))
-		scope.Gauge(metrics.GatewayTableOutdated).Update(boolGauge(state.lag.behind()))
+		scope.Gauge(metrics.GatewayTableOutdated).Update(boolGauge(state.tableCurrency(now).Outdated))
 	}
 	scope.Gauge(metrics.GatewayTableAge).Update(state.freshness.Age(now, freshness.Configuration).Seconds())
 	scope.Gauge(metrics.GatewayRosterAge).Update(state.freshness.Age(now, freshness.Targets).Seconds())
--- a/target/answered_requests.go
+++ b/target/answered_requests.go
@@ -16,8 +16,8 @@
 func (a *answeredRequests) add(id string) (first, repeated bool) {
 	first, repeated = !a.any, slices.Contains(a.ids, id)
 	a.any = true
-	if repeated {
-		return first, true
+	if repeated || id == "" {
+		return first, repeated
 	}
 	a.ids = append(a.ids, id)
 	if excess := len(a.ids) - maxAnswered; excess > 0 {
