Close kept connections to the platform after a call without a response

What operators see (own interface): after the links to the platform lost bytes, each kept connection that went silent costs another call its whole time-out of 3 s. A host keeps up to 32 of them, and changes of settings, the list of hosts and claims go over the same ones.

The own interface holds no call open for changes: it polls, and each call is bounded.

Change: a call without a response closes the kept connections, as the gateway's client of the store does.

Measured: TestSilentConnectionsCostOneCall fails before (the second call waits 200 ms in vain, as the first) and passes five times with the race detector.

--- a/storage/restclient/call.go
+++ b/storage/restclient/call.go
@@ -47,16 +47,22 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
+		c.dropSilentConnections()
 		return httpResponse{}, call.transportError(err, connected.Load())
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := readBody(response.Body)
 	if err != nil {
+		c.dropSilentConnections()
 		return httpResponse{}, call.transportError(err, true)
 	}
 	return httpResponse{status: response.StatusCode, body: body}, nil
 }
 
+// dropSilentConnections closes the kept connections after a call without a response: all of them may have
+// gone silent, and each would cost another call its whole time.
+func (c *Client) dropSilentConnections() { c.http.CloseIdleConnections() }
+
 // newRequest builds the HTTP request of a call. The body has no GetBody function,
 // which prevents net/http from sending it again over another connection.
 func (c *Client) newRequest(ctx context.Context, call call) (*http.Request, error) {
--- a/storage/restclient/client_test.go
+++ b/storage/restclient/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -208,3 +209,42 @@
 		t.Fatalf("server received %d writes, want 2", got)
 	}
 }
+
+// Guards against kept connections that have gone silent together, each of which costs a call its whole time.
+func TestSilentConnectionsCostOneCall(t *testing.T) {
+	const connections = 4
+	var silent atomic.Bool
+	var open sync.WaitGroup
+	open.Add(connections)
+	address := tcptest.Serve(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		early := !silent.Load()
+		for reader := bufio.NewReader(conn); ; {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			if early && silent.Load() {
+				continue
+			}
+			if early {
+				open.Done()
+				open.Wait()
+			}
+			_, _ = conn.Write([]byte("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"))
+		}
+	})
+	client := restclient.New(restclient.Options{BaseURL: "http://" + address, Timeout: shortTimeout})
+	defer client.CloseIdleConnections()
+	var calls sync.WaitGroup
+	for range connections {
+		calls.Go(func() { _, _ = client.Get(context.Background(), "k") })
+	}
+	calls.Wait()
+	silent.Store(true)
+	if _, err := client.Get(context.Background(), "k"); !errors.Is(err, storage.ErrUnavailable) {
+		t.Fatalf("call over a silent connection: got %v, want ErrUnavailable", err)
+	}
+	if _, err := client.Get(context.Background(), "k"); errors.Is(err, storage.ErrUnavailable) {
+		t.Errorf("the next call: got %v", err)
+	}
+}
