Ask callers to come back while the newest configuration can't be read

What callers would see: if a gateway can't decode the newest configuration, it keeps the one before, and answered 401 and 404 by it for good: its table counted as confirmed, since the store had just shown that no newer row exists.

Change: until a configuration can be read again, what the one in force does not allow is answered 503 with a Retry-After. Routes and keys of the one in force are served as before.

--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -64,6 +64,8 @@
 	aggregateReporter freshness.Reporter
 
 	table atomic.Pointer[route.Table]
+	// tableUnreadable is set while the newest configuration can't be decoded.
+	tableUnreadable atomic.Bool
 	// storeReturns counts the returns of the store from an older copy.
 	storeReturns atomic.Int64
 	// targetsLoaded is set once the targets were read from the store.
@@ -84,6 +86,7 @@
 // TableChanged implements platform.Listener. It ignores a configuration that is not newer
 // than the one in force.
 func (s *clusterState) TableChanged(t *route.Table) {
+	s.tableUnreadable.Store(false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	previous := s.table.Load()
@@ -99,6 +102,9 @@
 	s.applyConfiguration(time.Now())
 }
 
+// TableUnreadable implements platform.Listener. The configuration in force stays so.
+func (s *clusterState) TableUnreadable() { s.tableUnreadable.Store(true) }
+
 // TargetsChanged implements platform.Listener.
 func (s *clusterState) TargetsChanged(targets map[ident.Target]route.Target, gap bool) {
 	s.mu.Lock()
@@ -136,7 +142,7 @@
 func (s *clusterState) tableCurrency(now time.Time) relay.TableCurrency {
 	return relay.TableCurrency{
 		Age:      s.freshness.Age(now, freshness.Configuration),
-		Outdated: s.lag.behind() || s.freshness.Outdated(freshness.Configuration),
+		Outdated: s.tableUnreadable.Load() || s.lag.behind() || s.freshness.Outdated(freshness.Configuration),
 	}
 }
 
--- a/relay/table_currency.go
+++ b/relay/table_currency.go
@@ -10,7 +10,7 @@
 type TableCurrency struct {
 	// Age is the time since the configuration was known to be the newest one.
 	Age time.Duration
-	// Outdated says that another host is known to have a newer configuration.
+	// Outdated says that there is a newer configuration, which another host has or which can't be read.
 	Outdated bool
 }
 
