Begin trials at once after crashes of other targets

Clients that took them up were refused for a second (503 on-trial), answers that hosts resumed by themselves were cut.

Cause: a crash of another target within a second speaks against a content as its cause. The same window was applied to trials, whose crash would then have proved nothing, so trials were put off for a second. The better the evidence for the content, the more certainly it was refused.

Change: a target that ended before a trial began has no part in what crashed the trial's target, so the window begins with the trial. Nothing has to wait.

--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -9,9 +9,10 @@
 // flight over all hosts (package trial); the crash of a trial is always another strike.
 // Threshold strikes, with no run that was served in between, quarantine a digest for Duration.
 // A crash is no strike if another target that did not run the digest ended at the same time:
-// both have a common cause then. A served run clears the whole content and each part of the
-// crashes before it. A crash that a quarantined digest
-// took part in is attributed to it and is no strike against the digests that ran beside it.
+// both have a common cause then. For a trial, only targets that ended since its beginning count.
+// A served run clears the whole content and each part of the crashes before it. A crash that a
+// quarantined digest took part in is attributed to it and is no strike against the digests that
+// ran beside it.
 //
 // Digests that reach the threshold by the same strikes tie. If whole contents are among them,
 // these are quarantined and the parts stay suspects. Parts that tie are quarantined as a group:
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -207,19 +207,6 @@
 	})
 }
 
-// TrialDelay returns how long to wait before a trial of the digests: another target that ran
-// none of them has crashed, so a crash of the trial's target would prove nothing yet.
-func (t *Tracker) TrialDelay(now time.Time, digests []Digest) time.Duration {
-	delay := time.Duration(0)
-	for _, r := range t.current(now).unexplained {
-		ranOne := slices.ContainsFunc(digests, func(digest Digest) bool { return r.run(digest) != nil })
-		if !ranOne {
-			delay = max(delay, commonCauseWindow-now.Sub(r.crash.At))
-		}
-	}
-	return delay
-}
-
 // Strikes returns the number of strikes of a digest and the time of the last one.
 func (t *Tracker) Strikes(now time.Time, digest Digest) (count int, last time.Time) {
 	v := t.current(now).verdicts[digest]
--- a/relay/dispatcher_crashes.go
+++ b/relay/dispatcher_crashes.go
@@ -60,13 +60,6 @@
 	return d.scheduler.ConvictedIn(now, c)
 }
 
-// trialDelay returns how long to wait before a trial of the digests.
-func (d *Dispatcher) trialDelay(now time.Time, digests []quarantine.Digest) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.scheduler.TrialDelay(now, digests)
-}
-
 // recordTrial records that a running request is a trial of its content.
 func (d *Dispatcher) recordTrial(id ident.Request) {
 	d.mu.Lock()
--- a/relay/trial_test.go
+++ b/relay/trial_test.go
@@ -46,6 +46,19 @@
 	}
 }
 
+// A target that crashed without the content speaks for the content, and so is no reason to refuse it.
+func TestContentOfTargetsThatCrashedTogetherIsNotRefused(t *testing.T) {
+	f := newFixture(t, route.Route{Kind: route.NonIdempotent}, respond(200, "yes"))
+	now := time.Now()
+	f.relay.options.Dispatcher.MergeCrashes(now, []quarantine.Crash{
+		{Target: "elsewhere", Process: 1, At: now, Runs: []quarantine.Run{{Digest: fixtureDigest()}}},
+		{Target: "beside", Process: 1, At: now},
+	})
+	if result, sink := f.call(context.Background(), nil); sink.status != 200 {
+		t.Errorf("got status %d and refusal %+v, want 200", sink.status, result.Refused)
+	}
+}
+
 func TestServedTrialClearsContent(t *testing.T) {
 	f := newFixture(t, route.Route{Kind: route.NonIdempotent}, respond(200, "yes"))
 	f.suspect()
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -187,11 +187,6 @@
 	return s.crashes.ConvictedIn(now, c)
 }
 
-// TrialDelay returns how long to wait before a trial of the digests.
-func (s *Scheduler) TrialDelay(now time.Time, digests []quarantine.Digest) time.Duration {
-	return s.crashes.TrialDelay(now, digests)
-}
-
 // RecordTrial records that a running request is a trial of its content.
 func (s *Scheduler) RecordTrial(id ident.Request) {
 	if r := s.running[id]; r != nil {
