Don't blame content for a crash before it was sent

What callers saw: a stream that its host wanted to resume was refused as quarantined for ten minutes, although its content had run at one target only.

Cause: a suspect gets its slot first, and then its trial is stored. If the target of the slot crashed meanwhile, the request counted among the runs of that crash, as another strike.

Change: a request that awaits its trial is no run yet, and a trial runs from its beginning, not from the assignment of its slot.

TestContentIsNotBlamedForCrashWhileItsTrialIsStored failed before.

--- a/relay/dispatcher_crashes.go
+++ b/relay/dispatcher_crashes.go
@@ -60,11 +60,18 @@
 	return d.scheduler.ConvictedIn(now, c)
 }
 
-// recordTrial records that a running request is a trial of its content.
+// awaitTrial records that a request is not sent to its target before recordTrial.
+func (d *Dispatcher) awaitTrial(id ident.Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.AwaitTrial(id)
+}
+
+// recordTrial records that a running request is a trial of its content, which is sent now.
 func (d *Dispatcher) recordTrial(id ident.Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.scheduler.RecordTrial(id)
+	d.scheduler.RecordTrial(time.Now(), id)
 }
 
 // witnesses returns targets that a trial on the given one is compared with.
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -27,6 +27,7 @@
 	if r.counted || len(suspects) == 0 {
 		return nil
 	}
+	dispatcher.awaitTrial(r.slot)
 	if denial := x.acquireTrial(ctx, suspects); denial != nil {
 		dispatcher.finish(r.slot, schedule.Abandoned)
 		return x.trialRefusal(denial)
--- a/relay/trial_test.go
+++ b/relay/trial_test.go
@@ -5,10 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/cornelyard/cornelyard/internal/tabletest"
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/quarantine"
 	"github.com/cornelyard/cornelyard/route"
 	"github.com/cornelyard/cornelyard/schedule"
+	"github.com/cornelyard/cornelyard/storage"
 	"github.com/cornelyard/cornelyard/target"
 	"github.com/cornelyard/cornelyard/trial"
 )
@@ -59,6 +61,30 @@
 	}
 }
 
+// tableWithDelay calls a function before each commit.
+type tableWithDelay struct {
+	*tabletest.Table
+	before func()
+}
+
+func (t *tableWithDelay) Commit(ctx context.Context, change storage.Transaction) (uint64, error) {
+	t.before()
+	return t.Table.Commit(ctx, change)
+}
+
+// The target crashes before the request is sent to it.
+func TestContentIsNotBlamedForCrashWhileItsTrialIsStored(t *testing.T) {
+	f := newFixture(t, route.Route{Kind: route.NonIdempotent}, respond(200, "yes"))
+	f.keepTargets(1)
+	f.suspect()
+	crashed := targetSnapshot(1).Targets["t1"]
+	table := &tableWithDelay{Table: f.table, before: func() { f.relay.options.Dispatcher.recordCrash(crashed) }}
+	f.relay.options.Trials = trial.NewLedger(trial.Options{Table: table, Host: "h1", Logger: discardLogger, Now: time.Now})
+	if result, sink := f.call(context.Background(), nil); sink.status != 200 {
+		t.Errorf("got status %d and refusal %+v, want 200", sink.status, result.Refused)
+	}
+}
+
 func TestServedTrialClearsContent(t *testing.T) {
 	f := newFixture(t, route.Route{Kind: route.NonIdempotent}, respond(200, "yes"))
 	f.suspect()
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -84,8 +84,8 @@
 		c.Process = now.UnixMilli()
 	}
 	for _, r := range s.running {
-		if r.target.Name == crashed.Name {
-			c.Runs = append(c.Runs, r.request.Content.Runs(now.Sub(r.dispatchedAt), r.trial)...)
+		if runTime, sent := r.runTime(now); sent && r.target.Name == crashed.Name {
+			c.Runs = append(c.Runs, r.request.Content.Runs(runTime, r.trial)...)
 		}
 	}
 	return c
@@ -187,10 +187,17 @@
 	return s.crashes.ConvictedIn(now, c)
 }
 
-// RecordTrial records that a running request is a trial of its content.
-func (s *Scheduler) RecordTrial(id ident.Request) {
+// AwaitTrial records that a request that was dispatched is not sent before RecordTrial.
+func (s *Scheduler) AwaitTrial(id ident.Request) {
 	if r := s.running[id]; r != nil {
-		r.trial = true
+		r.awaitsTrial = true
+	}
+}
+
+// RecordTrial records that a running request is a trial of its content, which is sent now.
+func (s *Scheduler) RecordTrial(now time.Time, id ident.Request) {
+	if r := s.running[id]; r != nil {
+		r.trial, r.trialBegan = true, now
 	}
 }
 
--- a/schedule/running_request.go
+++ b/schedule/running_request.go
@@ -34,6 +34,10 @@
 	// is the only one of its content over all hosts.
 	suspect bool
 	trial   bool
+	// awaitsTrial says that the request is not sent before its trial begins, and trialBegan is
+	// when that was.
+	awaitsTrial bool
+	trialBegan  time.Time
 	// order is the order of a rollout for which the run is evidence, or zero. outOfTime says
 	// that the request's deadline has passed.
 	order     rollout.OrderID
@@ -43,3 +47,12 @@
 	firstEventAt time.Time
 	lastEventAt  time.Time
 }
+
+// runTime returns how long the request has been running at its target. It returns false if it
+// has not been sent.
+func (r *runningRequest) runTime(now time.Time) (time.Duration, bool) {
+	if r.trial {
+		return now.Sub(r.trialBegan), true
+	}
+	return now.Sub(r.dispatchedAt), !r.awaitsTrial
+}
