Let only the remainder of a stream follow its beginning

What callers saw: a stream that a target had broken off went on with the events, the comments or the empty body of the next target's error, and ended as if it were complete. A target that began again had its events forwarded twice.

Cause: of a response that goes on with a stream, the relay checked the content type only. The own interface has checked status and event IDs from the start.

Change: target/continuation.go holds one rule, and both interfaces use its check of the head: status 200 and events. In the relay each event must have a higher ID than the last one, and an end without any event completes nothing. A response that fails this is a failure of its target, so another one is tried where attempts allow, and otherwise the answer is cut.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/cornelyard/cornelyard/outcome"
@@ -259,7 +260,7 @@
 // much of the response has been forwarded.
 func (x *execution) retryable() bool {
 	if x.delivery.headWritten {
-		return x.route.Resumable && x.delivery.hasEventIDs && !x.versionUnsure
+		return x.route.Resumable && x.delivery.status == http.StatusOK && x.delivery.hasEventIDs && !x.versionUnsure
 	}
 	return x.route.Retryable() || x.route.Resumable
 }
--- a/relay/dispatch_error.go
+++ b/relay/dispatch_error.go
@@ -17,3 +17,8 @@
 	}
 	return schedule.Broken
 }
+
+// continuationError returns the error of a response that began to go on with a stream and doesn't.
+func continuationError(err error) *DispatchError {
+	return &DispatchError{Result: schedule.Failed, Sent: true, Err: err}
+}
--- a/relay/event_batch.go
+++ b/relay/event_batch.go
@@ -1,6 +1,11 @@
 package relay
 
-import "github.com/cornelyard/cornelyard/target"
+import (
+	"errors"
+	"io"
+
+	"github.com/cornelyard/cornelyard/target"
+)
 
 // eventBatch holds events of a stream that are written together. Comments are written
 // with the event that follows them.
@@ -13,6 +18,25 @@
 	hasIDs bool
 }
 
+// read adds the next event and those that have arrived with it. It returns io.EOF if the stream
+// ends before another event.
+func (b *eventBatch) read(events *target.EventReader, continuation *target.Continuation) error {
+	for first := true; first || len(b.raw) < maxBatchBytes && events.Buffered(); first = false {
+		event, err := events.Next()
+		if first && errors.Is(err, io.EOF) {
+			return err
+		}
+		if err != nil {
+			return streamError(err)
+		}
+		if err := continuation.Check(event); err != nil {
+			return continuationError(err)
+		}
+		b.add(event)
+	}
+	return nil
+}
+
 func (b *eventBatch) add(e target.Event) {
 	b.raw = append(b.raw, e.Raw...)
 	if !e.HasContent {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -78,9 +78,6 @@
 	if response.Stream {
 		return x.forwardStream(r, response)
 	}
-	if x.delivery.headWritten {
-		return &DispatchError{Result: resultForStatus(response.Status), Sent: true, Err: errors.New("a resumed stream is answered with no stream")}
-	}
 	if response.Length > maxBufferedBytes {
 		return x.forwardUnbuffered(response)
 	}
@@ -146,21 +143,15 @@
 	defer func() { _ = body.Close() }()
 	events := target.NewEventReader(body, maxEventBytes, x.relay.options.Budget)
 	defer events.Close()
+	continuation := x.continuation(response)
 	var batch eventBatch
 	for {
-		event, err := events.Next()
+		err := batch.read(events, continuation)
 		if errors.Is(err, io.EOF) {
-			return x.endStream(response, &batch)
+			return x.endStream(response, continuation, &batch)
 		}
 		if err != nil {
-			return streamError(err)
-		}
-		batch.add(event)
-		for len(batch.raw) < maxBatchBytes && events.Buffered() {
-			if event, err = events.Next(); err != nil {
-				return streamError(err)
-			}
-			batch.add(event)
+			return err
 		}
 		if batch.count == 0 {
 			continue
@@ -172,6 +163,15 @@
 	}
 }
 
+// continuation returns the check of a response that goes on with a stream, within a response to
+// the caller or after an earlier one. It returns nil for others, such as errors of the target.
+func (x *execution) continuation(response *Response) *target.Continuation {
+	if !x.delivery.headWritten && !(x.takesUp() && response.Status == http.StatusOK) {
+		return nil
+	}
+	return target.NewContinuation(x.resumeAfter())
+}
+
 // streamError returns the error of a response whose next part could not be read. A caller that
 // reads too slowly is no failure of the target.
 func streamError(err error) error {
@@ -183,11 +183,13 @@
 
 // endStream completes a stream with the comments after its last event. If the stream had
 // no event, it writes the head.
-func (x *execution) endStream(response *Response, comments *eventBatch) error {
+func (x *execution) endStream(response *Response, continuation *target.Continuation, comments *eventBatch) error {
 	if !x.delivery.headWritten {
 		if err := x.writeHead(response, -1); err != nil {
 			return err
 		}
+	} else if err := continuation.CheckEnd(); err != nil {
+		return continuationError(err)
 	}
 	if err := x.writeBody(comments.raw); err != nil {
 		return err
--- a/relay/run.go
+++ b/relay/run.go
@@ -60,15 +60,32 @@
 		ResumeAfter: x.resumeAfter(),
 		Resumes:     x.resumes(),
 		Latch:       new(target.SendLatch),
+		continues:   x.delivery.headWritten,
 	}
 }
 
 // send sends the request and delivers the result to r.head.
 func (x *execution) send(r *run, d Dispatch) {
 	response, err := x.relay.options.TargetClient.Send(r.ctx, d)
+	if failure := checkContinuation(d, response); failure != nil {
+		_ = response.Body.Close()
+		response, err = nil, failure
+	}
 	r.head <- headResult{response, err}
 }
 
+// checkContinuation returns a *DispatchError if the response can't go on with the stream that an
+// earlier one began. A nil response stands for none.
+func checkContinuation(d Dispatch, response *Response) error {
+	if !d.continues || response == nil {
+		return nil
+	}
+	if err := target.CheckContinuation(response.Status, response.Stream); err != nil {
+		return &DispatchError{Result: resultForStatus(response.Status), Sent: true, Statements: response.Statements, Err: err}
+	}
+	return nil
+}
+
 // discard cancels a run whose result is not needed, and frees its slot.
 func (x *execution) discard(r *run) {
 	r.cancel(nil)
--- a/relay/target_client.go
+++ b/relay/target_client.go
@@ -36,6 +36,9 @@
 	Latch       *target.SendLatch
 	// EarlierDispatches is how many targets the request has reached, if it is passed on.
 	EarlierDispatches int
+	// continues says that events of the response follow those of an earlier one in one response
+	// to the caller.
+	continues bool
 }
 
 // Response is a target's response whose head has arrived.
--- a/target/resume.go
+++ b/target/resume.go
@@ -84,8 +84,8 @@
 }
 
 func (c *Client) checkResumeResponse(call Call, response *http.Response) error {
-	if response.StatusCode != http.StatusOK || !isEventStream(response) {
-		return newFailure(FailedConnection, Error.New("target cannot resume the stream: status %d", response.StatusCode))
+	if err := CheckContinuation(response.StatusCode, isEventStream(response)); err != nil {
+		return newFailure(FailedConnection, err)
 	}
 	return c.checkHeader(call, response)
 }
