Give all requests an answer before a planned stop ends

What callers saw: requests whose body ended late in a planned stop were taken and sent to a target, and cut without an answer at the end of the stop time; those that ran or waited since before the signal were cut too.

Cause: the relay did not know when its host stops. Each request had the time of its own deadline.

Change: the scheduler refuses what may take longer than its host runs, at the arrival, in the queue and before retries; 0.15 s before connections are closed, the relay gives what is in progress its final response, which says truly whether the request has run; the ingress does so for bodies that have not ended. Targets get no more time than their host has.

Measured: of the six cases of TestRequestThatEndsLateInPlannedStop five failed before, in TestRequestsInProgressAtPlannedStopGetResponses all 16 that ran; both pass. The tests of platform, relay, gateway, target, quarantine and trial pass.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -21,6 +21,9 @@
 	// shutdownReserve is the part of the stop timeout that is reserved for the shutdown
 	// after draining.
 	shutdownReserve = 300 * time.Millisecond
+	// responseReserve is the time for the final responses to the requests that are in progress
+	// at the end of draining.
+	responseReserve = 150 * time.Millisecond
 	// readHeaderTimeout bounds the time to receive the head of a request.
 	readHeaderTimeout = 5 * time.Second
 	// idleTimeout is how long a caller's idle connection is kept. It is longer than any
@@ -150,8 +153,10 @@
 // has detected that, and then waits for the requests in flight.
 func (g *Gateway) drain(server *http.Server) error {
 	g.stopping.Store(true)
-	g.state.dispatcher.SetLeaving(time.Now())
 	end := time.Now().Add(g.stopTimeout() - shutdownReserve)
+	lastResponse := end.Add(-responseReserve)
+	g.relay.Stop(lastResponse)
+	g.state.dispatcher.SetLeaving(time.Now(), lastResponse)
 	g.logger.Info().Str(eventlog.FieldEvent, eventlog.EventStopping).
 		Int("requests", g.relay.InFlight()).Msg("Draining the host.")
 	time.Sleep(min(balancerDetectionTime, time.Until(end)))
--- a/relay/dispatcher_cluster.go
+++ b/relay/dispatcher_cluster.go
@@ -31,9 +31,9 @@
 	d.scheduler.SetStateInterval(interval)
 }
 
-// SetLeaving records that this host is stopping.
-func (d *Dispatcher) SetLeaving(now time.Time) {
-	d.update(now, func(s *schedule.Scheduler) { s.SetLeaving() })
+// SetLeaving records that this host is stopping and has no time for requests after stopAt.
+func (d *Dispatcher) SetLeaving(now, stopAt time.Time) {
+	d.update(now, func(s *schedule.Scheduler) { s.SetLeaving(stopAt) })
 }
 
 // ApplyPeerState merges the state received from another host.
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -88,6 +88,8 @@
 	if refusal := x.admit(ctx); refusal != nil {
 		return refusal
 	}
+	ctx, release := x.relay.withStop(ctx)
+	defer release()
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errDeadlineExceeded)
 	defer cancel()
 	refusal := x.serve(ctx)
@@ -320,8 +322,11 @@
 }
 
 // cancelledRefusal returns the final response to a request whose caller
-// disconnected or whose deadline passed.
+// disconnected, whose deadline passed, or that is in progress when this host stops.
 func (x *execution) cancelledRefusal(ctx context.Context) *outcome.Refusal {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return x.stoppingRefusal()
+	}
 	if !errors.Is(context.Cause(ctx), errDeadlineExceeded) {
 		return &outcome.Refusal{Outcome: x.outcome(), Reason: outcome.CallerDisconnected, Message: "the caller disconnected"}
 	}
--- a/relay/pass_on.go
+++ b/relay/pass_on.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
@@ -61,7 +60,7 @@
 
 func (x *execution) sendToHost(ctx context.Context, host ident.Host) (*Response, error) {
 	d := Dispatch{
-		Call: x.call, Timeout: time.Until(x.deadline), Latch: new(target.SendLatch), EarlierDispatches: x.dispatches,
+		Call: x.call, Timeout: x.timeLeft(), Latch: new(target.SendLatch), EarlierDispatches: x.dispatches,
 	}
 	response, err := x.relay.options.PeerClient.SendToHost(ctx, host, d)
 	if err != nil && !isNotRun(err) || err == nil && !response.NotRun {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,11 +45,12 @@
 // Relay forwards callers' requests to targets.
 type Relay struct {
 	options  Options
+	stopper  *stopper
 	inFlight atomic.Int64
 	lastID   atomic.Uint64
 }
 
-func New(o Options) *Relay { return &Relay{options: o} }
+func New(o Options) *Relay { return &Relay{options: o, stopper: newStopper()} }
 
 // InFlight returns the number of requests that have no final response yet.
 func (r *Relay) InFlight() int { return int(r.inFlight.Load()) }
--- a/relay/run.go
+++ b/relay/run.go
@@ -56,7 +56,7 @@
 		Call:        x.call,
 		Target:      r.target,
 		Team:        x.teamName(),
-		Timeout:     time.Until(x.deadline),
+		Timeout:     x.timeLeft(),
 		ResumeAfter: x.resumeAfter(),
 		Resumes:     x.resumes(),
 		Latch:       new(target.SendLatch),
--- a/schedule/limits.go
+++ b/schedule/limits.go
@@ -65,12 +65,6 @@
 	s.limitEvents = append(s.limitEvents, LimitEvent{Target: t.Name, Pool: t.Pool, Before: before, After: after})
 }
 
-// SetLeaving records that this host is stopping, so that others use the limits of targets.
-func (s *Scheduler) SetLeaving() {
-	s.leaving = true
-	s.ratesAt = time.Time{}
-}
-
 // updateRates calculates the rates of this host for the targets that state limits.
 func (s *Scheduler) updateRates(now time.Time) {
 	if now.Sub(s.ratesAt) < rateInterval {
--- a/schedule/limits_test.go
+++ b/schedule/limits_test.go
@@ -197,7 +197,7 @@
 
 func TestLeavingAndUnreachingHostsHandOver(t *testing.T) {
 	for name, change := range map[string]func(*Scheduler, int){
-		"leaving": func(s *Scheduler, _ int) { s.SetLeaving() },
+		"leaving": func(s *Scheduler, _ int) { s.SetLeaving(at(3_600_000)) },
 		"unable to reach the target": func(s *Scheduler, ms int) {
 			s.targets["t0"].health.eject(at(ms), time.Minute)
 			s.observationsUrgent = true
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -22,8 +22,9 @@
 	fairShares bool
 	// sharedClock tells when requests are due for which capacity is reserved.
 	sharedClock sharedClock
-	// leaving is set while this host stops.
+	// leaving is set while this host stops, at stopAt.
 	leaving bool
+	stopAt  time.Time
 
 	pools map[ident.Pool]*pool
 	// poolOrder holds the pools ordered by name.
@@ -243,6 +244,10 @@
 		s.pendingActions = append(s.pendingActions, s.quarantineRefusal(now, p, w, until))
 		return
 	}
+	if s.outlastsHost(now, p, &r) {
+		s.pendingActions = append(s.pendingActions, s.stopRefusal(now, p, w))
+		return
+	}
 	if d := s.divert(now, p, &r); d != nil {
 		if w.linkTrial = p.isLinkTrial(now, &r); !w.linkTrial {
 			s.pendingActions = append(s.pendingActions, d)
@@ -311,6 +316,7 @@
 		if len(p.queue.items) == 0 {
 			continue
 		}
+		actions = s.refuseOutlasting(now, p, actions)
 		actions = s.divertQueued(now, p, actions)
 		actions = s.refuseForShares(now, p, actions)
 		actions = s.refuseExpired(now, p, actions)
