--- a/relay/pass_on.go
+++ b/relay/pass_on.go
@@ -61,6 +61,7 @@
 func (x *execution) sendToHost(ctx context.Context, host ident.Host) (*Response, error) {
 	d := Dispatch{
 		Call: x.call, Timeout: x.timeLeft(), Latch: new(target.SendLatch), EarlierDispatches: x.dispatches,
+		TableVersion: x.table.Version,
 	}
 	response, err := x.relay.options.PeerClient.SendToHost(ctx, host, d)
 	if err != nil && !isNotRun(err) || err == nil && !response.NotRun {
--- a/relay/target_client.go
+++ b/relay/target_client.go
@@ -36,6 +36,9 @@
 	Latch       *target.SendLatch
 	// EarlierDispatches is how many targets the request has reached, if it is passed on.
 	EarlierDispatches int
+	// TableVersion is the version of the configuration that was applied, if it is passed on. A host
+	// with an older one must not serve the request.
+	TableVersion uint64
 	// continues says that events of the response follow those of an earlier one in one response
 	// to the caller.
 	continues bool
