Doubt the entry of a lost target until it was read since

Cause: the host doubted the version in the entry of a target that it had lost for one second, whether it had read the entry since or not.

Change: the doubt ends when the entries are known as of a second after the loss. The same confirmations are used for the versions of streams.

--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -115,8 +115,8 @@
 	}
 	s.targetTracker.SetEntries(now, targets)
 	s.targetsLoaded.Store(true)
-	s.streams.ConfirmTargets(now)
 	s.refreshTargets(now)
+	s.confirmTargets(now)
 }
 
 // StoreReachable implements platform.Listener.
@@ -126,7 +126,7 @@
 	now := time.Now()
 	s.targetTracker.RecordStoreCall(now, responded)
 	if responded {
-		s.streams.ConfirmTargets(now)
+		s.confirmTargets(now)
 	}
 }
 
@@ -134,10 +134,16 @@
 // rows were the newest at a moment.
 func (s *clusterState) tableConfirmed(t freshness.Table, asOf time.Time) {
 	if t == freshness.Targets {
-		s.streams.ConfirmTargets(asOf)
+		s.confirmTargets(asOf)
 	}
 }
 
+// confirmTargets records that the entries of targets are known as of a moment.
+func (s *clusterState) confirmTargets(asOf time.Time) {
+	s.streams.ConfirmTargets(asOf)
+	s.dispatcher.ConfirmTargets(asOf)
+}
+
 // tableCurrency returns how current the configuration in force is.
 func (s *clusterState) tableCurrency(now time.Time) relay.TableCurrency {
 	return relay.TableCurrency{
--- a/relay/dispatcher_cluster.go
+++ b/relay/dispatcher_cluster.go
@@ -31,6 +31,13 @@
 	d.scheduler.SetStateInterval(interval)
 }
 
+// ConfirmTargets records that the entries of targets are known as of a moment.
+func (d *Dispatcher) ConfirmTargets(asOf time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.ConfirmTargets(asOf)
+}
+
 // SetLeaving records that this host is stopping and has no time for requests after stopAt.
 func (d *Dispatcher) SetLeaving(now, stopAt time.Time) {
 	d.update(now, func(s *schedule.Scheduler) { s.SetLeaving(stopAt) })
--- a/schedule/candidates.go
+++ b/schedule/candidates.go
@@ -14,7 +14,7 @@
 }
 
 func (r *Request) fitsVersion(now time.Time, t *target) bool {
-	return (!r.RequiresVersion || t.Version == r.Version && !t.mayHaveRestarted(now)) && r.fitsSide(now, t)
+	return (!r.RequiresVersion || t.Version == r.Version && !t.mayHaveRestarted()) && r.fitsSide(now, t)
 }
 
 // hasCandidate reports whether the pool has a target that is not draining, that this host may
--- a/schedule/dispatch.go
+++ b/schedule/dispatch.go
@@ -160,7 +160,7 @@
 	return &Dispatch{
 		Request:       r.ID,
 		Target:        t.Target,
-		VersionUnsure: t.mayHaveRestarted(now),
+		VersionUnsure: t.mayHaveRestarted(),
 		QueueTime:     now.Sub(r.Arrived),
 		CachedTokens:  run.cached,
 		Inputs:        inputs,
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -74,7 +74,8 @@
 	slotShare      int
 
 	health health
-	// lostAt is when this host last could not reach the target's process, or zero.
+	// lostAt is when this host last could not reach the target's process, or zero if its entry was
+	// read since.
 	lostAt time.Time
 	// brokenAt is when the target last broke off a request of this host.
 	brokenAt time.Time
@@ -236,7 +237,17 @@
 
 // mayHaveRestarted reports whether the target may run another process than its entry says,
 // and so another software version.
-func (t *target) mayHaveRestarted(now time.Time) bool { return now.Sub(t.lostAt) < restartDetection }
+func (t *target) mayHaveRestarted() bool { return !t.lostAt.IsZero() }
+
+// ConfirmTargets records that the entries of targets are known as of a moment. A process that was lost
+// longer before has not started again.
+func (s *Scheduler) ConfirmTargets(asOf time.Time) {
+	for _, t := range s.targets {
+		if asOf.Sub(t.lostAt) >= restartDetection {
+			t.lostAt = time.Time{}
+		}
+	}
+}
 
 // available reports whether the target is announced and not about to end.
 func (t *target) available() bool { return t.announced && !t.Draining && !t.leaving }
