--- a/schedule/stop.go
+++ b/schedule/stop.go
@@ -47,7 +47,7 @@
 }
 
 // knownServiceTime returns the mean service time of requests of the rank that were served, by this
-// host or others, or of the slowest ones of the pool, or zero.
+// host or by others, or zero.
 func (p *pool) knownServiceTime(now time.Time, rank Rank) time.Duration {
 	if d := p.demands.get(rank); d != nil && d.meanService > 0 {
 		return seconds(d.meanService)
