Ask for a read entry before a lost target goes on with streams

The test now asks for both sides of the new rule: not by an entry as of 999 ms after the loss, but by one as of a second after it.

--- a/schedule/restarted_target_test.go
+++ b/schedule/restarted_target_test.go
@@ -50,6 +50,14 @@
 	s := newScheduler(4)
 	lost := announce(s, 0, s.targets["t0"].Target, 1)
 	s.RecordUnreachable(at(10), lost)
+	s.ConfirmTargets(at(1009))
+	early := remainder("early", 1015)
+	s.Enqueue(at(1015), early)
+	if targets := dispatched(t, s, 1015); len(targets) > 0 {
+		t.Errorf("got the dispatches %v before the entry was read late enough, want none", targets)
+	}
+	s.Cancel("early")
+	s.ConfirmTargets(at(1010))
 	later := 1020
 	runOn(t, s, later, remainder("later", later))
 }
