Ask for each run's slot under an ID of its own

What operators saw: a target had a slot less for good, at a host on which a second run had replaced a silent one and failed too, within the time in which the target of the first was probed.

Cause: the runs of a request shared one ID, so a third run took over the record of the first one, whose slot was not freed yet.

Measured: TestSlotOfReplacedRunIsFreedWhileItsTargetIsProbed failed before.

--- a/relay/execution.go
+++ b/relay/execution.go
@@ -25,8 +25,6 @@
 
 // execution is the state of one request from its acceptance to its final response.
 type execution struct {
-	// id is unique in this process. The caller's request ID may not be.
-	id    ident.Request
 	relay *Relay
 	call  *Call
 	sink  Sink
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -35,11 +35,15 @@
 	mu         sync.Mutex
 	behaviors  []targetBehavior
 	dispatches []Dispatch
-	// probe is the result of all probes.
-	probe target.ProbeResult
+	// probe is the result of all probes, which take probeTime.
+	probe     target.ProbeResult
+	probeTime time.Duration
 }
 
-func (c *scriptedClient) Probe(context.Context, route.Target) target.ProbeResult { return c.probe }
+func (c *scriptedClient) Probe(context.Context, route.Target) target.ProbeResult {
+	time.Sleep(c.probeTime)
+	return c.probe
+}
 
 func (c *scriptedClient) Send(ctx context.Context, d Dispatch) (*Response, error) {
 	c.mu.Lock()
--- a/relay/hedge_replacement_test.go
+++ b/relay/hedge_replacement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -42,6 +43,21 @@
 	f.awaitIdle(t)
 }
 
+// TestSlotOfReplacedRunIsFreedWhileItsTargetIsProbed guards against a slot that is taken for good: the request runs a third time
+// before the slot of the first run is freed.
+func TestSlotOfReplacedRunIsFreedWhileItsTargetIsProbed(t *testing.T) {
+	t.Parallel()
+	r := silentRoute(route.Stream)
+	r.MaxAttempts = 3
+	f := newFixture(t, r, streamWithPauses(20*time.Second, firstEvent, secondEvent), respondStream("", io.EOF), respondStream(secondEvent, io.EOF))
+	f.client.probeTime = 200 * time.Millisecond
+	result, sink := f.call(context.Background(), nil)
+	if result.Refused != nil || result.Truncated || sink.body.String() != wholeStream {
+		t.Errorf("got %+v with body %q, want the whole stream", result, sink.body.String())
+	}
+	f.awaitIdle(t)
+}
+
 func TestSecondRunIsKeptWhenTheFirstBreaksRightAfterItsHead(t *testing.T) {
 	t.Parallel()
 	breaks := func(ctx context.Context, d Dispatch) (*Response, error) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,7 +59,7 @@
 func (r *Relay) Serve(ctx context.Context, call *Call, sink Sink) Result {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	x := &execution{id: r.newID(), relay: r, call: call, sink: sink, dispatches: call.EarlierDispatches}
+	x := &execution{relay: r, call: call, sink: sink, dispatches: call.EarlierDispatches}
 	refusal := x.run(ctx)
 	r.options.Observer.Finished(x.summary(refusal))
 	switch {
--- a/relay/scheduling_request.go
+++ b/relay/scheduling_request.go
@@ -7,10 +7,11 @@
 	"github.com/cornelyard/cornelyard/schedule"
 )
 
-// request returns the scheduler's view of the call.
+// request returns the scheduler's view of the next run. Its ID is new, because the slot of the last
+// one may not be free yet.
 func (x *execution) request() schedule.Request {
 	r := schedule.Request{
-		ID:              x.id,
+		ID:              x.relay.newID(),
 		Route:           x.route.Name,
 		Pool:            x.pool,
 		Content:         x.content,
--- a/relay/second_run.go
+++ b/relay/second_run.go
@@ -87,7 +87,6 @@
 // secondRequest returns the scheduler's view of a second run. x.mu must be held.
 func (h *hedge) secondRequest() schedule.Request {
 	r := h.x.request()
-	r.ID = h.x.relay.newID()
 	// A target on probation would be no certain replacement.
 	r.Retryable = false
 	r.MayPassOn = false
