Read the entries of lost targets when streams need them

What callers saw: after targets could be reached again, streams were refused for up to 1.2 s longer than their targets were in doubt, and those that began at them meanwhile could not be taken up.

Cause: since the doubt about a lost target's version ends only when its entry was read a second after the loss, that read came by chance, with the next call that confirms the list.

Change: a request for the remainder of a stream waits for the read if no other target is certain to have its version; a resumable stream that begins at a target in doubt asks for it, and is certain if it came before its first event.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -199,6 +199,9 @@
 // confirmTargets returns nil once the newest targets are known.
 func (g *Gateway) confirmTargets(ctx context.Context) error { return g.directory.ConfirmTargets(ctx) }
 
+// readTargets has the changes of the targets read now.
+func (g *Gateway) readTargets() { g.directory.ReadChanges(freshness.Targets) }
+
 func (g *Gateway) buildRelay() {
 	g.transport = target.NewTransport(target.TransportOptions{
 		Dial:                g.dial,
@@ -222,6 +225,7 @@
 		RetryBudget:    g.state.retryBudget,
 		Streams:        g.state.streams,
 		ConfirmTargets: g.confirmTargets,
+		ReadTargets:    g.readTargets,
 		Trials:         g.trials,
 		Budget:         g.responseBudget,
 		Gate:           g.saturation,
--- a/relay/dispatcher_cluster.go
+++ b/relay/dispatcher_cluster.go
@@ -38,6 +38,29 @@
 	d.scheduler.ConfirmTargets(asOf)
 }
 
+// entriesDue reports whether no target is certain to have a software version, but one may be once the
+// entries of targets are read.
+func (d *Dispatcher) entriesDue(pool ident.Pool, version string, excluded []ident.Target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.EntriesDue(time.Now(), pool, version, excluded)
+}
+
+// takeEntryRead reports whether the entries of targets are to be read, because a stream began at one in
+// doubt.
+func (d *Dispatcher) takeEntryRead(began ident.Target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.TakeEntryRead(time.Now(), began)
+}
+
+// mayHaveRestarted reports whether the target may run another process than that of the entry.
+func (d *Dispatcher) mayHaveRestarted(entry route.Target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.MayHaveRestarted(entry)
+}
+
 // SetLeaving records that this host is stopping and has no time for requests after stopAt.
 func (d *Dispatcher) SetLeaving(now, stopAt time.Time) {
 	d.update(now, func(s *schedule.Scheduler) { s.SetLeaving(stopAt) })
--- a/relay/execution.go
+++ b/relay/execution.go
@@ -199,6 +199,7 @@
 		x.releaseRetry()
 		return r, nil
 	}
+	x.confirmVersion(ctx)
 	request := x.request()
 	action, err := x.relay.options.Dispatcher.acquire(ctx, request)
 	if err != nil {
@@ -215,7 +216,9 @@
 	case *schedule.Dispatch:
 		x.dispatchRetry()
 		x.queueTime += a.QueueTime
-		return newRun(ctx, a), nil
+		r := newRun(ctx, a)
+		x.readEntries(r)
+		return r, nil
 	default:
 		panic(fmt.Sprintf("unknown action %T", action))
 	}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -174,6 +174,7 @@
 		Streams:      streamversion.NewTracker(),
 
 		ConfirmTargets: func(context.Context) error { return nil },
+		ReadTargets:    func() {},
 		Trials:         trial.NewLedger(trial.Options{Table: f.table, Host: "h1", Logger: discardLogger, Now: time.Now}),
 		Observer:       f.observer,
 	})
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -227,7 +227,7 @@
 	}
 	if !x.versionKnown {
 		x.version, x.versionKnown = r.target.Version, true
-		x.versionUnsure = r.versionUnsure
+		x.versionUnsure = r.versionUnsure && x.relay.options.Dispatcher.mayHaveRestarted(r.target)
 	}
 	d := &x.delivery
 	d.hasEventIDs = batch.hasIDs
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,6 +33,8 @@
 	Streams     *streamversion.Tracker
 	// ConfirmTargets returns nil once the list of targets is known as of a moment after it was called.
 	ConfirmTargets func(ctx context.Context) error
+	// ReadTargets has the changes of the list of targets read now. It does not block.
+	ReadTargets func()
 
 	Trials   *trial.Ledger
 	Observer Observer
--- a/relay/resumption.go
+++ b/relay/resumption.go
@@ -62,6 +62,23 @@
 	return x.relay.options.ConfirmTargets(ctx)
 }
 
+// confirmVersion waits for the newest list of targets if the remainder of a stream could go nowhere else
+// than to targets whose entries this host has not read since it lost them.
+func (x *execution) confirmVersion(ctx context.Context) {
+	if x.versionKnown && x.relay.options.Dispatcher.entriesDue(x.pool, x.version, x.excludedTargets) {
+		// Without the list, the scheduler refuses the request.
+		_ = x.confirmTargets(ctx)
+	}
+}
+
+// readEntries has the list of targets read if a resumable stream begins at a target that was lost, so
+// that others that begin there can be taken up.
+func (x *execution) readEntries(r *run) {
+	if r.versionUnsure && x.route.Kind == route.Stream && x.route.Resumable && x.relay.options.Dispatcher.takeEntryRead(r.target.Name) {
+		x.relay.options.ReadTargets()
+	}
+}
+
 // recordBegin records where a resumable stream began, or went on.
 func (x *execution) recordBegin(r *run) {
 	first := x.firstAttempt()
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -25,6 +25,8 @@
 	// leaving is set while this host stops, at stopAt.
 	leaving bool
 	stopAt  time.Time
+	// entriesWantedAt is when TakeEntryRead last wanted the entries of targets.
+	entriesWantedAt time.Time
 
 	pools map[ident.Pool]*pool
 	// poolOrder holds the pools ordered by name.
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -231,24 +231,6 @@
 	minEjectingHosts = 2
 )
 
-// restartDetection is how long the entry of a target that has started again may take to name
-// the new process.
-const restartDetection = time.Second
-
-// mayHaveRestarted reports whether the target may run another process than its entry says,
-// and so another software version.
-func (t *target) mayHaveRestarted() bool { return !t.lostAt.IsZero() }
-
-// ConfirmTargets records that the entries of targets are known as of a moment. A process that was lost
-// longer before has not started again.
-func (s *Scheduler) ConfirmTargets(asOf time.Time) {
-	for _, t := range s.targets {
-		if asOf.Sub(t.lostAt) >= restartDetection {
-			t.lostAt = time.Time{}
-		}
-	}
-}
-
 // available reports whether the target is announced and not about to end.
 func (t *target) available() bool { return t.announced && !t.Draining && !t.leaving }
 
