Begin resumable streams at targets whose version is certain

What callers saw: streams that began in the second after their target was lost could not be taken up anywhere (503 version-unknown), also while other targets were free.

Cause: the choice of a target did not weigh that its version is in doubt.

Change: the doubt costs a resumable stream 0.3 s, like a fast target that others need more.

Measured: TestResumableStreamDoesNotBeginAtTargetInDoubt failed before.

--- a/relay/resumption.go
+++ b/relay/resumption.go
@@ -18,10 +18,11 @@
 // confirmTime bounds how long a caller that takes a stream up waits for the newest list of targets.
 const confirmTime = 500 * time.Millisecond
 
+// resumable reports whether the caller may take up the response at another host.
+func (x *execution) resumable() bool { return x.route.Kind == route.Stream && x.route.Resumable }
+
 // takesUp reports whether the caller takes up a stream that an earlier response began.
-func (x *execution) takesUp() bool {
-	return x.call.Resumes && x.route.Kind == route.Stream && x.route.Resumable
-}
+func (x *execution) takesUp() bool { return x.call.Resumes && x.resumable() }
 
 // findOrigin finds the pool and the version that began a stream that the caller takes up.
 // It returns the refusal if they are not known for sure, or if the route no longer allows
@@ -74,7 +75,7 @@
 // readEntries has the list of targets read if a resumable stream begins at a target that was lost, so
 // that others that begin there can be taken up.
 func (x *execution) readEntries(r *run) {
-	if r.versionUnsure && x.route.Kind == route.Stream && x.route.Resumable && x.relay.options.Dispatcher.takeEntryRead(r.target.Name) {
+	if r.versionUnsure && x.resumable() && x.relay.options.Dispatcher.takeEntryRead(r.target.Name) {
 		x.relay.options.ReadTargets()
 	}
 }
@@ -82,7 +83,7 @@
 // recordBegin records where a resumable stream began, or went on.
 func (x *execution) recordBegin(r *run) {
 	first := x.firstAttempt()
-	if x.route.Kind != route.Stream || !x.route.Resumable || first == "" {
+	if !x.resumable() || first == "" {
 		return
 	}
 	x.relay.options.Streams.RecordBegin(time.Now(), first, r.target, x.versionUnsure)
--- a/relay/scheduling_request.go
+++ b/relay/scheduling_request.go
@@ -25,6 +25,7 @@
 		BodyBytes:       len(x.call.Body),
 		PromptBlocks:    x.call.PromptBlocks,
 		Retryable:       x.retryable() && x.dispatches+1 < x.route.MaxAttempts,
+		Resumable:       x.resumable(),
 		ExcludedTargets: x.excludedTargets,
 		Repeat:          x.dispatches > 0,
 		RequiresVersion: x.versionKnown,
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -36,6 +36,9 @@
 	// Retryable says that the request may be retried on another target if this one
 	// fails.
 	Retryable bool
+	// Resumable says that the caller may take the response up at another host, if it is
+	// certain which software version began it.
+	Resumable bool
 	// Repeat says that a target has got the request before. Targets that state limits get no
 	// such requests.
 	Repeat bool
--- a/schedule/restarted_target_test.go
+++ b/schedule/restarted_target_test.go
@@ -1,8 +1,10 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 
+	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/route"
 )
@@ -61,3 +63,22 @@
 	later := 1020
 	runOn(t, s, later, remainder("later", later))
 }
+
+// TestResumableStreamDoesNotBeginAtTargetInDoubt guards against streams that nobody can take up, because
+// they began at a target that may run another version although a certain one was free.
+func TestResumableStreamDoesNotBeginAtTargetInDoubt(t *testing.T) {
+	s := newScheduler(2, 2)
+	busy := runOn(t, s, 10, request("busy", 10, 0)).Name
+	doubted := ident.Target("t0")
+	if busy == doubted {
+		doubted = "t1"
+	}
+	s.RecordUnreachable(at(10), s.targets[doubted].Target)
+	for i, want := range []ident.Target{busy, doubted} {
+		r := request(fmt.Sprint(i), 20, 0)
+		r.Resumable = true
+		if got := runOn(t, s, 20, r).Name; got != want {
+			t.Errorf("stream %d began at %s, want %s", i, got, want)
+		}
+	}
+}
--- a/schedule/select_target.go
+++ b/schedule/select_target.go
@@ -14,6 +14,9 @@
 	// suspectPenalty is the cost, in seconds, of each request that runs beside content that
 	// may crash the target.
 	suspectPenalty = 1.0
+	// doubtPenalty is the cost, in seconds, of beginning a resumable stream at a target that may
+	// run another version than its entry says.
+	doubtPenalty = 0.3
 	// kvReserve is the fraction of the KV cache that is kept free for responses that turn
 	// out longer than expected.
 	kvReserve = 0.08
@@ -50,6 +53,9 @@
 		if t.limited() {
 			cost -= limitedBonus
 		}
+		if r.Resumable && t.mayHaveRestarted() {
+			cost += doubtPenalty
+		}
 		if suspect {
 			cost += suspectPenalty * float64(t.busySlots(now))
 		}
