Confirm the list of targets only once its rows are applied

What callers could see: a stream goes on at a target that runs another software version (ORDER), in the moments in which its host applies the response that says so. Found by reading; no run shows it.

Cause: each response to a read of targets ended the doubt about lost targets when it arrived, before its rows were decoded and applied.

Change: the plan of the reads confirms a table once its rows are applied; the report that the store responded no longer does.

Measured: TestTableIsConfirmedOnlyOnceItsRowsAreApplied failed before.

--- a/freshness/options.go
+++ b/freshness/options.go
@@ -16,7 +16,7 @@
 	// Clock returns the reading of the store's clock in milliseconds, or 0 while it is unknown. All
 	// hosts state moments by it.
 	Clock func(now time.Time) int64
-	// OnConfirm, if not nil, is called when anything but a call for the table has shown that its rows were the
-	// newest at a moment.
+	// OnConfirm, if not nil, is called when a table's rows have been shown to be the newest at a moment, once
+	// they are applied.
 	OnConfirm func(t Table, asOf time.Time)
 }
--- a/freshness/plan.go
+++ b/freshness/plan.go
@@ -52,15 +52,15 @@
 	return LongWait - rand.N(longWaitSpread)
 }
 
-// End records a response to a call for a table: its position, and the digest of the rows of the table
-// up to it. A response states the version of the whole store, so that it also confirms the other
+// End records that the response to a call for a table was applied: its position, and the digest of the rows
+// of the table up to it. A response states the version of the whole store, so that it also confirms the other
 // tables that were last read at this version.
 func (p *Plan) End(now time.Time, t Table, at Position, digest uint32) {
 	p.mu.Lock()
 	s := p.tables[t]
 	s.loaded, s.position, s.digest = true, at, digest
 	s.confirm(now, true, s.leads)
-	var confirmed []Table
+	confirmed := []Table{t}
 	for _, other := range tables {
 		o := p.tables[other]
 		if other == t || !o.loaded || o.position != at {
@@ -74,8 +74,8 @@
 		confirmed = append(confirmed, other)
 	}
 	p.mu.Unlock()
-	for _, other := range confirmed {
-		p.options.OnConfirm(other, now)
+	for _, c := range confirmed {
+		p.options.OnConfirm(c, now)
 	}
 }
 
--- a/gateway/cluster_state.go
+++ b/gateway/cluster_state.go
@@ -116,22 +116,17 @@
 	s.targetTracker.SetEntries(now, targets)
 	s.targetsLoaded.Store(true)
 	s.refreshTargets(now)
-	s.confirmTargets(now)
 }
 
 // StoreReachable implements platform.Listener.
 func (s *clusterState) StoreReachable(responded bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	s.targetTracker.RecordStoreCall(now, responded)
-	if responded {
-		s.confirmTargets(now)
-	}
+	s.targetTracker.RecordStoreCall(time.Now(), responded)
 }
 
-// tableConfirmed is called when something else than a call of this host for a table has shown that its
-// rows were the newest at a moment.
+// tableConfirmed is called when the rows of a table have been shown to be the newest at a moment, once
+// they are applied.
 func (s *clusterState) tableConfirmed(t freshness.Table, asOf time.Time) {
 	if t == freshness.Targets {
 		s.confirmTargets(asOf)
--- a/storewatch/unconfirmed_test.go
+++ b/storewatch/unconfirmed_test.go
@@ -74,3 +74,32 @@
 		t.Error("the table was confirmed although the store does not respond")
 	}
 }
+
+// TestTableIsConfirmedOnlyOnceItsRowsAreApplied guards against entries that are trusted although the response which names newer
+// ones is still being applied.
+func TestTableIsConfirmedOnlyOnceItsRowsAreApplied(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	store.Put("servers", "a", "1")
+	s := &watchRecorder{}
+	confirmed := make(chan string, 10)
+	plan := freshness.NewPlan(freshness.Options{
+		Clock:     func(now time.Time) int64 { return now.UnixMilli() },
+		OnConfirm: func(freshness.Table, time.Time) { confirmed <- s.knownKeys() },
+	})
+	runWatcher(t, storewatch.Options{
+		Store: platform.NewStoreClient(store.Address(), nil), Table: "servers", Plan: plan, Followed: freshness.Targets,
+		OnChange: s.recordChange, OnCall: s.recordCall,
+	})
+	for _, want := range []string{"a", "a,b"} {
+		select {
+		case keys := <-confirmed:
+			if keys != want {
+				t.Errorf("the table was confirmed with the rows %q, want %q", keys, want)
+			}
+		case <-time.After(2 * time.Second):
+			t.Fatalf("the rows %q were not confirmed", want)
+		}
+		store.Put("servers", "b", "1")
+	}
+}
--- a/storewatch/watcher_test.go
+++ b/storewatch/watcher_test.go
@@ -38,6 +38,12 @@
 	s.calls = append(s.calls, responded)
 }
 
+func (s *watchRecorder) knownKeys() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keys
+}
+
 func (s *watchRecorder) await(t *testing.T, keys string) {
 	t.Helper()
 	s.awaitCondition(t, "the keys are "+keys, func() bool { return s.keys == keys })
