--- a/freshness/intervals.go
+++ b/freshness/intervals.go
@@ -51,3 +51,12 @@
 }
 
 func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
+
+// CallTimeout returns the caller's own timeout of a call that waits for changes. One that does not wait may take
+// as long as any other call.
+func CallTimeout(wait, other time.Duration) time.Duration {
+	if wait <= ShortWait {
+		return wait + other
+	}
+	return wait + Grace
+}
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -7,7 +7,7 @@
 	"github.com/cornelyard/cornelyard/freshness"
 	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/metrics"
-	"github.com/cornelyard/cornelyard/platform"
+	"github.com/cornelyard/cornelyard/storewatch"
 )
 
 // gaugeInterval is the time between two updates of the gauges.
@@ -61,7 +61,7 @@
 }
 
 // countStoreCall counts a call to the store by kind, table and result.
-func (g *Gateway) countStoreCall(call platform.StoreCall) {
+func (g *Gateway) countStoreCall(call storewatch.Call) {
 	result := "answered"
 	if call.Err != nil {
 		result = "failed"
--- a/gateway/pool_rollout.go
+++ b/gateway/pool_rollout.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
-	"github.com/cornelyard/cornelyard/platform"
 	"github.com/cornelyard/cornelyard/rollout"
 )
 
@@ -20,7 +19,7 @@
 	changedAt time.Time
 	// stored is what the store holds as far as known, confirmedAt when it last confirmed that,
 	// and readAt when it was last asked.
-	stored      platform.StoredRollout
+	stored      rollout.Stored
 	confirmedAt time.Time
 	readAt      time.Time
 	// failedAt is when a call to the store last failed.
--- a/gateway/rollout_duty.go
+++ b/gateway/rollout_duty.go
@@ -8,7 +8,6 @@
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/periodic"
 	"github.com/cornelyard/cornelyard/metrics"
-	"github.com/cornelyard/cornelyard/platform"
 	"github.com/cornelyard/cornelyard/rollout"
 )
 
@@ -135,7 +134,7 @@
 	}
 	r := g.state.rollouts
 	p.saving, p.savedAt = true, now
-	saved := platform.StoredRollout{Pool: pool, Progress: next, Duration: p.order.Duration, Revision: p.stored.Revision}
+	saved := rollout.Stored{Pool: pool, Progress: next, Duration: p.order.Duration, Revision: p.stored.Revision}
 	saved.KeepsState = next.Phase == rollout.InProgress && r.rejectsBeside(p, pool)
 	go func() {
 		stored, err := g.directory.SaveProgress(ctx, saved)
@@ -164,7 +163,7 @@
 }
 
 // applyCall applies the result of a call to the store. After an error the row is read again.
-func (g *Gateway) applyCall(now time.Time, pool ident.Pool, p *poolRollout, stored platform.StoredRollout, err error) {
+func (g *Gateway) applyCall(now time.Time, pool ident.Pool, p *poolRollout, stored rollout.Stored, err error) {
 	r := g.state.rollouts
 	if err != nil {
 		p.failedAt = now
@@ -209,7 +208,7 @@
 }
 
 // RolloutsChanged implements platform.Listener.
-func (s *clusterState) RolloutsChanged(orders []rollout.Order, invalid []platform.InvalidOrder) {
+func (s *clusterState) RolloutsChanged(orders []rollout.Order, invalid []rollout.InvalidOrder) {
 	if s.rollouts == nil {
 		return
 	}
@@ -221,7 +220,7 @@
 }
 
 // ProgressChanged implements platform.Listener.
-func (s *clusterState) ProgressChanged(stored []platform.StoredRollout) {
+func (s *clusterState) ProgressChanged(stored []rollout.Stored) {
 	if s.rollouts == nil {
 		return
 	}
--- a/gateway/rollout_rejection.go
+++ b/gateway/rollout_rejection.go
@@ -6,7 +6,6 @@
 
 	"github.com/cornelyard/cornelyard/eventlog"
 	"github.com/cornelyard/cornelyard/ident"
-	"github.com/cornelyard/cornelyard/platform"
 	"github.com/cornelyard/cornelyard/rollout"
 )
 
@@ -42,7 +41,7 @@
 // mayReject reports whether this host is to store the state of an invalid order now. Beside an
 // order in progress, the host that decides on that one does, so that the two are stored in turn.
 // After the end of that order the operator has seen the rejection.
-func (r *rollouts) mayReject(now time.Time, o *platform.InvalidOrder) bool {
+func (r *rollouts) mayReject(now time.Time, o *rollout.InvalidOrder) bool {
 	p := r.pools[o.Pool]
 	switch {
 	case p == nil || p.order.ID == (rollout.OrderID{}):
@@ -60,7 +59,7 @@
 
 // rejects reports whether an invalid order gets a state beside an order in progress. A state with
 // the version of the latter would be taken for its end.
-func (p *poolRollout) rejects(o *platform.InvalidOrder) bool {
+func (p *poolRollout) rejects(o *rollout.InvalidOrder) bool {
 	return o.Version != "" && o.Version != p.order.Version
 }
 
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -10,7 +10,6 @@
 	"github.com/cornelyard/cornelyard/eventlog"
 	"github.com/cornelyard/cornelyard/hoststate"
 	"github.com/cornelyard/cornelyard/ident"
-	"github.com/cornelyard/cornelyard/platform"
 	"github.com/cornelyard/cornelyard/relay"
 	"github.com/cornelyard/cornelyard/rollout"
 )
@@ -51,7 +50,7 @@
 	// unresolved holds the orders that were read before the stored progress.
 	unresolved []rollout.Order
 	// invalid holds the orders that can't be followed, rejected those whose state was stored.
-	invalid  []platform.InvalidOrder
+	invalid  []rollout.InvalidOrder
 	rejected map[ident.Pool]rollout.OrderID
 }
 
@@ -73,7 +72,7 @@
 
 // setOrders applies the orders that were read. Before the stored progress is known, an order
 // can't be distinguished from one that was written again after the store's return from an older copy.
-func (r *rollouts) setOrders(now time.Time, orders []rollout.Order, invalid []platform.InvalidOrder) {
+func (r *rollouts) setOrders(now time.Time, orders []rollout.Order, invalid []rollout.InvalidOrder) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.invalid = invalid
@@ -113,7 +112,7 @@
 }
 
 // setProgress applies the stored progress that was read.
-func (r *rollouts) setProgress(now time.Time, stored []platform.StoredRollout) {
+func (r *rollouts) setProgress(now time.Time, stored []rollout.Stored) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range stored {
@@ -126,7 +125,7 @@
 }
 
 // applyStored applies what the store holds of a pool's rollout. The caller holds r.mu.
-func (r *rollouts) applyStored(now time.Time, p *poolRollout, stored platform.StoredRollout) {
+func (r *rollouts) applyStored(now time.Time, p *poolRollout, stored rollout.Stored) {
 	p.stored = stored
 	r.merge(now, p, stored.Pool, stored.Progress)
 	if p.order.Duration == 0 && p.order.ID == stored.Progress.Order {
@@ -142,7 +141,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range r.pools {
-		p.stored = platform.StoredRollout{}
+		p.stored = rollout.Stored{}
 	}
 }
 
--- a/platform/urgency.go
+++ b/relay/urgency.go
@@ -1,18 +1,18 @@
-package platform
+package relay
 
 import (
 	"github.com/cornelyard/cornelyard/internal/bytebudget"
-	"github.com/cornelyard/cornelyard/relay"
+	"github.com/cornelyard/cornelyard/route"
 )
 
 // maxPriority is the largest priority that is distinguished; larger ones count as equal. 16 bits each
 // leave room for two priorities in an Urgency.
 const maxPriority = 1<<16 - 1
 
-// urgencyOf returns the urgency of a call, by the priority of its team, then by that of its route, as
+// UrgencyOf returns the urgency of a call, by the priority of its team, then by that of its route, as
 // requests are ranked for targets. A call that will be rejected is the least urgent.
-func (i *Ingress) urgencyOf(call *relay.Call) bytebudget.Urgency {
-	table := i.table()
+// A nil table rejects all calls.
+func UrgencyOf(table *route.Table, call *Call) bytebudget.Urgency {
 	if table == nil {
 		return bytebudget.LeastUrgent
 	}
--- a/platform/stored_rollout.go
+++ b/rollout/stored.go
@@ -1,16 +1,15 @@
-package platform
+package rollout
 
 import (
 	"time"
 
 	"github.com/cornelyard/cornelyard/ident"
-	"github.com/cornelyard/cornelyard/rollout"
 )
 
-// StoredRollout is the progress of a pool's rollout as the store holds it.
-type StoredRollout struct {
+// Stored is the progress of a pool's rollout as the store holds it.
+type Stored struct {
 	Pool     ident.Pool
-	Progress rollout.Progress
+	Progress Progress
 	// Duration is that of the order.
 	Duration time.Duration
 	// Revision is the version of the row, or zero if there is none.
--- a/platform/store_call.go
+++ b/storewatch/call.go
@@ -1,4 +1,4 @@
-package platform
+package storewatch
 
 // CallKind is what a call to the store was for and, if it waited for changes, how it ended.
 type CallKind string
@@ -15,8 +15,8 @@
 	CallNoChanges CallKind = "no-changes"
 )
 
-// StoreCall is a call to the store that has ended.
-type StoreCall struct {
+// Call is a call to the store that has ended.
+type Call struct {
 	Kind CallKind
 	// Table is that of the first row, if the call is a transaction.
 	Table string
--- a/storewatch/first_rows_test.go
+++ b/storewatch/first_rows_test.go
@@ -21,7 +21,7 @@
 	defer store.Close()
 	listed, known := make(chan struct{}, 1), make(chan time.Time, 1)
 	w := storewatch.New(storewatch.Options{
-		Store: platform.NewStoreClient(store.Address(), func(platform.StoreCall) {}), Table: "servers", StartsInSeries: true,
+		Store: platform.NewStoreClient(store.Address(), func(storewatch.Call) {}), Table: "servers", StartsInSeries: true,
 		CoalesceDelay: firstDelay, MaxCoalesceDelay: 2 * time.Second, Plan: newTestPlan(), Followed: freshness.Targets,
 		Logger: logging.NewStructured(logging.Options{Output: io.Discard}).For("test"),
 		OnCall: func(bool) {},
--- a/storewatch/unconfirmed_test.go
+++ b/storewatch/unconfirmed_test.go
@@ -29,8 +29,8 @@
 	confirmed := time.Now()
 	// Another host asks often, and then no more.
 	plan.Merge(confirmed, "h0", []freshness.Statement{{Table: freshness.Targets, AsOfMs: confirmed.UnixMilli(), Frequent: true}})
-	var calls []platform.StoreCall
-	client := platform.NewStoreClient(store.Address(), func(call platform.StoreCall) { calls = append(calls, call) })
+	var calls []storewatch.Call
+	client := platform.NewStoreClient(store.Address(), func(call storewatch.Call) { calls = append(calls, call) })
 	ctx, cancel := context.WithCancel(t.Context())
 	responses := 0
 	w := storewatch.New(storewatch.Options{
@@ -50,7 +50,7 @@
 	if age := time.Since(confirmed); age > 3*time.Second {
 		t.Errorf("the targets were confirmed after %v, want at most the contact time of 3 s", age)
 	}
-	if want := []platform.StoreCall{{Kind: platform.CallRead, Table: "servers"}, {Kind: platform.CallNoChanges, Table: "servers"}, {Kind: platform.CallNoChanges, Table: "servers"}}; !slices.Equal(calls, want) {
+	if want := []storewatch.Call{{Kind: storewatch.CallRead, Table: "servers"}, {Kind: storewatch.CallNoChanges, Table: "servers"}, {Kind: storewatch.CallNoChanges, Table: "servers"}}; !slices.Equal(calls, want) {
 		t.Errorf("calls %v, want %v", calls, want)
 	}
 }
