Let no call wait longer than the store allows

Found by reading: the wait of a call for changes is 0.4 of the contact time, without a bound, and the store's page allows 30 s at most. A host with a contact time of more than 75 s would have had its calls rejected; no deployment that we know has one. TestNoCallWaitsLongerThanTheStoreAllows failed before (4m0s).

--- a/freshness/intervals.go
+++ b/freshness/intervals.go
@@ -43,7 +43,7 @@
 	if contact <= 0 {
 		contact = defaultContact
 	}
-	wait := max(share(contact, waitShare), minWait)
+	wait := min(max(share(contact, waitShare), minWait), LongWait)
 	if t == Hosts {
 		wait = max(wait, hostsWait)
 	}
--- a/freshness/plan_test.go
+++ b/freshness/plan_test.go
@@ -295,3 +295,16 @@
 		t.Errorf("digests %v and %v of the same rows", a, b)
 	}
 }
+
+// TestNoCallWaitsLongerThanTheStoreAllows guards against calls that the store rejects because the contact time is long.
+func TestNoCallWaitsLongerThanTheStoreAllows(t *testing.T) {
+	plan := NewPlan(Options{Contact: 10 * time.Minute})
+	now := time.Now()
+	plan.End(now, Targets, Position{Era: 1, Version: 1}, 0)
+	for range 3 {
+		if wait := plan.Begin(now, Targets); wait > LongWait {
+			t.Errorf("a call waits %v, want at most %v", wait, LongWait)
+		}
+		now = now.Add(LongWait)
+	}
+}
