Refuse requests whose body has not ended at the drain limit

What callers of the own interface saw: in a planned stop with a drain limit, a request whose body was still arriving at that limit got no response; its connection was closed five seconds later.

Cause: the requests that remain are cancelled through their contexts, and the read of a body did not look at its one.

Change: the read ends with the request's context, and the refusal names its cause: not run, draining. The same holds for requests that are evicted for higher tiers while their bodies arrive.

Measured: TestRequestWithoutWholeBodyAtDrainLimitIsRefused failed before (no response); the tests of entry and daemon pass.

--- a/entry/accept.go
+++ b/entry/accept.go
@@ -78,7 +78,10 @@
 // prepare reads and validates the request and sets the execution's call. It
 // returns the stored response if the request repeats a completed one.
 func (e *Entry) prepare(in *incomingRequest, x *execution, accept acceptFunc) (*claim.StoredResponse, *refusal) {
-	body, r := e.readBody(in)
+	body, r := e.readBody(x.ctx, in)
+	if r != nil && x.ctx.Err() != nil {
+		return nil, x.stoppedBeforeRun()
+	}
 	if r != nil {
 		return nil, r
 	}
@@ -98,12 +101,18 @@
 	return nil, nil
 }
 
-// readBody reads the body, within the limits on size and time.
-func (e *Entry) readBody(in *incomingRequest) ([]byte, *refusal) {
+// readBody reads the body, within the limits on size and time, until ctx is done.
+func (e *Entry) readBody(ctx context.Context, in *incomingRequest) ([]byte, *refusal) {
 	c := in.echo
 	controller := http.NewResponseController(c.Response())
 	_ = controller.SetReadDeadline(earlierOf(in.identity.deadline, in.arrived.Add(readBodyTimeout)))
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	stop := context.AfterFunc(ctx, func() { _ = controller.SetReadDeadline(time.Now()) })
+	defer func() {
+		// Nothing more is to be read of a connection whose request was stopped.
+		if stop() {
+			_ = controller.SetReadDeadline(time.Time{})
+		}
+	}()
 	limited := http.MaxBytesReader(c.Response(), c.Request().Body, e.options.Limits.MaxBodyBytes)
 	body, err := io.ReadAll(limited)
 	if err == nil {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -371,3 +371,33 @@
 		t.Errorf("the admitter received %+v", f.admitter.received())
 	}
 }
+
+// TestRequestWithoutWholeBodyAtDrainLimitIsRefused guards against a connection that is closed without a response.
+func TestRequestWithoutWholeBodyAtDrainLimitIsRefused(t *testing.T) {
+	f, stop, stopped := newDrainFixture(t, config.Timing{DrainLimit: settings.Duration(100 * time.Millisecond)}, streamingEngine(t, 1, make(chan struct{})))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	head := f.request("POST", "/v1/chat/completions", "").Header
+	_, _ = io.WriteString(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\nContent-Length: 100\r\n")
+	_ = head.Write(conn)
+	_, _ = io.WriteString(conn, "\r\n{")
+	eventually(t, "the request is in flight", func() bool { return f.entry.inFlight.size() == 1 })
+	stop()
+	_ = conn.SetReadDeadline(time.Now().Add(waitLimit))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("the caller got no response: %v", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e := errorOf(t, string(body)); response.StatusCode != http.StatusServiceUnavailable || e.Outcome != outcome.NotRun || e.Code != outcome.Draining {
+		t.Errorf("status %d, error %+v", response.StatusCode, e)
+	}
+	<-stopped
+}
