Let no other process listen at the address of a closed target

Cause: in the tests. The address of a target that refuses connections was that of a listener which had just been closed, with a port of the range that the kernel gives to others. A process beside the test could get that port.

Change: closedTarget takes its address from internal/loopback, as the processes of tests do: an address of this process only, below that range. TestDialFailureRetriesOnAnotherTarget and TestDialFailureIsUnavailable had the same and take theirs there too.

--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -121,12 +120,7 @@
 }
 
 func TestDialFailureRetriesOnAnotherTarget(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	closed := settings.Target{Name: "engine-0", Address: listener.Addr().String()}
-	_ = listener.Close()
+	closed := closedTarget(t)
 	engine := streamingEngine(t, 2, nil)
 	f := newFixture(t, nil, closed, engineTarget(engine))
 	response, body := do(t, f.request("POST", "/v1/chat/completions", streamBody))
@@ -138,7 +132,7 @@
 		t.Errorf("the first grant was returned with declines %v, ends %v", declines, ends)
 	}
 	requests := f.admitter.received()
-	if len(requests) != 2 || len(requests[1].ExcludedTargets) != 1 || requests[1].ExcludedTargets[0] != "engine-0" {
+	if len(requests) != 2 || len(requests[1].ExcludedTargets) != 1 || requests[1].ExcludedTargets[0] != closed.Name {
 		t.Errorf("the second request excludes targets %v", requests[len(requests)-1].ExcludedTargets)
 	}
 	if n := f.events.count(timeline.Dispatched); n != 1 {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cornelyard/cornelyard/config"
+	"github.com/cornelyard/cornelyard/internal/loopback"
 	"github.com/cornelyard/cornelyard/internal/tcptest"
 	"github.com/cornelyard/cornelyard/outcome"
 	"github.com/cornelyard/cornelyard/settings"
@@ -280,12 +281,11 @@
 
 func closedTarget(t *testing.T) settings.Target {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = listener.Close()
-	return settings.Target{Name: "closed", Address: listener.Addr().String()}
+	return settings.Target{Name: "closed", Address: address}
 }
 
 // newDrainFixture returns a fixture whose entry runs Serve until stop is called.
--- a/storage/restclient/client_test.go
+++ b/storage/restclient/client_test.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/goleak"
 
+	"github.com/cornelyard/cornelyard/internal/loopback"
 	standinplatform "github.com/cornelyard/cornelyard/internal/standin/platform"
 	"github.com/cornelyard/cornelyard/internal/tcptest"
 	"github.com/cornelyard/cornelyard/storage"
@@ -146,12 +147,10 @@
 }
 
 func TestDialFailureIsUnavailable(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := listener.Addr().String()
-	_ = listener.Close()
 	client := restclient.New(restclient.Options{BaseURL: "http://" + address})
 	if _, err := client.Commit(context.Background(), put("k", "v", 0)); !errors.Is(err, storage.ErrUnavailable) {
 		t.Fatalf("got %v", err)
