--- a/review/casestatements/main.go
+++ b/review/casestatements/main.go
@@ -41,31 +41,7 @@
 	root := flag.String("root", ".", "the repository")
 	out := flag.String("record", "record.txt", "the record")
 	flag.Parse()
-	os.Exit(run(*root, *out))
-}
-
-func run(root, out string) int {
-	record, err := stage.NewRecord(out)
-	if err != nil {
-		fmt.Println(err)
-		return 2
-	}
-	defer record.Close()
-	s, err := stage.New(root, record)
-	if err != nil {
-		fmt.Println(err)
-		return 2
-	}
-	defer s.Close()
-	broken, err := play(s, os.Getenv("TROUBLE") != "0")
-	if err != nil {
-		record.Say("the case could not run: %v", err)
-		return 2
-	}
-	if broken {
-		return 1
-	}
-	return 0
+	os.Exit(stage.Main(*root, *out, play))
 }
 
 func play(s *stage.Stage, trouble bool) (bool, error) {
