--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/cornelyard-review
-go build -o target/cornelyard-review/ ./review/casestatements
+go build -o target/cornelyard-review/ ./review/casestatements ./review/caseversions
--- a/review/stage/deployment.go
+++ b/review/stage/deployment.go
@@ -6,10 +6,15 @@
 const (
 	SubmitPath = "/lohu930/"
 	StatusPath = "/cuti104/"
+	// StreamPath is that of streams that may be resumed.
+	StreamPath = "/pufi791/"
 )
 
-// Service is the plain service behind the routes.
-const Service = "returns-desk"
+// Service is the plain service behind the routes, ModelService that of the model replicas.
+const (
+	Service      = "returns-desk"
+	ModelService = "cornelyard-pool"
+)
 
 // Configuration returns the operator's configuration: the plain routes of the site lrrb-index.
 func Configuration(version int) map[string]any {
@@ -28,6 +33,22 @@
 	}
 }
 
+// WithStreams adds a route of resumable streams to a configuration.
+func WithStreams(configuration map[string]any, timeoutMs int) map[string]any {
+	routes, _ := configuration["routes"].([]any)
+	services, _ := configuration["services"].([]any)
+	configuration["routes"] = append(routes, map[string]any{
+		"name": "streams", "host": HostName, "path_prefix": StreamPath, "type": "streaming", "service": ModelService,
+		"timeout_ms": timeoutMs, "target_latency_ms": 400, "gap_target_ms": 250, "priority": 1, "max_attempts": 2,
+		"resumable": true, "sticky": true,
+	})
+	configuration["services"] = append(services, map[string]any{
+		"name": ModelService, "max_connections": 360, "health_path": "/healthz",
+		"engine": map[string]any{"slots": 7, "kv_capacity": 310100, "stride": 3, "models": []any{map[string]any{"name": "m"}}},
+	})
+	return configuration
+}
+
 // Zones are those of the hosts of the site lrrb-index.
 var Zones = []string{"col-a", "col-a", "col-b", "col-b", "col-c", "col-d"}
 
--- a/review/stage/replica.go
+++ b/review/stage/replica.go
@@ -20,6 +20,9 @@
 	Slots   int
 	// Work is how long a request takes.
 	Work time.Duration
+	// Handle, if set, answers a request in place of the usual answer, once a slot is free. The version is that
+	// of the process.
+	Handle func(w http.ResponseWriter, r *http.Request, version string)
 	// Statements returns the header fields that all answers bear.
 	Statements func() http.Header
 	// TurnAway returns whether a request is rejected for another reason than a full queue, with further
@@ -44,6 +47,7 @@
 	beats    bool
 	lastBeat time.Time
 	listed   bool
+	draining bool
 	runs     map[string]int
 }
 
@@ -81,7 +85,7 @@
 	r.born = time.Now().UnixMilli()
 	r.server = server
 	r.running, r.waiting = 0, 0
-	r.beats = true
+	r.beats, r.draining = true, false
 	r.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
 	r.write()
@@ -107,6 +111,32 @@
 	}
 }
 
+// Drain reports to the store that the replica is draining.
+func (r *Replica) Drain() {
+	r.mu.Lock()
+	r.draining = true
+	r.mu.Unlock()
+	r.write()
+}
+
+// Exit ends the replica's process as planned: its entry is removed.
+func (r *Replica) Exit() {
+	r.mu.Lock()
+	r.beats, r.listed = false, false
+	r.mu.Unlock()
+	if !r.stage.StoreAway() {
+		r.stage.Store.Delete("servers", r.ID)
+	}
+	r.stop()
+}
+
+// SetVersion sets the software version of the next process.
+func (r *Replica) SetVersion(version string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Version = version
+}
+
 // SetQueue sets how many requests may wait.
 func (r *Replica) SetQueue(n int) {
 	r.mu.Lock()
@@ -163,15 +193,22 @@
 	r.lastBeat = time.Now()
 	again := !r.listed
 	r.listed = true
+	state := "ready"
+	if r.draining {
+		state = "draining"
+	}
 	entry := map[string]any{
 		"service": r.Service, "address": r.address, "zone": r.Zone, "version": r.Version, "slots": r.Slots,
-		"state": "ready", "cold_remaining_ms": 0, "sequence": r.sequence, "born": r.born,
+		"state": state, "cold_remaining_ms": 0, "sequence": r.sequence, "born": r.born,
 	}
 	r.mu.Unlock()
+	if r.stage.StoreAway() {
+		return
+	}
 	text, _ := json.Marshal(entry)
 	r.stage.Store.PutTarget(r.ID, string(text))
-	if again {
-		r.stage.Record.Add("%s writes its entry, born %d", r.ID, entry["born"])
+	if again || state != "ready" {
+		r.stage.Record.Add("%s writes its entry: %s, %s, born %d", r.ID, entry["version"], state, entry["born"])
 	}
 }
 
@@ -225,7 +262,10 @@
 	}
 	_, _ = io.Copy(io.Discard, request.Body)
 	r.mu.Lock()
-	server := r.server
+	server, version := r.server, r.Version
+	if r.draining {
+		header.Set("Server-Leaving", "1")
+	}
 	r.mu.Unlock()
 	if r.TurnAway != nil {
 		if more, reject := r.TurnAway(); reject {
@@ -244,6 +284,11 @@
 		return
 	}
 	defer r.release(server)
+	if r.Handle != nil {
+		header.Set("Server-Signature", "3e1b."+r.ID)
+		r.Handle(w, request, version)
+		return
+	}
 	select {
 	case <-time.After(r.Work):
 	case <-request.Context().Done():
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -49,6 +49,7 @@
 	nextIP   int
 	ended    chan struct{}
 	closed   bool
+	away     bool
 }
 
 // Host is a machine that runs the gateway.
@@ -193,6 +194,24 @@
 	return nil
 }
 
+// StoreAway reports whether the store is away, so that nothing can be written.
+func (s *Stage) StoreAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
+// SetStoreAway makes the store go away, or come back. With restore set it comes back from the last copy.
+func (s *Stage) SetStoreAway(away, restore bool) {
+	s.mu.Lock()
+	s.away = away
+	s.mu.Unlock()
+	if restore {
+		s.Store.Restore()
+	}
+	s.Store.SetDown(away)
+}
+
 // PutConfiguration writes the operator's configuration.
 func (s *Stage) PutConfiguration(document map[string]any) error {
 	text, err := json.Marshal(document)
