Don't take a reset during the upload for the end of a response

Callers got a part of a response as a complete one (MIXED): a target answered a long upload at once with neither a length nor chunks, sent a part of the body and reset the connection while the upload was being written.

Cause: the operating system reports a reset to one call. If that is the write, the read of the body sees a plain end of file. The check of such an end asked only whether the target still has a process.

--- a/target/transport.go
+++ b/target/transport.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"time"
 
+	"github.com/cornelyard/cornelyard/internal/tcpend"
 	"github.com/cornelyard/cornelyard/internal/tcpsilence"
 )
 
@@ -114,7 +115,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &gatedConn{Conn: conn}, nil
+			return &gatedConn{Conn: tcpend.NewConn(conn)}, nil
 		},
 		Protocols:              protocols,
 		DisableCompression:     true,
