Don't take a stream that ends before its last event for a whole one

Callers of the own interface got a stream without its end, and without the event that says so (MIXED), if the engine ended it between two events and it could not be resumed.

Cause: the failure of such a stream unwraps to io.EOF, with which a complete response ends; entry asks errors.Is.

Evidence: TestStreamThatEndsBeforeItsLastEventIsNotComplete failed in all 6 cases.

Change: the cause of a target.Failure is never io.EOF.

--- a/target/failure.go
+++ b/target/failure.go
@@ -1,6 +1,10 @@
 package target
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+	"io"
+)
 
 // FailureKind classifies the failures of a dispatch.
 type FailureKind string
@@ -40,6 +44,11 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Err }
 
+// newFailure returns a Failure with a cause, which is never io.EOF: that is the end of a complete
+// response.
 func newFailure(kind FailureKind, err error) *Failure {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
 	return &Failure{Kind: kind, Err: err}
 }
--- a/target/stream_test.go
+++ b/target/stream_test.go
@@ -3,9 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 
+	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/timeline"
 )
 
@@ -120,3 +125,38 @@
 		t.Errorf("requests at the engine: %v, want the original and one resume after event 2", requestLines)
 	}
 }
+
+func TestStreamThatEndsBeforeItsLastEventIsNotComplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + HeaderDispatch + ": d-1\r\nContent-Type: text/event-stream\r\n"
+	event := strings.ReplaceAll(tokenEvent(1), "ID", "d-1")
+	for name, test := range map[string]struct {
+		response string
+		resumes  bool
+	}{
+		"chunks":                 {head + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(event), event), false},
+		"length":                 {head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(event), event), false},
+		"neither":                {head + "\r\n" + event, false},
+		"no event":               {head + "Content-Length: 0\r\n\r\n", false},
+		"resumption is cut":      {head + "\r\n" + event, true},
+		"resumption has no data": {head + "\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := connServer(t, func(conn *net.TCPConn, request *http.Request) {
+				if request.Method == http.MethodPost {
+					_, _ = io.WriteString(conn, test.response)
+				}
+			})
+			client := NewClient(Options{MaxResumeAttempts: 1})
+			defer client.Close()
+			response, err := client.Do(context.Background(), Call{
+				Target: settings.Target{Address: address, EchoesID: true, Resumes: test.resumes}, Kind: settings.EnginePool,
+				Dispatch: "d-1", Method: http.MethodPost, Path: "/x", Stream: true, Latch: new(SendLatch),
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = readAll(response)
+			checkKind(t, err, FailedConnection)
+		})
+	}
+}
