Reject responses with an invalid field name in the head or in trailers

Callers got answers in whose head a field's name held a space (MIXED): the line was dropped, so that with 'Transfer-Encoding : chunked' or 'Content-Length : N' the body was not the target's; a line that begins with a space changed the field before it. Refusals in such heads were believed, and non-idempotent requests sent again.

Cause: net/http takes spaces in names of responses and joins folded lines; nothing looked at the result.

Change: internal/httpcheck, used below the transport of both interfaces and in the clients of the stores and of load reports. Such a response is a broken answer of which nothing is believed.

--- a/loadreport/reader.go
+++ b/loadreport/reader.go
@@ -15,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/cornelyard/cornelyard/admission"
+	"github.com/cornelyard/cornelyard/internal/httpcheck"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -48,7 +49,7 @@
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	return &Reader{client: &http.Client{Transport: transport}, now: now}
+	return &Reader{client: &http.Client{Transport: httpcheck.Transport{Transport: transport}}, now: now}
 }
 
 // Load fetches the load report of a target. It sets no timeout of its own; the
--- a/storage/restclient/options.go
+++ b/storage/restclient/options.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/cornelyard/cornelyard/internal/httpcheck"
 )
 
 const (
@@ -37,7 +39,7 @@
 func newHTTPClient(timeout time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: timeout}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpcheck.Transport{Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxConnsPerHost:     defaultMaxConnections,
 			MaxIdleConnsPerHost: defaultMaxConnections,
@@ -45,7 +47,7 @@
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+		}},
 		CheckRedirect: doNotFollowRedirects,
 	}
 }
--- a/target/client.go
+++ b/target/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/cornelyard/cornelyard/ident"
 	"github.com/cornelyard/cornelyard/internal/bytebudget"
+	"github.com/cornelyard/cornelyard/internal/httpcheck"
 	"github.com/cornelyard/cornelyard/settings"
 	"github.com/cornelyard/cornelyard/timeline"
 )
@@ -93,6 +94,9 @@
 	if call.Latch.Cancel() {
 		return nil, newFailure(unsentFailureKind(g), err)
 	}
+	if httpcheck.Error.Has(err) {
+		return nil, newFailure(FailedProtocol, err)
+	}
 	if !canResume(call) {
 		return nil, newFailure(FailedConnection, err)
 	}
--- a/target/resume.go
+++ b/target/resume.go
@@ -8,6 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/cornelyard/cornelyard/internal/httpcheck"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
@@ -73,6 +74,9 @@
 		Latch:    new(SendLatch),
 	}
 	response, err := c.send(ctx, resumeCall, &sendGate{latch: resumeCall.Latch})
+	if httpcheck.Error.Has(err) {
+		return nil, backoff.Permanent(err)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/target/send_gate.go
+++ b/target/send_gate.go
@@ -1,8 +1,11 @@
 package target
 
 import (
+	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/cornelyard/cornelyard/internal/httpcheck"
 )
 
 // sendGate decides, immediately before the first byte is written, whether a
@@ -26,6 +29,14 @@
 	}
 }
 
+// checkHead returns an error unless the head of the response is valid.
+func (g *sendGate) checkHead(response *http.Response) error {
+	if conn := g.conn.Load(); conn != nil && conn.hasFoldedHead() {
+		return httpcheck.ErrFolded
+	}
+	return httpcheck.Head(response)
+}
+
 // allowWrite returns nil if bytes of the dispatch may be written.
 func (g *sendGate) allowWrite() error {
 	if g.latch.IsSet() {
--- a/target/transport.go
+++ b/target/transport.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"time"
 
+	"github.com/cornelyard/cornelyard/internal/httpcheck"
 	"github.com/cornelyard/cornelyard/internal/tcpend"
 	"github.com/cornelyard/cornelyard/internal/tcpsilence"
 )
@@ -66,7 +67,7 @@
 }
 
 // Send sends the request with the body and returns when the header of the response
-// has arrived. If the latch can still be cancelled after an error, no byte was
+// has arrived and is valid. If the latch can still be cancelled after an error, no byte was
 // sent.
 func (t *Transport) Send(request *http.Request, body []byte, o SendOptions) (*HTTPResponse, error) {
 	setBody(request, body)
@@ -84,7 +85,17 @@
 		transport = t.unpooled
 	}
 	ctx := httptrace.WithClientTrace(request.Context(), assignTrace(g))
-	return transport.RoundTrip(request.WithContext(ctx))
+	response, err := transport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := g.checkHead(response); err != nil {
+		g.retire()
+		_ = response.Body.Close()
+		return nil, err
+	}
+	response.Body = httpcheck.Body(response)
+	return response, nil
 }
 
 // assignTrace returns a trace that assigns each connection that net/http selects to
