Reject responses whose status is none of a final response, also of other hosts

Callers got a target's 600 or 999 as it is, and a refusal with such a status was believed, so that a non-idempotent request was sent again. A host to which a request was passed on could answer with 000, 099, 101, +20, 600 or 999.

Cause: two places looked for statuses below 200 and none for those above 599; the client for other hosts looked for neither.

Evidence: 3 of 14 statuses of targets, 6 of 11 of hosts and 2 of 5 at the own interface were taken before; 600 also as a refusal and at the resumption of a stream. 000 of a target was refused in all of these.

Change: internal/httpcheck asks for a status of 200 to 599, in one place for both interfaces, other hosts and the stores.

Result: the tests pass, also that of statuses that must go on.

--- a/internal/httpcheck/check.go
+++ b/internal/httpcheck/check.go
@@ -16,8 +16,16 @@
 // ErrFolded means that a line of a response's head goes on with the one before it.
 var ErrFolded = Error.New("a field name begins with a space, or a line is folded")
 
-// Head returns an error unless the head of a response is valid.
-func Head(r *http.Response) error { return fieldNames(r.Header) }
+// maxStatus is the highest status that is valid (RFC 9110, section 15).
+const maxStatus = 599
+
+// Head returns an error unless the head of a response is valid and its status final.
+func Head(r *http.Response) error {
+	if r.StatusCode < http.StatusOK || r.StatusCode > maxStatus {
+		return Error.New("status %03d is none of a final response", r.StatusCode)
+	}
+	return fieldNames(r.Header)
+}
 
 // Body returns the body of a response, which ends with an error if invalid trailers follow it.
 func Body(r *http.Response) io.ReadCloser {
--- a/target/client.go
+++ b/target/client.go
@@ -183,9 +183,6 @@
 		c.recordRejected(call, "head")
 		return newFailure(FailedIDMismatch, Error.New("response header carries another dispatch ID or none"))
 	}
-	if httpResponse.StatusCode < http.StatusOK {
-		return newFailure(FailedProtocol, Error.New("status %d is none of a final response", httpResponse.StatusCode))
-	}
 	if isDraining(httpResponse) {
 		return newFailure(FailedDraining, Error.New("target is draining and refuses new requests"))
 	}
--- a/target/invalid_head_test.go
+++ b/target/invalid_head_test.go
@@ -47,3 +47,11 @@
 	checkKind(t, respondToCall(t, settings.ServicePool, text), FailedConnection)
 	checkKind(t, respondToCall(t, settings.EnginePool, text), FailedConnection)
 }
+
+func TestStatusOfNoFinalResponseIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		text := "HTTP/1.1 " + status + " Odd\r\n" + HeaderDispatch + ": d-1\r\nContent-Length: 14\r\n\r\n{\"id\": \"d-1\" }"
+		checkKind(t, respondToCall(t, settings.ServicePool, text), FailedProtocol)
+		checkKind(t, respondToCall(t, settings.EnginePool, text), FailedProtocol)
+	}
+}
