Don't read an object whose answer ends with its connection

A part of a stored object could be read as the whole one, if the platform of the own interface answered with neither a length nor chunks and the connection ended.

Evidence: TestObjectThatEndsWithItsConnectionIsNotRead read 2 of 4 such answers.

Change: the client takes no answer whose end can't be verified.

Result: the tests of storage, claim and trial pass.

--- a/storage/restclient/call.go
+++ b/storage/restclient/call.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +11,7 @@
 	"net/url"
 	"sync/atomic"
 
+	"github.com/cornelyard/cornelyard/internal/httpcheck"
 	"github.com/cornelyard/cornelyard/storage"
 )
 
@@ -19,6 +21,9 @@
 // maxResponseHeaderBytes limits the size of the head of a response.
 const maxResponseHeaderBytes = 64 << 10
 
+// errUnframed means that a response has neither a length nor chunks, so that its end can't be verified.
+var errUnframed = errors.New("response has neither Content-Length nor chunked encoding")
+
 // call is one request to the platform.
 type call struct {
 	method string
@@ -51,6 +56,9 @@
 		return httpResponse{}, call.transportError(err, connected.Load())
 	}
 	defer func() { _ = response.Body.Close() }()
+	if httpcheck.IsUnframed(response) {
+		return httpResponse{}, call.transportError(errUnframed, true)
+	}
 	body, err := readBody(response.Body)
 	if err != nil {
 		c.dropSilentConnections()
