Keep the scan of a head with its dispatch

A connection that is assigned to the next dispatch before the last one's head is checked must not mix the two; a response without a body returns to the pool that early. Found by reading; no failure was seen. The tests of target pass with the race detector.

--- a/target/early_response_test.go
+++ b/target/early_response_test.go
@@ -10,35 +10,22 @@
 	"testing"
 	"time"
 
+	"github.com/cornelyard/cornelyard/internal/tcptest"
 	"github.com/cornelyard/cornelyard/settings"
 )
 
 // uploadBytes is the size of a request body that the kernel does not take at once.
 const uploadBytes = 8 << 20
 
-// connServer accepts connections and calls respond for the head of each request.
+// connServer calls respond for the head of the first request of each connection.
 func connServer(t *testing.T, respond func(conn *net.TCPConn, request *http.Request)) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					respond(conn.(*net.TCPConn), request)
-				}
-			}()
+	return tcptest.Serve(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			respond(conn.(*net.TCPConn), request)
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 func TestResponseThatIsReadAfterTheUploadFailedIsWhole(t *testing.T) {
--- a/target/gated_conn.go
+++ b/target/gated_conn.go
@@ -4,8 +4,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-
-	"github.com/cornelyard/cornelyard/internal/httpcheck"
 )
 
 // gatedConn is a connection that accepts writes only for the dispatch that it is
@@ -18,33 +16,17 @@
 
 	mu       sync.Mutex
 	answered answeredRequests
-	// folds scans the head of the response to the dispatch.
-	folds httpcheck.FoldScanner
 }
 
 // Read implements net.Conn.
 func (c *gatedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.folds.Scan(p[:n])
+	if g := c.gate.Load(); g != nil {
+		g.scanHead(p[:n])
+	}
 	return n, err
 }
 
-// hasFoldedHead reports whether a line of the response's head goes on with another one.
-func (c *gatedConn) hasFoldedHead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.folds.Folded()
-}
-
-// expectHead makes the connection scan the head of the next response.
-func (c *gatedConn) expectHead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.folds = httpcheck.FoldScanner{}
-}
-
 // recordResponse records the response to a request (see answeredRequests.add).
 func (c *gatedConn) recordResponse(id string) (first, repeated bool) {
 	c.mu.Lock()
@@ -66,7 +48,6 @@
 		_ = c.Close()
 		return
 	}
-	c.expectHead()
 	c.gate.Store(g)
 	g.conn.Store(c)
 }
--- a/target/send_gate.go
+++ b/target/send_gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,10 @@
 	expired atomic.Bool
 	// conn is the connection that is assigned to the dispatch.
 	conn atomic.Pointer[gatedConn]
+
+	headMu sync.Mutex
+	// folds scans the head of the response.
+	folds httpcheck.FoldScanner
 }
 
 // retire closes the assigned connection so that no later dispatch uses it.
@@ -29,9 +34,18 @@
 	}
 }
 
+// scanHead takes bytes that have arrived over the connection since the dispatch got it.
+func (g *sendGate) scanHead(p []byte) {
+	g.headMu.Lock()
+	defer g.headMu.Unlock()
+	g.folds.Scan(p)
+}
+
 // checkHead returns an error unless the head of the response is valid.
 func (g *sendGate) checkHead(response *http.Response) error {
-	if conn := g.conn.Load(); conn != nil && conn.hasFoldedHead() {
+	g.headMu.Lock()
+	defer g.headMu.Unlock()
+	if g.folds.Folded() {
 		return httpcheck.ErrFolded
 	}
 	return httpcheck.Head(response)
