--- a/internal/tcpend/conn.go
+++ b/internal/tcpend/conn.go
@@ -16,7 +16,7 @@
 // end of file, which is replaced by the error of that write here.
 //
 // A write to a peer that has closed or reset the connection returns only once a read has reached the
-// end: an HTTP client closes the connection at a failed write, together with the bytes that have
+// end or the Conn is closed: an HTTP client closes the connection at a failed write, together with the bytes that have
 // arrived and are still to be read.
 type Conn struct {
 	net.Conn
--- a/storage/restapi/doc.go
+++ b/storage/restapi/doc.go
@@ -9,5 +9,6 @@
 //	DELETE /v1/object?name=N                    204
 //	GET    /v1/hosts                            Hosts
 //
-// Statuses 429 and 503 guarantee that nothing was changed.
+// Statuses 429 and 503 guarantee that nothing was changed. Each response states the length of its
+// body or has chunks; clients reject others, whose end can't be verified.
 package restapi
